Build, formatter, linter and the types the parts meet at

Cause: nothing exists yet and several parts are to be written side by side. Change: Maven module with Spring's formatter and linter, warnings as errors, one executable file, a layering test, and the shared types: contracts, fleet, events and actions of the schedulers, ports, typed refusals. Conclusion: parts can be written against these types.

--- /dev/null
+++ b/src/launcher/stub.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+exec java ${SHALLOTSPUR_JAVA_OPTS:--Xmx512m} -jar "$0" "$@"
--- /dev/null
+++ b/src/main/java/io/shallotspur/exc/EngineRefusedException.java
@@ -0,0 +1,34 @@
+package io.shallotspur.exc;
+
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The worker refused the call, or the call was never sent. It was surely not run.
+ */
+public final class EngineRefusedException extends EngineException {
+
+	/**
+	 * Creates an exception without a cause.
+	 * @param message what went wrong and what can be done about it
+	 * @param location where it went wrong, or {@code null}
+	 */
+	public EngineRefusedException(String message, @Nullable String location) {
+		this(message, location, null);
+	}
+
+	/**
+	 * Creates an exception.
+	 * @param message what went wrong and what can be done about it
+	 * @param location where it went wrong, or {@code null}
+	 * @param cause the failure below this one, or {@code null}
+	 */
+	public EngineRefusedException(String message, @Nullable String location, @Nullable Throwable cause) {
+		super(message, location, cause);
+	}
+
+	@Override
+	public String getCode() {
+		return "engine-refused";
+	}
+
+}
--- /dev/null
+++ b/src/test/java/io/shallotspur/LayeringTests.java
@@ -0,0 +1,71 @@
+package io.shallotspur;
+
+import com.tngtech.archunit.core.importer.ImportOption;
+import com.tngtech.archunit.junit.AnalyzeClasses;
+import com.tngtech.archunit.junit.ArchTest;
+import com.tngtech.archunit.lang.ArchRule;
+import com.tngtech.archunit.lang.syntax.ArchRuleDefinition;
+
+/**
+ * Holds the layering: decisions know no adapter, no clock and no thread.
+ */
+@AnalyzeClasses(packages = "io.shallotspur", importOptions = ImportOption.DoNotIncludeTests.class)
+class LayeringTests {
+
+	private static final String[] DECISIONS = { "..exc..", "..outcome..", "..contract..", "..fleet..", "..cell..",
+			"..plain..", "..routing..", "..admission..", "..retry..", "..ledger..", "..membership..", "..record.." };
+
+	@ArchTest
+	final ArchRule decisionsKnowNoOuterLayer = ArchRuleDefinition.noClasses()
+		.that()
+		.resideInAnyPackage(DECISIONS)
+		.should()
+		.dependOnClassesThat()
+		.resideInAnyPackage("io.shallotspur.adapter..", "io.shallotspur.node..", "io.shallotspur.cli..",
+				"io.shallotspur.cfg..", "io.shallotspur.standin..", "io.shallotspur.replay..", "io.shallotspur.demo..",
+				"reactor.netty..", "io.netty..");
+
+	@ArchTest
+	final ArchRule decisionsStartNoThread = ArchRuleDefinition.noClasses()
+		.that()
+		.resideInAnyPackage(DECISIONS)
+		.should()
+		.dependOnClassesThat()
+		.resideInAnyPackage("java.util.concurrent.locks..", "reactor.core.scheduler..")
+		.orShould()
+		.dependOnClassesThat()
+		.areAssignableTo(Thread.class)
+		.orShould()
+		.dependOnClassesThat()
+		.areAssignableTo(java.util.concurrent.Executor.class);
+
+	@ArchTest
+	final ArchRule decisionsReadNoClock = ArchRuleDefinition.noClasses()
+		.that()
+		.resideInAnyPackage(DECISIONS)
+		.should()
+		.callMethod(System.class, "currentTimeMillis")
+		.orShould()
+		.callMethod(System.class, "nanoTime")
+		.orShould()
+		.callMethod(java.time.Instant.class, "now");
+
+	@ArchTest
+	final ArchRule portsKnowNoAdapter = ArchRuleDefinition.noClasses()
+		.that()
+		.resideInAPackage("io.shallotspur.port..")
+		.should()
+		.dependOnClassesThat()
+		.resideInAnyPackage("io.shallotspur.adapter..", "io.shallotspur.node..", "io.shallotspur.cli..",
+				"reactor.netty..", "io.netty..");
+
+	@ArchTest
+	final ArchRule adaptersKnowNoCommandLine = ArchRuleDefinition.noClasses()
+		.that()
+		.resideInAPackage("io.shallotspur.adapter..")
+		.should()
+		.dependOnClassesThat()
+		.resideInAnyPackage("io.shallotspur.cli..", "io.shallotspur.demo..", "io.shallotspur.replay..")
+		.allowEmptyShould(true);
+
+}
