--- a/src/main/java/io/shallotspur/cli/Main.java
+++ b/src/main/java/io/shallotspur/cli/Main.java
@@ -1,5 +1,7 @@
 package io.shallotspur.cli;
 
+import java.util.List;
+
 /**
  * Entry point of the program.
  */
@@ -9,12 +11,16 @@
 	}
 
 	/**
-	 * Runs one command.
+	 * Runs one command and ends the process with its exit status.
 	 * @param args the command line
 	 */
 	public static void main(String[] args) {
-		String v = Main.class.getPackage().getImplementationVersion();
-		System.out.println("shallotspur " + ((v != null) ? v : "development"));
+		System.exit(new CommandLine(entries(), System.out, System.err).run(args));
+	}
+
+	static List<CommandEntry> entries() {
+		return List.of(new CommandEntry("check", "check a settings file", CheckCommand::new),
+				new CommandEntry("version", "print the version", VersionCommand::new));
 	}
 
 }
