Quarantine requests that crash the workers they run on

Cause: a request that crashes each engine that runs it is resent by its caller and would take one worker after another.

Change: quarantine.CrashSuspects. All requests on a crashed worker become suspects; one that was at two crashes, and was alone among suspects at the later one, is quarantined; completion clears. What a node knows merges with what peers tell (states only rise, so order and repetition make no difference); one crash noticed by two nodes counts once. Bounded in entries and in time, listed for operators.

--- /dev/null
+++ b/src/main/java/io/shallotspur/quarantine/CrashSuspects.java
@@ -0,0 +1,246 @@
+package io.shallotspur.quarantine;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Finds the requests that crash the workers they run on.
+ * <p>
+ * All requests on a crashed worker become suspects. A request is quarantined when it was
+ * present at two crashes and was the only one at the later crash that had been at an
+ * earlier one. Because the scheduler never puts two suspects on one worker, this is so at
+ * its second crash. If two suspects did meet (nodes that had not told each other yet),
+ * neither is convicted: innocent requests are not refused, at the price of one more
+ * worker. A suspect that completes whole is cleared.
+ * <p>
+ * Invariants: a request that was at one crash is never quarantined; the table is bounded
+ * in entries and each entry in time; {@link #merge} is idempotent and commutes.
+ * Thread-safe: each method holds the monitor of this object, for a time bounded by the
+ * size of the table.
+ */
+public final class CrashSuspects {
+
+	private final QuarantineLimits limits;
+
+	private final Map<Long, SuspectEntry> entries = new LinkedHashMap<>();
+
+	private final Map<String, Long> localCrashes = new HashMap<>();
+
+	private final Set<Long> changed = new LinkedHashSet<>();
+
+	/**
+	 * Creates an empty table with the default limits.
+	 */
+	public CrashSuspects() {
+		this(QuarantineLimits.DEFAULT);
+	}
+
+	/**
+	 * Creates an empty table.
+	 * @param limits its bounds
+	 */
+	public CrashSuspects(QuarantineLimits limits) {
+		this.limits = limits;
+	}
+
+	/**
+	 * Takes the crash of a worker.
+	 * @param workerId the worker
+	 * @param runningFingerprints the requests that were on it
+	 * @param now the present time in milliseconds
+	 * @return the requests that are quarantined because of it, usually none or one
+	 */
+	public synchronized Set<Long> workerCrashed(String workerId, Collection<Long> runningFingerprints, long now) {
+		expire(now);
+		Crash c = new Crash(workerId, crashTime(workerId, now), CrashState.OPEN);
+		this.localCrashes.put(workerId, c.at());
+		Set<Long> running = new LinkedHashSet<>(runningFingerprints);
+		for (long fp : running) {
+			SuspectEntry e = this.entries.getOrDefault(fp, new SuspectEntry(fp, List.of()));
+			if (e.crashes().stream().noneMatch((o) -> o.isSame(c, 0))) {
+				put(e.withCrash(c));
+			}
+		}
+		Set<Long> convicted = convict(running);
+		bound();
+		return convicted;
+	}
+
+	/**
+	 * Tells whether a request is refused because it crashes workers.
+	 * @param fp the fingerprint
+	 * @param now the present time in milliseconds
+	 * @return {@code true} if it must not be dispatched
+	 */
+	public synchronized boolean isQuarantined(long fp, long now) {
+		SuspectEntry e = this.entries.get(fp);
+		return e != null && e.convicted() && !isExpired(e, now);
+	}
+
+	/**
+	 * Tells whether a request was on a worker that crashed and has not completed since.
+	 * No two suspects may be on one worker. Quarantined requests are suspects too.
+	 * @param fp the fingerprint
+	 * @param now the present time in milliseconds
+	 * @return {@code true} if it may have caused a crash
+	 */
+	public synchronized boolean isSuspect(long fp, long now) {
+		SuspectEntry e = this.entries.get(fp);
+		return e != null && e.suspected() && !isExpired(e, now);
+	}
+
+	/**
+	 * Takes the whole completion of a request, which clears it.
+	 * @param fp the fingerprint
+	 * @param now the present time in milliseconds
+	 */
+	public synchronized void completed(long fp, long now) {
+		SuspectEntry e = this.entries.get(fp);
+		if (e != null && e.suspected() && !isExpired(e, now)) {
+			put(e.withCleared());
+		}
+	}
+
+	/**
+	 * Takes what a peer knows.
+	 * @param told the peer's entries
+	 * @param now the present time in milliseconds
+	 * @return the requests that are quarantined here because of it
+	 */
+	public synchronized Set<Long> merge(Collection<SuspectEntry> told, long now) {
+		expire(now);
+		Set<Long> before = quarantined();
+		Set<Long> touched = new LinkedHashSet<>();
+		for (SuspectEntry t : told) {
+			SuspectEntry old = this.entries.get(t.fingerprint());
+			SuspectEntry e = join(old, t);
+			if (e != old && !isExpired(e, now)) {
+				this.entries.put(e.fingerprint(), e);
+				touched.add(e.fingerprint());
+			}
+		}
+		convict(touched);
+		bound();
+		Set<Long> after = quarantined();
+		after.removeAll(before);
+		return after;
+	}
+
+	/**
+	 * Returns what is known, for operators and for a peer that starts.
+	 * @param now the present time in milliseconds
+	 * @return the entries, the one with the latest crash first
+	 */
+	public synchronized List<SuspectEntry> entries(long now) {
+		expire(now);
+		List<SuspectEntry> l = new ArrayList<>(this.entries.values());
+		l.sort(Comparator.comparingLong(SuspectEntry::lastCrashAt)
+			.reversed()
+			.thenComparingLong(SuspectEntry::fingerprint));
+		return l;
+	}
+
+	/**
+	 * Returns the entries that changed here since the last call, to be told to all peers
+	 * at once. What a peer told is not among them, unless it led to a verdict here.
+	 * @param now the present time in milliseconds
+	 * @return the entries, at most as many as the table holds
+	 */
+	public synchronized List<SuspectEntry> takeChanges(long now) {
+		expire(now);
+		List<SuspectEntry> l = this.changed.stream().filter(this.entries::containsKey).map(this.entries::get).toList();
+		this.changed.clear();
+		return l;
+	}
+
+	private SuspectEntry join(@Nullable SuspectEntry ours, SuspectEntry theirs) {
+		return (ours != null) ? ours.merge(theirs, this.limits.sameCrashMs()) : theirs;
+	}
+
+	private long crashTime(String workerId, long now) {
+		// A peer that shares the worker may have told of this very crash before this node
+		// noticed it. Counted twice, one crash would convict all that were on the worker;
+		// so the peer's observation is adopted. Two crashes noticed by this node itself
+		// are always two.
+		Long last = this.localCrashes.get(workerId);
+		Crash here = new Crash(workerId, now, CrashState.OPEN);
+		long told = this.entries.values()
+			.stream()
+			.flatMap((e) -> e.crashes().stream())
+			.filter((c) -> c.isSame(here, this.limits.sameCrashMs()) && (last == null || c.at() > last))
+			.mapToLong(Crash::at)
+			.max()
+			.orElse(now);
+		return (last != null && told <= last) ? last + 1 : told;
+	}
+
+	private Set<Long> convict(Set<Long> candidates) {
+		Set<Long> l = new LinkedHashSet<>();
+		for (long fp : candidates) {
+			SuspectEntry e = this.entries.get(fp);
+			if (e != null && !e.convicted() && e.openCrashes() > 1 && isAloneAmongSuspects(e)) {
+				l.add(fp);
+			}
+		}
+		l.forEach((fp) -> put(this.entries.get(fp).withConviction()));
+		return l;
+	}
+
+	private boolean isAloneAmongSuspects(SuspectEntry e) {
+		Crash last = e.crashes().get(e.crashes().size() - 1);
+		return this.entries.values()
+			.stream()
+			.filter((o) -> o.fingerprint() != e.fingerprint() && o.openCrashes() > 1)
+			.flatMap((o) -> o.crashes().stream())
+			.noneMatch((c) -> c.isSame(last, this.limits.sameCrashMs()));
+	}
+
+	private Set<Long> quarantined() {
+		Set<Long> l = new LinkedHashSet<>();
+		this.entries.values().stream().filter(SuspectEntry::convicted).forEach((e) -> l.add(e.fingerprint()));
+		return l;
+	}
+
+	private void put(SuspectEntry e) {
+		this.entries.put(e.fingerprint(), e);
+		this.changed.add(e.fingerprint());
+	}
+
+	private boolean isExpired(SuspectEntry e, long now) {
+		long ttl = e.convicted() ? this.limits.quarantineMs() : this.limits.suspectMs();
+		return e.lastCrashAt() + ttl <= now;
+	}
+
+	private void expire(long now) {
+		this.entries.values().removeIf((e) -> isExpired(e, now));
+		this.changed.retainAll(this.entries.keySet());
+		this.localCrashes.values().removeIf((at) -> at + this.limits.suspectMs() <= now);
+	}
+
+	private void bound() {
+		// A flood of crashes must not fill the memory of the node: suspects go before
+		// those that are refused, the oldest first.
+		int over = this.entries.size() - this.limits.maxEntries();
+		if (over <= 0) {
+			return;
+		}
+		this.entries.values()
+			.stream()
+			.sorted(Comparator.comparing(SuspectEntry::convicted).thenComparingLong(SuspectEntry::lastCrashAt))
+			.limit(over)
+			.map(SuspectEntry::fingerprint)
+			.toList()
+			.forEach(this.entries::remove);
+		this.changed.retainAll(this.entries.keySet());
+	}
+
+}
--- /dev/null
+++ b/src/test/java/io/shallotspur/quarantine/CrashSuspectsTests.java
@@ -0,0 +1,111 @@
+package io.shallotspur.quarantine;
+
+import java.util.List;
+import java.util.Set;
+
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class CrashSuspectsTests {
+
+	private static final long POISON = 666;
+
+	private final CrashSuspects suspects = new CrashSuspects();
+
+	@Test
+	void secondCrashConvictsTheSuspectAndNoNeighbour() {
+		// A request kills its engine, is retried elsewhere and kills that one too. Its
+		// caller is refused; those who shared the engines notice a retry at most.
+		assertThat(this.suspects.workerCrashed("w1", List.of(1L, POISON, 2L), 1_000)).isEmpty();
+		assertThat(this.suspects.isSuspect(1, 1_000)).isTrue();
+		assertThat(this.suspects.workerCrashed("w2", List.of(3L, POISON), 2_000)).containsExactly(POISON);
+		assertThat(this.suspects.isQuarantined(POISON, 2_000)).isTrue();
+		assertThat(List.of(1L, 2L, 3L)).noneMatch((fp) -> this.suspects.isQuarantined(fp, 2_000));
+		assertThat(this.suspects.isSuspect(3, 2_000)).isTrue();
+	}
+
+	@Test
+	void completionClears() {
+		this.suspects.workerCrashed("w1", List.of(1L, POISON), 0);
+		this.suspects.completed(1, 100);
+		assertThat(this.suspects.isSuspect(1, 100)).isFalse();
+		assertThat(this.suspects.workerCrashed("w2", List.of(1L, POISON), 5_000)).containsExactly(POISON);
+	}
+
+	@Test
+	void twoSuspectsThatMeetAreNotConvicted() {
+		// Two nodes that have not told each other yet put two suspects on one worker.
+		// Convicting both would refuse an innocent caller for an hour.
+		this.suspects.workerCrashed("w1", List.of(1L, POISON), 0);
+		assertThat(this.suspects.workerCrashed("w2", List.of(1L, POISON), 5_000)).isEmpty();
+		assertThat(this.suspects.workerCrashed("w3", List.of(POISON), 9_000)).containsExactly(POISON);
+		assertThat(this.suspects.isQuarantined(1, 9_000)).isFalse();
+	}
+
+	@Test
+	void oneCrashNoticedByTwoNodesCountsOnce() {
+		// Two entry VMs share a plain worker and each notices its crash. If that counted
+		// as two crashes, all callers of the worker would be refused.
+		CrashSuspects peer = new CrashSuspects();
+		peer.workerCrashed("w1", List.of(1L), 1_000);
+		this.suspects.merge(peer.takeChanges(1_000), 1_050);
+		assertThat(this.suspects.workerCrashed("w1", List.of(1L), 1_100)).isEmpty();
+		assertThat(peer.merge(this.suspects.takeChanges(1_100), 1_200)).isEmpty();
+		assertThat(peer.entries(1_200)).hasSize(1).allMatch((e) -> e.crashes().size() == 1);
+	}
+
+	@Test
+	void workerThatCrashesTwiceAtOnceCountsTwice() {
+		this.suspects.workerCrashed("w1", List.of(POISON, 1L), 1_000);
+		assertThat(this.suspects.workerCrashed("w1", List.of(POISON), 1_500)).containsExactly(POISON);
+	}
+
+	@Test
+	void resendThroughAnotherNodeIsConvictedAtItsSecondCrash() {
+		CrashSuspects peer = new CrashSuspects();
+		peer.workerCrashed("w1", List.of(1L, POISON), 1_000);
+		this.suspects.merge(peer.takeChanges(1_000), 1_010);
+		assertThat(this.suspects.isSuspect(POISON, 1_010)).isTrue();
+		assertThat(this.suspects.workerCrashed("w2", List.of(2L, POISON), 4_000)).containsExactly(POISON);
+		assertThat(peer.merge(this.suspects.takeChanges(4_000), 4_010)).containsExactly(POISON);
+		assertThat(this.suspects.takeChanges(4_020)).isEmpty();
+	}
+
+	@Test
+	void crashesSeenApartConvictWhenTold() {
+		// The caller sent the request to two nodes at once and each lost a worker before
+		// it heard of the other.
+		CrashSuspects peer = new CrashSuspects();
+		peer.workerCrashed("w1", List.of(1L, POISON), 1_000);
+		this.suspects.workerCrashed("w2", List.of(2L, POISON), 1_010);
+		assertThat(this.suspects.merge(peer.takeChanges(1_010), 1_020)).containsExactly(POISON);
+		assertThat(peer.merge(this.suspects.takeChanges(1_020), 1_030)).containsExactly(POISON);
+	}
+
+	@Test
+	void clearedStaysClearedWhenAnOldEntryComesLate() {
+		this.suspects.workerCrashed("w1", List.of(1L), 0);
+		List<SuspectEntry> old = this.suspects.takeChanges(0);
+		this.suspects.completed(1, 10);
+		this.suspects.merge(old, 20);
+		assertThat(this.suspects.isSuspect(1, 20)).isFalse();
+	}
+
+	@Test
+	void tableIsBoundedInMemoryAndTime() {
+		CrashSuspects s = new CrashSuspects(new QuarantineLimits(10, 1_000, 5_000, 10));
+		s.workerCrashed("w1", List.of(POISON), 0);
+		s.workerCrashed("w2", List.of(POISON), 100);
+		for (long i = 0; i < 100; i++) {
+			s.workerCrashed("w" + i, List.of(1_000 + i), 200 + i);
+		}
+		assertThat(s.entries(300)).hasSize(10);
+		assertThat(s.isQuarantined(POISON, 300)).isTrue();
+		assertThat(s.entries(1_400)).extracting(SuspectEntry::fingerprint).containsExactly(POISON);
+		assertThat(s.isQuarantined(POISON, 5_099)).isTrue();
+		assertThat(s.isQuarantined(POISON, 5_100)).isFalse();
+		assertThat(Set.copyOf(s.entries(5_100))).isEmpty();
+	}
+
+}
