--- /dev/null
+++ b/src/main/java/io/shallotspur/cell/CellFleet.java
@@ -0,0 +1,91 @@
+package io.shallotspur.cell;
+
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+import org.jspecify.annotations.Nullable;
+
+import io.shallotspur.fleet.Worker;
+import io.shallotspur.fleet.WorkerRole;
+import io.shallotspur.routing.DecodeWorker;
+import io.shallotspur.routing.PrefillWorker;
+
+/**
+ * The workers of a cell by role, in the order in which they came. Not thread-safe.
+ */
+final class CellFleet {
+
+	private final CellSettings settings;
+
+	private final Map<String, PrefillWorker> prefill = new LinkedHashMap<>();
+
+	private final Map<String, DecodeWorker> decode = new LinkedHashMap<>();
+
+	CellFleet(CellSettings settings) {
+		this.settings = settings;
+	}
+
+	// Adds a worker that came up empty; it replaces what was known under its identifier.
+	void add(Worker worker) {
+		if (worker.role() == WorkerRole.PREFILL) {
+			this.prefill.put(worker.id(), new PrefillWorker(worker, this.settings.priorPrefillMsPerToken()));
+		}
+		else if (worker.role() == WorkerRole.DECODE) {
+			this.decode.put(worker.id(),
+					new DecodeWorker(worker, this.settings.priorStepMs(), this.settings.priorStepMsPerRequest()));
+		}
+	}
+
+	void remove(String id) {
+		this.prefill.remove(id);
+		this.decode.remove(id);
+	}
+
+	void leave(String id) {
+		PrefillWorker p = this.prefill.get(id);
+		if (p != null) {
+			p.leave();
+		}
+		DecodeWorker d = this.decode.get(id);
+		if (d != null) {
+			d.leave();
+		}
+	}
+
+	boolean knows(String id) {
+		return this.prefill.containsKey(id) || this.decode.containsKey(id);
+	}
+
+	@Nullable PrefillWorker prefill(String id) {
+		return this.prefill.get(id);
+	}
+
+	@Nullable DecodeWorker decode(String id) {
+		return this.decode.get(id);
+	}
+
+	Collection<PrefillWorker> prefill() {
+		return this.prefill.values();
+	}
+
+	Collection<DecodeWorker> decode() {
+		return this.decode.values();
+	}
+
+	boolean anyIdlePrefill() {
+		for (PrefillWorker p : this.prefill.values()) {
+			if (p.idle()) {
+				return true;
+			}
+		}
+		return false;
+	}
+
+	// Returns whether both roles have a worker that takes new work.
+	boolean takesWork() {
+		return this.prefill.values().stream().anyMatch((p) -> !p.leaving())
+				&& this.decode.values().stream().anyMatch((d) -> !d.leaving());
+	}
+
+}
--- /dev/null
+++ b/src/main/java/io/shallotspur/cell/CellSettings.java
@@ -0,0 +1,79 @@
+package io.shallotspur.cell;
+
+import java.util.EnumSet;
+import java.util.Set;
+
+/**
+ * Settings of {@link StdCellScheduler}. None is a speed or a limit of an engine: those
+ * are learnt or declared by the worker. Immutable.
+ *
+ * @param features the mechanisms that are enabled
+ * @param priorPrefillMsPerToken prefill cost assumed until learnt, default 0.2 ms
+ * @param priorStepMs decode step assumed until learnt, default 30 ms
+ * @param priorStepMsPerRequest growth of the step per request assumed until learnt,
+ * default 0.5 ms
+ * @param priorOutputTokens answer length assumed until learnt, default 200
+ * @param queueLimit the most requests that wait in the cell, default 1024
+ * @param lookahead the most waiting requests that one decision looks at, default 32
+ * @param kvMarginMs a transfer is begun at least so long before the KV cache would be
+ * evicted, default 50 ms
+ * @param stallFloorMs the least patience with a transfer beyond its prediction, default
+ * 60 ms
+ * @param retryRatio retries earned per first try, default 0.1
+ * @param retryReserve retries a customer can have saved up, default 24
+ * @param maxTries the most tries of one request, default 4
+ * @param slotConfidence standard deviations of doubt that a reservation allows for,
+ * default 1
+ * @param takeoverSlots the slots per decode worker that a new owner uses until the leave
+ * of the old one is known, default 4
+ */
+public record CellSettings(Set<CellFeature> features, double priorPrefillMsPerToken, double priorStepMs,
+		double priorStepMsPerRequest, int priorOutputTokens, int queueLimit, int lookahead, long kvMarginMs,
+		long stallFloorMs, double retryRatio, double retryReserve, int maxTries, double slotConfidence,
+		int takeoverSlots) {
+
+	public CellSettings {
+		features = Set.copyOf(features);
+	}
+
+	/**
+	 * Returns the documented defaults.
+	 * @return the settings
+	 */
+	public static CellSettings defaults() {
+		return new CellSettings(CellFeature.defaults(), 0.2, 30, 0.5, 200, 1024, 32, 50, 60, 0.1, 24, 4, 1, 4);
+	}
+
+	/**
+	 * Returns the same settings with other features.
+	 * @param features the mechanisms that are enabled
+	 * @return new settings
+	 */
+	public CellSettings withFeatures(Set<CellFeature> features) {
+		return new CellSettings(features, this.priorPrefillMsPerToken, this.priorStepMs, this.priorStepMsPerRequest,
+				this.priorOutputTokens, this.queueLimit, this.lookahead, this.kvMarginMs, this.stallFloorMs,
+				this.retryRatio, this.retryReserve, this.maxTries, this.slotConfidence, this.takeoverSlots);
+	}
+
+	/**
+	 * Returns the same settings with one feature switched off.
+	 * @param feature the mechanism to disable
+	 * @return new settings
+	 */
+	public CellSettings without(CellFeature feature) {
+		EnumSet<CellFeature> set = EnumSet.noneOf(CellFeature.class);
+		set.addAll(this.features);
+		set.remove(feature);
+		return withFeatures(set);
+	}
+
+	/**
+	 * Returns whether a feature is enabled.
+	 * @param feature the mechanism
+	 * @return whether it is enabled
+	 */
+	public boolean enabled(CellFeature feature) {
+		return this.features.contains(feature);
+	}
+
+}
--- /dev/null
+++ b/src/main/java/io/shallotspur/cell/StdCellScheduler.java
@@ -0,0 +1,381 @@
+package io.shallotspur.cell;
+
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.Consumer;
+
+import org.jspecify.annotations.Nullable;
+
+import io.shallotspur.admission.FairQueue;
+import io.shallotspur.admission.TimerQueue;
+import io.shallotspur.contract.Contract;
+import io.shallotspur.contract.ContractSet;
+import io.shallotspur.outcome.RefusalCode;
+import io.shallotspur.routing.DecodeWorker;
+import io.shallotspur.routing.OutputLengths;
+import io.shallotspur.routing.PrefillWorker;
+
+/**
+ * The scheduler of a cell. A prefill starts only when a decode slot is expected to be
+ * free for it, on the worker where it is done first; what cannot meet its targets any
+ * more is refused as not run.
+ * <p>
+ * Not thread-safe: events come one at a time, in order of {@code now}. Invariants: those
+ * of {@link CellScheduler}; the slots reserved and held at each decode worker are those
+ * of the requests in flight.
+ */
+public final class StdCellScheduler implements CellScheduler {
+
+	private static final double UNKNOWN_SHARE = 0.01;
+
+	private static final long RECHECK_MS = 20;
+
+	private static final long CACHE_EVENT_LAG_MS = 500;
+
+	private final CellSettings settings;
+
+	private final CellFleet fleet;
+
+	private final JobTable jobs = new JobTable();
+
+	private final TimerQueue<Job> timers = new TimerQueue<>((j) -> j.stage == Stage.ENDED);
+
+	private final FairQueue<Job> queue;
+
+	private final JobFlow flow;
+
+	private final OutputLengths lengths;
+
+	private final CrashWatch crashes;
+
+	private ContractSet contracts;
+
+	private long recheckAt = Long.MAX_VALUE;
+
+	/**
+	 * Creates a scheduler without workers, with a crash watch of its own.
+	 * @param settings the settings
+	 * @param contracts the contracts in force
+	 * @param seed the seed of its randomness
+	 */
+	public StdCellScheduler(CellSettings settings, ContractSet contracts, long seed) {
+		this(settings, contracts, seed, new NopCrashWatch());
+	}
+
+	/**
+	 * Creates a scheduler without workers.
+	 * @param settings the settings
+	 * @param contracts the contracts in force
+	 * @param seed the seed of its randomness
+	 * @param crashes finds requests that crash workers; may be shared with other cells
+	 */
+	public StdCellScheduler(CellSettings settings, ContractSet contracts, long seed, CrashWatch crashes) {
+		this.settings = settings;
+		this.contracts = contracts;
+		this.crashes = crashes;
+		this.fleet = new CellFleet(settings);
+		this.queue = new FairQueue<>(this::share);
+		this.lengths = new OutputLengths(settings.priorOutputTokens());
+		this.flow = new JobFlow(settings, this.jobs, this.queue, this.timers, seed);
+	}
+
+	@Override
+	public void handle(CellEvent event, long now, Consumer<CellAction> out) {
+		this.flow.emitTo(out);
+		if (observe(event, now)) {
+			return;
+		}
+		if (!onRequest(event, now) && !onAttempt(event, now)) {
+			onFleet(event, now);
+		}
+		runTimers(now);
+		startTransfers(now);
+		dispatch(now);
+	}
+
+	@Override
+	public long nextWake(long now) {
+		return Math.max(now, Math.min(this.recheckAt, this.timers.next()));
+	}
+
+	/**
+	 * Returns how many requests the cell holds, waiting and in flight.
+	 * @return the number of requests
+	 */
+	public int size() {
+		return this.jobs.size();
+	}
+
+	private boolean observe(CellEvent event, long now) {
+		if (event instanceof CellEvent.Tokens e) {
+			Job j = this.jobs.byAttempt(e.attempt(), Stage.DECODING);
+			if (j != null) {
+				j.generated += e.count();
+				j.decodedHere += e.count();
+			}
+		}
+		else if (event instanceof CellEvent.StepObserved e) {
+			DecodeWorker d = this.fleet.decode(e.workerId());
+			if (d != null) {
+				d.observeStep(e.batch(), e.stepMs());
+			}
+		}
+		else if (event instanceof CellEvent.LoadReport e) {
+			DecodeWorker d = this.fleet.decode(e.workerId());
+			if (d != null) {
+				d.report(e.active());
+			}
+		}
+		else if (event instanceof CellEvent.CacheChange e) {
+			PrefillWorker p = this.fleet.prefill(e.workerId());
+			if (p != null) {
+				p.index().apply(e.sequence(), e.block(), e.stored(), now, CACHE_EVENT_LAG_MS);
+			}
+		}
+		else {
+			return false;
+		}
+		return true;
+	}
+
+	private boolean onRequest(CellEvent event, long now) {
+		if (event instanceof CellEvent.Submit e) {
+			submit(e.request(), now);
+		}
+		else if (event instanceof CellEvent.CallerGone e) {
+			Job j = this.jobs.byId(e.requestId());
+			if (j != null) {
+				this.flow.abandon(j, now);
+			}
+		}
+		else {
+			return false;
+		}
+		return true;
+	}
+
+	private void submit(ModelRequest r, long now) {
+		Job j = new Job(r, this.settings.enabled(CellFeature.FAIR_QUEUEING) ? r.customer() : "",
+				this.lengths.of(r.customer(), r.className()), this.jobs.nextSequence());
+		j.suspect = this.crashes.isSuspect(r.fingerprint(), now);
+		if (this.crashes.isQuarantined(r.fingerprint(), now)) {
+			this.flow.refuse(j, RefusalCode.QUARANTINED, "The request crashed workers before.", 0, now);
+		}
+		else if (!this.fleet.takesWork()) {
+			this.flow.refuse(j, RefusalCode.NO_WORKER, "No worker takes new work.", 1000, now);
+		}
+		else if (this.queue.size() >= this.settings.queueLimit()) {
+			this.flow.refuse(j, RefusalCode.QUEUE_FULL, "The queue is full.", 1000, now);
+		}
+		else {
+			this.flow.submit(j);
+			checkFeasible(j, now);
+		}
+	}
+
+	private boolean onAttempt(CellEvent event, long now) {
+		if (event instanceof CellEvent.PrefillDone e) {
+			with(e.attempt(), Stage.PREFILLING, (j) -> this.flow.prefillDone(j, e.computedTokens(), now));
+		}
+		else if (event instanceof CellEvent.PrefillFailed e) {
+			with(e.attempt(), Stage.PREFILLING, (j) -> this.flow.retry(j, RefusalCode.WORKER_LOST, now));
+		}
+		else if (event instanceof CellEvent.TransferDone e) {
+			with(e.attempt(), Stage.TRANSFERRING, (j) -> this.flow.startDecode(j, now));
+		}
+		else if (event instanceof CellEvent.TransferFailed e) {
+			with(e.attempt(), Stage.TRANSFERRING, (j) -> this.flow.retry(j, RefusalCode.WORKER_LOST, now));
+		}
+		else if (event instanceof CellEvent.DecodeDone e) {
+			with(e.attempt(), Stage.DECODING, (j) -> decodeDone(j, now));
+		}
+		else if (event instanceof CellEvent.DecodeFailed e) {
+			with(e.attempt(), Stage.DECODING, (j) -> this.flow.retry(j, RefusalCode.WORKER_LOST, now));
+		}
+		else {
+			return false;
+		}
+		return true;
+	}
+
+	private void with(long attempt, Stage stage, Consumer<Job> step) {
+		// A late answer of an attempt that was given up finds no request and is dropped.
+		Job j = this.jobs.byAttempt(attempt, stage);
+		if (j != null) {
+			step.accept(j);
+		}
+	}
+
+	private void decodeDone(Job j, long now) {
+		this.lengths.observe(j.customer(), j.request.className(), j.generated);
+		this.crashes.completed(j.request.fingerprint(), now);
+		this.flow.complete(j, now);
+	}
+
+	private void onFleet(CellEvent event, long now) {
+		if (event instanceof CellEvent.WorkerUp e) {
+			if (this.fleet.knows(e.worker().id())) {
+				workerDown(e.worker().id(), now);
+			}
+			this.fleet.add(e.worker());
+		}
+		else if (event instanceof CellEvent.WorkerDown e) {
+			workerDown(e.workerId(), now);
+		}
+		else if (event instanceof CellEvent.WorkerLeaving e) {
+			this.fleet.leave(e.workerId());
+		}
+		else if (event instanceof CellEvent.ContractsChanged e) {
+			this.contracts = e.contracts();
+		}
+	}
+
+	private void workerDown(String id, long now) {
+		List<Job> reading = this.jobs.inFlight((j) -> j.prefill != null && j.prefill.id().equals(id));
+		List<Job> onDecode = this.jobs.inFlight((j) -> j.decode != null && j.decode.id().equals(id));
+		this.fleet.remove(id);
+		suspect(id, onDecode, now);
+		for (Job j : reading) {
+			this.flow.lostPrefill(j);
+			this.flow.retry(j, RefusalCode.WORKER_LOST, now);
+		}
+		for (Job j : onDecode) {
+			if (j.stage == Stage.DECODING || j.stage == Stage.TRANSFERRING) {
+				lostDecode(j, now);
+			}
+			else if (j.inFlight()) {
+				this.flow.lostDecode(j);
+			}
+		}
+	}
+
+	private void lostDecode(Job j, long now) {
+		this.flow.lostDecode(j);
+		if (this.crashes.isQuarantined(j.request.fingerprint(), now)) {
+			this.flow.refuse(j, RefusalCode.QUARANTINED, "The request crashes the workers that run it.", 0, now);
+		}
+		else {
+			this.flow.retry(j, RefusalCode.WORKER_LOST, now);
+		}
+	}
+
+	private void suspect(String id, List<Job> onDecode, long now) {
+		Collection<Long> running = new HashSet<>();
+		onDecode.stream().filter((j) -> j.stage == Stage.DECODING).forEach((j) -> running.add(j.request.fingerprint()));
+		if (!running.isEmpty()) {
+			this.crashes.workerCrashed(id, running, now);
+		}
+	}
+
+	private void runTimers(long now) {
+		Job j = this.timers.poll(now);
+		while (j != null) {
+			onTimer(j, now);
+			j = this.timers.poll(now);
+		}
+	}
+
+	private void onTimer(Job j, long now) {
+		DecodeWorker d = j.decode;
+		if (now >= j.request.deadlineAt()) {
+			this.flow.refuse(j, RefusalCode.DEADLINE_PASSED, "The deadline has passed.", 0, now);
+		}
+		else if (j.stage == Stage.QUEUED) {
+			checkFeasible(j, now);
+		}
+		else if (j.stage == Stage.KV_READY && now >= j.kvUntil) {
+			this.flow.retry(j, RefusalCode.DEADLINE_INFEASIBLE, now);
+		}
+		else if (j.stage == Stage.TRANSFERRING && d != null && now >= this.flow.stallAt(j, d)) {
+			this.flow.stalled(j, now);
+		}
+	}
+
+	private void checkFeasible(Job j, long now) {
+		if (!this.settings.enabled(CellFeature.EARLY_REFUSAL)) {
+			return;
+		}
+		Placer p = new Placer(this.fleet, this.settings, 0, now);
+		double latest = firstTokenBy(j) - p.leastMs(j);
+		if (now > latest) {
+			this.flow.refuse(j, RefusalCode.DEADLINE_INFEASIBLE, "The targets cannot be met at the present load.", 1000,
+					now);
+		}
+		else {
+			this.timers.add(j, (long) latest + 1);
+		}
+	}
+
+	private void startTransfers(long now) {
+		List<Job> ready = this.jobs.inFlight((j) -> j.stage == Stage.KV_READY);
+		for (Job j : ready) {
+			DecodeWorker d = new Placer(this.fleet, this.settings, 0, now).decodeWorker(j, 1);
+			if (d != null) {
+				this.flow.startTransfer(j, d, now);
+			}
+		}
+	}
+
+	private void dispatch(long now) {
+		this.recheckAt = Long.MAX_VALUE;
+		if (this.queue.size() == 0 || !this.fleet.anyIdlePrefill()) {
+			return;
+		}
+		SlotForecast slots = new SlotForecast(this.fleet.decode(), this.jobs.inFlight(), this.jobs.tightestGapMs(),
+				this.settings.slotConfidence(), now);
+		Placer placer = new Placer(this.fleet, this.settings, 1, now);
+		Set<Job> passed = new HashSet<>();
+		boolean started = true;
+		while (started && this.fleet.anyIdlePrefill()) {
+			started = startOne(placer, slots, passed, now);
+		}
+		if (this.queue.size() > 0) {
+			this.recheckAt = now + RECHECK_MS;
+		}
+	}
+
+	private boolean startOne(Placer placer, SlotForecast slots, Set<Job> passed, long now) {
+		Choice choice = new Choice();
+		Job job = this.queue.firstInOrder(this.settings.lookahead(), (j) -> {
+			if (passed.contains(j) || j.notBefore > now) {
+				return false;
+			}
+			Placement p = placer.place(j, firstTokenBy(j));
+			if (p == null) {
+				return false;
+			}
+			boolean slot = !this.settings.enabled(CellFeature.RESERVATION) || slots.freeIn(p.readyAt() - now) >= 1;
+			if (slot && p.worker().idle() && p.startAt() <= now) {
+				choice.placement = p;
+				return true;
+			}
+			passed.add(j);
+			placer.passOver(p);
+			return false;
+		});
+		Placement p = choice.placement;
+		if (job == null || p == null) {
+			return false;
+		}
+		slots.take();
+		this.flow.startPrefill(job, p, now);
+		return true;
+	}
+
+	private double firstTokenBy(Job j) {
+		return j.firstTokenBy(40, this.settings.enabled(CellFeature.EARLY_REFUSAL));
+	}
+
+	private double share(String customer) {
+		return this.contracts.find(customer).map(Contract::share).orElse(UNKNOWN_SHARE);
+	}
+
+	private static final class Choice {
+
+		private @Nullable Placement placement;
+
+	}
+
+}
--- /dev/null
+++ b/src/main/java/io/shallotspur/routing/DecodeWorker.java
@@ -0,0 +1,279 @@
+package io.shallotspur.routing;
+
+import io.shallotspur.fleet.Worker;
+import io.shallotspur.fleet.WorkerRole;
+
+/**
+ * The state of one decode worker: slots held and reserved, the queue of its link, its
+ * learnt step time, and whether transfers to it have stalled.
+ * <p>
+ * Invariant: {@code held + reserved} counts each request of this scheduler that names the
+ * worker once. Not thread-safe.
+ */
+public final class DecodeWorker {
+
+	private static final double TYPICAL_BATCH = 16;
+
+	private static final double FIT_MEMORY = 0.995;
+
+	private static final double STALL_AVOID_MS = 1000;
+
+	private static final double STALL_AVOID_MAX_MS = 8000;
+
+	private static final double DEVIATION_GAIN = 0.25;
+
+	private final Worker worker;
+
+	private final LinearFit steps;
+
+	private boolean leaving;
+
+	private int held;
+
+	private int reserved;
+
+	private int suspects;
+
+	private int foreign;
+
+	private int peakHeld;
+
+	private double linkFreeAt;
+
+	private double transferRatio = 1;
+
+	private double transferDeviation = 0.25;
+
+	private double avoidUntil;
+
+	private double avoidMs = STALL_AVOID_MS;
+
+	/**
+	 * Creates the state of a worker that came up empty.
+	 * @param worker the worker
+	 * @param priorStepMs the length of a step expected with one request
+	 * @param priorStepMsPerRequest what each request in the batch is expected to add
+	 */
+	public DecodeWorker(Worker worker, double priorStepMs, double priorStepMsPerRequest) {
+		if (worker.role() != WorkerRole.DECODE) {
+			throw new IllegalArgumentException("not a decode worker: " + worker.id());
+		}
+		this.worker = worker;
+		this.steps = new LinearFit(priorStepMs, priorStepMsPerRequest, TYPICAL_BATCH, FIT_MEMORY);
+	}
+
+	/**
+	 * Returns the worker.
+	 * @return the worker
+	 */
+	public Worker worker() {
+		return this.worker;
+	}
+
+	/**
+	 * Returns its identifier.
+	 * @return the identifier
+	 */
+	public String id() {
+		return this.worker.id();
+	}
+
+	/**
+	 * Returns whether it is leaving.
+	 * @return {@code true} if it takes no new work
+	 */
+	public boolean leaving() {
+		return this.leaving;
+	}
+
+	/**
+	 * Marks it as leaving.
+	 */
+	public void leave() {
+		this.leaving = true;
+	}
+
+	/**
+	 * Returns whether a transfer to it may be started.
+	 * @param now the present time in milliseconds
+	 * @return {@code false} if it is leaving, or avoided after a stall
+	 */
+	public boolean usable(long now) {
+		return !this.leaving && now >= this.avoidUntil;
+	}
+
+	/**
+	 * Returns the requests it may hold, so that a step stays within the targets.
+	 * @param tbtMs the tightest target for the gap between tokens
+	 * @return the limit, at least 1
+	 */
+	public int limit(double tbtMs) {
+		double fit = this.steps.largestWithin(tbtMs);
+		int slots = (this.worker.slots() > 0) ? this.worker.slots() : Integer.MAX_VALUE;
+		return (int) Math.max(1, Math.min(slots, fit));
+	}
+
+	/**
+	 * Returns the slots free at this moment, reservations not counted.
+	 * @param tbtMs the tightest target for the gap between tokens
+	 * @return the free slots; negative if the limit has shrunk
+	 */
+	public int free(double tbtMs) {
+		return limit(tbtMs) - this.held - this.foreign;
+	}
+
+	/**
+	 * Returns the requests of this scheduler that hold memory here, those in transfer
+	 * among them.
+	 * @return the number of requests
+	 */
+	public int held() {
+		return this.held;
+	}
+
+	/**
+	 * Returns the reservations of requests whose prefill is not yet done or whose
+	 * transfer has not begun.
+	 * @return the number of reservations
+	 */
+	public int reserved() {
+		return this.reserved;
+	}
+
+	/**
+	 * Returns the suspects that run or are reserved here.
+	 * @return the number of suspects
+	 */
+	public int suspects() {
+		return this.suspects;
+	}
+
+	/**
+	 * Adds or takes away a suspect.
+	 * @param n 1 or -1
+	 */
+	public void addSuspects(int n) {
+		this.suspects += n;
+	}
+
+	/**
+	 * Adds or takes away a reservation.
+	 * @param n 1 or -1
+	 */
+	public void reserve(int n) {
+		this.reserved += n;
+	}
+
+	/**
+	 * Adds or takes away a request that holds memory.
+	 * @param n 1 or -1
+	 */
+	public void hold(int n) {
+		this.held += n;
+		this.peakHeld = Math.max(this.peakHeld, this.held);
+	}
+
+	/**
+	 * Takes a load report. What the worker held beyond our own is another owner's: it
+	 * occurs while a former owner of the cell still has work there.
+	 * @param active the requests the worker said it held
+	 */
+	public void report(int active) {
+		this.foreign = Math.max(0, active - this.peakHeld);
+		this.peakHeld = this.held;
+	}
+
+	/**
+	 * Learns from a timed step.
+	 * @param batch requests in the batch
+	 * @param stepMs the length of the step
+	 */
+	public void observeStep(int batch, double stepMs) {
+		this.steps.observe(batch, stepMs);
+	}
+
+	/**
+	 * Predicts the length of a step.
+	 * @param batch requests in the batch
+	 * @return milliseconds
+	 */
+	public double stepMs(int batch) {
+		return this.steps.predict(batch);
+	}
+
+	/**
+	 * Predicts when a transfer that is asked for at some time would end.
+	 * @param tokens the tokens whose KV cache is moved
+	 * @param at when it may begin, in milliseconds
+	 * @return the time in milliseconds
+	 */
+	public double transferEnd(int tokens, double at) {
+		return Math.max(at, this.linkFreeAt) + transferMs(tokens);
+	}
+
+	/**
+	 * Predicts the length of a transfer that has the link to itself.
+	 * @param tokens the tokens whose KV cache is moved
+	 * @return milliseconds
+	 */
+	public double transferMs(int tokens) {
+		return linkMs(tokens) * this.transferRatio;
+	}
+
+	/**
+	 * Books the link for a transfer that starts.
+	 * @param tokens the tokens whose KV cache is moved
+	 * @param now the present time in milliseconds
+	 * @return when it is expected to end, in milliseconds
+	 */
+	public double bookLink(int tokens, long now) {
+		this.linkFreeAt = transferEnd(tokens, now);
+		return this.linkFreeAt;
+	}
+
+	/**
+	 * Returns for how long a transfer may go on before it counts as stalled.
+	 * @param predictedMs its predicted length
+	 * @param floorMs the least patience
+	 * @return milliseconds from its start
+	 */
+	public double patienceMs(double predictedMs, double floorMs) {
+		return predictedMs * (1 + 4 * this.transferDeviation) + floorMs;
+	}
+
+	/**
+	 * Learns from a transfer that ended, which also shows that the link works.
+	 * @param predictedMs its predicted length
+	 * @param tookMs its true length
+	 */
+	public void observeTransfer(double predictedMs, double tookMs) {
+		if (predictedMs > 0) {
+			double r = Math.min(4, tookMs / predictedMs);
+			this.transferDeviation += DEVIATION_GAIN * (Math.abs(r - 1) - this.transferDeviation);
+			this.transferRatio = Math.max(0.1, this.transferRatio * (1 + 0.1 * (r - 1)));
+		}
+		this.avoidMs = STALL_AVOID_MS;
+		this.avoidUntil = 0;
+	}
+
+	/**
+	 * Notes that a transfer stalled: the worker is avoided, for longer each time.
+	 * @param now the present time in milliseconds
+	 */
+	public void stalled(long now) {
+		if (now < this.avoidUntil) {
+			return;
+		}
+		this.avoidUntil = now + this.avoidMs;
+		this.avoidMs = Math.min(STALL_AVOID_MAX_MS, this.avoidMs * 2);
+		this.linkFreeAt = 0;
+	}
+
+	private double linkMs(int tokens) {
+		if (this.worker.linkMbPerS() <= 0) {
+			return 0;
+		}
+		return tokens * this.worker.kvMbPerToken() * 1000 / this.worker.linkMbPerS();
+	}
+
+}
