Peer links over TCP with MessagePack frames

Cause: membership, contracts, forwarding and the ledger need one way between entry VMs that refuses strangers and survives broken or dying peers.

--- /dev/null
+++ b/src/main/java/io/shallotspur/adapter/peer/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Links between entry VMs: TCP, length-prefixed MessagePack.
+ */
+@NullMarked
+package io.shallotspur.adapter.peer;
+
+import org.jspecify.annotations.NullMarked;
