Serial transfers, cache warming by late requests, shared-block index

Transfers to one decode worker go one after the other; a link counts as stalled when it has not moved what is under way. A request that is late wherever it runs may run on an idle worker if it warms a shared preamble. Crash suspects are kept apart and quarantined.

--- a/src/main/java/io/shallotspur/cell/CellFeature.java
+++ b/src/main/java/io/shallotspur/cell/CellFeature.java
@@ -41,6 +41,12 @@
 	 */
 	FAIR_QUEUEING,
 
+	/**
+	 * A request that is late wherever it runs is run on an idle worker all the same, if
+	 * that brings a shared preamble into its cache. Enabled by default.
+	 */
+	WARM_UP,
+
 	/**
 	 * A transfer that makes no progress is given up and sent to another decode worker.
 	 * Enabled by default.
--- a/src/main/java/io/shallotspur/cell/CellFleet.java
+++ b/src/main/java/io/shallotspur/cell/CellFleet.java
@@ -10,14 +10,19 @@
 import io.shallotspur.fleet.WorkerRole;
 import io.shallotspur.routing.DecodeWorker;
 import io.shallotspur.routing.PrefillWorker;
+import io.shallotspur.routing.SharedBlocks;
 
 /**
  * The workers of a cell by role, in the order in which they came. Not thread-safe.
  */
 final class CellFleet {
 
+	private static final int MAX_BLOCKS_SEEN = 32_768;
+
 	private final CellSettings settings;
 
+	private final SharedBlocks shared = new SharedBlocks(MAX_BLOCKS_SEEN);
+
 	private final Map<String, PrefillWorker> prefill = new LinkedHashMap<>();
 
 	private final Map<String, DecodeWorker> decode = new LinkedHashMap<>();
@@ -29,7 +34,8 @@
 	// Adds a worker that came up empty; it replaces what was known under its identifier.
 	void add(Worker worker) {
 		if (worker.role() == WorkerRole.PREFILL) {
-			this.prefill.put(worker.id(), new PrefillWorker(worker, this.settings.priorPrefillMsPerToken()));
+			this.prefill.put(worker.id(),
+					new PrefillWorker(worker, this.settings.priorPrefillMsPerToken(), this.shared));
 		}
 		else if (worker.role() == WorkerRole.DECODE) {
 			this.decode.put(worker.id(),
@@ -53,6 +59,11 @@
 		}
 	}
 
+	// Notes a prompt, to learn which blocks are shared.
+	void prompt(long[] blocks) {
+		this.shared.add(blocks);
+	}
+
 	boolean knows(String id) {
 		return this.prefill.containsKey(id) || this.decode.containsKey(id);
 	}
--- a/src/main/java/io/shallotspur/cell/CellSettings.java
+++ b/src/main/java/io/shallotspur/cell/CellSettings.java
@@ -24,13 +24,15 @@
  * @param maxTries the most tries of one request, default 4
  * @param slotConfidence standard deviations of doubt that a reservation allows for,
  * default 1
+ * @param provenTokens a suspect of one crash that generates so many tokens without
+ * another is not kept apart any more, default 32
  * @param takeoverSlots the slots per decode worker that a new owner uses until the leave
  * of the old one is known, default 4
  */
 public record CellSettings(Set<CellFeature> features, double priorPrefillMsPerToken, double priorStepMs,
 		double priorStepMsPerRequest, int priorOutputTokens, int queueLimit, int lookahead, long kvMarginMs,
 		long stallFloorMs, double retryRatio, double retryReserve, int maxTries, double slotConfidence,
-		int takeoverSlots) {
+		int provenTokens, int takeoverSlots) {
 
 	public CellSettings {
 		features = Set.copyOf(features);
@@ -41,7 +43,7 @@
 	 * @return the settings
 	 */
 	public static CellSettings defaults() {
-		return new CellSettings(CellFeature.defaults(), 0.2, 30, 0.5, 200, 1024, 32, 50, 60, 0.1, 24, 4, 1, 4);
+		return new CellSettings(CellFeature.defaults(), 0.2, 30, 0.5, 200, 1024, 32, 50, 60, 0.1, 24, 4, 1, 32, 4);
 	}
 
 	/**
@@ -52,7 +54,8 @@
 	public CellSettings withFeatures(Set<CellFeature> features) {
 		return new CellSettings(features, this.priorPrefillMsPerToken, this.priorStepMs, this.priorStepMsPerRequest,
 				this.priorOutputTokens, this.queueLimit, this.lookahead, this.kvMarginMs, this.stallFloorMs,
-				this.retryRatio, this.retryReserve, this.maxTries, this.slotConfidence, this.takeoverSlots);
+				this.retryRatio, this.retryReserve, this.maxTries, this.slotConfidence, this.provenTokens,
+				this.takeoverSlots);
 	}
 
 	/**
--- a/src/main/java/io/shallotspur/cell/Job.java
+++ b/src/main/java/io/shallotspur/cell/Job.java
@@ -49,6 +49,12 @@
 
 	int decodedHere;
 
+	int crashes;
+
+	int provenAfter;
+
+	boolean prefillLost;
+
 	@Nullable PrefillWorker prefill;
 
 	@Nullable DecodeWorker decode;
--- a/src/main/java/io/shallotspur/cell/JobFlow.java
+++ b/src/main/java/io/shallotspur/cell/JobFlow.java
@@ -20,6 +20,11 @@
  */
 final class JobFlow {
 
+	/**
+	 * So long before its eviction a KV cache does not wait for an idle link any more.
+	 */
+	static final long KV_URGENT_MS = 100;
+
 	private static final int RETRY_JITTER_MS = 40;
 
 	private final CellSettings settings;
@@ -80,6 +85,7 @@
 			p.finish(job.attempt, job.promptTokens(), computed, now - job.stageSince, now);
 			long ttl = (p.worker().kvTtlMs() > 0) ? p.worker().kvTtlMs() : Long.MAX_VALUE / 4;
 			job.kvUntil = now + Math.max(1, ttl - this.settings.kvMarginMs());
+			this.timers.add(job, job.kvUntil - KV_URGENT_MS);
 			this.timers.add(job, job.kvUntil);
 		}
 		enter(job, Stage.KV_READY, now);
@@ -96,17 +102,16 @@
 		if (job.suspect) {
 			d.addSuspects(1);
 		}
-		double end = d.bookLink(job.promptTokens(), now);
-		job.transferMs = end - now;
+		job.transferMs = d.startTransfer(job.promptTokens(), now);
 		enter(job, Stage.TRANSFERRING, now);
 		if (this.settings.enabled(CellFeature.STALL_DETECTION)) {
-			this.timers.add(job, stallAt(job, d));
+			this.timers.add(job, stallAt(d));
 		}
 		this.out.accept(new CellAction.StartTransfer(job.request.id(), job.attempt, p.id(), d.id()));
 	}
 
-	long stallAt(Job job, DecodeWorker d) {
-		return job.stageSince + (long) Math.ceil(d.patienceMs(job.transferMs, this.settings.stallFloorMs()));
+	long stallAt(DecodeWorker d) {
+		return (long) Math.ceil(d.stallAt(this.settings.stallFloorMs()));
 	}
 
 	void startDecode(Job job, long now) {
@@ -115,7 +120,7 @@
 		if (d == null || p == null) {
 			return;
 		}
-		d.observeTransfer(job.transferMs, now - job.stageSince);
+		d.finishTransfer(job.transferMs, now - job.stageSince, now);
 		enter(job, Stage.DECODING, now);
 		job.everDecoded = true;
 		job.decodedHere = 0;
@@ -124,16 +129,16 @@
 		job.prefill = null;
 	}
 
-	// Gives up a transfer that makes no progress; the KV cache waits again.
-	void stalled(Job job, long now) {
+	// Gives up a transfer that makes no progress or whose decode worker was lost; the KV
+	// cache waits again.
+	void transferAgain(Job job, long now) {
 		DecodeWorker d = job.decode;
 		PrefillWorker p = job.prefill;
 		if (d == null || p == null) {
 			return;
 		}
 		this.out.accept(new CellAction.CancelTransfer(job.request.id(), job.attempt, p.id(), d.id()));
-		d.stalled(now);
-		letGo(job);
+		letGo(job, now);
 		long ttl = p.worker().kvTtlMs();
 		job.kvUntil = now + Math.max(1, ((ttl > 0) ? ttl : Long.MAX_VALUE / 4) - this.settings.kvMarginMs());
 		this.timers.add(job, job.kvUntil);
@@ -142,7 +147,7 @@
 
 	// Ends a request whose answer is complete.
 	void complete(Job job, long now) {
-		letGo(job);
+		letGo(job, now);
 		end(job, now);
 	}
 
@@ -193,18 +198,41 @@
 		else {
 			giveBack(job, now);
 		}
-		letGo(job);
+		letGo(job, now);
 		this.jobs.endAttempt(job);
 		job.prefill = null;
+		job.prefillLost = false;
 	}
 
-	// Forgets a lost worker, so that nothing is cancelled there.
+	// Marks the prefill worker as lost, so that nothing is cancelled there.
 	void lostPrefill(Job job) {
-		job.prefill = null;
+		job.prefillLost = true;
+	}
+
+	void lostDecode(Job job, long now) {
+		letGo(job, now);
 	}
 
-	void lostDecode(Job job) {
-		letGo(job);
+	// Notes that a request ran on a worker that crashed.
+	long atCrash(Job job) {
+		job.crashes++;
+		job.provenAfter = job.decodedHere + 2;
+		if (job.crashes == 1) {
+			job.provenAfter = Math.min(job.provenAfter, this.settings.provenTokens());
+		}
+		return job.request.fingerprint();
+	}
+
+	// Were suspects kept apart until they complete, twenty innocent requests of a crashed
+	// worker would run one after the other and miss their deadlines. A request that
+	// crashes a worker does so again at the same point; one that ran past it may share a
+	// worker again. It stays known as having been at a crash until it completes.
+	void clearIfProven(Job job) {
+		DecodeWorker d = job.decode;
+		if (job.suspect && d != null && job.decodedHere >= job.provenAfter) {
+			d.addSuspects(-1);
+			job.suspect = false;
+		}
 	}
 
 	void reserve(Job job, DecodeWorker d) {
@@ -220,7 +248,7 @@
 		String id = job.request.id();
 		PrefillWorker p = job.prefill;
 		DecodeWorker d = job.decode;
-		if (job.stage == Stage.PREFILLING && p != null) {
+		if (job.stage == Stage.PREFILLING && p != null && !job.prefillLost) {
 			p.abort(job.attempt);
 			this.out.accept(new CellAction.CancelPrefill(id, job.attempt, p.id()));
 		}
@@ -230,7 +258,7 @@
 		if (job.stage == Stage.DECODING && d != null) {
 			this.out.accept(new CellAction.CancelDecode(id, job.attempt, d.id()));
 		}
-		if ((job.stage == Stage.KV_READY || job.stage == Stage.TRANSFERRING) && p != null) {
+		if ((job.stage == Stage.KV_READY || job.stage == Stage.TRANSFERRING) && p != null && !job.prefillLost) {
 			this.out.accept(new CellAction.ReleaseKv(id, job.attempt, p.id()));
 		}
 	}
@@ -244,13 +272,16 @@
 		job.charged = 0;
 	}
 
-	private void letGo(Job job) {
+	private void letGo(Job job, long now) {
 		DecodeWorker d = job.decode;
 		if (d == null) {
 			return;
 		}
 		if (job.stage == Stage.TRANSFERRING || job.stage == Stage.DECODING) {
 			d.hold(-1);
+			if (job.stage == Stage.TRANSFERRING) {
+				d.endTransfer(job.transferMs, now);
+			}
 			if (job.suspect) {
 				d.addSuspects(-1);
 			}
--- a/src/main/java/io/shallotspur/cell/Placer.java
+++ b/src/main/java/io/shallotspur/cell/Placer.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.function.Predicate;
 
 import org.jspecify.annotations.Nullable;
 
@@ -24,6 +25,23 @@
 	 */
 	private static final double STEPS_TO_FIRST_TOKEN = 1.5;
 
+	/**
+	 * What a full decode worker weighs against an empty one, in milliseconds.
+	 */
+	private static final double LOAD_WEIGHT_MS = 1000;
+
+	/**
+	 * A preamble not used for so long is not worth keeping.
+	 */
+	private static final long RECENT_MS = 20_000;
+
+	private static final double EVICTION_WEIGHT = 0.5;
+
+	/**
+	 * The part of a late prefill that has to be of use to later requests.
+	 */
+	private static final double WARMING_PART = 0.4;
+
 	private final CellFleet fleet;
 
 	private final CellSettings settings;
@@ -57,7 +75,7 @@
 	 * time
 	 */
 	@Nullable Placement place(Job job, double firstTokenBy) {
-		DecodeWorker d = decodeWorker(job, 0);
+		DecodeWorker d = decodeWorker(job);
 		if (d == null) {
 			return null;
 		}
@@ -72,7 +90,7 @@
 			double start = p.freeAt(this.now) + this.planned.getOrDefault(p.id(), 0.0);
 			double ms = prefillMs(p, job);
 			double ready = d.transferEnd(job.promptTokens(), start + ms);
-			double score = start + ms + this.wasteFactor * (ms - cheapest);
+			double score = start + ms + this.wasteFactor * (ms - cheapest) + evictionMs(p, job);
 			if (ready + step <= firstTokenBy && score < bestScore) {
 				best = new Placement(p, d, start, ms, ready);
 				bestScore = score;
@@ -105,23 +123,66 @@
 	}
 
 	/**
-	 * Chooses a decode worker.
+	 * Finds an idle worker for a request that is late wherever it runs. Where a preamble
+	 * is cached nowhere near, all its requests are late, and were they all refused, it
+	 * would never get into a cache: one would notice that a whole preamble gets no
+	 * answers while prefill workers idle. So one of them is run late and warms the cache
+	 * for the rest.
+	 * @param job the request
+	 * @return the placement, or {@code null} if running it late warms no cache
+	 */
+	@Nullable Placement placeLate(Job job) {
+		DecodeWorker d = decodeWorker(job);
+		if (d == null) {
+			return null;
+		}
+		Placement best = null;
+		double bestScore = Double.MAX_VALUE;
+		for (PrefillWorker p : this.fleet.prefill()) {
+			if (!p.idle() || this.planned.containsKey(p.id())) {
+				continue;
+			}
+			double ms = prefillMs(p, job);
+			double score = ms + evictionMs(p, job);
+			if (p.warmingMs(job.request.prefixBlocks()) >= WARMING_PART * ms && score < bestScore) {
+				best = new Placement(p, d, this.now, ms, d.transferEnd(job.promptTokens(), this.now + ms));
+				bestScore = score;
+			}
+		}
+		return best;
+	}
+
+	/**
+	 * Chooses a decode worker to reserve a slot on.
+	 * @param job the request
+	 * @return the worker, or {@code null} if none will do
+	 */
+	@Nullable DecodeWorker decodeWorker(Job job) {
+		return best(job, (d) -> true);
+	}
+
+	/**
+	 * Chooses a decode worker to which a transfer can start now. Transfers to one worker
+	 * go one after the other: side by side each would take as long as all of them.
 	 * @param job the request
-	 * @param least the free slots it must have now
+	 * @param urgent whether the KV cache is about to be evicted, so that a link in use
+	 * will do
 	 * @return the worker, or {@code null} if none will do
 	 */
-	@Nullable DecodeWorker decodeWorker(Job job, int least) {
+	@Nullable DecodeWorker transferTarget(Job job, boolean urgent) {
+		return best(job, (d) -> d.free(tbt(job)) >= 1 && (urgent || d.linkIdle()));
+	}
+
+	private @Nullable DecodeWorker best(Job job, Predicate<DecodeWorker> fits) {
 		DecodeWorker best = null;
 		double bestScore = Double.MAX_VALUE;
 		for (DecodeWorker d : this.fleet.decode()) {
-			double tbt = tbt(job);
-			boolean fits = least == 0 || d.free(tbt) >= least;
 			boolean apart = !job.suspect || d.suspects() - ((job.decode == d) ? 1 : 0) == 0;
-			if (!d.usable(this.now) || !fits || !apart) {
+			if (!d.usable(this.now) || !apart || !fits.test(d)) {
 				continue;
 			}
-			double load = (d.held() + d.reserved() - ((job.decode == d) ? 1.5 : 0)) / (double) d.limit(tbt);
-			double score = d.transferEnd(job.promptTokens(), this.now) - this.now + 1000 * load;
+			double load = (d.held() + d.reserved() - ((job.decode == d) ? 1.5 : 0)) / d.limit(tbt(job));
+			double score = d.transferEnd(job.promptTokens(), this.now) - this.now + LOAD_WEIGHT_MS * load;
 			if (score < bestScore) {
 				best = d;
 				bestScore = score;
@@ -130,6 +191,13 @@
 		return best;
 	}
 
+	private double evictionMs(PrefillWorker p, Job job) {
+		if (!this.settings.enabled(CellFeature.PREFIX_SCORE)) {
+			return 0;
+		}
+		return EVICTION_WEIGHT * p.evictionMs(job.request.prefixBlocks(), this.now - RECENT_MS);
+	}
+
 	private double cheapestMs(Job job) {
 		double least = Double.MAX_VALUE;
 		for (PrefillWorker p : this.fleet.prefill()) {
--- a/src/main/java/io/shallotspur/cell/SlotForecast.java
+++ b/src/main/java/io/shallotspur/cell/SlotForecast.java
@@ -31,10 +31,12 @@
 			if (d.usable(now)) {
 				open += Math.max(0, d.free(tbtMs));
 			}
-			open -= d.reserved();
 		}
 		double[] variance = new double[HORIZONS_MS.length];
 		for (Job j : jobs) {
+			if (j.stage == Stage.PREFILLING || j.stage == Stage.KV_READY) {
+				open--;
+			}
 			if (j.stage == Stage.DECODING && j.decode != null && j.decode.usable(now)) {
 				add(j, j.decode.stepMs(j.decode.held()), variance);
 			}
--- a/src/main/java/io/shallotspur/cell/StdCellScheduler.java
+++ b/src/main/java/io/shallotspur/cell/StdCellScheduler.java
@@ -13,6 +13,7 @@
 import io.shallotspur.contract.Contract;
 import io.shallotspur.contract.ContractSet;
 import io.shallotspur.outcome.RefusalCode;
+import io.shallotspur.quarantine.CrashSuspects;
 import io.shallotspur.routing.DecodeWorker;
 import io.shallotspur.routing.OutputLengths;
 import io.shallotspur.routing.PrefillWorker;
@@ -32,6 +33,11 @@
 
 	private static final long RECHECK_MS = 20;
 
+	/**
+	 * A request that is late anyway gets none of the last slots.
+	 */
+	private static final double SPARE_SLOTS = 3;
+
 	private static final long CACHE_EVENT_LAG_MS = 500;
 
 	private final CellSettings settings;
@@ -48,20 +54,20 @@
 
 	private final OutputLengths lengths;
 
-	private final CrashWatch crashes;
+	private final CrashSuspects crashes;
 
 	private ContractSet contracts;
 
 	private long recheckAt = Long.MAX_VALUE;
 
 	/**
-	 * Creates a scheduler without workers, with a crash watch of its own.
+	 * Creates a scheduler without workers, with a table of crash suspects of its own.
 	 * @param settings the settings
 	 * @param contracts the contracts in force
 	 * @param seed the seed of its randomness
 	 */
 	public StdCellScheduler(CellSettings settings, ContractSet contracts, long seed) {
-		this(settings, contracts, seed, new NopCrashWatch());
+		this(settings, contracts, seed, new CrashSuspects());
 	}
 
 	/**
@@ -69,9 +75,9 @@
 	 * @param settings the settings
 	 * @param contracts the contracts in force
 	 * @param seed the seed of its randomness
-	 * @param crashes finds requests that crash workers; may be shared with other cells
+	 * @param crashes finds the requests that crash workers; shared by the cells of a node
 	 */
-	public StdCellScheduler(CellSettings settings, ContractSet contracts, long seed, CrashWatch crashes) {
+	public StdCellScheduler(CellSettings settings, ContractSet contracts, long seed, CrashSuspects crashes) {
 		this.settings = settings;
 		this.contracts = contracts;
 		this.crashes = crashes;
@@ -114,6 +120,7 @@
 			if (j != null) {
 				j.generated += e.count();
 				j.decodedHere += e.count();
+				this.flow.clearIfProven(j);
 			}
 		}
 		else if (event instanceof CellEvent.StepObserved e) {
@@ -159,7 +166,7 @@
 	private void submit(ModelRequest r, long now) {
 		Job j = new Job(r, this.settings.enabled(CellFeature.FAIR_QUEUEING) ? r.customer() : "",
 				this.lengths.of(r.customer(), r.className()), this.jobs.nextSequence());
-		j.suspect = this.crashes.isSuspect(r.fingerprint(), now);
+		suspectIf(j, now);
 		if (this.crashes.isQuarantined(r.fingerprint(), now)) {
 			this.flow.refuse(j, RefusalCode.QUARANTINED, "The request crashed workers before.", 0, now);
 		}
@@ -170,6 +177,7 @@
 			this.flow.refuse(j, RefusalCode.QUEUE_FULL, "The queue is full.", 1000, now);
 		}
 		else {
+			this.fleet.prompt(r.prefixBlocks());
 			this.flow.submit(j);
 			checkFeasible(j, now);
 		}
@@ -242,28 +250,37 @@
 			this.flow.retry(j, RefusalCode.WORKER_LOST, now);
 		}
 		for (Job j : onDecode) {
-			if (j.stage == Stage.DECODING || j.stage == Stage.TRANSFERRING) {
+			if (j.stage == Stage.DECODING) {
 				lostDecode(j, now);
 			}
+			else if (j.stage == Stage.TRANSFERRING) {
+				this.flow.transferAgain(j, now);
+			}
 			else if (j.inFlight()) {
-				this.flow.lostDecode(j);
+				this.flow.lostDecode(j, now);
 			}
 		}
 	}
 
 	private void lostDecode(Job j, long now) {
-		this.flow.lostDecode(j);
+		this.flow.lostDecode(j, now);
 		if (this.crashes.isQuarantined(j.request.fingerprint(), now)) {
 			this.flow.refuse(j, RefusalCode.QUARANTINED, "The request crashes the workers that run it.", 0, now);
 		}
 		else {
+			suspectIf(j, now);
 			this.flow.retry(j, RefusalCode.WORKER_LOST, now);
 		}
 	}
 
+	private void suspectIf(Job j, long now) {
+		boolean apart = this.settings.enabled(CellFeature.CRASH_ISOLATION);
+		j.suspect = apart && this.crashes.isSuspect(j.request.fingerprint(), now);
+	}
+
 	private void suspect(String id, List<Job> onDecode, long now) {
 		Collection<Long> running = new HashSet<>();
-		onDecode.stream().filter((j) -> j.stage == Stage.DECODING).forEach((j) -> running.add(j.request.fingerprint()));
+		onDecode.stream().filter((j) -> j.stage == Stage.DECODING).forEach((j) -> running.add(this.flow.atCrash(j)));
 		if (!running.isEmpty()) {
 			this.crashes.workerCrashed(id, running, now);
 		}
@@ -288,8 +305,14 @@
 		else if (j.stage == Stage.KV_READY && now >= j.kvUntil) {
 			this.flow.retry(j, RefusalCode.DEADLINE_INFEASIBLE, now);
 		}
-		else if (j.stage == Stage.TRANSFERRING && d != null && now >= this.flow.stallAt(j, d)) {
-			this.flow.stalled(j, now);
+		else if (j.stage == Stage.TRANSFERRING && d != null) {
+			if (now >= this.flow.stallAt(d)) {
+				d.stalled(now);
+				this.flow.transferAgain(j, now);
+			}
+			else {
+				this.timers.add(j, this.flow.stallAt(d));
+			}
 		}
 	}
 
@@ -299,19 +322,30 @@
 		}
 		Placer p = new Placer(this.fleet, this.settings, 0, now);
 		double latest = firstTokenBy(j) - p.leastMs(j);
-		if (now > latest) {
-			this.flow.refuse(j, RefusalCode.DEADLINE_INFEASIBLE, "The targets cannot be met at the present load.", 1000,
-					now);
+		if (now <= latest) {
+			this.timers.add(j, (long) latest + 1);
+			return;
+		}
+		Placement late = warms(j) ? p.placeLate(j) : null;
+		if (late != null && forecast(now).freeIn(late.readyAt() - now) >= SPARE_SLOTS) {
+			this.flow.startPrefill(j, late, now);
 		}
 		else {
-			this.timers.add(j, (long) latest + 1);
+			this.flow.refuse(j, RefusalCode.DEADLINE_INFEASIBLE, "The targets cannot be met at the present load.", 1000,
+					now);
 		}
 	}
 
+	private SlotForecast forecast(long now) {
+		return new SlotForecast(this.fleet.decode(), this.jobs.inFlight(), this.jobs.tightestGapMs(),
+				this.settings.slotConfidence(), now);
+	}
+
 	private void startTransfers(long now) {
 		List<Job> ready = this.jobs.inFlight((j) -> j.stage == Stage.KV_READY);
 		for (Job j : ready) {
-			DecodeWorker d = new Placer(this.fleet, this.settings, 0, now).decodeWorker(j, 1);
+			boolean urgent = now >= j.kvUntil - JobFlow.KV_URGENT_MS;
+			DecodeWorker d = new Placer(this.fleet, this.settings, 0, now).transferTarget(j, urgent);
 			if (d != null) {
 				this.flow.startTransfer(j, d, now);
 			}
@@ -323,9 +357,8 @@
 		if (this.queue.size() == 0 || !this.fleet.anyIdlePrefill()) {
 			return;
 		}
-		SlotForecast slots = new SlotForecast(this.fleet.decode(), this.jobs.inFlight(), this.jobs.tightestGapMs(),
-				this.settings.slotConfidence(), now);
-		Placer placer = new Placer(this.fleet, this.settings, 1, now);
+		SlotForecast slots = forecast(now);
+		Placer placer = new Placer(this.fleet, this.settings, 0.6, now);
 		Set<Job> passed = new HashSet<>();
 		boolean started = true;
 		while (started && this.fleet.anyIdlePrefill()) {
@@ -344,7 +377,9 @@
 			}
 			Placement p = placer.place(j, firstTokenBy(j));
 			if (p == null) {
-				return false;
+				Placement late = warms(j) ? placer.placeLate(j) : null;
+				choice.placement = late;
+				return late != null && slots.freeIn(late.readyAt() - now) >= SPARE_SLOTS;
 			}
 			boolean slot = !this.settings.enabled(CellFeature.RESERVATION) || slots.freeIn(p.readyAt() - now) >= 1;
 			if (slot && p.worker().idle() && p.startAt() <= now) {
@@ -364,6 +399,10 @@
 		return true;
 	}
 
+	private boolean warms(Job j) {
+		return this.settings.enabled(CellFeature.WARM_UP) && j.generated == 0 && !j.suspect;
+	}
+
 	private double firstTokenBy(Job j) {
 		return j.firstTokenBy(40, this.settings.enabled(CellFeature.EARLY_REFUSAL));
 	}
--- a/src/main/java/io/shallotspur/cell/package-info.java
+++ b/src/main/java/io/shallotspur/cell/package-info.java
@@ -5,5 +5,3 @@
  */
 @NullMarked
 package io.shallotspur.cell;
-
-import org.jspecify.annotations.NullMarked;
--- a/src/main/java/io/shallotspur/routing/DecodeWorker.java
+++ b/src/main/java/io/shallotspur/routing/DecodeWorker.java
@@ -40,6 +40,14 @@
 
 	private double linkFreeAt;
 
+	private int transfers;
+
+	private double outstandingMs;
+
+	private double progressAt;
+
+	private boolean alone;
+
 	private double transferRatio = 1;
 
 	private double transferDeviation = 0.25;
@@ -221,43 +229,73 @@
 	}
 
 	/**
-	 * Books the link for a transfer that starts.
-	 * @param tokens the tokens whose KV cache is moved
-	 * @param now the present time in milliseconds
-	 * @return when it is expected to end, in milliseconds
+	 * Returns whether no transfer is under way to it.
+	 * @return whether its link is idle
 	 */
-	public double bookLink(int tokens, long now) {
-		this.linkFreeAt = transferEnd(tokens, now);
-		return this.linkFreeAt;
+	public boolean linkIdle() {
+		return this.transfers == 0;
 	}
 
 	/**
-	 * Returns for how long a transfer may go on before it counts as stalled.
-	 * @param predictedMs its predicted length
-	 * @param floorMs the least patience
-	 * @return milliseconds from its start
+	 * Starts a transfer and books the link for it.
+	 * @param tokens the tokens whose KV cache is moved
+	 * @param now the present time in milliseconds
+	 * @return its predicted length if it has the link to itself, in milliseconds
 	 */
-	public double patienceMs(double predictedMs, double floorMs) {
-		return predictedMs * (1 + 4 * this.transferDeviation) + floorMs;
+	public double startTransfer(int tokens, long now) {
+		double ms = transferMs(tokens);
+		if (this.transfers == 0) {
+			this.progressAt = now;
+		}
+		this.transfers++;
+		this.alone = this.transfers == 1;
+		this.outstandingMs += ms;
+		this.linkFreeAt = Math.max(now, this.linkFreeAt) + ms;
+		return ms;
 	}
 
 	/**
-	 * Learns from a transfer that ended, which also shows that the link works.
-	 * @param predictedMs its predicted length
+	 * Ends a transfer that arrived, which also shows that the link works.
+	 * @param predictedMs what {@link #startTransfer} returned
 	 * @param tookMs its true length
+	 * @param now the present time in milliseconds
 	 */
-	public void observeTransfer(double predictedMs, double tookMs) {
-		if (predictedMs > 0) {
+	public void finishTransfer(double predictedMs, double tookMs, long now) {
+		if (this.alone && predictedMs > 0) {
 			double r = Math.min(4, tookMs / predictedMs);
 			this.transferDeviation += DEVIATION_GAIN * (Math.abs(r - 1) - this.transferDeviation);
 			this.transferRatio = Math.max(0.1, this.transferRatio * (1 + 0.1 * (r - 1)));
 		}
+		endTransfer(predictedMs, now);
+		this.progressAt = now;
 		this.avoidMs = STALL_AVOID_MS;
 		this.avoidUntil = 0;
 	}
 
 	/**
-	 * Notes that a transfer stalled: the worker is avoided, for longer each time.
+	 * Ends a transfer that was cancelled or failed.
+	 * @param predictedMs what {@link #startTransfer} returned
+	 * @param now the present time in milliseconds
+	 */
+	public void endTransfer(double predictedMs, long now) {
+		this.transfers--;
+		this.outstandingMs = (this.transfers > 0) ? Math.max(0, this.outstandingMs - predictedMs) : 0;
+		this.linkFreeAt = now + this.outstandingMs;
+	}
+
+	/**
+	 * Returns when the transfers under way count as stalled if none of them ends. A link
+	 * that works ends one at the latest when it has moved all of them, in whatever order
+	 * it does so.
+	 * @param floorMs the least patience beyond the prediction
+	 * @return the time in milliseconds
+	 */
+	public double stallAt(double floorMs) {
+		return this.progressAt + this.outstandingMs * (1 + 4 * this.transferDeviation) + floorMs;
+	}
+
+	/**
+	 * Notes that transfers stalled: the worker is avoided, for longer each time.
 	 * @param now the present time in milliseconds
 	 */
 	public void stalled(long now) {
@@ -266,7 +304,6 @@
 		}
 		this.avoidUntil = now + this.avoidMs;
 		this.avoidMs = Math.min(STALL_AVOID_MAX_MS, this.avoidMs * 2);
-		this.linkFreeAt = 0;
 	}
 
 	private double linkMs(int tokens) {
--- a/src/main/java/io/shallotspur/routing/PrefillWorker.java
+++ b/src/main/java/io/shallotspur/routing/PrefillWorker.java
@@ -33,14 +33,15 @@
 	 * Creates the state of a worker that came up empty.
 	 * @param worker the worker
 	 * @param priorMsPerToken the cost expected before anything is learnt
+	 * @param shared the blocks that several prompts had
 	 */
-	public PrefillWorker(Worker worker, double priorMsPerToken) {
+	public PrefillWorker(Worker worker, double priorMsPerToken, SharedBlocks shared) {
 		if (worker.role() != WorkerRole.PREFILL) {
 			throw new IllegalArgumentException("not a prefill worker: " + worker.id());
 		}
 		this.worker = worker;
 		this.fit = new LinearFit(0, priorMsPerToken, TYPICAL_TOKENS, FIT_MEMORY);
-		this.index = new PrefixIndex(worker.cacheTokens() / BLOCK_TOKENS);
+		this.index = new PrefixIndex(worker.cacheTokens() / BLOCK_TOKENS, shared::isShared);
 	}
 
 	/**
@@ -123,6 +124,26 @@
 		return Math.max(1, promptTokens - held * BLOCK_TOKENS);
 	}
 
+	/**
+	 * Returns what reading a prompt here would cost later prompts, whose preambles it
+	 * pushes out of the cache.
+	 * @param blocks the hashes of the prompt's leading blocks
+	 * @param since what was not used since this time is no loss, in milliseconds
+	 * @return milliseconds of prefill
+	 */
+	public double evictionMs(long[] blocks, long since) {
+		return this.fit.slope() * BLOCK_TOKENS * this.index.pushedOut(blocks, this.index.match(blocks), since);
+	}
+
+	/**
+	 * Returns what reading a prompt here would save later ones with the same preamble.
+	 * @param blocks the hashes of the prompt's leading blocks
+	 * @return milliseconds of prefill
+	 */
+	public double warmingMs(long[] blocks) {
+		return this.fit.slope() * BLOCK_TOKENS * (this.index.sharedIn(blocks) - this.index.match(blocks));
+	}
+
 	/**
 	 * Starts a prefill.
 	 * @param attempt the attempt, not 0
--- a/src/main/java/io/shallotspur/routing/PrefixIndex.java
+++ b/src/main/java/io/shallotspur/routing/PrefixIndex.java
@@ -1,14 +1,17 @@
 package io.shallotspur.routing;
 
-import java.util.ArrayList;
 import java.util.LinkedHashMap;
-import java.util.List;
-import java.util.Map;
+import java.util.function.LongPredicate;
 
 /**
  * What the router believes the prefix cache of one prefill worker holds, as hashes of
- * prompt blocks, least recently used first out. The belief follows the router's own
- * prefills and is corrected by cache events and by what each prefill really computed.
+ * prompt blocks. The belief follows the router's own prefills and is corrected by cache
+ * events and by what each prefill really computed.
+ * <p>
+ * Blocks that only one prompt had are kept apart and go first: they make up most of a
+ * prompt's own part, are hardly ever asked for again, and would otherwise push the shared
+ * preambles out of the index though the engine still holds them. Among the rest the least
+ * recently used goes first.
  * <p>
  * Invariant: it never holds more blocks than the cache has room for, so its memory is
  * bounded by the declared cache. Not thread-safe.
@@ -19,15 +22,21 @@
 
 	private final int capacity;
 
-	private final LinkedHashMap<Long, Long> usedAt = new LinkedHashMap<>(16, 0.75f, true);
+	private final LongPredicate isShared;
+
+	private final LinkedHashMap<Long, Long> shared = new LinkedHashMap<>();
+
+	private final LinkedHashMap<Long, Long> single = new LinkedHashMap<>();
 
 	private long lastSequence;
 
 	/**
 	 * Creates an empty index.
 	 * @param capacityBlocks the blocks the cache holds; 0 or less if not declared
+	 * @param isShared whether more than one prompt had a block
 	 */
-	public PrefixIndex(int capacityBlocks) {
+	public PrefixIndex(int capacityBlocks, LongPredicate isShared) {
+		this.isShared = isShared;
 		this.capacity = (capacityBlocks > 0) ? capacityBlocks : DEFAULT_BLOCKS;
 	}
 
@@ -42,7 +51,7 @@
 		int hi = blocks.length;
 		while (lo < hi) {
 			int mid = (lo + hi + 1) >>> 1;
-			if (this.usedAt.containsKey(blocks[mid - 1])) {
+			if (holds(blocks[mid - 1])) {
 				lo = mid;
 			}
 			else {
@@ -60,7 +69,9 @@
 	public void store(long[] blocks, long now) {
 		int n = Math.min(blocks.length, this.capacity);
 		for (int i = n - 1; i >= 0; i--) {
-			this.usedAt.put(blocks[i], now);
+			this.single.remove(blocks[i]);
+			this.shared.remove(blocks[i]);
+			put(blocks[i], now);
 		}
 		evict();
 	}
@@ -72,7 +83,8 @@
 	 */
 	public void correct(long[] blocks, int held) {
 		for (int i = Math.max(0, held); i < blocks.length; i++) {
-			this.usedAt.remove(blocks[i]);
+			this.shared.remove(blocks[i]);
+			this.single.remove(blocks[i]);
 		}
 	}
 
@@ -92,45 +104,80 @@
 			return;
 		}
 		this.lastSequence = sequence;
-		Long used = this.usedAt.get(block);
 		if (stored) {
-			this.usedAt.put(block, (used != null) ? used : now);
-			evict();
+			if (!holds(block)) {
+				put(block, now);
+				evict();
+			}
 		}
-		else if (used != null && now - used > settleMs) {
-			this.usedAt.remove(block);
+		else {
+			this.shared.computeIfPresent(block, (k, used) -> (now - used > settleMs) ? null : used);
+			this.single.computeIfPresent(block, (k, used) -> (now - used > settleMs) ? null : used);
 		}
 	}
 
 	/**
-	 * Forgets all, after the worker came back empty.
+	 * Returns how many shared blocks in recent use a prompt would push out.
+	 * @param blocks the hashes of the prompt's leading blocks
+	 * @param held the leading blocks that are held
+	 * @param since what was not used since this time is no loss, in milliseconds
+	 * @return the number of blocks
 	 */
-	public void clear() {
-		this.usedAt.clear();
-		this.lastSequence = 0;
+	public int pushedOut(long[] blocks, int held, long since) {
+		int room = this.capacity - this.shared.size();
+		int coming = sharedIn(blocks) - held;
+		if (coming <= room || this.shared.isEmpty()) {
+			return 0;
+		}
+		long oldest = this.shared.values().iterator().next();
+		return (oldest >= since) ? coming - room : 0;
 	}
 
 	/**
-	 * Returns how many blocks are believed held.
+	 * Returns how many leading blocks of a prompt other prompts had too.
+	 * @param blocks the hashes of the prompt's leading blocks
 	 * @return the number of blocks
 	 */
-	public int size() {
-		return this.usedAt.size();
+	public int sharedIn(long[] blocks) {
+		int lo = 0;
+		int hi = blocks.length;
+		while (lo < hi) {
+			int mid = (lo + hi + 1) >>> 1;
+			if (this.isShared.test(blocks[mid - 1])) {
+				lo = mid;
+			}
+			else {
+				hi = mid - 1;
+			}
+		}
+		return lo;
 	}
 
 	/**
-	 * Returns the blocks believed held, least recently used first.
-	 * @return a new list
+	 * Returns how many blocks are believed held.
+	 * @return the number of blocks
 	 */
-	public List<Long> blocks() {
-		return new ArrayList<>(this.usedAt.keySet());
+	public int size() {
+		return this.shared.size() + this.single.size();
+	}
+
+	private boolean holds(long block) {
+		return this.shared.containsKey(block) || this.single.containsKey(block);
 	}
 
 	private void evict() {
-		while (this.usedAt.size() > this.capacity) {
-			Map.Entry<Long, Long> eldest = this.usedAt.entrySet().iterator().next();
-			this.usedAt.remove(eldest.getKey());
+		while (size() > this.capacity) {
+			LinkedHashMap<Long, Long> from = this.single.isEmpty() ? this.shared : this.single;
+			Long block = from.keySet().iterator().next();
+			Long used = from.remove(block);
+			if (from == this.single && this.isShared.test(block)) {
+				this.shared.put(block, used);
+			}
 		}
 	}
 
+	private void put(long block, long now) {
+		(this.isShared.test(block) ? this.shared : this.single).put(block, now);
+	}
+
 }
