--- a/src/main/java/io/shallotspur/cell/package-info.java
+++ b/src/main/java/io/shallotspur/cell/package-info.java
@@ -5,3 +5,5 @@
  */
 @NullMarked
 package io.shallotspur.cell;
+
+import org.jspecify.annotations.NullMarked;
