--- a/src/main/java/io/shallotspur/replay/ReplayCommand.java
+++ b/src/main/java/io/shallotspur/replay/ReplayCommand.java
@@ -68,10 +68,7 @@
 	}
 
 	private static Schedulers schedulers(Policy policy, List<String> off) throws InputException {
-		if (policy != Policy.SHALLOTSPUR) {
-			return Schedulers.baseline(policy);
-		}
-		throw new InputException("The policy " + policy.code() + " is not built yet: " + off, "--policy");
+		return (policy != Policy.SHALLOTSPUR) ? Schedulers.baseline(policy) : ProductSchedulers.without(off);
 	}
 
 }
