--- /dev/null
+++ b/src/main/java/io/shallotspur/adapter/vmlist/HttpVmList.java
@@ -0,0 +1,57 @@
+package io.shallotspur.adapter.vmlist;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.List;
+
+import com.fasterxml.jackson.core.type.TypeReference;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import reactor.core.publisher.Mono;
+import reactor.netty.http.client.HttpClient;
+
+import io.shallotspur.exc.StoreUnavailableException;
+import io.shallotspur.port.VmEntry;
+import io.shallotspur.port.VmList;
+
+/**
+ * The VM list over the project's own HTTP/JSON. Thread-safe.
+ */
+public final class HttpVmList implements VmList {
+
+	private static final ObjectMapper JSON = new ObjectMapper();
+
+	private static final TypeReference<List<VmEntry>> ENTRIES = new TypeReference<>() {
+	};
+
+	private final HttpClient client;
+
+	/**
+	 * Creates a client.
+	 * @param baseUrl where the list is, without a trailing slash
+	 * @param timeoutMs how long to wait for an answer, in milliseconds
+	 */
+	public HttpVmList(String baseUrl, long timeoutMs) {
+		this.client = HttpClient.create().baseUrl(baseUrl).responseTimeout(Duration.ofMillis(timeoutMs));
+	}
+
+	@Override
+	public Mono<List<VmEntry>> list() {
+		return this.client.get()
+			.uri("/v1/vms")
+			.responseSingle((r, body) -> (r.status().code() == HttpResponseStatus.OK.code()) ? body.asByteArray()
+					: Mono.error(new StoreUnavailableException("the VM list answered " + r.status().code(), null)))
+			.<List<VmEntry>>handle((b, sink) -> {
+				try {
+					sink.next(JSON.readValue(b, ENTRIES));
+				}
+				catch (IOException ex) {
+					sink.error(new StoreUnavailableException("the VM list is malformed", null, ex));
+				}
+			})
+			.onErrorMap((ex) -> !(ex instanceof StoreUnavailableException),
+					(ex) -> new StoreUnavailableException("the VM list cannot be reached: " + ex.getMessage(), null,
+							ex));
+	}
+
+}
--- /dev/null
+++ b/src/main/java/io/shallotspur/adapter/vmlist/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * The platform's VM list over HTTP.
+ */
+@NullMarked
+package io.shallotspur.adapter.vmlist;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/src/main/java/io/shallotspur/adapter/weights/HttpWeightStore.java
@@ -0,0 +1,49 @@
+package io.shallotspur.adapter.weights;
+
+import java.time.Duration;
+
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.QueryStringEncoder;
+import reactor.core.publisher.Mono;
+import reactor.netty.http.client.HttpClient;
+
+import io.shallotspur.exc.StoreUnavailableException;
+import io.shallotspur.port.WeightStore;
+
+/**
+ * The weight store over HTTP: the answer's body is the address to load from, and 429
+ * means that the rate is used up. Thread-safe.
+ */
+public final class HttpWeightStore implements WeightStore {
+
+	private final HttpClient client;
+
+	/**
+	 * Creates a client.
+	 * @param baseUrl where the weight store is, without a trailing slash
+	 * @param timeoutMs how long to wait for an answer, in milliseconds
+	 */
+	public HttpWeightStore(String baseUrl, long timeoutMs) {
+		this.client = HttpClient.create().baseUrl(baseUrl).responseTimeout(Duration.ofMillis(timeoutMs));
+	}
+
+	@Override
+	public Mono<String> locate(String model, String version) {
+		QueryStringEncoder q = new QueryStringEncoder("/v1/weights");
+		q.addParam("model", model);
+		q.addParam("version", version);
+		return this.client.get()
+			.uri(q.toString())
+			.responseSingle((r, body) -> (r.status().code() == HttpResponseStatus.OK.code()) ? body.asString()
+					: Mono.error(refused(model, r.status().code())))
+			.onErrorMap((ex) -> !(ex instanceof StoreUnavailableException),
+					(ex) -> new StoreUnavailableException("the weight store cannot be reached", model, ex));
+	}
+
+	private static StoreUnavailableException refused(String model, int status) {
+		boolean rate = status == HttpResponseStatus.TOO_MANY_REQUESTS.code();
+		return new StoreUnavailableException(
+				rate ? "the weight store's rate is used up" : "the weight store answered " + status, model);
+	}
+
+}
