Membership: a SWIM-style failure detector and rendezvous ownership

Cause: entry VMs have to know who lives and who owns which cell without a store write per heartbeat, and a VM that was paused must not go on admitting work that others own by now. Change: Membership is a pure state machine (direct and indirect probes, suspicion, incarnations, announced leave, VM list as candidates, bounded piggybacked gossip, a bucketed exchange for tables that stay different).

--- /dev/null
+++ b/src/main/java/io/shallotspur/node/cluster/ClusterMessages.java
@@ -0,0 +1,41 @@
+package io.shallotspur.node.cluster;
+
+import io.shallotspur.adapter.peer.PeerCodec;
+import io.shallotspur.membership.MembershipMessage;
+
+/**
+ * The type numbers of the messages of this package. A number is never used again for
+ * another type.
+ */
+public final class ClusterMessages {
+
+	private static final int PING = 1;
+
+	private static final int ACK = 2;
+
+	private static final int PING_REQUEST = 3;
+
+	private static final int GOSSIP = 4;
+
+	private static final int SYNC_REQUEST = 5;
+
+	private static final int SYNC_REPLY = 6;
+
+	private ClusterMessages() {
+	}
+
+	/**
+	 * Registers the messages.
+	 * @param builder the codec to be
+	 * @return the same builder
+	 */
+	public static PeerCodec.Builder register(PeerCodec.Builder builder) {
+		return builder.register(PING, MembershipMessage.Ping.class)
+			.register(ACK, MembershipMessage.Ack.class)
+			.register(PING_REQUEST, MembershipMessage.PingRequest.class)
+			.register(GOSSIP, MembershipMessage.Gossip.class)
+			.register(SYNC_REQUEST, MembershipMessage.SyncRequest.class)
+			.register(SYNC_REPLY, MembershipMessage.SyncReply.class);
+	}
+
+}
