Intent ledger: shards in the store, group commit, any-node fallback

Cause: a request that may run once at most needs its intent recorded before dispatch, on nodes without disks, with a store that takes some hundred writes a second and loses answers.

--- /dev/null
+++ b/src/main/java/io/shallotspur/node/ledger/ShardWriter.java
@@ -0,0 +1,427 @@
+package io.shallotspur.node.ledger;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.Deque;
+import java.util.HashSet;
+import java.util.IdentityHashMap;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+
+import org.jspecify.annotations.Nullable;
+import org.tinylog.Logger;
+import reactor.core.publisher.Mono;
+
+import io.shallotspur.exc.InputException;
+import io.shallotspur.exc.StoreConflictException;
+import io.shallotspur.exc.StoreUnavailableException;
+import io.shallotspur.ledger.Attempt;
+import io.shallotspur.ledger.AttemptEnd;
+import io.shallotspur.ledger.BatchId;
+import io.shallotspur.ledger.EntryState;
+import io.shallotspur.ledger.Intent;
+import io.shallotspur.ledger.KeyDigest;
+import io.shallotspur.ledger.LedgerLimits;
+import io.shallotspur.ledger.Segment;
+import io.shallotspur.ledger.Shard;
+import io.shallotspur.ledger.ShardCodec;
+import io.shallotspur.ledger.Verdict;
+import io.shallotspur.outcome.RefusalCode;
+import io.shallotspur.port.KvStore;
+import io.shallotspur.port.StoreRecord;
+
+/**
+ * Writes one shard in batches. Any number of nodes may do so at once: the
+ * compare-and-swap on the head lets one through.
+ * <p>
+ * Invariants: an intent is granted only after a head that holds it was surely written; at
+ * most one write is under way, and two writes begin at least the batch interval apart. A
+ * write whose answer is lost is settled by reading the head again; until then nothing of
+ * it is granted. Confined to the scheduler of the ledger.
+ */
+final class ShardWriter {
+
+	private static final long MIN_RETRY_MS = 50;
+
+	private static final long MAX_RETRY_MS = 500;
+
+	private final WriterContext ctx;
+
+	private final ShardLoader loader;
+
+	private final Map<Attempt, Pending> intents = new LinkedHashMap<>();
+
+	private final Deque<PendingEnd> ends = new ArrayDeque<>();
+
+	private final Map<Attempt, Pending> watchers = new LinkedHashMap<>();
+
+	private @Nullable Shard shard;
+
+	private @Nullable Shard lastKnown;
+
+	private @Nullable BatchId uncertain;
+
+	private long version;
+
+	private boolean busy;
+
+	private long nextWriteAt = Long.MIN_VALUE;
+
+	private long retryAt = Long.MIN_VALUE;
+
+	private long retryMs = MIN_RETRY_MS;
+
+	private long loadedAt;
+
+	private long wakeAt = Long.MAX_VALUE;
+
+	ShardWriter(int shard, WriterContext ctx) {
+		this.ctx = ctx;
+		this.loader = new ShardLoader(shard, ctx);
+	}
+
+	void intend(Intent i, long deadlineAt, Consumer<Verdict> done) {
+		withdraw(i.attempt());
+		Verdict v = (this.shard != null) ? this.shard.decide(i, this.ctx.now()) : new Verdict.Free();
+		if (!(v instanceof Verdict.Free)) {
+			done.accept(v);
+			return;
+		}
+		this.intents.put(i.attempt(), new Pending(i, deadlineAt, done));
+		pump();
+	}
+
+	void end(AttemptEnd e, Runnable done) {
+		if (e.state() instanceof EntryState.NotStarted) {
+			withdraw(e.attempt());
+		}
+		if (this.ends.size() >= limit()) {
+			this.ctx.meter().endDropped();
+			this.ends.removeFirst().done().run();
+		}
+		this.ends.addLast(new PendingEnd(e, done));
+		pump();
+	}
+
+	/**
+	 * Waits until another attempt of the key has ended.
+	 * @param i the intent that found the key taken
+	 * @param until when to give up, in milliseconds
+	 * @param done takes the verdict then; {@link Verdict.Free} if it may try again
+	 */
+	void watch(Intent i, long until, Consumer<Verdict> done) {
+		this.watchers.put(i.attempt(), new Pending(i, until, done));
+		tellWatchers();
+		pump();
+	}
+
+	void unload() {
+		if (!this.busy && this.intents.isEmpty() && this.ends.isEmpty() && this.watchers.isEmpty()) {
+			this.shard = null;
+			this.lastKnown = null;
+		}
+	}
+
+	private int limit() {
+		return this.ctx.settings().maxEnds();
+	}
+
+	private void withdraw(Attempt a) {
+		Pending p = this.intents.remove(a);
+		if (p != null) {
+			p.done().accept(new Verdict.Denied(RefusalCode.STORE_UNAVAILABLE));
+		}
+	}
+
+	private void pump() {
+		if (this.busy) {
+			return;
+		}
+		long now = this.ctx.now();
+		dropExpired(now);
+		if (this.intents.isEmpty() && this.ends.isEmpty() && this.watchers.isEmpty()) {
+			return;
+		}
+		if (now < this.retryAt) {
+			wake(this.retryAt);
+			return;
+		}
+		if (this.shard == null || isStale(now)) {
+			load();
+			return;
+		}
+		if (!this.watchers.isEmpty()) {
+			wake(this.loadedAt + this.ctx.settings().pollMs());
+		}
+		if (now < this.nextWriteAt) {
+			wake(this.nextWriteAt);
+			return;
+		}
+		decideKnown(this.shard, now);
+		writeIfNeeded(now);
+	}
+
+	private void writeIfNeeded(long now) {
+		Shard s = this.shard;
+		if (this.busy || s == null || (this.intents.isEmpty() && this.ends.isEmpty())) {
+			return;
+		}
+		if (s.mustSeal()) {
+			seal(s);
+		}
+		else {
+			write(s, now);
+		}
+	}
+
+	private boolean isStale(long now) {
+		// While somebody waits for a key, another writer may record its end, which only a
+		// read shows.
+		return !this.watchers.isEmpty() && now - this.loadedAt >= this.ctx.settings().pollMs();
+	}
+
+	private void dropExpired(long now) {
+		List<Pending> late = new ArrayList<>();
+		collectExpired(this.intents, now, late);
+		late.forEach((p) -> p.done().accept(new Verdict.Denied(RefusalCode.STORE_UNAVAILABLE)));
+		late.clear();
+		collectExpired(this.watchers, now, late);
+		late.forEach((p) -> p.done().accept(verdictNow(p.intent(), now)));
+	}
+
+	private Verdict verdictNow(Intent i, long now) {
+		Shard s = (this.shard != null) ? this.shard : this.lastKnown;
+		return (s != null) ? s.decide(i, now) : new Verdict.Denied(RefusalCode.STORE_UNAVAILABLE);
+	}
+
+	private static void collectExpired(Map<Attempt, Pending> from, long now, List<Pending> to) {
+		Iterator<Pending> it = from.values().iterator();
+		while (it.hasNext()) {
+			Pending p = it.next();
+			if (p.until() <= now) {
+				it.remove();
+				to.add(p);
+			}
+		}
+	}
+
+	private void decideKnown(Shard s, long now) {
+		Shard base = s.withEnds(this.ends.stream().map(PendingEnd::end).toList());
+		if (base == s) {
+			List<PendingEnd> done = List.copyOf(this.ends);
+			this.ends.clear();
+			done.forEach((e) -> e.done().run());
+		}
+		List<Runnable> told = new ArrayList<>();
+		Iterator<Pending> it = this.intents.values().iterator();
+		while (it.hasNext()) {
+			Pending p = it.next();
+			Verdict v = base.decide(p.intent(), now);
+			if (!(v instanceof Verdict.Free)) {
+				it.remove();
+				told.add(() -> p.done().accept(v));
+			}
+		}
+		told.forEach(Runnable::run);
+	}
+
+	private void tellWatchers() {
+		Shard s = this.shard;
+		if (s == null || this.watchers.isEmpty()) {
+			return;
+		}
+		long now = this.ctx.now();
+		List<Runnable> told = new ArrayList<>();
+		Iterator<Pending> it = this.watchers.values().iterator();
+		while (it.hasNext()) {
+			Pending p = it.next();
+			Verdict v = s.decide(p.intent(), now);
+			if (!(v instanceof Verdict.Taken t) || !(t.entry().state() instanceof EntryState.InFlight)) {
+				it.remove();
+				told.add(() -> p.done().accept(v));
+			}
+		}
+		told.forEach(Runnable::run);
+	}
+
+	private void write(Shard s, long now) {
+		List<PendingEnd> endsNow = selectEnds();
+		List<Intent> intentsNow = selectIntents();
+		BatchId batch = this.ctx.nextBatch();
+		Shard next = s.withEnds(endsNow.stream().map(PendingEnd::end).toList())
+			.withIntents(intentsNow)
+			.withBatch(batch, now);
+		this.busy = true;
+		this.uncertain = batch;
+		this.nextWriteAt = now + limits().batchMs();
+		this.ctx.meter().write(intentsNow.size());
+		this.ctx
+			.timed(this.ctx.store().compareAndSwap(this.loader.headKey(), this.version, ShardCodec.encode(next.head())))
+			.subscribe((v) -> written(next, v, endsNow), this::failed);
+	}
+
+	private List<PendingEnd> selectEnds() {
+		List<PendingEnd> l = new ArrayList<>();
+		int bytes = 0;
+		for (PendingEnd e : this.ends) {
+			bytes += Shard.sizeOf(e.end());
+			if (bytes > limits().batchBytes() && !l.isEmpty()) {
+				break;
+			}
+			l.add(e);
+		}
+		return l;
+	}
+
+	private List<Intent> selectIntents() {
+		Set<KeyDigest> keys = new HashSet<>();
+		List<Intent> l = new ArrayList<>();
+		for (Pending p : this.intents.values()) {
+			if (l.size() < limits().batchEntries() && keys.add(p.intent().key())) {
+				l.add(p.intent());
+			}
+		}
+		return l;
+	}
+
+	private void written(Shard next, long v, List<PendingEnd> done) {
+		this.shard = next;
+		this.version = v;
+		this.uncertain = null;
+		this.retryMs = MIN_RETRY_MS;
+		this.busy = false;
+		Set<PendingEnd> gone = Collections.newSetFromMap(new IdentityHashMap<>());
+		gone.addAll(done);
+		this.ends.removeIf(gone::contains);
+		done.forEach((e) -> e.done().run());
+		tellWatchers();
+		pump();
+	}
+
+	private void failed(Throwable ex) {
+		this.busy = false;
+		long now = this.ctx.now();
+		if (ex instanceof StoreConflictException) {
+			// Two writers that met would meet again in step; the jitter parts them.
+			this.ctx.meter().conflict();
+			forget();
+			this.nextWriteAt = now + this.ctx.jitter(Math.max(1, limits().batchMs()));
+		}
+		else {
+			if (!(ex instanceof StoreUnavailableException)) {
+				this.ctx.meter().lostAnswer();
+				forget();
+			}
+			Logger.debug("[ledger] store call failed, next try in {} ms: {}", this.retryMs, ex);
+			this.retryAt = now + this.retryMs;
+			this.retryMs = Math.min(MAX_RETRY_MS, this.retryMs * 2);
+		}
+		pump();
+	}
+
+	private void forget() {
+		this.lastKnown = (this.shard != null) ? this.shard : this.lastKnown;
+		this.shard = null;
+	}
+
+	private void load() {
+		this.busy = true;
+		Shard known = (this.shard != null) ? this.shard : this.lastKnown;
+		this.loader.load((known != null) ? known.sealed() : Map.of()).subscribe(this::loaded, this::failed);
+	}
+
+	private void loaded(ShardLoader.Loaded l) {
+		if (this.uncertain != null && l.shard().hasBatch(this.uncertain)) {
+			this.ctx.meter().settledAsWritten();
+		}
+		this.uncertain = null;
+		this.shard = l.shard();
+		this.version = l.version();
+		this.loadedAt = this.ctx.now();
+		this.retryMs = MIN_RETRY_MS;
+		this.busy = false;
+		tellWatchers();
+		pump();
+	}
+
+	private void seal(Shard s) {
+		this.busy = true;
+		Segment segment = s.toSegment(this.version);
+		String key = this.loader.slotKey(s.slotOf(segment.ref()));
+		this.nextWriteAt = this.ctx.now() + limits().batchMs();
+		this.ctx.meter().read();
+		this.ctx.timed(this.ctx.store().get(key))
+			.flatMap((r) -> slotState(r, segment))
+			.defaultIfEmpty(new SlotState(true, KvStore.ABSENT))
+			.flatMap((slot) -> storeSegment(key, segment, slot))
+			.subscribe((v) -> sealed(s.withSealed(segment)), this::failed);
+	}
+
+	private static Mono<SlotState> slotState(StoreRecord r, Segment segment) {
+		try {
+			Segment old = ShardCodec.decodeSegment(r.value());
+			return Mono.just(old.ref().equals(segment.ref()) ? SlotState.DONE
+					: new SlotState(old.isOlderThan(segment.ref()), r.version()));
+		}
+		catch (InputException ex) {
+			return Mono.error(ex);
+		}
+	}
+
+	private Mono<Long> storeSegment(String key, Segment segment, SlotState slot) {
+		if (slot == SlotState.DONE) {
+			return Mono.just(0L);
+		}
+		if (!slot.writable()) {
+			// Another node sealed this head while this one was paused. Overwriting its
+			// segment would lose the keys it has more.
+			return Mono.error(new StoreConflictException("the slot holds a newer segment", key));
+		}
+		this.ctx.meter().write(0);
+		return this.ctx.timed(this.ctx.store().compareAndSwap(key, slot.version(), ShardCodec.encode(segment)));
+	}
+
+	private void sealed(Shard next) {
+		// The head in the store is unchanged; the next write of the head names the
+		// segment, or fails if another writer was faster.
+		this.shard = next;
+		this.busy = false;
+		pump();
+	}
+
+	private void wake(long at) {
+		if (at < this.wakeAt) {
+			this.wakeAt = at;
+			this.ctx.later(at - this.ctx.now(), () -> {
+				if (this.wakeAt == at) {
+					this.wakeAt = Long.MAX_VALUE;
+				}
+				pump();
+			});
+		}
+	}
+
+	private LedgerLimits limits() {
+		return this.ctx.settings().limits();
+	}
+
+	private record Pending(Intent intent, long until, Consumer<Verdict> done) {
+
+	}
+
+	private record PendingEnd(AttemptEnd end, Runnable done) {
+
+	}
+
+	private record SlotState(boolean writable, long version) {
+
+		static final SlotState DONE = new SlotState(false, -1);
+
+	}
+
+}
--- /dev/null
+++ b/src/test/java/io/shallotspur/ledger/ShardPropertyTests.java
@@ -0,0 +1,238 @@
+package io.shallotspur.ledger;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.ShrinkingMode;
+import net.jqwik.api.Tag;
+import net.jqwik.api.constraints.Size;
+import org.jspecify.annotations.Nullable;
+
+import io.shallotspur.exc.InputException;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Interleaves writers that read, write, seal, pause, lose answers and crash, and holds
+ * that no key is run twice.
+ */
+class ShardPropertyTests {
+
+	private static final LedgerLimits LIMITS = LedgerLimits.DEFAULT.withShards(1, 1).withSegments(200, 4, 40);
+
+	private static final int WRITERS = 3;
+
+	private static final int KEYS = 6;
+
+	@Property(tries = 8_000, seed = "20261202", shrinking = ShrinkingMode.BOUNDED)
+	void runsAtMostOnce(@ForAll @Size(min = 20, max = 120) List<Integer> steps) throws InputException {
+		new History().run(steps);
+	}
+
+	@Tag("long")
+	@Property(tries = 400_000, seed = "5", shrinking = ShrinkingMode.BOUNDED)
+	void runsAtMostOnceLong(@ForAll @Size(min = 20, max = 200) List<Integer> steps) throws InputException {
+		new History().run(steps);
+	}
+
+	private static final class History {
+
+		private final Map<String, byte[]> store = new HashMap<>();
+
+		private final Map<String, Long> versions = new HashMap<>();
+
+		private final Map<KeyDigest, Integer> runs = new HashMap<>();
+
+		private final List<Writer> writers = new ArrayList<>();
+
+		private final List<Runnable> delayed = new ArrayList<>();
+
+		private long now = 1_000;
+
+		private long attempts;
+
+		private History() {
+			for (int i = 0; i < WRITERS; i++) {
+				this.writers.add(new Writer("n" + i));
+			}
+		}
+
+		void run(List<Integer> steps) throws InputException {
+			for (int s : steps) {
+				int bits = s ^ (s >>> 16);
+				Writer w = this.writers.get(Math.floorMod(bits, WRITERS));
+				step(w, Math.floorMod(bits / WRITERS, 12), Math.floorMod(bits / 37, KEYS),
+						Math.floorMod(bits / 101, 4));
+				assertThat(this.runs.values()).allMatch((n) -> n <= 1);
+			}
+		}
+
+		private void step(Writer w, int action, int key, int fault) throws InputException {
+			switch (action) {
+				case 0, 1, 2 -> w.begin(key);
+				case 3, 4, 5 -> w.write(fault);
+				case 6 -> w.load();
+				case 7 -> w.end(key, fault);
+				case 8 -> w.seal(fault);
+				case 9 -> w.crash();
+				case 10 -> pass(key * 4L);
+				default -> landDelayed();
+			}
+		}
+
+		private void pass(long ms) {
+			this.now += ms;
+		}
+
+		private void landDelayed() {
+			List.copyOf(this.delayed).forEach(Runnable::run);
+			this.delayed.clear();
+		}
+
+		private boolean cas(String key, long expected, byte[] value, int fault) {
+			if (fault == 1) {
+				return false;
+			}
+			if (fault == 2) {
+				// The answer is lost now and the write lands later.
+				this.delayed.add(() -> cas(key, expected, value, 0));
+				return false;
+			}
+			if (this.versions.getOrDefault(key, 0L) != expected) {
+				return false;
+			}
+			this.versions.put(key, expected + 1);
+			this.store.put(key, value);
+			return fault != 3;
+		}
+
+		private final class Writer {
+
+			private final String name;
+
+			private long incarnation;
+
+			private @Nullable Shard shard;
+
+			private long version;
+
+			private final List<Intent> pending = new ArrayList<>();
+
+			private final List<AttemptEnd> ends = new ArrayList<>();
+
+			private final Map<Attempt, Intent> running = new HashMap<>();
+
+			private Writer(String name) {
+				this.name = name;
+			}
+
+			void begin(int key) throws InputException {
+				KeyDigest k = new KeyDigest(0, key);
+				long time = 990 + key * 10L;
+				Intent i = new Intent(k, key, time, new Attempt(this.name, this.incarnation, History.this.attempts++));
+				this.pending.add(i);
+				decide();
+			}
+
+			void decide() throws InputException {
+				if (this.shard == null) {
+					load();
+				}
+				Shard base = this.shard.withEnds(this.ends);
+				for (Intent i : List.copyOf(this.pending)) {
+					Verdict v = base.decide(i, History.this.now);
+					if (v instanceof Verdict.Free) {
+						continue;
+					}
+					this.pending.remove(i);
+					if (v instanceof Verdict.Granted) {
+						History.this.runs.merge(i.key(), 1, Integer::sum);
+						this.running.put(i.attempt(), i);
+					}
+				}
+			}
+
+			void write(int fault) throws InputException {
+				decide();
+				Map<KeyDigest, Intent> first = new HashMap<>();
+				this.pending.forEach((i) -> first.putIfAbsent(i.key(), i));
+				Shard next = this.shard.withEnds(this.ends)
+					.withIntents(first.values())
+					.withBatch(new BatchId(this.name, this.incarnation, 0), History.this.now);
+				byte[] bytes = ShardCodec.encode(next.head());
+				if (cas("head", this.version, bytes, fault)) {
+					this.version++;
+					this.shard = next;
+					this.ends.clear();
+				}
+				else {
+					this.shard = null;
+				}
+				decide();
+			}
+
+			void seal(int fault) throws InputException {
+				if (this.shard == null || !this.shard.mustSeal()) {
+					return;
+				}
+				Segment s = this.shard.toSegment(this.version);
+				String slot = "slot" + this.shard.slotOf(s.ref());
+				byte[] old = History.this.store.get(slot);
+				Segment o = (old != null) ? ShardCodec.decodeSegment(old) : null;
+				boolean done = o != null && o.ref().equals(s.ref());
+				long v = History.this.versions.getOrDefault(slot, 0L);
+				if (!done && ((o != null && !o.isOlderThan(s.ref())) || !cas(slot, v, ShardCodec.encode(s), fault))) {
+					this.shard = null;
+					return;
+				}
+				this.shard = this.shard.withSealed(s);
+			}
+
+			void end(int key, int fault) {
+				for (Intent i : List.copyOf(this.running.values())) {
+					if (i.key().lo() == key) {
+						this.running.remove(i.attempt());
+						EntryState s = switch (fault) {
+							case 0 -> new EntryState.Unknown();
+							case 1 -> new EntryState.NotStarted();
+							default -> new EntryState.Answered(new byte[] { (byte) key });
+						};
+						if (fault == 1) {
+							History.this.runs.merge(i.key(), -1, Integer::sum);
+						}
+						this.ends.add(new AttemptEnd(i.key(), i.attempt(), s));
+					}
+				}
+			}
+
+			void crash() {
+				this.incarnation++;
+				this.shard = null;
+				this.pending.clear();
+				this.ends.clear();
+				this.running.clear();
+			}
+
+			void load() throws InputException {
+				byte[] head = History.this.store.get("head");
+				this.version = History.this.versions.getOrDefault("head", 0L);
+				ShardRecord r = (head != null) ? ShardCodec.decodeHead(head) : ShardRecord.EMPTY;
+				Map<SegmentRef, Segment> sealed = new HashMap<>();
+				for (SegmentRef ref : r.segments()) {
+					byte[] b = History.this.store.get("slot" + ref.sequence() % 4);
+					Segment s = ShardCodec.decodeSegment(b);
+					assertThat(s.ref()).as("the head names what its slot holds").isEqualTo(ref);
+					sealed.put(ref, s);
+				}
+				this.shard = new Shard(LIMITS, 4, r, sealed);
+			}
+
+		}
+
+	}
+
+}
