standin: the platform and the workers as processes of their own

Cause: an entry VM must be tried against separate processes, not only within one JVM. Change: the standin command starts what its settings name; the worker tables are read by the same strict reader as those of an entry VM, with speeds beside them; an example for each deployment that a test holds equal to the entry VM's.

--- a/src/main/java/io/shallotspur/cfg/SettingsReader.java
+++ b/src/main/java/io/shallotspur/cfg/SettingsReader.java
@@ -143,7 +143,7 @@
 		return r;
 	}
 
-	private static Endpoint endpoint(TomlTable t, String key) {
+	static Endpoint endpoint(TomlTable t, String key) {
 		String s = t.text(key);
 		Endpoint none = new Endpoint("0.0.0.0", 0);
 		if (s.isEmpty()) {
--- a/src/main/java/io/shallotspur/cfg/UpstreamReader.java
+++ b/src/main/java/io/shallotspur/cfg/UpstreamReader.java
@@ -20,11 +20,16 @@
 	}
 
 	static List<UpstreamSection> read(List<TomlTable> tables) {
+		return read(tables, (t, w) -> {
+		});
+	}
+
+	static List<UpstreamSection> read(List<TomlTable> tables, WorkerKeys more) {
 		List<UpstreamSection> l = new ArrayList<>();
 		Set<String> names = new HashSet<>();
 		Set<String> ids = new HashSet<>();
 		for (TomlTable t : tables) {
-			UpstreamSection u = upstream(t, ids);
+			UpstreamSection u = upstream(t, ids, more);
 			if (!names.add(u.name())) {
 				t.problem("name", "\"" + u.name() + "\" is there twice", "a name of its own for each upstream");
 			}
@@ -33,13 +38,13 @@
 		return l;
 	}
 
-	private static UpstreamSection upstream(TomlTable t, Set<String> ids) {
+	private static UpstreamSection upstream(TomlTable t, Set<String> ids, WorkerKeys more) {
 		String name = t.text("name");
 		boolean model = t.word("kind", null, List.of("model", "plain")).equals("model");
 		boolean fencing = t.flag("checks_fencing", false);
 		List<Worker> workers = new ArrayList<>();
 		for (TomlTable w : t.tables("worker")) {
-			Worker k = worker(w, name, model);
+			Worker k = worker(w, name, model, more);
 			if (!ids.add(k.id())) {
 				w.problem("id", "\"" + k.id() + "\" is there twice", "an id of its own for each worker");
 			}
@@ -49,7 +54,7 @@
 		return new UpstreamSection(name, model, fencing, workers);
 	}
 
-	private static Worker worker(TomlTable w, String upstream, boolean model) {
+	private static Worker worker(TomlTable w, String upstream, boolean model, WorkerKeys more) {
 		String id = w.text("id");
 		String hall = w.text("hall");
 		String address = address(w);
@@ -62,6 +67,7 @@
 			case PLAIN ->
 				new Worker(id, upstream, hall, role, address, (int) w.whole("concurrency", 1, 10_000), 0, 0, 0, 0);
 		};
+		more.read(w, k);
 		w.finish();
 		return k;
 	}
@@ -82,4 +88,14 @@
 		return a;
 	}
 
+	/**
+	 * Takes keys of a worker that only some files have.
+	 */
+	@FunctionalInterface
+	interface WorkerKeys {
+
+		void read(TomlTable table, Worker worker);
+
+	}
+
 }
--- a/src/main/java/io/shallotspur/cli/Main.java
+++ b/src/main/java/io/shallotspur/cli/Main.java
@@ -22,6 +22,7 @@
 		return List.of(new CommandEntry("check", "check a settings file", CheckCommand::new),
 				new CommandEntry("replay", "replay a recorded trace against a policy", ReplayEntry::new),
 				new CommandEntry("measure-routing", "measure the policies on traces", MeasureRoutingEntry::new),
+				new CommandEntry("standin", "run stand-ins for the platform and the engines", StandinCommand::new),
 				new CommandEntry("version", "print the version", VersionCommand::new));
 	}
 
--- a/src/test/java/io/shallotspur/cfg/SettingsReaderTests.java
+++ b/src/test/java/io/shallotspur/cfg/SettingsReaderTests.java
@@ -27,7 +27,18 @@
 		assertThat(s.upstreams()).hasSize(2);
 		assertThat(s.upstreams().get(0).workers()).anyMatch((w) -> w.role() == WorkerRole.DECODE && w.slots() == 20);
 		assertThat(s.callers().advertise()).isEqualTo(s.callers().listen());
-		assertThat(s.platform().vmList()).isEqualTo(s.platform().store());
+		assertThat(s.platform().vmList()).isEqualTo(new Endpoint("127.0.0.1", 8501));
+	}
+
+	@ParameterizedTest
+	@ValueSource(strings = { "bilhete", "lonestar" })
+	void theStandinsServeTheWorkersOfTheExample(String name) throws Exception {
+		Settings s = SettingsReader.read(write(example(name + ".toml")));
+		StandinSettings t = StandinSettingsReader.read(Path.of("examples", name + "-standin.toml"));
+		assertThat(t.upstreams()).isEqualTo(s.upstreams());
+		assertThat(t.store()).isEqualTo(s.platform().store());
+		assertThat(t.vms()).singleElement().satisfies((v) -> assertThat(v.id()).isEqualTo(s.node().id()));
+		assertThat(t.speeds()).hasSameSizeAs(t.upstreams().stream().flatMap((u) -> u.workers().stream()).toList());
 	}
 
 	@Test
