A tighter bound on goodput: links, and answers that cannot rest

Change: an answer that has begun gets a token in each step, so part of its work falls into an interval whatever the policy does; the links are a third resource.

--- a/src/main/java/io/shallotspur/replay/FluidBound.java
+++ b/src/main/java/io/shallotspur/replay/FluidBound.java
@@ -1,13 +1,14 @@
 package io.shallotspur.replay;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Collection;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.ToDoubleFunction;
 
 import io.shallotspur.contract.Contract;
 import io.shallotspur.contract.ContractSet;
@@ -20,9 +21,9 @@
  * targets if work flows like a fluid. Each preamble counts as cached everywhere, each
  * decode worker as always full, and the future as known. Stateless and thread-safe.
  * <p>
- * The work of a request that meets its targets lies inside a window of time. What is
- * wholly inside an interval and exceeds the capacity of that interval is surely missed;
- * disjoint intervals add up.
+ * For prefill, links and decode in turn: of the requests that come in an interval of
+ * time, some part of the work falls into that interval whatever the policy does, and what
+ * exceeds its capacity is surely missed. Disjoint intervals add up.
  */
 final class FluidBound {
 
@@ -49,8 +50,10 @@
 			}
 			Counted c = count(u, set, trace, poisoned);
 			stayed += c.stayed;
-			missed += c.doomed + Math.max(missed(c.prefill, new Capacity(u, WorkerRole.PREFILL, trace)),
-					missed(c.decode, new Capacity(u, WorkerRole.DECODE, trace)));
+			double prefill = missed(c.prefill, Capacity.prefill(u, trace));
+			double link = missed(c.link, Capacity.links(u, trace));
+			double decode = missed(c.decode, Capacity.decode(u, trace));
+			missed += c.doomed + Math.max(prefill, Math.max(link, decode));
 		}
 		return (stayed > 0) ? 1 - missed / stayed : 1;
 	}
@@ -93,58 +96,49 @@
 			.min()
 			.orElse(1);
 		double slowest = u.workers().stream().mapToDouble(FluidBound::fullStepMs).max().orElse(1);
-		c.prefill.add(new Job(r.atMs(), first, (t.prompt() - cached) * fastest));
-		// An answer that has begun gets a token in each step, so that it ends early
-		// whatever the contract allows, unless a crash interrupts it.
+		c.prefill.add(new Job(r.atMs(), first, first, (t.prompt() - cached) * fastest, 0));
+		double megabytes = t.prompt()
+				* u.workers().stream().mapToDouble((w) -> w.worker().kvMbPerToken()).min().orElse(0);
+		c.link.add(new Job(r.atMs(), first, first, megabytes, 0));
 		long deadline = r.atMs() + k.deadlineMs();
 		long last = Math.min(deadline, first + (long) Math.ceil(t.output() * slowest));
 		boolean cut = c.crashes.stream().anyMatch((at) -> at >= r.atMs() && at <= last);
-		c.decode.add(new Job(r.atMs(), cut ? deadline : last, t.output()));
+		// An answer that has begun gets a token in each step, whatever the contract
+		// allows, unless a crash interrupts it.
+		c.decode.add(new Job(r.atMs(), first, cut ? deadline : last, t.output(), cut ? 0 : slowest));
 	}
 
 	// Returns how many jobs are missed at least.
 	private static double missed(List<Job> jobs, Capacity capacity) {
 		long end = jobs.stream().mapToLong(Job::due).max().orElse(0);
 		int n = (int) (end / GRID_MS) + 2;
-		List<Job> byDue = new ArrayList<>(jobs);
-		byDue.sort(Comparator.comparingLong(Job::due));
 		double[] best = new double[n];
 		for (int s = 0; s < n; s++) {
 			best[s] = Math.max(best[s], (s > 0) ? best[s - 1] : 0);
-			extend(byDue, capacity, s, best);
-		}
-		return best[n - 1];
-	}
-
-	private static void extend(List<Job> byDue, Capacity capacity, int s, double[] best) {
-		long from = s * GRID_MS;
-		List<Job> inside = new ArrayList<>();
-		int next = 0;
-		for (int t = s + 1; t < best.length; t++) {
-			long to = t * GRID_MS;
-			boolean grown = false;
-			while (next < byDue.size() && byDue.get(next).due() <= to) {
-				Job j = byDue.get(next++);
-				if (j.from() >= from) {
-					inside.add(j);
-					grown = true;
-				}
-			}
-			if (grown) {
-				best[t] = Math.max(best[t], best[s] + overflow(inside, capacity.between(from, to)));
+			for (int t = s + 1; t < n; t++) {
+				long from = s * GRID_MS;
+				long to = t * GRID_MS;
+				double[] work = jobs.stream()
+					.filter((j) -> j.from() >= from && j.from() < to)
+					.mapToDouble((j) -> j.workBy(to))
+					.filter((w) -> w > 0)
+					.toArray();
+				best[t] = Math.max(best[t], best[s] + dropped(work, capacity.between(from, to)));
 			}
 		}
+		return best[n - 1];
 	}
 
-	private static double overflow(List<Job> inside, double capacity) {
-		double excess = inside.stream().mapToDouble(Job::work).sum() - capacity;
+	// Drops the largest first, so that no choice drops fewer.
+	private static int dropped(double[] work, double capacity) {
+		double excess = Arrays.stream(work).sum() - capacity;
 		if (excess <= 0) {
 			return 0;
 		}
-		double[] largest = inside.stream().mapToDouble(Job::work).sorted().toArray();
+		Arrays.sort(work);
 		int dropped = 0;
-		while (excess > 0 && dropped < largest.length) {
-			excess -= largest[largest.length - 1 - dropped];
+		while (excess > 0 && dropped < work.length) {
+			excess -= work[work.length - 1 - dropped];
 			dropped++;
 		}
 		return dropped;
@@ -180,13 +174,12 @@
 
 		private final List<Away> away = new ArrayList<>();
 
-		Capacity(Fleet.UpstreamSpec u, WorkerRole role, List<TraceLine> trace) {
-			for (Fleet.WorkerSpec w : u.workers()) {
-				if (w.worker().role() == role) {
-					double decode = w.worker().slots() / Math.max(1, fullStepMs(w));
-					this.rates.put(w.worker().id(), (role == WorkerRole.PREFILL) ? 1 : decode);
-				}
-			}
+		private Capacity(Fleet.UpstreamSpec u, WorkerRole role, ToDoubleFunction<Fleet.WorkerSpec> rate,
+				List<TraceLine> trace) {
+			u.workers()
+				.stream()
+				.filter((w) -> w.worker().role() == role)
+				.forEach((w) -> this.rates.put(w.worker().id(), rate.applyAsDouble(w)));
 			for (TraceLine l : trace) {
 				if (l instanceof TraceLine.Crash c && this.rates.containsKey(c.worker()) && !isAway(c)) {
 					this.away.add(new Away(c.worker(), c.atMs(), c.atMs() + Timing.RESTART / EventQueue.MS));
@@ -194,6 +187,18 @@
 			}
 		}
 
+		static Capacity prefill(Fleet.UpstreamSpec u, List<TraceLine> trace) {
+			return new Capacity(u, WorkerRole.PREFILL, (w) -> 1, trace);
+		}
+
+		static Capacity decode(Fleet.UpstreamSpec u, List<TraceLine> trace) {
+			return new Capacity(u, WorkerRole.DECODE, (w) -> w.worker().slots() / fullStepMs(w), trace);
+		}
+
+		static Capacity links(Fleet.UpstreamSpec u, List<TraceLine> trace) {
+			return new Capacity(u, WorkerRole.DECODE, (w) -> w.worker().linkMbPerS() / 1000, trace);
+		}
+
 		private boolean isAway(TraceLine.Crash c) {
 			return this.away.stream().anyMatch((a) -> a.worker().equals(c.worker()) && c.atMs() < a.to());
 		}
@@ -213,6 +218,8 @@
 
 		private final List<Job> prefill = new ArrayList<>();
 
+		private final List<Job> link = new ArrayList<>();
+
 		private final List<Job> decode = new ArrayList<>();
 
 		private final List<Long> crashes = new ArrayList<>();
@@ -223,7 +230,25 @@
 
 	}
 
-	private record Job(long from, long due, double work) {
+	/**
+	 * Work of one request.
+	 *
+	 * @param from when it can begin
+	 * @param begunBy when it must have begun
+	 * @param due when it must be done
+	 * @param work how much it is
+	 * @param slowest the longest time that a unit takes once it has begun, or 0 if it may
+	 * rest
+	 */
+	private record Job(long from, long begunBy, long due, double work, double slowest) {
+
+		// The least part of the work that is done by then.
+		double workBy(long to) {
+			if (to >= this.due) {
+				return this.work;
+			}
+			return (this.slowest > 0) ? Math.max(0, Math.floor((to - this.begunBy) / this.slowest)) : 0;
+		}
 
 	}
 
