Requests that fail or lose their caller leave nothing behind

Cause: bad input, callers who leave, lost owners and lost answers had no test. Change: tests over real sockets for each. A forwarded request that passes its deadline now cancels the peer's stream: the error of a takeUntilOther does not cancel its source, so the delay completes and the error follows it.

--- a/src/main/java/io/shallotspur/node/Forwarder.java
+++ b/src/main/java/io/shallotspur/node/Forwarder.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.stream.IntStream;
 
 import org.reactivestreams.Publisher;
@@ -94,9 +95,16 @@
 	}
 
 	private Flux<PeerMessage> bounded(String peer, PeerMessage m, long remainingMs) {
-		Mono<Void> late = Mono.delay(Duration.ofMillis(remainingMs + DEADLINE_MARGIN_MS))
-			.then(Mono.error(() -> new InputException("The owner did not end the request in time.", peer)));
-		return this.peers.stream(peer, m).takeUntilOther(late);
+		// An error of the other publisher would end the answer without cancelling the
+		// peer's stream, so the delay only completes, and the error follows.
+		AtomicBoolean late = new AtomicBoolean();
+		Mono<Long> end = Mono.delay(Duration.ofMillis(remainingMs + DEADLINE_MARGIN_MS))
+			.doOnNext((x) -> late.set(true));
+		return this.peers.stream(peer, m)
+			.takeUntilOther(end)
+			.concatWith(Mono.defer(() -> late.get()
+					? Mono.error(new InputException("The owner did not end the request in time.", peer))
+					: Mono.empty()));
 	}
 
 	private Publisher<AnswerPart> broken(String peer, String customer, Progress p, Throwable ex) {
--- a/src/test/java/io/shallotspur/node/FakePeers.java
+++ b/src/test/java/io/shallotspur/node/FakePeers.java
@@ -30,7 +30,18 @@
 		return this.nodes.computeIfAbsent(address, (a) -> new Node());
 	}
 
+	/**
+	 * Breaks the links to a node that lives on: both ends notice.
+	 */
 	void cut(String address) {
+		this.nodes.remove(address);
+		sink(address).tryEmitEmpty();
+	}
+
+	/**
+	 * Breaks the links to a node that is dead: it notices nothing.
+	 */
+	void kill(String address) {
 		this.nodes.remove(address);
 		sink(address).tryEmitError(new PeerException("The link broke.", address));
 	}
@@ -39,6 +50,11 @@
 		return this.cuts.computeIfAbsent(address, (a) -> Sinks.empty());
 	}
 
+	private Mono<PeerMessage> checkLink(String address) {
+		return this.nodes.containsKey(address) ? Mono.empty()
+				: Mono.error(new PeerException("The link broke.", address));
+	}
+
 	private final class Node implements PeerNetwork {
 
 		private final Map<Class<?>, Function<PeerMessage, Flux<? extends PeerMessage>>> handlers = new HashMap<>();
@@ -59,7 +75,7 @@
 				}
 				FakePeers.this.streams.incrementAndGet();
 				Flux<PeerMessage> answers = Flux.from(n.handlers.get(message.getClass()).apply(message));
-				return answers.takeUntilOther(sink(address).asMono());
+				return answers.takeUntilOther(sink(address).asMono()).concatWith(Mono.defer(() -> checkLink(address)));
 			});
 		}
 
--- a/src/test/java/io/shallotspur/node/ServingFixture.java
+++ b/src/test/java/io/shallotspur/node/ServingFixture.java
@@ -126,6 +126,15 @@
 		return vm;
 	}
 
+	/**
+	 * Ends a VM as a crash does: it tells nobody, and cancels nothing.
+	 */
+	void kill(EntryVm vm, String name) {
+		this.peers.kill(name);
+		vm.close().block(PATIENCE);
+		this.vms.remove(vm);
+	}
+
 	Owner selfOwner(String upstream, String customer, long prefix) {
 		return upstream.equals("nothing") ? new Owner.Nobody()
 				: new Owner.Self(upstream.equals("kiosk-api") ? "kiosk-api" : "draft-llm/hall-a/0");
@@ -147,12 +156,32 @@
 	}
 
 	Answer send(EntryVm vm, HttpMethod method, String path, String body, Map<String, String> headers) {
+		return sendLater(vm, method, path, body, headers).blockOptional(PATIENCE).orElseThrow();
+	}
+
+	Mono<Answer> sendLater(EntryVm vm, HttpMethod method, String path, String body, Map<String, String> headers) {
 		return HttpClient.newConnection()
 			.headers((h) -> h.set("Authorization", "Bearer secret"))
 			.headers((h) -> headers.forEach(h::set))
 			.request(method)
 			.uri("http://" + vm.callerAddress() + path)
 			.send(Mono.just(Unpooled.copiedBuffer(body, StandardCharsets.UTF_8)))
+			.responseSingle((res, b) -> b.asString()
+				.defaultIfEmpty("")
+				.map((x) -> new Answer(res.status().code(), res.responseHeaders(), x)));
+	}
+
+	/**
+	 * Sends a card whose length is not declared.
+	 */
+	Answer sendChunked(EntryVm vm, String body) {
+		return HttpClient.newConnection()
+			.headers((h) -> h.set("Authorization", "Bearer secret"))
+			.headers((h) -> h.set("Shallotspur-Class", "registration-card"))
+			.post()
+			.uri("http://" + vm.callerAddress() + "/v1/completions")
+			.send(Flux.just(body.substring(0, 10), body.substring(10))
+				.map((s) -> Unpooled.copiedBuffer(s, StandardCharsets.UTF_8)))
 			.responseSingle((res, b) -> b.asString()
 				.defaultIfEmpty("")
 				.map((x) -> new Answer(res.status().code(), res.responseHeaders(), x)))
@@ -173,7 +202,7 @@
 			.send(Mono.just(Unpooled.copiedBuffer(body, StandardCharsets.UTF_8)))
 			.responseContent()
 			.asString()
-			.concatMapIterable((s) -> List.of(s.split("(?<=\n\n)")));
+			.concatMapIterable(new Events()::take);
 	}
 
 	/**
@@ -239,6 +268,26 @@
 
 	}
 
+	/**
+	 * Joins what the network cut.
+	 */
+	private static final class Events {
+
+		private String pending = "";
+
+		List<String> take(String bytes) {
+			String all = this.pending + bytes;
+			int end = all.lastIndexOf("\n\n") + 2;
+			if (end < 2) {
+				this.pending = all;
+				return List.of();
+			}
+			this.pending = all.substring(end);
+			return List.of(all.substring(0, end).split("(?<=\n\n)"));
+		}
+
+	}
+
 	private static final class Schedulers implements SchedulerFactory {
 
 		@Override
