Contracts kept in the store and in force everywhere

Cause: an accepted contract has to be in force at every entry VM within four seconds and never revert, with a store that loses answers and goes away.

--- a/src/main/java/io/shallotspur/demo/VirtualFleet.java
+++ b/src/main/java/io/shallotspur/demo/VirtualFleet.java
@@ -13,6 +13,7 @@
 import io.shallotspur.membership.MembershipSettings;
 import io.shallotspur.membership.View;
 import io.shallotspur.node.cluster.ClusterMessages;
+import io.shallotspur.port.KvStore;
 import io.shallotspur.port.VmEntry;
 
 /**
@@ -37,15 +38,19 @@
 
 	private final MembershipSettings settings;
 
+	private final KvStore store;
+
 	private final long seed;
 
 	/**
 	 * Creates an empty fleet.
 	 * @param settings of the failure detector
+	 * @param store the key-value service
 	 * @param delayMs the time of a message, in milliseconds
 	 * @param seed for all that is random
 	 */
-	public VirtualFleet(MembershipSettings settings, long delayMs, long seed) {
+	public VirtualFleet(MembershipSettings settings, KvStore store, long delayMs, long seed) {
+		this.store = store;
 		this.settings = settings;
 		this.seed = seed;
 		this.peers = new VirtualPeers(this.time, ClusterMessages.register(PeerCodec.builder()).build(), delayMs);
@@ -69,10 +74,12 @@
 	 * @return the VM
 	 */
 	public VirtualVm start(String id) {
-		VirtualVm vm = new VirtualVm(id, this.time, this.peers, this.settings, this.seed * HASH_PRIME + id.hashCode());
+		VirtualVm vm = new VirtualVm(id, this.time, this.peers, this.settings, this.store,
+				this.seed * HASH_PRIME + id.hashCode());
 		this.vms.put(id, vm);
 		this.listed.put(id, vm.entry(false));
 		vm.loop().start();
+		vm.contracts().start();
 		vm.node().after(0, () -> poll(vm));
 		return vm;
 	}
--- a/src/main/java/io/shallotspur/demo/VirtualVm.java
+++ b/src/main/java/io/shallotspur/demo/VirtualVm.java
@@ -1,11 +1,14 @@
 package io.shallotspur.demo;
 
+import io.shallotspur.distribution.ContractStore;
 import io.shallotspur.membership.Member;
 import io.shallotspur.membership.MemberStatus;
 import io.shallotspur.membership.Membership;
 import io.shallotspur.membership.MembershipSettings;
 import io.shallotspur.membership.View;
+import io.shallotspur.node.cluster.ContractLoop;
 import io.shallotspur.node.cluster.MembershipLoop;
+import io.shallotspur.port.KvStore;
 import io.shallotspur.port.PeerNetwork;
 import io.shallotspur.port.VmEntry;
 
@@ -21,14 +24,18 @@
 
 	private final MembershipLoop loop;
 
+	private final ContractLoop contracts;
+
 	private final Member self;
 
-	VirtualVm(String id, VirtualTime time, VirtualPeers peers, MembershipSettings settings, long seed) {
+	VirtualVm(String id, VirtualTime time, VirtualPeers peers, MembershipSettings settings, KvStore store, long seed) {
 		this.node = new VirtualNode(time);
 		this.network = peers.join(id, this.node);
 		this.self = new Member(id, "hall-a", id, id, time.now(), MemberStatus.ALIVE);
 		this.loop = new MembershipLoop(new Membership(this.self, settings, seed, time.now()), this.network, this.node,
 				time::now);
+		this.contracts = new ContractLoop(new ContractStore(store, this.node), this.network, this.loop::view, this.node,
+				seed);
 	}
 
 	/**
@@ -55,6 +62,14 @@
 		return this.loop;
 	}
 
+	/**
+	 * Returns the contracts.
+	 * @return the loop
+	 */
+	public ContractLoop contracts() {
+		return this.contracts;
+	}
+
 	/**
 	 * Returns the latest view.
 	 * @return an immutable view
--- /dev/null
+++ b/src/main/java/io/shallotspur/distribution/ContractStore.java
@@ -0,0 +1,165 @@
+package io.shallotspur.distribution;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+
+import net.openhft.hashing.LongHashFunction;
+import reactor.core.Exceptions;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+import reactor.core.scheduler.Scheduler;
+
+import io.shallotspur.contract.Contract;
+import io.shallotspur.exc.ContractConflictException;
+import io.shallotspur.exc.StoreConflictException;
+import io.shallotspur.exc.StoreException;
+import io.shallotspur.exc.StoreUnavailableException;
+import io.shallotspur.exc.StoreUnknownException;
+import io.shallotspur.port.KvStore;
+import io.shallotspur.port.StoreRecord;
+
+/**
+ * The contracts in the key-value service. Thread-safe.
+ * <p>
+ * Invariants: a change is accepted only if its compare-and-swap took effect, and takes
+ * effect at most once; the revision of a customer's contract only rises.
+ */
+public final class ContractStore {
+
+	/**
+	 * All records with contracts have keys under this prefix, followed by three
+	 * hexadecimal digits of the customer's bucket.
+	 */
+	public static final String PREFIX = "contracts/";
+
+	private static final int BUCKETS = 4096;
+
+	private static final int MAX_TRIES = 8;
+
+	private static final long RETRY_MS = 50;
+
+	private static final LongHashFunction HASH = LongHashFunction.xx3();
+
+	private final KvStore store;
+
+	private final Scheduler timer;
+
+	/**
+	 * Creates a view of the store.
+	 * @param store the store
+	 * @param timer counts the pauses between tries
+	 */
+	public ContractStore(KvStore store, Scheduler timer) {
+		this.store = store;
+		this.timer = timer;
+	}
+
+	/**
+	 * Carries out a change. Fails with {@link ContractConflictException} if the contract
+	 * has another revision than the expected one, {@link StoreUnavailableException} if
+	 * the change surely did not take effect, or {@link StoreUnknownException} if it may
+	 * have; sending the same change again settles that.
+	 * @param change the change, validated
+	 * @return the contract with the revision under which it was accepted
+	 */
+	public Mono<Contract> apply(ContractChange change) {
+		return attempt(change, 1, false);
+	}
+
+	/**
+	 * Reads contracts.
+	 * @param digits the first digits of the buckets that are wanted, or empty for all
+	 * @return the contracts, tombstones among them
+	 */
+	public Mono<List<Contract>> read(String digits) {
+		return this.store.list(PREFIX + digits).map(ContractStore::contracts);
+	}
+
+	/**
+	 * Watches for changes.
+	 * @return the contracts of the buckets that change; ends with an error when the store
+	 * is lost
+	 */
+	public Flux<List<Contract>> watch() {
+		return this.store.watch(PREFIX).map((rec) -> contracts(List.of(rec)));
+	}
+
+	static String key(String customer) {
+		return PREFIX + String.format("%03x", Math.floorMod(HASH.hashChars(customer), (long) BUCKETS));
+	}
+
+	private Mono<Contract> attempt(ContractChange change, int number, boolean uncertain) {
+		String key = key(change.contract().customer());
+		return this.store.get(key)
+			.map((rec) -> bucketOf(rec))
+			.defaultIfEmpty(new Versioned(KvStore.ABSENT, ContractBucket.EMPTY))
+			.onErrorMap((ex) -> uncertain, (ex) -> unknown(key, ex))
+			.flatMap((v) -> swap(change, key, v, number, uncertain));
+	}
+
+	private Mono<Contract> swap(ContractChange change, String key, Versioned v, int number, boolean uncertain) {
+		ContractBucket.Change done = v.bucket().findChange(change.changeId()).orElse(null);
+		if (done != null) {
+			return Mono.just(change.contract().withRevision(done.revision()));
+		}
+		long current = v.bucket()
+			.find(change.contract().customer())
+			.filter((c) -> !c.retired())
+			.map(Contract::revision)
+			.orElse(ContractChange.NEW);
+		if (change.expected() != ContractChange.ANY && change.expected() != current) {
+			// An earlier try of this change whose answer was lost can no longer take
+			// effect: the record has moved on from the version it expects, and the list
+			// of changes would name it if it had.
+			return Mono.error(new ContractConflictException(
+					"the contract has revision " + current + ", the change expects " + change.expected(),
+					change.contract().customer()));
+		}
+		ContractBucket next = v.bucket().with(change);
+		return this.store.compareAndSwap(key, v.version(), ContractJson.writeBucket(next))
+			.thenReturn(change.contract().withRevision(next.revision()))
+			.onErrorResume(StoreException.class, (ex) -> retry(change, key, ex, number, uncertain));
+	}
+
+	private Mono<Contract> retry(ContractChange change, String key, StoreException ex, int number, boolean uncertain) {
+		boolean conflict = ex instanceof StoreConflictException;
+		boolean lost = uncertain || ex instanceof StoreUnknownException;
+		if (!conflict && !(ex instanceof StoreUnknownException)) {
+			return Mono.error(uncertain ? unknown(key, ex) : ex);
+		}
+		if (number >= MAX_TRIES) {
+			return Mono.error(lost ? unknown(key, ex)
+					: new StoreUnavailableException("too many others write this record; try again", key, ex));
+		}
+		// A lost answer must be settled before the operator is told anything. The next
+		// try expects the version that it reads, so that of two tries that are still
+		// under way one at most takes effect.
+		Mono<Contract> again = Mono.defer(() -> attempt(change, number + 1, lost));
+		return Mono.delay(Duration.ofMillis(RETRY_MS * number), this.timer).then(again);
+	}
+
+	private static StoreUnknownException unknown(String key, Throwable ex) {
+		return new StoreUnknownException("the change may have been accepted; send the same change again", key, ex);
+	}
+
+	private static Versioned bucketOf(StoreRecord rec) {
+		try {
+			return new Versioned(rec.version(), ContractJson.readBucket(rec));
+		}
+		catch (StoreUnavailableException ex) {
+			throw Exceptions.propagate(ex);
+		}
+	}
+
+	private static List<Contract> contracts(List<StoreRecord> records) {
+		List<Contract> l = new ArrayList<>();
+		records.forEach((rec) -> l.addAll(bucketOf(rec).bucket().contracts()));
+		return l;
+	}
+
+	private record Versioned(long version, ContractBucket bucket) {
+
+	}
+
+}
--- a/src/main/java/io/shallotspur/node/cluster/ClusterMessages.java
+++ b/src/main/java/io/shallotspur/node/cluster/ClusterMessages.java
@@ -1,6 +1,7 @@
 package io.shallotspur.node.cluster;
 
 import io.shallotspur.adapter.peer.PeerCodec;
+import io.shallotspur.distribution.ContractMessage;
 import io.shallotspur.membership.MembershipMessage;
 
 /**
@@ -21,6 +22,22 @@
 
 	private static final int SYNC_REPLY = 6;
 
+	private static final int PUSH = 20;
+
+	private static final int DIGEST_REQUEST = 21;
+
+	private static final int DIGEST_REPLY = 22;
+
+	private static final int LEAVES_REQUEST = 23;
+
+	private static final int LEAVES_REPLY = 24;
+
+	private static final int CONTRACTS_REQUEST = 25;
+
+	private static final int CONTRACTS_REPLY = 26;
+
+	private static final int SNAPSHOT_REQUEST = 27;
+
 	private ClusterMessages() {
 	}
 
@@ -35,7 +52,15 @@
 			.register(PING_REQUEST, MembershipMessage.PingRequest.class)
 			.register(GOSSIP, MembershipMessage.Gossip.class)
 			.register(SYNC_REQUEST, MembershipMessage.SyncRequest.class)
-			.register(SYNC_REPLY, MembershipMessage.SyncReply.class);
+			.register(SYNC_REPLY, MembershipMessage.SyncReply.class)
+			.register(PUSH, ContractMessage.Push.class)
+			.register(DIGEST_REQUEST, ContractMessage.DigestRequest.class)
+			.register(DIGEST_REPLY, ContractMessage.DigestReply.class)
+			.register(LEAVES_REQUEST, ContractMessage.LeavesRequest.class)
+			.register(LEAVES_REPLY, ContractMessage.LeavesReply.class)
+			.register(CONTRACTS_REQUEST, ContractMessage.ContractsRequest.class)
+			.register(CONTRACTS_REPLY, ContractMessage.ContractsReply.class)
+			.register(SNAPSHOT_REQUEST, ContractMessage.SnapshotRequest.class);
 	}
 
 }
--- a/src/test/java/io/shallotspur/LayeringTests.java
+++ b/src/test/java/io/shallotspur/LayeringTests.java
@@ -14,7 +14,8 @@
 
 	private static final String[] DECISIONS = { "..exc..", "..outcome..", "..contract..", "..fleet..", "..cell..",
 			"..plain..", "..routing..", "..admission..", "..retry..", "io.shallotspur.ledger..", "..quarantine..",
-			"..resume..", "io.shallotspur.order..", "..membership..", "..record.." };
+			"..resume..", "io.shallotspur.order..", "..membership..",
+			"..distribution..", "..locate..", "..record.." };
 
 	@ArchTest
 	final ArchRule decisionsKnowNoOuterLayer = ArchRuleDefinition.noClasses()
--- a/src/test/java/io/shallotspur/membership/MembershipTests.java
+++ b/src/test/java/io/shallotspur/membership/MembershipTests.java
@@ -9,6 +9,7 @@
 
 import io.shallotspur.demo.VirtualFleet;
 import io.shallotspur.demo.VirtualVm;
+import io.shallotspur.testing.FakeKvStore;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -16,7 +17,7 @@
 
 	private static final long LIMIT_MS = 60_000;
 
-	private final VirtualFleet fleet = new VirtualFleet(MembershipSettings.DEFAULT, 1, 7);
+	private final VirtualFleet fleet = new VirtualFleet(MembershipSettings.DEFAULT, new FakeKvStore(), 1, 7);
 
 	@Test
 	void vmsFindEachOtherThroughTheList() {
