--- a/src/main/java/io/shallotspur/demo/VirtualVm.java
+++ b/src/main/java/io/shallotspur/demo/VirtualVm.java
@@ -1,5 +1,9 @@
 package io.shallotspur.demo;
 
+import java.time.Duration;
+
+import reactor.core.publisher.Mono;
+
 import io.shallotspur.distribution.ContractStore;
 import io.shallotspur.membership.Member;
 import io.shallotspur.membership.MemberStatus;
@@ -34,8 +38,9 @@
 		this.self = new Member(id, "hall-a", id, id, time.now(), MemberStatus.ALIVE);
 		this.loop = new MembershipLoop(new Membership(this.self, settings, seed, time.now()), this.network, this.node,
 				time::now);
-		this.contracts = new ContractLoop(new ContractStore(store, this.node), this.network, this.loop::view, this.node,
-				seed);
+		this.contracts = new ContractLoop(
+				new ContractStore(store, (ms) -> Mono.delay(Duration.ofMillis(ms), this.node)), this.network,
+				this.loop::view, this.node, seed);
 	}
 
 	/**
--- a/src/main/java/io/shallotspur/distribution/ContractStore.java
+++ b/src/main/java/io/shallotspur/distribution/ContractStore.java
@@ -1,14 +1,13 @@
 package io.shallotspur.distribution;
 
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.LongFunction;
 
 import net.openhft.hashing.LongHashFunction;
 import reactor.core.Exceptions;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
-import reactor.core.scheduler.Scheduler;
 
 import io.shallotspur.contract.Contract;
 import io.shallotspur.exc.ContractConflictException;
@@ -43,16 +42,16 @@
 
 	private final KvStore store;
 
-	private final Scheduler timer;
+	private final LongFunction<Mono<?>> delay;
 
 	/**
 	 * Creates a view of the store.
 	 * @param store the store
-	 * @param timer counts the pauses between tries
+	 * @param delay completes after some milliseconds; used between tries
 	 */
-	public ContractStore(KvStore store, Scheduler timer) {
+	public ContractStore(KvStore store, LongFunction<Mono<?>> delay) {
 		this.store = store;
-		this.timer = timer;
+		this.delay = delay;
 	}
 
 	/**
@@ -114,7 +113,7 @@
 			// of changes would name it if it had.
 			return Mono.error(new ContractConflictException(
 					"the contract has revision " + current + ", the change expects " + change.expected(),
-					change.contract().customer()));
+					change.contract().customer(), current));
 		}
 		ContractBucket next = v.bucket().with(change);
 		return this.store.compareAndSwap(key, v.version(), ContractJson.writeBucket(next))
@@ -136,7 +135,7 @@
 		// try expects the version that it reads, so that of two tries that are still
 		// under way one at most takes effect.
 		Mono<Contract> again = Mono.defer(() -> attempt(change, number + 1, lost));
-		return Mono.delay(Duration.ofMillis(RETRY_MS * number), this.timer).then(again);
+		return this.delay.apply(RETRY_MS * number).then(again);
 	}
 
 	private static StoreUnknownException unknown(String key, Throwable ex) {
