--- a/src/main/java/io/shallotspur/replay/Sweep.java
+++ b/src/main/java/io/shallotspur/replay/Sweep.java
@@ -15,6 +15,7 @@
 import io.shallotspur.cell.CellSettings;
 import io.shallotspur.exc.InputException;
 import io.shallotspur.exc.ShallotspurException;
+import io.shallotspur.util.plot.LinePlot;
 
 /**
  * Measures the policies on traces: at load 1, over a sweep of loads, and with each
@@ -135,7 +136,8 @@
 	private void plot(SweepCase c, String what, String axis, Map<String, Map<Double, Double>> lines)
 			throws IOException {
 		String file = "routing-" + c.name() + "-" + what + ".svg";
-		SweepPlot.write(c.name(), axis, lines, this.options.getOut().resolve(file));
+		String svg = new LinePlot(c.name(), "load", axis, lines).toSvg(c.name() + "-" + what + "-");
+		Files.writeString(this.options.getOut().resolve(file), svg);
 		line("![" + axis + " of " + c.name() + "](" + file + ")");
 		line("");
 	}
--- /dev/null
+++ b/src/main/java/io/shallotspur/util/plot/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Plots as SVG.
+ */
+@NullMarked
+package io.shallotspur.util.plot;
+
+import org.jspecify.annotations.NullMarked;
