A demonstration: three entry VMs and both deployments in one process

Change: Demo starts three entry VMs with real peer links, ledger and store stand-in, sends the traffic of four customers with locate, stale addresses, resends and callers who leave, checks every answer against its own prompt and every key against the services' execution counts.

--- /dev/null
+++ b/src/main/java/io/shallotspur/demo/DemoCaller.java
@@ -0,0 +1,204 @@
+package io.shallotspur.demo;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.ConcurrentHashMap;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.netty.buffer.Unpooled;
+import reactor.core.publisher.Mono;
+import reactor.netty.http.client.HttpClient;
+import reactor.netty.resources.ConnectionProvider;
+
+import io.shallotspur.standin.StandinPrompt;
+
+/**
+ * Sends requests as the clerks' and kiosks' programs do: asks where to, keeps the answer
+ * for a while, sends, and sometimes leaves or sends again. Thread-safe.
+ */
+final class DemoCaller {
+
+	private static final int STALE_OF_100 = 10;
+
+	private static final int BYTES_PER_TOKEN = 4;
+
+	private static final int FIRST_ERROR = 400;
+
+	private static final ObjectMapper MAPPER = new ObjectMapper();
+
+	private final DemoFleet fleet;
+
+	private final ConnectionProvider connections = ConnectionProvider.builder("demo").maxConnections(2000).build();
+
+	private final HttpClient client = HttpClient.create(this.connections);
+
+	private final Map<String, Located> located = new ConcurrentHashMap<>();
+
+	DemoCaller(DemoFleet fleet) {
+		this.fleet = fleet;
+	}
+
+	void close() {
+		this.connections.dispose();
+	}
+
+	/**
+	 * Sends one request and counts what its caller sees.
+	 * @param c the class
+	 * @param number the number of the request within its class
+	 * @param random draws what the caller does
+	 * @param stats takes the result
+	 * @return completes when the request has ended for its caller; never fails
+	 */
+	Mono<Void> send(DemoClass c, int number, Random random, DemoStats stats) {
+		stats.sent();
+		boolean leaves = random.nextInt(100) < c.leaves();
+		long leavesAfter = 1 + random.nextInt(400);
+		boolean resends = random.nextInt(100) < c.resends();
+		int stale = (random.nextInt(100) < STALE_OF_100) ? random.nextInt(this.fleet.vms().size()) : -1;
+		Mono<Void> m = address(c, stale)
+			.flatMap((a) -> c.isModel() ? model(c, number, a, stats) : plain(c, number, a, resends, stats));
+		if (!leaves) {
+			return m.onErrorResume((ex) -> Mono.fromRunnable(stats::lost));
+		}
+		return m.timeout(Duration.ofMillis(leavesAfter)).onErrorResume((ex) -> Mono.fromRunnable(stats::left));
+	}
+
+	private Mono<String> address(DemoClass c, int stale) {
+		if (stale >= 0) {
+			return Mono.just(this.fleet.vms().get(stale).callerAddress());
+		}
+		String key = c.customer() + "/" + c.terms().name();
+		Located l = this.located.get(key);
+		if (l != null && System.currentTimeMillis() < l.until) {
+			return Mono.just(l.address);
+		}
+		String any = this.fleet.vms().get(0).callerAddress();
+		return this.client.get()
+			.uri("http://" + any + "/v1/locate?customer=" + c.customer() + "&class=" + c.terms().name())
+			.responseContent()
+			.aggregate()
+			.asString()
+			.map(DemoCaller::json)
+			.map((n) -> {
+				Located x = new Located(n.at("/addresses/0").asText(),
+						System.currentTimeMillis() + n.path("ttl_ms").asLong());
+				this.located.put(key, x);
+				return x.address;
+			});
+	}
+
+	private Mono<Void> model(DemoClass c, int number, String address, DemoStats stats) {
+		String prompt = prompt(c, number);
+		String body = "{\"prompt\":\"" + prompt + "\",\"max_tokens\":" + c.output() + ",\"stream\":true}";
+		DemoAnswer a = new DemoAnswer(System.nanoTime());
+		return request(c, "", address, "/v1/completions", body)
+			.response((res, bytes) -> (res.status().code() >= FIRST_ERROR)
+					? bytes.aggregate().asString().doOnNext(a::problem)
+					: bytes.asString(StandardCharsets.UTF_8).doOnNext(a::take))
+			.then(Mono.fromRunnable(() -> count(c, a, StandinPrompt.answer(prompt, c.output()), stats)));
+	}
+
+	private static void count(DemoClass c, DemoAnswer a, String expected, DemoStats stats) {
+		if (a.isRefused()) {
+			stats.refused(a.isNotRun());
+		}
+		else if (!a.isWhole()) {
+			stats.lost();
+		}
+		else {
+			boolean met = a.ttftMs() <= c.terms().ttftMs() && a.p95GapMs() <= c.terms().tbtMs()
+					&& a.totalMs() <= c.terms().deadlineMs();
+			stats.answered(a.text().equals(expected), a.ttftMs(), a.gapsMs(), met);
+		}
+	}
+
+	private Mono<Void> plain(DemoClass c, int number, String address, boolean resends, DemoStats stats) {
+		String key = c.terms().repeatable() ? ""
+				: System.currentTimeMillis() + "-" + c.customer() + "-" + c.terms().name() + "-" + number;
+		Mono<PlainAnswer> once = call(c, key, number, address);
+		Mono<List<PlainAnswer>> all = resends ? once.zipWith(once, List::of) : once.map(List::of);
+		return all.doOnNext((l) -> count(c, key, l, stats)).then();
+	}
+
+	private Mono<PlainAnswer> call(DemoClass c, String key, int number, String address) {
+		String path = "/v1/upstreams/" + c.terms().upstream() + "/" + c.terms().name() + "/" + number;
+		return Mono.defer(() -> {
+			long start = System.nanoTime();
+			return request(c, key, address, path, "{\"n\":" + number + "}").responseSingle((res, b) -> b.asString()
+				.defaultIfEmpty("")
+				.map((x) -> new PlainAnswer(res.status().code(), x, millisSince(start))));
+		});
+	}
+
+	private void count(DemoClass c, String key, List<PlainAnswer> answers, DemoStats stats) {
+		PlainAnswer a = answers.get(0);
+		boolean same = answers.stream().allMatch((x) -> x.body.equals(a.body));
+		int runs = key.isEmpty() ? 1 : this.fleet.runs(key);
+		if (a.status >= FIRST_ERROR) {
+			boolean notRun = json(a.body).path("outcome").asText().equals("not_run");
+			stats.refused(notRun);
+			stats.duplicated((notRun && same && !key.isEmpty()) ? runs : 0);
+			return;
+		}
+		stats.answered(same, a.ms, List.of(), a.ms <= c.terms().ttftMs());
+		stats.duplicated(Math.max(0, runs - 1));
+	}
+
+	private HttpClient.ResponseReceiver<?> request(DemoClass c, String key, String address, String path, String body) {
+		return this.client.headers((h) -> {
+			h.set("Authorization", "Bearer " + c.token());
+			h.set("Shallotspur-Class", c.terms().name());
+			h.set("Content-Type", "application/json");
+			if (!key.isEmpty()) {
+				h.set("Idempotency-Key", key);
+			}
+		}).post().uri("http://" + address + path).send(Mono.just(Unpooled.copiedBuffer(body, StandardCharsets.UTF_8)));
+	}
+
+	private static String prompt(DemoClass c, int number) {
+		String shared = (c.customer() + " ").repeat(c.preamble() * BYTES_PER_TOKEN / (c.customer().length() + 1));
+		String own = "case " + number + " ";
+		return shared + own.repeat(c.own() * BYTES_PER_TOKEN / own.length());
+	}
+
+	private static JsonNode json(String text) {
+		try {
+			return MAPPER.readTree(text);
+		}
+		catch (JsonProcessingException ex) {
+			return MAPPER.createObjectNode();
+		}
+	}
+
+	private static long millisSince(long nanos) {
+		return Duration.ofNanos(System.nanoTime() - nanos).toMillis();
+	}
+
+	/**
+	 * Where the requests of a class go for a while.
+	 *
+	 * @param address the address
+	 * @param until when it is to be asked for again, in milliseconds
+	 */
+	private record Located(String address, long until) {
+
+	}
+
+	/**
+	 * The answer to a plain call.
+	 *
+	 * @param status the HTTP status
+	 * @param body the body
+	 * @param ms how long it took, in milliseconds
+	 */
+	private record PlainAnswer(int status, String body, long ms) {
+
+	}
+
+}
--- a/src/test/java/io/shallotspur/node/ServingFixture.java
+++ b/src/test/java/io/shallotspur/node/ServingFixture.java
@@ -22,17 +22,11 @@
 import io.shallotspur.adapter.caller.CallerSettings;
 import io.shallotspur.adapter.engine.HttpEngine;
 import io.shallotspur.adapter.plain.HttpPlainService;
-import io.shallotspur.cell.CellScheduler;
-import io.shallotspur.cell.CellSettings;
-import io.shallotspur.cell.StdCellScheduler;
 import io.shallotspur.contract.Contract;
 import io.shallotspur.contract.ContractSet;
 import io.shallotspur.contract.RequestClass;
 import io.shallotspur.fleet.Worker;
 import io.shallotspur.fleet.WorkerRole;
-import io.shallotspur.plain.PlainScheduler;
-import io.shallotspur.plain.PlainSettings;
-import io.shallotspur.plain.StdPlainScheduler;
 import io.shallotspur.standin.EngineStandin;
 import io.shallotspur.standin.EngineStandinSettings;
 import io.shallotspur.standin.PlainStandin;
@@ -116,7 +110,7 @@
 			.resume(new FakeResumeCodec())
 			.ownership(ownership)
 			.locator((customer, className, now) -> new Location(List.of("127.0.0.1:1", "127.0.0.1:2"), 2000))
-			.schedulers(new Schedulers())
+			.schedulers(new StdSchedulers())
 			.contracts(this.contracts, Flux.never())
 			.frontEnd(new CallerServer(settings))
 			.build();
@@ -288,20 +282,6 @@
 
 	}
 
-	private static final class Schedulers implements SchedulerFactory {
-
-		@Override
-		public CellScheduler cell(String cell, ContractSet contracts) {
-			return new StdCellScheduler(CellSettings.defaults(), contracts, 1);
-		}
-
-		@Override
-		public PlainScheduler plain(String upstream, ContractSet contracts) {
-			return new StdPlainScheduler(PlainSettings.defaults(), contracts, 1);
-		}
-
-	}
-
 	private static final class FakeResumeCodec implements ResumeCodec {
 
 		@Override
