--- a/src/test/java/io/shallotspur/LayeringTests.java
+++ b/src/test/java/io/shallotspur/LayeringTests.java
@@ -15,7 +15,7 @@
 	private static final String[] DECISIONS = { "..exc..", "..outcome..", "..contract..", "..fleet..",
 			"io.shallotspur.cell..", "io.shallotspur.plain..", "..routing..", "..admission..", "..retry..",
 			"io.shallotspur.ledger..", "..quarantine..", "..resume..", "io.shallotspur.order..", "..membership..",
-			"..record.." };
+			"..distribution..", "..locate..", "..record.." };
 
 	@ArchTest
 	final ArchRule decisionsKnowNoOuterLayer = ArchRuleDefinition.noClasses()
