Cells, owners, and the split of a share over cells

A new owner is bounded to a few slots per worker until the former one is known to have stopped. Late requests warm caches only where a cold start is late by itself.

--- a/src/main/java/io/shallotspur/cell/CellFleet.java
+++ b/src/main/java/io/shallotspur/cell/CellFleet.java
@@ -27,6 +27,10 @@
 
 	private final Map<String, DecodeWorker> decode = new LinkedHashMap<>();
 
+	private int slotLimit = Integer.MAX_VALUE;
+
+	private long slotLimitUntil;
+
 	CellFleet(CellSettings settings) {
 		this.settings = settings;
 	}
@@ -38,8 +42,23 @@
 					new PrefillWorker(worker, this.settings.priorPrefillMsPerToken(), this.shared));
 		}
 		else if (worker.role() == WorkerRole.DECODE) {
-			this.decode.put(worker.id(),
-					new DecodeWorker(worker, this.settings.priorStepMs(), this.settings.priorStepMsPerRequest()));
+			DecodeWorker d = new DecodeWorker(worker, this.settings.priorStepMs(),
+					this.settings.priorStepMsPerRequest());
+			d.limitSlots(this.slotLimit);
+			this.decode.put(worker.id(), d);
+		}
+	}
+
+	// Limits the slots used of each decode worker until some time.
+	void limitSlots(int most, long until) {
+		this.slotLimit = most;
+		this.slotLimitUntil = until;
+		this.decode.values().forEach((d) -> d.limitSlots(most));
+	}
+
+	void expireLimit(long now) {
+		if (this.slotLimit != Integer.MAX_VALUE && now >= this.slotLimitUntil) {
+			limitSlots(Integer.MAX_VALUE, 0);
 		}
 	}
 
--- a/src/main/java/io/shallotspur/cell/Placer.java
+++ b/src/main/java/io/shallotspur/cell/Placer.java
@@ -144,7 +144,8 @@
 			}
 			double ms = prefillMs(p, job);
 			double score = ms + evictionMs(p, job);
-			if (p.warmingMs(job.request.prefixBlocks()) >= WARMING_PART * ms && score < bestScore) {
+			boolean warms = p.warmingMs(job.request.prefixBlocks()) >= WARMING_PART * ms;
+			if (warms && alwaysLate(job, d, ms) && score < bestScore) {
 				best = new Placement(p, d, this.now, ms, d.transferEnd(job.promptTokens(), this.now + ms));
 				bestScore = score;
 			}
@@ -191,6 +192,12 @@
 		return best;
 	}
 
+	// Whether the request would have been late here even if it had started on arrival.
+	private static boolean alwaysLate(Job job, DecodeWorker d, double prefillMs) {
+		double first = prefillMs + d.transferMs(job.promptTokens()) + STEPS_TO_FIRST_TOKEN * d.stepMs(d.held() + 1);
+		return job.request.arrivedAt() + first > job.dueAt();
+	}
+
 	private double evictionMs(PrefillWorker p, Job job) {
 		if (!this.settings.enabled(CellFeature.PREFIX_SCORE)) {
 			return 0;
--- a/src/main/java/io/shallotspur/cell/StdCellScheduler.java
+++ b/src/main/java/io/shallotspur/cell/StdCellScheduler.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.ToDoubleFunction;
 
 import org.jspecify.annotations.Nullable;
 
@@ -58,6 +59,8 @@
 
 	private ContractSet contracts;
 
+	private ToDoubleFunction<String> shareFactor = (c) -> 1;
+
 	private long recheckAt = Long.MAX_VALUE;
 
 	/**
@@ -96,6 +99,7 @@
 		if (!onRequest(event, now) && !onAttempt(event, now)) {
 			onFleet(event, now);
 		}
+		this.fleet.expireLimit(now);
 		runTimers(now);
 		startTransfers(now);
 		dispatch(now);
@@ -114,6 +118,35 @@
 		return this.jobs.size();
 	}
 
+	/**
+	 * Sets the factor by which a customer's share counts in this cell, for a customer
+	 * that several cells serve. It is asked whenever the customer is charged.
+	 * @param factor gives a number over 0 and at most 1 for a customer
+	 */
+	public void setShareFactor(ToDoubleFunction<String> factor) {
+		this.shareFactor = factor;
+	}
+
+	/**
+	 * Bounds what this cell admits, because its former owner may still admit work too.
+	 * While both do, each decode worker is sent at most
+	 * {@link CellSettings#takeoverSlots} requests by this owner, and each prefill worker
+	 * one prompt, beyond what the former owner sends; what load reports show of the
+	 * former owner's work is kept free besides.
+	 * @param until when the former owner has surely stopped, in milliseconds
+	 */
+	public void beginTakeover(long until) {
+		this.fleet.limitSlots(this.settings.takeoverSlots(), until);
+	}
+
+	/**
+	 * Lifts the bound of {@link #beginTakeover}, because the former owner is known to
+	 * have left.
+	 */
+	public void endTakeover() {
+		this.fleet.limitSlots(Integer.MAX_VALUE, 0);
+	}
+
 	private boolean observe(CellEvent event, long now) {
 		if (event instanceof CellEvent.Tokens e) {
 			Job j = this.jobs.byAttempt(e.attempt(), Stage.DECODING);
@@ -408,7 +441,8 @@
 	}
 
 	private double share(String customer) {
-		return this.contracts.find(customer).map(Contract::share).orElse(UNKNOWN_SHARE);
+		double share = this.contracts.find(customer).map(Contract::share).orElse(UNKNOWN_SHARE);
+		return share * this.shareFactor.applyAsDouble(customer);
 	}
 
 	private static final class Choice {
--- a/src/main/java/io/shallotspur/routing/DecodeWorker.java
+++ b/src/main/java/io/shallotspur/routing/DecodeWorker.java
@@ -36,6 +36,8 @@
 
 	private int foreign;
 
+	private int slotLimit = Integer.MAX_VALUE;
+
 	private int peakHeld;
 
 	private double linkFreeAt;
@@ -94,6 +96,14 @@
 		return this.leaving;
 	}
 
+	/**
+	 * Limits the slots that this scheduler may use.
+	 * @param most the most slots
+	 */
+	public void limitSlots(int most) {
+		this.slotLimit = most;
+	}
+
 	/**
 	 * Marks it as leaving.
 	 */
@@ -127,7 +137,7 @@
 	 * @return the free slots; negative if the limit has shrunk
 	 */
 	public int free(double tbtMs) {
-		return limit(tbtMs) - this.held - this.foreign;
+		return Math.min(limit(tbtMs) - this.foreign, this.slotLimit) - this.held;
 	}
 
 	/**
