--- a/src/test/java/io/shallotspur/cell/CellDriver.java
+++ b/src/test/java/io/shallotspur/cell/CellDriver.java
@@ -157,6 +157,13 @@
 		event(new CellEvent.WorkerDown(worker));
 	}
 
+	List<CellAction.StartPrefill> starts() {
+		return this.actions.stream()
+			.filter(CellAction.StartPrefill.class::isInstance)
+			.map(CellAction.StartPrefill.class::cast)
+			.toList();
+	}
+
 	boolean idle() {
 		return this.prefilling.isEmpty() && this.kv.isEmpty() && this.transferring.isEmpty() && this.decoding.isEmpty();
 	}
