--- a/src/main/java/io/shallotspur/cli/CommandLine.java
+++ b/src/main/java/io/shallotspur/cli/CommandLine.java
@@ -27,13 +27,13 @@
 
 	private static final List<String> HELP = List.of("--help", "-h", "help");
 
-	private final List<CommandEntry> entries;
+	private final List<CommandEntry<?>> entries;
 
 	private final PrintStream out;
 
 	private final PrintStream err;
 
-	CommandLine(List<CommandEntry> entries, PrintStream out, PrintStream err) {
+	CommandLine(List<CommandEntry<?>> entries, PrintStream out, PrintStream err) {
 		this.entries = List.copyOf(entries);
 		this.out = out;
 		this.err = err;
@@ -48,7 +48,7 @@
 			usage(this.out);
 			return ExitCode.OK.code();
 		}
-		for (CommandEntry e : this.entries) {
+		for (CommandEntry<?> e : this.entries) {
 			if (e.name().equals(args[0])) {
 				return run(e, Arrays.copyOfRange(args, 1, args.length));
 			}
@@ -58,8 +58,8 @@
 		return ExitCode.USAGE.code();
 	}
 
-	private int run(CommandEntry entry, String[] args) {
-		Command c = entry.factory().get();
+	private <T> int run(CommandEntry<T> entry, String[] args) {
+		T c = entry.options().get();
 		CmdLineParser p = new CmdLineParser(c, ParserProperties.defaults().withUsageWidth(WIDTH));
 		if (Arrays.asList(args).contains("--help")) {
 			usage(entry, p, this.out);
@@ -67,7 +67,7 @@
 		}
 		try {
 			p.parseArgument(args);
-			return c.run(this.out, this.err);
+			return entry.action().run(c, this.out, this.err);
 		}
 		catch (CmdLineException ex) {
 			this.err.println(ex.getMessage());
@@ -103,13 +103,13 @@
 
 	private void usage(PrintStream s) {
 		s.println("usage: shallotspur COMMAND [OPTIONS]    (COMMAND --help lists its options)");
-		for (CommandEntry e : this.entries) {
+		for (CommandEntry<?> e : this.entries) {
 			s.printf("  %-16s %s%n", e.name(), e.summary());
 		}
 		s.println("exit status: 0 done, 1 failed, 2 usage, 3 bad input, 4 unreachable");
 	}
 
-	private static void usage(CommandEntry entry, CmdLineParser p, PrintStream s) {
+	private static void usage(CommandEntry<?> entry, CmdLineParser p, PrintStream s) {
 		s.println("usage: shallotspur " + entry.name() + " [OPTIONS]: " + entry.summary());
 		p.printUsage(s);
 	}
--- a/src/main/java/io/shallotspur/cli/Main.java
+++ b/src/main/java/io/shallotspur/cli/Main.java
@@ -1,7 +1,16 @@
 package io.shallotspur.cli;
 
+import java.io.PrintStream;
 import java.util.List;
 
+import io.shallotspur.demo.Demo;
+import io.shallotspur.demo.DemoOptions;
+import io.shallotspur.exc.ShallotspurException;
+import io.shallotspur.replay.ReplayCommand;
+import io.shallotspur.replay.ReplayOptions;
+import io.shallotspur.replay.Sweep;
+import io.shallotspur.replay.SweepOptions;
+
 /**
  * Entry point of the program.
  */
@@ -18,12 +27,21 @@
 		System.exit(new CommandLine(entries(), System.out, System.err).run(args));
 	}
 
-	static List<CommandEntry> entries() {
-		return List.of(new CommandEntry("check", "check a settings file", CheckCommand::new),
-				new CommandEntry("replay", "replay a recorded trace against a policy", ReplayEntry::new),
-				new CommandEntry("measure-routing", "measure the policies on traces", MeasureRoutingEntry::new),
-				new CommandEntry("standin", "run stand-ins for the platform and the engines", StandinCommand::new),
-				new CommandEntry("version", "print the version", VersionCommand::new));
+	static List<CommandEntry<?>> entries() {
+		return List.of(CommandEntry.of("check", "check a settings file", CheckCommand::new),
+				new CommandEntry<>("demo", "three entry VMs and all they need in one process, under traffic",
+						DemoOptions::new, (o, out, err) -> new Demo().run(o, out, err)),
+				CommandEntry.of("standin", "run stand-ins for the platform and the engines", StandinCommand::new),
+				new CommandEntry<>("replay", "replay a recorded trace against a policy", ReplayOptions::new,
+						(o, out, err) -> new ReplayCommand().run(o, out, err)),
+				new CommandEntry<>("measure-routing", "measure the policies on traces", SweepOptions::new,
+						(o, out, err) -> sweep(o, err)),
+				CommandEntry.of("version", "print the version", VersionCommand::new));
+	}
+
+	private static int sweep(SweepOptions options, PrintStream err) throws ShallotspurException {
+		new Sweep(options, err).run();
+		return ExitCode.OK.code();
 	}
 
 }
--- a/src/test/java/io/shallotspur/cli/CommandLineTests.java
+++ b/src/test/java/io/shallotspur/cli/CommandLineTests.java
@@ -26,7 +26,7 @@
 
 	@Test
 	void everyCommandHasItsHelp() {
-		for (CommandEntry e : Main.entries()) {
+		for (CommandEntry<?> e : Main.entries()) {
 			assertThat(run(e.name(), "--help")).as(e.name()).isZero();
 		}
 		assertThat(this.err.size()).isZero();
