--- a/src/main/java/io/shallotspur/cell/CellSettings.java
+++ b/src/main/java/io/shallotspur/cell/CellSettings.java
@@ -20,7 +20,8 @@
  * @param stallFloorMs the least patience with a transfer beyond its prediction, default
  * 60 ms
  * @param retryRatio retries earned per first try, default 0.1
- * @param retryReserve retries a customer can have saved up, default 24
+ * @param retryReserve retries a customer may have in ten seconds however few first tries
+ * it had, default 24: the requests of one decode worker
  * @param maxTries the most tries of one request, default 4
  * @param slotConfidence standard deviations of doubt that a reservation allows for,
  * default 1
--- a/src/main/java/io/shallotspur/cell/JobFlow.java
+++ b/src/main/java/io/shallotspur/cell/JobFlow.java
@@ -4,10 +4,12 @@
 import java.util.function.Consumer;
 
 import io.shallotspur.admission.FairQueue;
-import io.shallotspur.admission.RetryBudget;
 import io.shallotspur.admission.TimerQueue;
 import io.shallotspur.outcome.Refusal;
 import io.shallotspur.outcome.RefusalCode;
+import io.shallotspur.retry.Backoff;
+import io.shallotspur.retry.RetryBudget;
+import io.shallotspur.retry.RetryBudgetLimits;
 import io.shallotspur.routing.DecodeWorker;
 import io.shallotspur.routing.PrefillWorker;
 
@@ -25,7 +27,9 @@
 	 */
 	static final long KV_URGENT_MS = 100;
 
-	private static final int RETRY_JITTER_MS = 40;
+	private static final long RETRY_WINDOW_MS = 10_000;
+
+	private static final int MAX_CUSTOMERS = 65_536;
 
 	private final CellSettings settings;
 
@@ -47,7 +51,8 @@
 		this.jobs = jobs;
 		this.queue = queue;
 		this.timers = timers;
-		this.budget = new RetryBudget(settings.retryRatio(), settings.retryReserve());
+		this.budget = new RetryBudget(
+				new RetryBudgetLimits(settings.retryRatio(), settings.retryReserve(), RETRY_WINDOW_MS, MAX_CUSTOMERS));
 		this.random = new Random(seed);
 	}
 
@@ -55,8 +60,8 @@
 		this.out = out;
 	}
 
-	void submit(Job job) {
-		this.budget.earn(job.customer());
+	void submit(Job job, long now) {
+		this.budget.firstTry(job.customer(), now);
 		this.jobs.add(job);
 		this.queue.add(job);
 		this.timers.add(job, job.request.deadlineAt());
@@ -178,13 +183,13 @@
 			refuse(job, cause, "The request failed and no try is left.", 0, now);
 			return;
 		}
-		if (!this.budget.spend(job.customer())) {
+		if (!this.budget.tryRetry(job.customer(), now)) {
 			refuse(job, RefusalCode.RETRY_BUDGET, "The customer's retries are used up.", 1000, now);
 			return;
 		}
 		release(job, now);
 		enter(job, Stage.QUEUED, now);
-		job.notBefore = (job.tries > 1) ? now + this.random.nextInt(RETRY_JITTER_MS) : now;
+		job.notBefore = (job.tries > 1) ? now + Backoff.DEFAULT.delay(job.tries - 1, this.random) : now;
 		this.timers.add(job, job.notBefore);
 		this.queue.add(job);
 	}
--- a/src/main/java/io/shallotspur/cell/StdCellScheduler.java
+++ b/src/main/java/io/shallotspur/cell/StdCellScheduler.java
@@ -211,7 +211,7 @@
 		}
 		else {
 			this.fleet.prompt(r.prefixBlocks());
-			this.flow.submit(j);
+			this.flow.submit(j, now);
 			checkFeasible(j, now);
 		}
 	}
--- a/src/main/java/io/shallotspur/plain/PlainSettings.java
+++ b/src/main/java/io/shallotspur/plain/PlainSettings.java
@@ -11,7 +11,8 @@
  * @param tolerance how many times its best latency a worker may take before it gets fewer
  * calls at a time, default 2
  * @param retryRatio retries earned per first try, default 0.1
- * @param retryReserve retries a customer can have saved up, default 24
+ * @param retryReserve retries a customer may have in ten seconds however few first tries
+ * it had, default 24
  * @param maxTries the most tries of one call, default 3
  */
 public record PlainSettings(int queueLimit, int lookahead, int initialLimit, double priorServiceMs, double tolerance,
--- a/src/main/java/io/shallotspur/plain/StdPlainScheduler.java
+++ b/src/main/java/io/shallotspur/plain/StdPlainScheduler.java
@@ -10,12 +10,15 @@
 import org.jspecify.annotations.Nullable;
 
 import io.shallotspur.admission.FairQueue;
-import io.shallotspur.admission.RetryBudget;
 import io.shallotspur.admission.TimerQueue;
 import io.shallotspur.contract.Contract;
 import io.shallotspur.contract.ContractSet;
 import io.shallotspur.outcome.Refusal;
 import io.shallotspur.outcome.RefusalCode;
+import io.shallotspur.retry.OutlierDetector;
+import io.shallotspur.retry.RetryBudget;
+import io.shallotspur.retry.RetryBudgetLimits;
+import io.shallotspur.retry.WorkerHealth;
 
 /**
  * The scheduler of a plain upstream. Calls wait here rather than inside a worker, so that
@@ -31,6 +34,10 @@
 
 	private static final long RETRY_AFTER_MS = 500;
 
+	private static final long RETRY_WINDOW_MS = 10_000;
+
+	private static final int MAX_CUSTOMERS = 65_536;
+
 	private final PlainSettings settings;
 
 	private final Map<String, PlainWorker> workers = new LinkedHashMap<>();
@@ -45,6 +52,8 @@
 
 	private final RetryBudget budget;
 
+	private final OutlierDetector outliers = new OutlierDetector();
+
 	private ContractSet contracts;
 
 	private Consumer<PlainAction> out = (a) -> {
@@ -64,7 +73,8 @@
 		this.settings = settings;
 		this.contracts = contracts;
 		this.queue = new FairQueue<>(this::share);
-		this.budget = new RetryBudget(settings.retryRatio(), settings.retryReserve());
+		this.budget = new RetryBudget(
+				new RetryBudgetLimits(settings.retryRatio(), settings.retryReserve(), RETRY_WINDOW_MS, MAX_CUSTOMERS));
 	}
 
 	@Override
@@ -116,6 +126,7 @@
 		if (event instanceof PlainEvent.WorkerUp e) {
 			workerDown(e.worker().id(), now);
 			this.workers.put(e.worker().id(), new PlainWorker(e.worker(), this.settings));
+			this.outliers.added(e.worker().id());
 		}
 		else if (event instanceof PlainEvent.WorkerDown e) {
 			workerDown(e.workerId(), now);
@@ -140,7 +151,7 @@
 			refuse(c, RefusalCode.QUEUE_FULL, "The queue is full.");
 		}
 		else {
-			this.budget.earn(r.customer());
+			this.budget.firstTry(r.customer(), now);
 			this.byId.put(r.id(), c);
 			this.queue.add(c);
 			this.timers.add(c, latestStart(c));
@@ -164,6 +175,7 @@
 			double took = now - c.startedAt;
 			this.queue.charge(c.flow(), took - w.recentMs());
 			w.done(took);
+			this.outliers.succeeded(w.id(), took, now);
 		}
 		c.worker = null;
 		end(c);
@@ -174,6 +186,9 @@
 			return;
 		}
 		c.maybeRun |= maybeRun;
+		if (c.worker != null) {
+			this.outliers.failed(c.worker.id(), now);
+		}
 		freeWorker(c);
 		if (c.maybeRun && !c.request.repeatable()) {
 			refuse(c, RefusalCode.OUTCOME_UNKNOWN, "The answer was lost; the call may have been run.");
@@ -181,7 +196,7 @@
 		else if (c.tries >= this.settings.maxTries() || now > latestStart(c)) {
 			refuse(c, RefusalCode.WORKER_LOST, "The call failed and no try is left.");
 		}
-		else if (!this.budget.spend(c.flow())) {
+		else if (!this.budget.tryRetry(c.flow(), now)) {
 			refuse(c, RefusalCode.RETRY_BUDGET, "The customer's retries are used up.");
 		}
 		else {
@@ -194,6 +209,7 @@
 		if (this.workers.remove(id) == null) {
 			return;
 		}
+		this.outliers.removed(id);
 		List<Call> lost = new ArrayList<>();
 		for (Call c : this.byAttempt.values()) {
 			if (c.worker != null && c.worker.id().equals(id)) {
@@ -226,7 +242,7 @@
 	}
 
 	private void dispatch(long now) {
-		PlainWorker w = leastLoaded();
+		PlainWorker w = leastLoaded(now);
 		while (w != null && this.queue.size() > 0) {
 			Call c = this.queue.firstInOrder(this.settings.lookahead(), (x) -> true);
 			if (c == null) {
@@ -237,7 +253,7 @@
 				continue;
 			}
 			start(c, w, now);
-			w = leastLoaded();
+			w = leastLoaded(now);
 		}
 	}
 
@@ -248,6 +264,7 @@
 		c.startedAt = now;
 		c.worker = w;
 		w.start();
+		this.outliers.started(w.id(), now);
 		this.byAttempt.put(c.attempt, c);
 		this.out.accept(new PlainAction.StartCall(c.request.id(), c.attempt, w.id()));
 	}
@@ -289,10 +306,11 @@
 		return c.dueAt() - ((least == Double.MAX_VALUE) ? 0 : (long) least);
 	}
 
-	private @Nullable PlainWorker leastLoaded() {
+	private @Nullable PlainWorker leastLoaded(long now) {
 		PlainWorker best = null;
 		for (PlainWorker w : this.workers.values()) {
-			if (w.hasRoom() && (best == null || w.load() < best.load())) {
+			boolean in = this.outliers.health(w.id(), now) != WorkerHealth.OUT;
+			if (in && w.hasRoom() && (best == null || w.load() < best.load())) {
 				best = w;
 			}
 		}
