Replay: keyed calls go through the product's ledger; smaller classes

Change: Desk asks MemoryLedger, the state machine of the live ledger without a store; a call that was sent goes on when its caller leaves, so that a resend gets the answer. EngineReports and ModelEngines are taken out of ModelLane. Conclusion: one rule for resends in the replay and in live traffic.

--- a/src/main/java/io/shallotspur/replay/Desk.java
+++ b/src/main/java/io/shallotspur/replay/Desk.java
@@ -14,6 +14,9 @@
 import io.shallotspur.contract.Contract;
 import io.shallotspur.contract.ContractSet;
 import io.shallotspur.contract.RequestClass;
+import io.shallotspur.ledger.IntentDecision;
+import io.shallotspur.ledger.IntentKey;
+import io.shallotspur.ledger.MemoryLedger;
 import io.shallotspur.outcome.Outcome;
 import io.shallotspur.outcome.Refusal;
 import io.shallotspur.outcome.RefusalCode;
@@ -21,13 +24,16 @@
 
 /**
  * The entry VM as callers see it: takes calls, joins resends to the request that is in
- * flight, passes tokens and ends on, and notices callers that leave. It is the same for
- * all policies. Not thread-safe.
+ * flight, passes tokens and ends on, and notices callers that leave. Requests that may
+ * not be repeated go through the product's ledger. It is the same for all policies. Not
+ * thread-safe.
  * <p>
  * Invariant: at most one open run exists for each identity (customer and key).
  */
 final class Desk {
 
+	private static final byte[] NO_BYTES = {};
+
 	private final EventQueue queue;
 
 	private final ContractSet contracts;
@@ -36,6 +42,8 @@
 
 	private final Map<String, Run> runs = new HashMap<>();
 
+	private final MemoryLedger ledger = new MemoryLedger();
+
 	private final List<Call> calls = new ArrayList<>();
 
 	private final Map<String, String> identities = new HashMap<>();
@@ -137,6 +145,10 @@
 	void answered(Run run) {
 		run.end(Outcome.ANSWERED);
 		run.calls().forEach(this::sendAnswer);
+		IntentKey key = intentKey(run.line(), run.terms());
+		if (key != null) {
+			this.ledger.answered(key, NO_BYTES, this.queue.nowMs()).subscribe();
+		}
 	}
 
 	/**
@@ -147,6 +159,7 @@
 	void refused(Run run, Refusal refusal) {
 		run.end(refusal.outcome());
 		run.calls().forEach((c) -> sendRefusal(c, refusal));
+		endIntent(run, refusal.outcome() == Outcome.NOT_RUN);
 	}
 
 	/**
@@ -154,7 +167,6 @@
 	 * @param run the request
 	 */
 	void started(Run run) {
-		run.start();
 		boolean again = this.startedOnce.putIfAbsent(run.line().identity(), run.terms()) != null;
 		if (again && !run.terms().repeatable()) {
 			this.duplicatedRuns.merge(run, 1, Integer::sum);
@@ -192,12 +204,48 @@
 			sendRefusal(call, Refusal.notRun(RefusalCode.UNKNOWN_UPSTREAM, "The fleet has no such upstream.", 0));
 			return;
 		}
+		IntentKey key = intentKey(call.line(), terms);
+		if (key != null) {
+			begin(call, terms, lane, key);
+			return;
+		}
 		Run former = (call.line().key() != null) ? this.runs.get(call.line().identity()) : null;
 		if (former == null || !join(call, former)) {
 			submit(call, terms, lane);
 		}
 	}
 
+	private void begin(Call call, RequestClass terms, Lane lane, IntentKey key) {
+		long body = call.line().identity().hashCode();
+		long deadline = call.line().atMs() + terms.deadlineMs();
+		this.queue.at(deadline * EventQueue.MS, () -> this.ledger.advance(this.queue.nowMs()));
+		this.ledger.begin(key, body, this.queue.nowMs(), deadline).subscribe((decision) -> {
+			if (decision instanceof IntentDecision.Run) {
+				submit(call, terms, lane);
+			}
+			else if (decision instanceof IntentDecision.Refused r) {
+				sendRefusal(call, r.refusal());
+			}
+			else {
+				sendAnswer(call);
+			}
+		});
+	}
+
+	private void endIntent(Run run, boolean notRun) {
+		IntentKey key = intentKey(run.line(), run.terms());
+		if (key == null) {
+			return;
+		}
+		long now = this.queue.nowMs();
+		(notRun ? this.ledger.notRun(key, now) : this.ledger.unknown(key, now)).subscribe();
+	}
+
+	private static @Nullable IntentKey intentKey(TraceLine.Request line, RequestClass terms) {
+		String key = line.key();
+		return (key != null && !terms.repeatable()) ? new IntentKey(line.customer(), key) : null;
+	}
+
 	/**
 	 * Joins a resend to the request that was sent before.
 	 * @param call the resend
@@ -215,11 +263,6 @@
 			catchUp(call, former);
 			return true;
 		}
-		boolean mayHaveRun = former.end() == Outcome.OUTCOME_UNKNOWN || former.starts() > 0;
-		if (!former.terms().repeatable() && mayHaveRun) {
-			sendRefusal(call, Refusal.unknown(RefusalCode.OUTCOME_UNKNOWN, "An earlier call may have been run."));
-			return true;
-		}
 		return false;
 	}
 
@@ -249,10 +292,14 @@
 		if (run == null || !run.isOpen() || !run.calls().contains(call)) {
 			return;
 		}
-		if (run.calls().stream().allMatch(Call::isGone)) {
+		// A call that may not be repeated goes on once it is sent: its answer is kept for
+		// a resend, which would otherwise have to be told that the outcome is unknown.
+		boolean goesOn = run.isDispatched() && intentKey(run.line(), run.terms()) != null;
+		if (!goesOn && run.calls().stream().allMatch(Call::isGone)) {
 			run.abandon();
 			Lane lane = this.lanes.get(run.terms().upstream());
 			lane.callerGone(run);
+			endIntent(run, !run.isDispatched());
 			this.queue.after(Timing.HELD_BOUND, () -> checkHeld(run));
 		}
 	}
--- a/src/main/java/io/shallotspur/replay/ModelLane.java
+++ b/src/main/java/io/shallotspur/replay/ModelLane.java
@@ -6,13 +6,10 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Random;
 
 import io.shallotspur.cell.CellAction;
 import io.shallotspur.cell.CellEvent;
 import io.shallotspur.cell.CellScheduler;
-import io.shallotspur.fleet.Worker;
-import io.shallotspur.fleet.WorkerRole;
 import io.shallotspur.replay.fake.DecodeEngine;
 import io.shallotspur.replay.fake.EventQueue;
 import io.shallotspur.replay.fake.PrefillEngine;
@@ -38,15 +35,9 @@
 
 	private final WorkerBook book;
 
-	private final Random random;
+	private final EngineReports reports;
 
-	private final Map<String, PrefillEngine> prefills = new LinkedHashMap<>();
-
-	private final Map<String, DecodeEngine> decodes = new LinkedHashMap<>();
-
-	private final Map<String, Long> sequences = new HashMap<>();
-
-	private final Map<String, double[]> lastSteps = new HashMap<>();
+	private final ModelEngines engines = new ModelEngines();
 
 	private final Map<String, Run> runs = new HashMap<>();
 
@@ -60,10 +51,10 @@
 		this.desk = desk;
 		this.spec = spec;
 		this.book = book;
-		this.random = new Random(seed);
 		this.hall = spec.workers().get(0).worker().hall();
 		this.loop = new SchedulerLoop<>(queue, scheduler::handle, scheduler::nextWake, CellEvent.Tick::new,
 				this::apply);
+		this.reports = new EngineReports(queue, seed, this.loop::deliver);
 		spec.workers().forEach(this::addWorker);
 	}
 
@@ -85,7 +76,10 @@
 	 */
 	void open(long end) {
 		this.spec.workers().forEach((w) -> this.loop.deliver(new CellEvent.WorkerUp(w.worker())));
-		this.spec.workers().forEach((w) -> scheduleReport(w.worker(), end));
+		for (Fleet.WorkerSpec w : this.spec.workers()) {
+			String id = w.worker().id();
+			this.reports.follow(id, () -> this.engines.load(id), end);
+		}
 	}
 
 	@Override
@@ -101,21 +95,24 @@
 
 	@Override
 	public boolean holds(Run run) {
-		return this.attempts.values().stream().filter((a) -> a.run() == run).anyMatch(this::holds);
+		return this.attempts.values()
+			.stream()
+			.filter((a) -> a.run() == run)
+			.anyMatch((a) -> this.engines.holds(a.id()));
 	}
 
 	@Override
 	public boolean has(String worker) {
-		return this.prefills.containsKey(worker) || this.decodes.containsKey(worker);
+		return this.engines.has(worker);
 	}
 
 	@Override
 	public void crash(String worker) {
-		PrefillEngine prefill = this.prefills.get(worker);
-		if ((prefill != null) ? !prefill.isUp() : !this.decodes.get(worker).isUp()) {
+		if (!this.engines.isUp(worker)) {
 			return;
 		}
-		List<Attempt> cut = (prefill != null) ? crashPrefill(worker, prefill) : crashDecode(worker);
+		List<Attempt> cut = this.engines.isPrefill(worker) ? cutTransfersFrom(worker) : cutTransfersTo(worker);
+		this.engines.crash(worker);
 		tell(worker, new CellEvent.WorkerDown(worker));
 		for (Attempt a : cut) {
 			int round = a.nextTransfer();
@@ -132,23 +129,15 @@
 
 	@Override
 	public void stall(String worker, long forMs) {
-		DecodeEngine engine = this.decodes.get(worker);
-		if (engine != null) {
-			engine.stall(forMs);
+		if (!this.engines.isPrefill(worker)) {
+			this.engines.decode(worker).stall(forMs);
 		}
 	}
 
 	private void addWorker(Fleet.WorkerSpec w) {
-		Worker worker = w.worker();
-		this.book.add(worker);
-		if (worker.role() == WorkerRole.PREFILL) {
-			this.prefills.put(worker.id(), new PrefillEngine(this.queue, w.prefillMsPerToken(), worker.cacheTokens(),
-					worker.kvTtlMs(), new PrefillEvents(worker.id())));
-		}
-		else {
-			this.decodes.put(worker.id(), new DecodeEngine(this.queue, worker.slots(), w.stepBaseMs(),
-					w.stepMsPerRequest(), worker.linkMbPerS(), new DecodeEvents(worker.id())));
-		}
+		String id = w.worker().id();
+		this.book.add(w.worker());
+		this.engines.add(this.queue, w, new PrefillEvents(id), new DecodeEvents(id));
 	}
 
 	private void apply(CellAction action) {
@@ -165,14 +154,14 @@
 			drop(this.attempts.get(a.attempt()), a.worker());
 		}
 		else if (action instanceof CellAction.ReleaseKv a) {
-			order(a.worker(), () -> this.prefills.get(a.worker()).cancel(a.attempt()));
+			order(a.worker(), () -> this.engines.prefill(a.worker()).cancel(a.attempt()));
 		}
 		else if (action instanceof CellAction.CancelTransfer a) {
 			cancelTransfer(this.attempts.get(a.attempt()), a.decodeWorker());
 		}
 		else if (action instanceof CellAction.CancelDecode a) {
 			this.attempts.get(a.attempt()).close();
-			order(a.worker(), () -> this.decodes.get(a.worker()).cancel(a.attempt()));
+			order(a.worker(), () -> this.engines.decode(a.worker()).cancel(a.attempt()));
 		}
 		else if (action instanceof CellAction.Refuse a) {
 			this.desk.refused(this.runs.get(a.requestId()), a.refusal());
@@ -181,6 +170,7 @@
 
 	private void startPrefill(CellAction.StartPrefill action) {
 		Run run = this.runs.get(action.requestId());
+		run.dispatch();
 		String worker = action.prefillWorker();
 		Attempt a = new Attempt(action.attempt(), run, worker, action.resumeFrom());
 		this.attempts.put(a.id(), a);
@@ -190,7 +180,7 @@
 		}
 		TraceLine.Tokens t = PromptHash.tokens(run);
 		order(worker, () -> {
-			PrefillEngine engine = this.prefills.get(worker);
+			PrefillEngine engine = this.engines.prefill(worker);
 			if (engine.isUp()) {
 				engine.submit(a.id(), t.prompt() + a.resumeFrom(), t.prefix());
 			}
@@ -211,8 +201,8 @@
 	}
 
 	private boolean beginTransfer(Attempt a, String worker) {
-		DecodeEngine decode = this.decodes.get(worker);
-		PrefillEngine prefill = this.prefills.get(a.prefillWorker());
+		DecodeEngine decode = this.engines.decode(worker);
+		PrefillEngine prefill = this.engines.prefill(a.prefillWorker());
 		if (!decode.isUp() || !prefill.beginTransfer(a.id())) {
 			return false;
 		}
@@ -232,7 +222,7 @@
 			if (a.isClosed()) {
 				return;
 			}
-			if (!this.decodes.get(worker).beginDecode(a.id(), Math.max(1, left))) {
+			if (!this.engines.decode(worker).beginDecode(a.id(), Math.max(1, left))) {
 				tell(a, worker, new CellEvent.DecodeFailed(a.id()));
 				return;
 			}
@@ -244,7 +234,7 @@
 	}
 
 	private void poison(Attempt a, String worker) {
-		if (this.decodes.get(worker).holds(a.id())) {
+		if (this.engines.decode(worker).holds(a.id())) {
 			this.crashers.add(a.run());
 			crash(worker);
 		}
@@ -252,90 +242,51 @@
 
 	private void drop(Attempt a, String worker) {
 		a.close();
-		order(worker, () -> this.prefills.get(worker).cancel(a.id()));
+		order(worker, () -> this.engines.prefill(worker).cancel(a.id()));
 	}
 
 	private void cancelTransfer(Attempt a, String worker) {
 		a.nextTransfer();
 		order(worker, () -> {
-			this.decodes.get(worker).cancel(a.id());
+			this.engines.decode(worker).cancel(a.id());
 			if (worker.equals(a.movingTo())) {
 				a.moveTo(null);
-				this.prefills.get(a.prefillWorker()).abortTransfer(a.id());
+				this.engines.prefill(a.prefillWorker()).abortTransfer(a.id());
 			}
 		});
 	}
 
-	private List<Attempt> crashPrefill(String worker, PrefillEngine engine) {
+	private List<Attempt> cutTransfersFrom(String worker) {
 		List<Attempt> cut = new ArrayList<>();
 		for (Attempt a : this.attempts.values()) {
 			String target = a.movingTo();
 			if (target != null && a.prefillWorker().equals(worker)) {
-				this.decodes.get(target).cancel(a.id());
+				this.engines.decode(target).cancel(a.id());
 				a.moveTo(null);
 				cut.add(a);
 			}
 		}
-		engine.crash();
 		return cut;
 	}
 
-	private List<Attempt> crashDecode(String worker) {
-		this.decodes.get(worker).crash();
+	private List<Attempt> cutTransfersTo(String worker) {
 		for (Attempt a : this.attempts.values()) {
 			if (worker.equals(a.movingTo())) {
 				a.moveTo(null);
 				a.nextTransfer();
-				this.prefills.get(a.prefillWorker()).abortTransfer(a.id());
+				this.engines.prefill(a.prefillWorker()).abortTransfer(a.id());
 			}
 		}
 		return List.of();
 	}
 
 	private void restart(String worker) {
-		if (this.prefills.containsKey(worker)) {
-			this.prefills.get(worker).restart();
-		}
-		else {
-			this.decodes.get(worker).restart();
-		}
+		this.engines.restart(worker);
 		if (!this.book.isLeaving(worker)) {
 			tell(worker, new CellEvent.WorkerUp(this.book.worker(worker)));
 		}
 	}
 
-	private boolean holds(Attempt a) {
-		return this.prefills.values().stream().anyMatch((e) -> e.holds(a.id()))
-				|| this.decodes.values().stream().anyMatch((e) -> e.holds(a.id()));
-	}
-
-	private void scheduleReport(Worker w, long end) {
-		this.queue.after(Timing.REPORT_INTERVAL, () -> {
-			if (this.queue.now() < end) {
-				report(w);
-				scheduleReport(w, end);
-			}
-		});
-	}
-
-	private void report(Worker w) {
-		DecodeEngine decode = this.decodes.get(w.id());
-		PrefillEngine prefill = this.prefills.get(w.id());
-		boolean up = (decode != null) ? decode.isUp() : prefill.isUp();
-		if (!up || this.random.nextDouble() < Timing.REPORT_LOSS) {
-			return;
-		}
-		int active = (decode != null) ? decode.active() : prefill.active();
-		long measuredAt = this.queue.nowMs();
-		double[] step = this.lastSteps.remove(w.id());
-		this.queue.after(Timing.REPORT_LAG, () -> {
-			this.loop.deliver(new CellEvent.LoadReport(w.id(), active, measuredAt));
-			if (step != null) {
-				this.loop.deliver(new CellEvent.StepObserved(w.id(), (int) step[0], step[1]));
-			}
-		});
-	}
-
 	private void order(String worker, Runnable task) {
 		this.queue.after(hop(worker), task);
 	}
@@ -386,13 +337,7 @@
 
 		@Override
 		public void cacheChanged(Prefix prefix, boolean stored) {
-			for (long block : PromptHash.blocksOf(prefix)) {
-				long seq = ModelLane.this.sequences.merge(this.worker, 1L, Long::sum);
-				if (ModelLane.this.random.nextDouble() >= Timing.REPORT_LOSS) {
-					CellEvent e = new CellEvent.CacheChange(this.worker, seq, block, stored);
-					ModelLane.this.queue.after(Timing.REPORT_LAG, () -> ModelLane.this.loop.deliver(e));
-				}
-			}
+			ModelLane.this.reports.cacheChanged(this.worker, prefix, stored);
 		}
 
 	}
@@ -409,7 +354,7 @@
 		public void transferDone(long attempt) {
 			Attempt a = ModelLane.this.attempts.get(attempt);
 			a.moveTo(null);
-			ModelLane.this.prefills.get(a.prefillWorker()).cancel(attempt);
+			ModelLane.this.engines.prefill(a.prefillWorker()).cancel(attempt);
 			int round = a.nextTransfer();
 			String from = ModelLane.this.book.worker(a.prefillWorker()).hall();
 			String to = ModelLane.this.book.worker(this.worker).hall();
@@ -425,7 +370,7 @@
 
 		@Override
 		public void stepDone(int batch, double ms) {
-			ModelLane.this.lastSteps.put(this.worker, new double[] { batch, ms });
+			ModelLane.this.reports.stepDone(this.worker, batch, ms);
 		}
 
 		private void receive(Attempt a, boolean last) {
--- a/src/main/java/io/shallotspur/replay/PlainLane.java
+++ b/src/main/java/io/shallotspur/replay/PlainLane.java
@@ -135,6 +135,7 @@
 		String worker = action.worker();
 		Run run = this.runs.get(action.requestId());
 		this.attempts.put(a, run);
+		run.dispatch();
 		this.book.useNow(worker, this.queue.now());
 		long commit = run.terms().repeatable() ? 0 : Timing.LEDGER_COMMIT;
 		this.queue.after(commit + hop(worker), () -> {
--- a/src/main/java/io/shallotspur/replay/Run.java
+++ b/src/main/java/io/shallotspur/replay/Run.java
@@ -30,7 +30,7 @@
 
 	private int delivered;
 
-	private int starts;
+	private boolean dispatched;
 
 	Run(String id, TraceLine.Request line, RequestClass terms, long arrivedAtMs) {
 		this.id = id;
@@ -101,15 +101,15 @@
 	}
 
 	/**
-	 * Returns how often a worker began to run it.
-	 * @return the number of starts
+	 * Returns whether it was ever sent to a worker.
+	 * @return {@code false} if it surely was not run
 	 */
-	int starts() {
-		return this.starts;
+	boolean isDispatched() {
+		return this.dispatched;
 	}
 
-	void start() {
-		this.starts++;
+	void dispatch() {
+		this.dispatched = true;
 	}
 
 }
