Answers outlive their entry VM, and end with their callers

Cause: after the death of an entry VM its streams held engine memory for good, and a caller who came back had no token that another VM could read. Change: the first event carries a signed resume token; another VM relays the rest of the engine's stream. A VM that is closed at once cuts connections and cancels nothing, so that callers can get the rest elsewhere.

--- a/src/main/java/io/shallotspur/adapter/caller/CallerServer.java
+++ b/src/main/java/io/shallotspur/adapter/caller/CallerServer.java
@@ -1,7 +1,8 @@
 package io.shallotspur.adapter.caller;
 
 import java.time.Duration;
-import java.util.concurrent.atomic.AtomicInteger;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 
 import io.netty.channel.ChannelOption;
 import io.netty.channel.WriteBufferWaterMark;
@@ -35,7 +36,7 @@
 
 	private final @Nullable LoopResources loops;
 
-	private final AtomicInteger connections = new AtomicInteger();
+	private final Set<Connection> connections = ConcurrentHashMap.newKeySet();
 
 	private volatile boolean draining;
 
@@ -81,8 +82,9 @@
 			return Mono.empty();
 		}
 		return Mono.defer(() -> {
-			s.disposeNow(Duration.ofSeconds(1));
-			return Mono.empty();
+			s.dispose();
+			this.connections.forEach(Connection::dispose);
+			return s.onDispose();
 		});
 	}
 
@@ -91,7 +93,7 @@
 	 * @return the number
 	 */
 	public int openConnections() {
-		return this.connections.get();
+		return this.connections.size();
 	}
 
 	private HttpServer http() {
@@ -111,9 +113,9 @@
 	}
 
 	private void accept(Connection c) {
-		int n = this.connections.incrementAndGet();
-		c.onDispose(this.connections::decrementAndGet);
-		if (n > this.settings.maxConnections()) {
+		this.connections.add(c);
+		c.onDispose(() -> this.connections.remove(c));
+		if (this.connections.size() > this.settings.maxConnections()) {
 			Logger.warn("[caller] More than {} connections, a new one is closed.", this.settings.maxConnections());
 			c.dispose();
 			return;
--- a/src/main/java/io/shallotspur/node/CellHost.java
+++ b/src/main/java/io/shallotspur/node/CellHost.java
@@ -10,6 +10,7 @@
 import reactor.core.scheduler.Scheduler;
 
 import io.shallotspur.contract.ContractSet;
+import io.shallotspur.resume.StreamId;
 
 /**
  * The cells that this entry VM owns or has owned. Thread-safe.
@@ -110,6 +111,10 @@
 		this.plains.values().forEach((p) -> p.setContracts(contracts));
 	}
 
+	boolean runs(StreamId id) {
+		return this.models.values().stream().anyMatch((m) -> m.runs(id.sequence()));
+	}
+
 	int openRequests() {
 		int n = this.models.values().stream().mapToInt(ModelService::openRequests).sum();
 		return n + this.plains.values().stream().mapToInt(PlainCallService::openRequests).sum();
--- a/src/main/java/io/shallotspur/node/EntryVm.java
+++ b/src/main/java/io/shallotspur/node/EntryVm.java
@@ -10,6 +10,7 @@
 import reactor.core.Disposable;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
+import reactor.core.scheduler.Schedulers;
 
 import io.shallotspur.contract.ContractSet;
 import io.shallotspur.port.PeerNetwork;
@@ -30,6 +31,10 @@
 
 	private final FrontEnd frontEnd;
 
+	private final OrphanSweeper sweeper;
+
+	private final Duration sweepEvery;
+
 	private final List<NodePart> parts;
 
 	private final Flux<ContractSet> contractSource;
@@ -50,7 +55,10 @@
 		NodePorts ports = b.ports();
 		this.cells = new CellHost(ports, b.need(b.schedulers, "schedulers"), b.threads);
 		this.cells.setContracts(this.contracts);
-		StreamResumer resumer = new StreamResumer(ports, b.adoptions);
+		StreamAdoptions adoptions = new StreamAdoptions(ports, peers, b.workerOwners);
+		this.sweeper = new OrphanSweeper(ports, this.cells, adoptions, b.incarnations, b.orphanGraceMs);
+		this.sweepEvery = b.sweepEvery;
+		StreamResumer resumer = new StreamResumer(ports, adoptions);
 		this.handler = new StdRequestHandler(ports, this.cells, this::contracts, b.need(b.ownership, "ownership"),
 				b.need(b.locator, "locator"), new Forwarder(ports, peers, resumer), resumer);
 		new ForwardReceiver(ports, this::contracts, this.handler).listen(peers);
@@ -79,6 +87,7 @@
 				.then(this.frontEnd.start(this.handler))
 				.doOnNext((a) -> {
 					this.callerAddress = a;
+					this.sweeper.start(this.sweepEvery);
 					Logger.info("[node] {} takes callers on {}.", this.name, a);
 				});
 		});
@@ -102,16 +111,19 @@
 	}
 
 	/**
-	 * Stops at once.
+	 * Stops at once. Answers in progress are cut off, but not cancelled at the engines:
+	 * their callers can get the rest from another VM.
 	 * @return completes when nothing is left running
 	 */
 	public Mono<Void> close() {
 		return Mono.defer(() -> {
 			List<NodePart> reversed = new ArrayList<>(this.parts);
 			Collections.reverse(reversed);
-			return this.frontEnd.stop()
+			return Mono.fromRunnable(this::stopCells)
+				.then(this.frontEnd.stop())
+				.publishOn(Schedulers.boundedElastic())
 				.thenMany(Flux.fromIterable(reversed).concatMap(NodePart::close))
-				.then(Mono.fromRunnable(this::stopCells));
+				.then();
 		});
 	}
 
@@ -161,6 +173,7 @@
 		if (this.contractUpdates != null) {
 			this.contractUpdates.dispose();
 		}
+		this.sweeper.close();
 		this.cells.close();
 	}
 
--- a/src/main/java/io/shallotspur/node/EntryVmBuilder.java
+++ b/src/main/java/io/shallotspur/node/EntryVmBuilder.java
@@ -1,5 +1,7 @@
 package io.shallotspur.node;
 
+import java.security.SecureRandom;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Function;
@@ -15,6 +17,8 @@
 import io.shallotspur.port.Engine;
 import io.shallotspur.port.PeerNetwork;
 import io.shallotspur.port.PlainService;
+import io.shallotspur.resume.ResumeKey;
+import io.shallotspur.resume.ResumeTokens;
 
 /**
  * Builds an {@link EntryVm}. Not thread-safe. A port that has no documented default must
@@ -22,6 +26,12 @@
  */
 public final class EntryVmBuilder {
 
+	private static final long DEFAULT_GRACE_MS = 10_000;
+
+	private static final Duration DEFAULT_SWEEP = Duration.ofSeconds(2);
+
+	private static final long TOKEN_TTL_MS = 120_000;
+
 	final String vm;
 
 	final long incarnation;
@@ -44,7 +54,7 @@
 
 	@Nullable FrontEnd frontEnd;
 
-	ResumeCodec resume = new NopResumeCodec();
+	ResumeTokens resume = ownTokens();
 
 	LongSupplier clock = System::currentTimeMillis;
 
@@ -54,8 +64,13 @@
 
 	ContractSet initialContracts = ContractSet.empty();
 
-	StreamResumer.AdoptionListener adoptions = (worker, stream) -> {
-	};
+	Function<String, Owner> workerOwners = (worker) -> new Owner.Nobody();
+
+	Incarnations incarnations = (name, number) -> true;
+
+	long orphanGraceMs = DEFAULT_GRACE_MS;
+
+	Duration sweepEvery = DEFAULT_SWEEP;
 
 	EntryVmBuilder(String vm, long incarnation) {
 		this.vm = vm;
@@ -143,11 +158,12 @@
 	}
 
 	/**
-	 * Sets what makes resume tokens; by default none are made.
-	 * @param resume the codec
+	 * Sets what makes resume tokens; by default a secret of this VM's own, so that its
+	 * tokens are good here only.
+	 * @param resume makes and checks tokens
 	 * @return this builder
 	 */
-	public EntryVmBuilder resume(ResumeCodec resume) {
+	public EntryVmBuilder resume(ResumeTokens resume) {
 		this.resume = resume;
 		return this;
 	}
@@ -184,6 +200,32 @@
 		return this;
 	}
 
+	/**
+	 * Sets what is known of other entry VMs; by default all of them live, and nobody is
+	 * told of streams that callers came back for.
+	 * @param incarnations knows which VMs have died
+	 * @param workerOwners finds the owner of a worker's cell, by the worker's id
+	 * @return this builder
+	 */
+	public EntryVmBuilder others(Incarnations incarnations, Function<String, Owner> workerOwners) {
+		this.incarnations = incarnations;
+		this.workerOwners = workerOwners;
+		return this;
+	}
+
+	/**
+	 * Sets how streams are swept that nobody waits for; by default every 2 s, with 10 s
+	 * of grace.
+	 * @param every the pause between sweeps
+	 * @param graceMs how long callers may take to come back, in milliseconds
+	 * @return this builder
+	 */
+	public EntryVmBuilder orphans(Duration every, long graceMs) {
+		this.sweepEvery = every;
+		this.orphanGraceMs = graceMs;
+		return this;
+	}
+
 	/**
 	 * Adds a part with a life-cycle of its own.
 	 * @param part the part
@@ -207,6 +249,12 @@
 				need(this.plainService, "plainService"), need(this.ledger, "ledger"), this.resume, this.clock);
 	}
 
+	private static ResumeTokens ownTokens() {
+		byte[] secret = new byte[ResumeKey.MIN_BYTES];
+		new SecureRandom().nextBytes(secret);
+		return new ResumeTokens(List.of(new ResumeKey("own", secret)), TOKEN_TTL_MS);
+	}
+
 	<T> T need(@Nullable T port, String what) {
 		if (port == null) {
 			throw new IllegalStateException("The entry VM needs " + what + ".");
--- a/src/main/java/io/shallotspur/node/ModelService.java
+++ b/src/main/java/io/shallotspur/node/ModelService.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Queue;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -25,6 +26,8 @@
 import io.shallotspur.outcome.Outcome;
 import io.shallotspur.outcome.Refusal;
 import io.shallotspur.port.PrefillResult;
+import io.shallotspur.resume.ResumeClaim;
+import io.shallotspur.resume.StreamId;
 
 /**
  * Carries out what the scheduler of one cell decides. Thread-safe: the state is confined
@@ -62,7 +65,7 @@
 
 	private final Map<String, ModelSession> sessions = new HashMap<>();
 
-	private final Map<Long, ModelAttempt> attempts = new HashMap<>();
+	private final Map<Long, ModelAttempt> attempts = new ConcurrentHashMap<>();
 
 	private final Queue<ModelAttempt> unreported = new ConcurrentLinkedQueue<>();
 
@@ -130,6 +133,15 @@
 		this.loop.submit(new CellEvent.ContractsChanged(contracts));
 	}
 
+	/**
+	 * Returns whether a request uses a stream.
+	 * @param number the number of the stream within this incarnation of the VM
+	 * @return whether one does
+	 */
+	boolean runs(long number) {
+		return this.attempts.containsKey(number - this.streamBase);
+	}
+
 	/**
 	 * Returns how many requests have not ended.
 	 * @return the number
@@ -268,7 +280,7 @@
 
 	private Flux<AnswerPart> decode(ModelAttempt a) {
 		ModelCall c = a.session().call();
-		ResumePoint p = new ResumePoint(c.request().customer(), a.decodeWorker(), a.streamId(), a.base(),
+		ResumeClaim p = new ResumeClaim(c.request().customer(), a.decodeWorker(), a.streamId(), a.base(),
 				c.contractRevision());
 		AnswerPart started = new AnswerPart.Started(this.ports.resume().issue(p, now()));
 		Flux<AnswerPart> tokens = this.ports.worker(a.decodeWorker())
--- a/src/main/java/io/shallotspur/node/NodePorts.java
+++ b/src/main/java/io/shallotspur/node/NodePorts.java
@@ -11,6 +11,7 @@
 import io.shallotspur.ledger.IntentLedger;
 import io.shallotspur.port.Engine;
 import io.shallotspur.port.PlainService;
+import io.shallotspur.resume.ResumeTokens;
 
 /**
  * What the services of one entry VM work through. Thread-safe; the workers may change,
@@ -26,10 +27,10 @@
  * @param workers the workers by id
  */
 record NodePorts(String vm, long incarnation, Engine engine, PlainService service, IntentLedger ledger,
-		ResumeCodec resume, LongSupplier clock, Map<String, Worker> workers) {
+		ResumeTokens resume, LongSupplier clock, Map<String, Worker> workers) {
 
-	NodePorts(String vm, long incarnation, Engine engine, PlainService service, IntentLedger ledger, ResumeCodec resume,
-			LongSupplier clock) {
+	NodePorts(String vm, long incarnation, Engine engine, PlainService service, IntentLedger ledger,
+			ResumeTokens resume, LongSupplier clock) {
 		this(vm, incarnation, engine, service, ledger, resume, clock, new ConcurrentHashMap<>());
 	}
 
--- a/src/main/java/io/shallotspur/node/StreamResumer.java
+++ b/src/main/java/io/shallotspur/node/StreamResumer.java
@@ -1,15 +1,16 @@
 package io.shallotspur.node;
 
-import java.util.Optional;
-import java.util.Set;
-import java.util.concurrent.ConcurrentHashMap;
+import java.time.Duration;
 
 import org.tinylog.Logger;
+import reactor.core.Disposable;
 import reactor.core.publisher.Flux;
 
 import io.shallotspur.outcome.Refusal;
 import io.shallotspur.outcome.RefusalCode;
 import io.shallotspur.port.TokenChunk;
+import io.shallotspur.resume.ResumeClaim;
+import io.shallotspur.resume.ResumeException;
 
 /**
  * Gives callers the rest of answers that other entry VMs began: the engine goes on with
@@ -19,15 +20,13 @@
 
 	private final NodePorts ports;
 
-	private final AdoptionListener listener;
+	private final StreamAdoptions adoptions;
 
 	private final StreamCanceller canceller;
 
-	private final Set<String> adopted = ConcurrentHashMap.newKeySet();
-
-	StreamResumer(NodePorts ports, AdoptionListener listener) {
+	StreamResumer(NodePorts ports, StreamAdoptions adoptions) {
 		this.ports = ports;
-		this.listener = listener;
+		this.adoptions = adoptions;
 		this.canceller = new StreamCanceller(ports);
 	}
 
@@ -40,61 +39,37 @@
 	 */
 	Flux<AnswerPart> resume(String customer, String token, long fromIndex) {
 		return Flux.defer(() -> {
-			Optional<ResumePoint> p = this.ports.resume()
-				.verify(token, this.ports.clock().getAsLong())
-				.filter((x) -> x.customer().equals(customer) && fromIndex >= x.base());
-			if (p.isEmpty()) {
-				return Flux.error(RefusedException.notRun(RefusalCode.MALFORMED_REQUEST,
-						"The resume token is not valid for this customer and index."));
+			try {
+				ResumeClaim c = this.ports.resume().verify(token, customer, this.ports.clock().getAsLong());
+				return read(c, token, Math.max(fromIndex, c.base()));
+			}
+			catch (ResumeException ex) {
+				return Flux.error(RefusedException.notRun(RefusalCode.MALFORMED_REQUEST, ex.getMessage()));
 			}
-			return read(p.get(), token, fromIndex);
 		});
 	}
 
-	/**
-	 * Returns the streams of other entry VMs that are being read here.
-	 * @return the stream ids, a live view
-	 */
-	Set<String> adopted() {
-		return this.adopted;
-	}
-
-	private Flux<AnswerPart> read(ResumePoint p, String token, long fromIndex) {
-		Flux<TokenChunk> chunks = this.ports.worker(p.worker())
-			.flatMapMany((w) -> this.ports.engine().decode(w, p.streamId(), fromIndex - p.base()));
-		return chunks.<AnswerPart>map((c) -> new AnswerPart.Token(p.base() + c.index(), c.text()))
+	private Flux<AnswerPart> read(ResumeClaim c, String token, long fromIndex) {
+		Flux<TokenChunk> chunks = this.ports.worker(c.worker())
+			.flatMapMany((w) -> this.ports.engine().decode(w, c.streamId(), fromIndex - c.base()));
+		Flux<AnswerPart> parts = chunks.<AnswerPart>map((t) -> new AnswerPart.Token(c.base() + t.index(), t.text()))
 			.startWith(new AnswerPart.Started(token))
-			.onErrorMap((ex) -> lost(p, ex))
-			.doOnSubscribe((s) -> adopt(p))
-			.doOnCancel(() -> this.canceller.cancel(p.worker(), p.streamId()))
-			.doFinally((s) -> this.adopted.remove(p.streamId()));
+			.onErrorMap((ex) -> lost(c, ex))
+			.doOnCancel(() -> this.canceller.cancel(c.worker(), c.streamId()));
+		return Flux.using(() -> adopt(c), (d) -> parts, Disposable::dispose);
 	}
 
-	private void adopt(ResumePoint p) {
-		Logger.info("[node] Stream {} is resumed.", p.streamId());
-		this.adopted.add(p.streamId());
-		this.listener.adopted(p.worker(), p.streamId());
+	private Disposable adopt(ResumeClaim c) {
+		Logger.info("[node] Stream {} is resumed.", c.streamId());
+		return Flux.interval(Duration.ZERO, Duration.ofMillis(StreamAdoptions.REPEAT_MS))
+			.onBackpressureDrop()
+			.subscribe((i) -> this.adoptions.tell(c.worker(), c.streamId()));
 	}
 
-	private static RefusedException lost(ResumePoint p, Throwable ex) {
-		Logger.warn("[node] Stream {} cannot be resumed: {}.", p.streamId(), ex.getMessage());
+	private static RefusedException lost(ResumeClaim c, Throwable ex) {
+		Logger.warn("[node] Stream {} cannot be resumed: {}.", c.streamId(), ex.getMessage());
 		return new RefusedException(
 				Refusal.unknown(RefusalCode.WORKER_LOST, "The rest of the answer is lost; send the request again."));
 	}
 
-	/**
-	 * Learns that a stream of another entry VM is read here.
-	 */
-	@FunctionalInterface
-	interface AdoptionListener {
-
-		/**
-		 * Takes the news.
-		 * @param worker the worker that holds the stream
-		 * @param streamId the stream
-		 */
-		void adopted(String worker, String streamId);
-
-	}
-
 }
