--- /dev/null
+++ b/src/main/java/io/shallotspur/locate/CellPlanner.java
@@ -0,0 +1,115 @@
+package io.shallotspur.locate;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+import net.openhft.hashing.LongHashFunction;
+
+import io.shallotspur.fleet.Worker;
+import io.shallotspur.fleet.WorkerRole;
+
+/**
+ * Divides workers into cells. Every VM computes the same cells from the same workers, and
+ * a worker more or less moves few others. Stateless.
+ * <p>
+ * An upstream with at most {@link #MAX_WORKERS} workers is one cell, whatever the halls:
+ * one owner then knows all of it exactly. A larger one is divided hall by hall, so that
+ * KV caches stay within a hall; workers of a hall that lacks a role join the cells of the
+ * next hall.
+ */
+public final class CellPlanner {
+
+	/**
+	 * The most workers in a cell.
+	 */
+	public static final int MAX_WORKERS = 16;
+
+	private static final LongHashFunction HASH = LongHashFunction.xx3();
+
+	private static final Comparator<Worker> BY_ID = Comparator.comparing(Worker::id);
+
+	private CellPlanner() {
+	}
+
+	/**
+	 * Divides workers into cells.
+	 * @param workers all workers
+	 * @return the cells in order of their names
+	 */
+	public static List<CellPlan> plan(Collection<Worker> workers) {
+		Map<String, List<Worker>> byUpstream = new TreeMap<>();
+		workers.forEach((w) -> byUpstream.computeIfAbsent(w.upstream(), (u) -> new ArrayList<>()).add(w));
+		List<CellPlan> cells = new ArrayList<>();
+		byUpstream.forEach((upstream, list) -> divide(upstream, list, cells));
+		return List.copyOf(cells);
+	}
+
+	private static void divide(String upstream, List<Worker> workers, List<CellPlan> out) {
+		if (workers.size() <= MAX_WORKERS) {
+			out.add(cell(upstream, upstream, workers));
+			return;
+		}
+		Map<String, List<Worker>> byHall = new TreeMap<>();
+		workers.forEach((w) -> byHall.computeIfAbsent(w.hall(), (h) -> new ArrayList<>()).add(w));
+		Map<String, List<Worker>> groups = new TreeMap<>();
+		List<Worker> carried = new ArrayList<>();
+		String last = "";
+		for (Map.Entry<String, List<Worker>> e : byHall.entrySet()) {
+			carried.addAll(e.getValue());
+			if (isWhole(carried)) {
+				last = e.getKey();
+				groups.put(last, carried);
+				carried = new ArrayList<>();
+			}
+		}
+		groups.computeIfAbsent(last, (h) -> new ArrayList<>()).addAll(carried);
+		groups.forEach((hall, list) -> divideHall(upstream, hall, list, out));
+	}
+
+	private static boolean isWhole(List<Worker> workers) {
+		boolean prefill = workers.stream().anyMatch((w) -> w.role() == WorkerRole.PREFILL);
+		boolean decode = workers.stream().anyMatch((w) -> w.role() == WorkerRole.DECODE);
+		return prefill == decode;
+	}
+
+	private static void divideHall(String upstream, String hall, List<Worker> workers, List<CellPlan> out) {
+		int count = (workers.size() + MAX_WORKERS - 1) / MAX_WORKERS;
+		List<List<Worker>> cells = new ArrayList<>();
+		for (int i = 0; i < count; i++) {
+			cells.add(new ArrayList<>());
+		}
+		for (WorkerRole role : WorkerRole.values()) {
+			List<Worker> l = workers.stream().filter((w) -> w.role() == role).sorted(BY_ID).toList();
+			int room = (l.size() + count - 1) / count;
+			int[] taken = new int[count];
+			l.forEach((w) -> cells.get(preferred(w, taken, room)).add(w));
+		}
+		for (int i = 0; i < count; i++) {
+			out.add(cell(upstream + "/" + hall + "/" + i, upstream, cells.get(i)));
+		}
+	}
+
+	private static int preferred(Worker w, int[] taken, int room) {
+		int best = -1;
+		long high = 0;
+		long id = HASH.hashChars(w.id());
+		for (int i = 0; i < taken.length; i++) {
+			long s = HASH.hashLong(id + i);
+			if (taken[i] < room && (best < 0 || s > high)) {
+				best = i;
+				high = s;
+			}
+		}
+		taken[best]++;
+		return best;
+	}
+
+	private static CellPlan cell(String name, String upstream, List<Worker> workers) {
+		return new CellPlan(name, upstream, workers.stream().sorted(BY_ID).toList());
+	}
+
+}
--- a/src/main/java/io/shallotspur/node/cluster/ClusterMessages.java
+++ b/src/main/java/io/shallotspur/node/cluster/ClusterMessages.java
@@ -22,6 +22,10 @@
 
 	private static final int SYNC_REPLY = 6;
 
+	private static final int LOADS = 10;
+
+	private static final int MARKS = 11;
+
 	private static final int PUSH = 20;
 
 	private static final int DIGEST_REQUEST = 21;
@@ -53,6 +57,8 @@
 			.register(GOSSIP, MembershipMessage.Gossip.class)
 			.register(SYNC_REQUEST, MembershipMessage.SyncRequest.class)
 			.register(SYNC_REPLY, MembershipMessage.SyncReply.class)
+			.register(LOADS, ClusterNotice.Loads.class)
+			.register(MARKS, ClusterNotice.Marks.class)
 			.register(PUSH, ContractMessage.Push.class)
 			.register(DIGEST_REQUEST, ContractMessage.DigestRequest.class)
 			.register(DIGEST_REPLY, ContractMessage.DigestReply.class)
