--- a/src/test/java/io/shallotspur/node/ServingFixture.java
+++ b/src/test/java/io/shallotspur/node/ServingFixture.java
@@ -22,17 +22,11 @@
 import io.shallotspur.adapter.caller.CallerSettings;
 import io.shallotspur.adapter.engine.HttpEngine;
 import io.shallotspur.adapter.plain.HttpPlainService;
-import io.shallotspur.cell.CellScheduler;
-import io.shallotspur.cell.CellSettings;
-import io.shallotspur.cell.StdCellScheduler;
 import io.shallotspur.contract.Contract;
 import io.shallotspur.contract.ContractSet;
 import io.shallotspur.contract.RequestClass;
 import io.shallotspur.fleet.Worker;
 import io.shallotspur.fleet.WorkerRole;
-import io.shallotspur.plain.PlainScheduler;
-import io.shallotspur.plain.PlainSettings;
-import io.shallotspur.plain.StdPlainScheduler;
 import io.shallotspur.standin.EngineStandin;
 import io.shallotspur.standin.EngineStandinSettings;
 import io.shallotspur.standin.PlainStandin;
@@ -116,7 +110,7 @@
 			.resume(new FakeResumeCodec())
 			.ownership(ownership)
 			.locator((customer, className, now) -> new Location(List.of("127.0.0.1:1", "127.0.0.1:2"), 2000))
-			.schedulers(new Schedulers())
+			.schedulers(new StdSchedulers())
 			.contracts(this.contracts, Flux.never())
 			.frontEnd(new CallerServer(settings))
 			.build();
@@ -126,6 +120,15 @@
 		return vm;
 	}
 
+	/**
+	 * Ends a VM as a crash does: it tells nobody, and cancels nothing.
+	 */
+	void kill(EntryVm vm, String name) {
+		this.peers.kill(name);
+		vm.close().block(PATIENCE);
+		this.vms.remove(vm);
+	}
+
 	Owner selfOwner(String upstream, String customer, long prefix) {
 		return upstream.equals("nothing") ? new Owner.Nobody()
 				: new Owner.Self(upstream.equals("kiosk-api") ? "kiosk-api" : "draft-llm/hall-a/0");
@@ -147,12 +150,32 @@
 	}
 
 	Answer send(EntryVm vm, HttpMethod method, String path, String body, Map<String, String> headers) {
+		return sendLater(vm, method, path, body, headers).blockOptional(PATIENCE).orElseThrow();
+	}
+
+	Mono<Answer> sendLater(EntryVm vm, HttpMethod method, String path, String body, Map<String, String> headers) {
 		return HttpClient.newConnection()
 			.headers((h) -> h.set("Authorization", "Bearer secret"))
 			.headers((h) -> headers.forEach(h::set))
 			.request(method)
 			.uri("http://" + vm.callerAddress() + path)
 			.send(Mono.just(Unpooled.copiedBuffer(body, StandardCharsets.UTF_8)))
+			.responseSingle((res, b) -> b.asString()
+				.defaultIfEmpty("")
+				.map((x) -> new Answer(res.status().code(), res.responseHeaders(), x)));
+	}
+
+	/**
+	 * Sends a card whose length is not declared.
+	 */
+	Answer sendChunked(EntryVm vm, String body) {
+		return HttpClient.newConnection()
+			.headers((h) -> h.set("Authorization", "Bearer secret"))
+			.headers((h) -> h.set("Shallotspur-Class", "registration-card"))
+			.post()
+			.uri("http://" + vm.callerAddress() + "/v1/completions")
+			.send(Flux.just(body.substring(0, 10), body.substring(10))
+				.map((s) -> Unpooled.copiedBuffer(s, StandardCharsets.UTF_8)))
 			.responseSingle((res, b) -> b.asString()
 				.defaultIfEmpty("")
 				.map((x) -> new Answer(res.status().code(), res.responseHeaders(), x)))
@@ -173,7 +196,7 @@
 			.send(Mono.just(Unpooled.copiedBuffer(body, StandardCharsets.UTF_8)))
 			.responseContent()
 			.asString()
-			.concatMapIterable((s) -> List.of(s.split("(?<=\n\n)")));
+			.concatMapIterable(new Events()::take);
 	}
 
 	/**
@@ -239,16 +262,22 @@
 
 	}
 
-	private static final class Schedulers implements SchedulerFactory {
+	/**
+	 * Joins what the network cut.
+	 */
+	private static final class Events {
 
-		@Override
-		public CellScheduler cell(String cell, ContractSet contracts) {
-			return new StdCellScheduler(CellSettings.defaults(), contracts, 1);
-		}
+		private String pending = "";
 
-		@Override
-		public PlainScheduler plain(String upstream, ContractSet contracts) {
-			return new StdPlainScheduler(PlainSettings.defaults(), contracts, 1);
+		List<String> take(String bytes) {
+			String all = this.pending + bytes;
+			int end = all.lastIndexOf("\n\n") + 2;
+			if (end < 2) {
+				this.pending = all;
+				return List.of();
+			}
+			this.pending = all.substring(end);
+			return List.of(all.substring(0, end).split("(?<=\n\n)"));
 		}
 
 	}
