--- a/src/main/java/io/shallotspur/cli/Main.java
+++ b/src/main/java/io/shallotspur/cli/Main.java
@@ -21,6 +21,8 @@
 	static List<CommandEntry> entries() {
 		return List.of(new CommandEntry("check", "check a settings file", CheckCommand::new),
 				new CommandEntry("replay", "replay a recorded trace against a policy", ReplayEntry::new),
+				new CommandEntry("measure-ledger", "measure the ledger, retries and quarantine",
+						MeasureLedgerEntry::new),
 				new CommandEntry("measure-routing", "measure the policies on traces", MeasureRoutingEntry::new),
 				new CommandEntry("version", "print the version", VersionCommand::new));
 	}
--- a/src/main/java/io/shallotspur/node/ledger/ShardWriter.java
+++ b/src/main/java/io/shallotspur/node/ledger/ShardWriter.java
@@ -70,6 +70,8 @@
 
 	private boolean busy;
 
+	private boolean changed;
+
 	private long nextWriteAt = Long.MIN_VALUE;
 
 	private long retryAt = Long.MIN_VALUE;
@@ -158,11 +160,11 @@
 		if (!this.watchers.isEmpty()) {
 			wake(this.loadedAt + this.ctx.settings().pollMs());
 		}
-		if (now < this.nextWriteAt) {
-			wake(this.nextWriteAt);
-			return;
+		if (this.changed || now >= this.nextWriteAt) {
+			// What was just written or read is told at once; only the next write waits.
+			this.changed = false;
+			decideKnown(this.shard, now);
 		}
-		decideKnown(this.shard, now);
 		writeIfNeeded(now);
 	}
 
@@ -171,7 +173,10 @@
 		if (this.busy || s == null || (this.intents.isEmpty() && this.ends.isEmpty())) {
 			return;
 		}
-		if (s.mustSeal()) {
+		if (now < this.nextWriteAt) {
+			wake(this.nextWriteAt);
+		}
+		else if (s.mustSeal()) {
 			seal(s);
 		}
 		else {
@@ -270,7 +275,7 @@
 		int bytes = 0;
 		for (PendingEnd e : this.ends) {
 			bytes += Shard.sizeOf(e.end());
-			if (bytes > limits().batchBytes() && !l.isEmpty()) {
+			if (l.size() >= limits().batchEntries() || (bytes > limits().batchBytes() && !l.isEmpty())) {
 				break;
 			}
 			l.add(e);
@@ -291,6 +296,7 @@
 
 	private void written(Shard next, long v, List<PendingEnd> done) {
 		this.shard = next;
+		this.changed = true;
 		this.version = v;
 		this.uncertain = null;
 		this.retryMs = MIN_RETRY_MS;
@@ -341,6 +347,7 @@
 		}
 		this.uncertain = null;
 		this.shard = l.shard();
+		this.changed = true;
 		this.version = l.version();
 		this.loadedAt = this.ctx.now();
 		this.retryMs = MIN_RETRY_MS;
--- a/src/test/java/io/shallotspur/ledger/ShardTests.java
+++ b/src/test/java/io/shallotspur/ledger/ShardTests.java
@@ -67,6 +67,23 @@
 		}
 	}
 
+	@Test
+	void endsOnlyAddCertainty() {
+		// Messages repeat and overtake each other. Were an answered key freed by an old
+		// "not run", its next resend would run it again.
+		Shard s = Shard.empty(LIMITS, 128).withIntents(List.of(intent(1, KeyTime.NONE, 1)));
+		Shard answered = s.withEnds(List.of(end(1, new EntryState.Answered(null))));
+		assertThat(answered.withEnds(List.of(end(1, new EntryState.NotStarted())))).isSameAs(answered);
+		assertThat(answered.withEnds(List.of(end(1, new EntryState.Unknown())))).isSameAs(answered);
+		assertThat(s.withEnds(List.of(end(2, new EntryState.NotStarted())))).isSameAs(s);
+		Shard unknown = s.withEnds(List.of(end(1, new EntryState.Unknown())));
+		assertThat(unknown.withEnds(List.of(end(1, new EntryState.Answered(null)))).find(new KeyDigest(0, 1)))
+			.hasValueSatisfying((e) -> assertThat(e.state()).isInstanceOf(EntryState.Answered.class));
+		Shard free = s.withEnds(List.of(end(1, new EntryState.NotStarted())));
+		assertThat(free.withEnds(List.of(end(1, new EntryState.Answered(null))))).isSameAs(free);
+		assertThat(free.decide(intent(1, KeyTime.NONE, 3), 0)).isEqualTo(new Verdict.Free());
+	}
+
 	@Test
 	void headStaysUnderAMegabyte() {
 		List<Intent> intents = new ArrayList<>();
@@ -134,6 +151,10 @@
 		assertThat(l.begin(k, 2, 80, 100).block()).isInstanceOf(IntentDecision.Refused.class);
 	}
 
+	private static AttemptEnd end(long attempt, EntryState s) {
+		return new AttemptEnd(new KeyDigest(0, 1), new Attempt("n", 1, attempt), s);
+	}
+
 	private static Intent intent(long key, long time, long attempt) {
 		return new Intent(new KeyDigest(0, key), key, time, new Attempt("n", 1, attempt));
 	}
