Ends of attempts wait for a write that is needed anyway

Cause: an end written at once takes the turn of the next intent of its shard, whose caller then waits a batch interval.

Change: an end that nobody waits for is written with the next intent, or after 500 ms. If somebody waits for its key it is written at once.

--- a/src/main/java/io/shallotspur/demo/LedgerLoad.java
+++ b/src/main/java/io/shallotspur/demo/LedgerLoad.java
@@ -11,7 +11,6 @@
 import io.shallotspur.ledger.Attempt;
 import io.shallotspur.ledger.IntentDecision;
 import io.shallotspur.ledger.IntentKey;
-import io.shallotspur.ledger.LedgerLimits;
 import io.shallotspur.node.ledger.AnswerAsk;
 import io.shallotspur.node.ledger.AnswerReply;
 import io.shallotspur.node.ledger.EndAck;
@@ -64,10 +63,9 @@
 
 	private long refused;
 
-	LedgerLoad(LedgerLimits limits, long seed) {
+	LedgerLoad(LedgerSettings settings, long seed) {
 		this.random = new SplittableRandom(seed);
 		this.peers = new VirtualPeers(this.time, codec(), HOP_MS);
-		LedgerSettings settings = LedgerSettings.DEFAULT.withLimits(limits);
 		for (int i = 0; i < NODES; i++) {
 			String self = address(i);
 			VirtualNode node = new VirtualNode(this.time);
--- a/src/main/java/io/shallotspur/demo/LedgerMeasure.java
+++ b/src/main/java/io/shallotspur/demo/LedgerMeasure.java
@@ -7,6 +7,7 @@
 import java.util.Locale;
 
 import io.shallotspur.ledger.LedgerLimits;
+import io.shallotspur.node.ledger.LedgerSettings;
 
 /**
  * Measures the ledger against the request rate, and what bounds retries and crashing
@@ -63,10 +64,10 @@
 			.append("| requests/s | group commit | writes/s | reads/s | KB/s written | largest record, bytes ")
 			.append("| p50 ms | p99 ms | refused, not run | told nothing | µs/request |\n")
 			.append("|---|---|---|---|---|---|---|---|---|---|---|\n");
+		LedgerSettings off = LedgerSettings.DEFAULT.withLimits(LedgerLimits.DEFAULT.withBatch(0, 1)).withEndDelay(0);
 		for (int rate : RATES) {
-			row(page, "off",
-					new LedgerLoad(LedgerLimits.DEFAULT.withBatch(0, 1), o.getSeed()).run(rate, o.getSeconds()));
-			row(page, "on", new LedgerLoad(LedgerLimits.DEFAULT, o.getSeed()).run(rate, o.getSeconds()));
+			row(page, "off", new LedgerLoad(off, o.getSeed()).run(rate, o.getSeconds()));
+			row(page, "on", new LedgerLoad(LedgerSettings.DEFAULT, o.getSeed()).run(rate, o.getSeconds()));
 		}
 	}
 
--- a/src/main/java/io/shallotspur/node/ledger/LedgerSettings.java
+++ b/src/main/java/io/shallotspur/node/ledger/LedgerSettings.java
@@ -16,15 +16,17 @@
  * cannot be read, in milliseconds
  * @param answerBytes memory for answers that are too large for the record, in bytes
  * @param maxEnds the most ends of attempts that wait for a write of one shard
+ * @param endDelayMs how long an end waits for a write that is needed anyway, if nobody
+ * waits for it, in milliseconds
  */
 public record LedgerSettings(LedgerLimits limits, long storeTimeoutMs, long askTimeoutMs, long pollMs, long peerDownMs,
-		long resendAgeMs, long answerBytes, int maxEnds) {
+		long resendAgeMs, long answerBytes, int maxEnds, long endDelayMs) {
 
 	/**
 	 * The defaults, with {@link LedgerLimits#DEFAULT}.
 	 */
 	public static final LedgerSettings DEFAULT = new LedgerSettings(LedgerLimits.DEFAULT, 1_000, 1_000, 1_000, 2_000,
-			5_000, 16L * 1024 * 1024, 10_000);
+			5_000, 16L * 1024 * 1024, 10_000, 500);
 
 	/**
 	 * Returns the same settings with other bounds.
@@ -33,7 +35,17 @@
 	 */
 	public LedgerSettings withLimits(LedgerLimits limits) {
 		return new LedgerSettings(limits, this.storeTimeoutMs, this.askTimeoutMs, this.pollMs, this.peerDownMs,
-				this.resendAgeMs, this.answerBytes, this.maxEnds);
+				this.resendAgeMs, this.answerBytes, this.maxEnds, this.endDelayMs);
+	}
+
+	/**
+	 * Returns the same settings with another delay of ends.
+	 * @param endDelayMs how long an end waits for another write, in milliseconds
+	 * @return new settings
+	 */
+	public LedgerSettings withEndDelay(long endDelayMs) {
+		return new LedgerSettings(this.limits, this.storeTimeoutMs, this.askTimeoutMs, this.pollMs, this.peerDownMs,
+				this.resendAgeMs, this.answerBytes, this.maxEnds, endDelayMs);
 	}
 
 }
--- a/src/main/java/io/shallotspur/node/ledger/ShardWriter.java
+++ b/src/main/java/io/shallotspur/node/ledger/ShardWriter.java
@@ -106,7 +106,7 @@
 			this.ctx.meter().endDropped();
 			this.ends.removeFirst().done().run();
 		}
-		this.ends.addLast(new PendingEnd(e, done));
+		this.ends.addLast(new PendingEnd(e, done, this.ctx.now()));
 		pump();
 	}
 
@@ -173,8 +173,9 @@
 		if (this.busy || s == null || (this.intents.isEmpty() && this.ends.isEmpty())) {
 			return;
 		}
-		if (now < this.nextWriteAt) {
-			wake(this.nextWriteAt);
+		long due = dueAt();
+		if (now < due) {
+			wake(due);
 		}
 		else if (s.mustSeal()) {
 			seal(s);
@@ -184,6 +185,16 @@
 		}
 	}
 
+	private long dueAt() {
+		PendingEnd first = this.ends.peekFirst();
+		if (first == null || !this.intents.isEmpty() || !this.watchers.isEmpty()) {
+			return this.nextWriteAt;
+		}
+		// Nobody waits for these ends. Written at once, they would take the turn of the
+		// next intent, whose caller waits a whole batch interval then.
+		return Math.max(this.nextWriteAt, first.at() + this.ctx.settings().endDelayMs());
+	}
+
 	private boolean isStale(long now) {
 		// While somebody waits for a key, another writer may record its end, which only a
 		// read shows.
@@ -421,7 +432,7 @@
 
 	}
 
-	private record PendingEnd(AttemptEnd end, Runnable done) {
+	private record PendingEnd(AttemptEnd end, Runnable done, long at) {
 
 	}
 
--- a/src/test/java/io/shallotspur/demo/LedgerMeasureTests.java
+++ b/src/test/java/io/shallotspur/demo/LedgerMeasureTests.java
@@ -2,7 +2,7 @@
 
 import org.junit.jupiter.api.Test;
 
-import io.shallotspur.ledger.LedgerLimits;
+import io.shallotspur.node.ledger.LedgerSettings;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -11,7 +11,7 @@
 	@Test
 	void writesStayUnderTheBoundAndEveryRequestIsTold() {
 		for (int rate : new int[] { 50, 2_000 }) {
-			LedgerLoad.Result r = new LedgerLoad(LedgerLimits.DEFAULT, 3).run(rate, 1);
+			LedgerLoad.Result r = new LedgerLoad(LedgerSettings.DEFAULT, 3).run(rate, 1);
 			assertThat(r.writes()).isLessThanOrEqualTo(352);
 			assertThat(r.largest()).isLessThan(1_000_000);
 			assertThat(r.refused()).isZero();
--- a/src/test/java/io/shallotspur/node/ledger/LedgerFleet.java
+++ b/src/test/java/io/shallotspur/node/ledger/LedgerFleet.java
@@ -22,7 +22,7 @@
 
 	static final LedgerSettings SETTINGS = new LedgerSettings(
 			LedgerLimits.DEFAULT.withShards(2, 1).withSegments(300, 64, 600_000), 400, 400, 200, 500, 5_000, 10_000,
-			100);
+			100, 150);
 
 	private final VirtualTimeScheduler time = VirtualTimeScheduler.create();
 
