--- a/src/main/java/io/shallotspur/cfg/SettingsReader.java
+++ b/src/main/java/io/shallotspur/cfg/SettingsReader.java
@@ -108,7 +108,7 @@
 		Endpoint store = endpoint(t, "store");
 		PlatformSection p = new PlatformSection(store, t.has("vm_list") ? endpoint(t, "vm_list") : store,
 				t.has("weight_store") ? endpoint(t, "weight_store") : store, t.whole("timeout_ms", 1_000, 10, 60_000),
-				t.number("writes_per_s", 40, 0.1, 10_000), t.number("reads_per_s", 200, 0.1, 10_000),
+				t.number("writes_per_s", 200, 0.1, 10_000), t.number("reads_per_s", 1_000, 0.1, 10_000),
 				t.whole("vm_list_poll_ms", 1_000, 100, 60_000));
 		t.finish();
 		return p;
@@ -122,8 +122,9 @@
 	}
 
 	private static LedgerSection ledger(TomlTable t) {
-		LedgerSection l = new LedgerSection((int) t.whole("shards", 16, 1, 4_096), t.whole("batch_ms", 5, 0, 1_000),
-				t.whole("window_ms", 24 * HOUR_MS, 60_000, 30 * 24 * HOUR_MS));
+		LedgerSection l = new LedgerSection((int) t.whole("timed_shards", 28, 1, 4_096),
+				(int) t.whole("untimed_shards", 4, 1, 4_096), t.whole("batch_ms", 100, 1, 10_000),
+				t.whole("window_ms", 10 * 60_000, 60_000, 24 * HOUR_MS));
 		t.finish();
 		return l;
 	}
--- a/src/main/java/io/shallotspur/cli/StandinCommand.java
+++ b/src/main/java/io/shallotspur/cli/StandinCommand.java
@@ -2,11 +2,9 @@
 
 import java.io.PrintStream;
 import java.nio.file.Path;
-import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.concurrent.CountDownLatch;
+import java.util.function.ToDoubleFunction;
 
 import org.kohsuke.args4j.Option;
 
@@ -63,35 +61,38 @@
 	}
 
 	private static void startWorkers(UpstreamSection u, List<WorkerSpeeds> speeds, PrintStream out) {
-		Map<String, List<Worker>> byAddress = new HashMap<>();
+		if (u.model()) {
+			startEngines(u, speeds, out);
+			return;
+		}
 		for (Worker w : u.workers()) {
-			byAddress.computeIfAbsent(w.address(), (a) -> new ArrayList<>()).add(w);
+			Endpoint e = endpoint(w);
+			PlainStandin p = new PlainStandin(w.id(), find(speeds, w).serviceMs());
+			out.println(w.id() + " " + p.start(e.host(), e.port()).block());
 		}
-		byAddress.forEach((address, workers) -> {
-			Endpoint e = Endpoint.parse(address).orElseThrow();
-			String bound = u.model() ? startEngine(e, u, workers, speeds) : startPlain(e, workers.get(0), speeds);
-			out.println(workers.stream().map(Worker::id).toList() + " " + bound);
-		});
 	}
 
-	private static String startEngine(Endpoint e, UpstreamSection u, List<Worker> workers, List<WorkerSpeeds> speeds) {
-		WorkerSpeeds p = new WorkerSpeeds("", 0, 0, 0, 0);
-		WorkerSpeeds d = p;
-		for (Worker w : workers) {
-			WorkerSpeeds x = find(speeds, w);
-			p = (x.prefillMsPerToken() > 0) ? x : p;
-			d = (x.stepBaseMs() > 0) ? x : d;
-		}
-		EngineStandinSettings s = EngineStandinSettings.small(workers)
-			.withListen(e.host(), e.port())
-			.withSpeeds(p.prefillMsPerToken(), d.stepBaseMs(), d.stepMsPerRequest())
+	private static void startEngines(UpstreamSection u, List<WorkerSpeeds> speeds, PrintStream out) {
+		List<WorkerSpeeds> own = u.workers().stream().map((w) -> find(speeds, w)).toList();
+		EngineStandinSettings s = EngineStandinSettings.small(u.workers())
+			.withListen(endpoint(u.workers().get(0)).host(), 0)
+			.withSpeeds(most(own, WorkerSpeeds::prefillMsPerToken), most(own, WorkerSpeeds::stepBaseMs),
+					most(own, WorkerSpeeds::stepMsPerRequest))
 			.withCheckFencing(u.checksFencing());
-		return String.valueOf(new EngineStandin(s).start().block());
+		EngineStandin engines = new EngineStandin(s);
+		engines.start().block();
+		for (Worker w : u.workers()) {
+			Endpoint e = endpoint(w);
+			out.println(w.id() + " " + engines.listen(e.host(), e.port()).block());
+		}
+	}
+
+	private static double most(List<WorkerSpeeds> speeds, ToDoubleFunction<WorkerSpeeds> value) {
+		return speeds.stream().mapToDouble(value).max().orElse(0);
 	}
 
-	private static String startPlain(Endpoint e, Worker w, List<WorkerSpeeds> speeds) {
-		PlainStandin p = new PlainStandin(w.id(), find(speeds, w).serviceMs());
-		return String.valueOf(p.start(e.host(), e.port()).block());
+	private static Endpoint endpoint(Worker w) {
+		return Endpoint.parse(w.address()).orElseThrow();
 	}
 
 	private static WorkerSpeeds find(List<WorkerSpeeds> speeds, Worker w) {
--- a/src/main/java/io/shallotspur/locate/CellMap.java
+++ b/src/main/java/io/shallotspur/locate/CellMap.java
@@ -79,6 +79,19 @@
 		return cells(false);
 	}
 
+	/**
+	 * Finds who owns the cell of a worker.
+	 * @param workerId the worker
+	 * @return the cell and its owner, or empty if the worker is in no open cell
+	 */
+	public Optional<Placement> ofWorker(String workerId) {
+		return this.byUpstream.values()
+			.stream()
+			.flatMap(List::stream)
+			.filter((p) -> p.cell().workers().stream().anyMatch((k) -> k.id().equals(workerId)))
+			.findFirst();
+	}
+
 	private List<CellPlan> cells(boolean own) {
 		return this.byUpstream.values()
 			.stream()
--- a/src/main/java/io/shallotspur/node/CellHost.java
+++ b/src/main/java/io/shallotspur/node/CellHost.java
@@ -10,6 +10,8 @@
 import reactor.core.scheduler.Scheduler;
 
 import io.shallotspur.contract.ContractSet;
+import io.shallotspur.fleet.Worker;
+import io.shallotspur.locate.CellLoad;
 import io.shallotspur.resume.StreamId;
 
 /**
@@ -97,6 +99,22 @@
 		return List.copyOf(this.owned.values());
 	}
 
+	/**
+	 * Returns how busy the owned cells are: open requests against the requests that their
+	 * workers hold at a time.
+	 * @return one load for each owned cell, measured now
+	 */
+	public List<CellLoad> loads() {
+		return owned().stream().map((a) -> new CellLoad(a.cell(), load(a), 0)).toList();
+	}
+
+	private double load(CellAssignment a) {
+		int open = a.plain() ? plain(a.cell()).map(PlainCallService::openRequests).orElse(0)
+				: model(a.cell()).map(ModelService::openRequests).orElse(0);
+		int room = a.workers().stream().mapToInt(Worker::slots).sum();
+		return Math.min(1, (double) open / Math.max(1, room));
+	}
+
 	Optional<ModelService> model(String cell) {
 		return Optional.ofNullable(this.models.get(cell)).filter((m) -> this.owned.containsKey(cell));
 	}
--- a/src/main/java/io/shallotspur/node/StdSchedulers.java
+++ b/src/main/java/io/shallotspur/node/StdSchedulers.java
@@ -7,6 +7,7 @@
 import io.shallotspur.plain.PlainScheduler;
 import io.shallotspur.plain.PlainSettings;
 import io.shallotspur.plain.StdPlainScheduler;
+import io.shallotspur.quarantine.CrashSuspects;
 
 /**
  * Makes the schedulers that serve live traffic, with their documented defaults. Immutable
@@ -15,9 +16,26 @@
  */
 public final class StdSchedulers implements SchedulerFactory {
 
+	private final CrashSuspects suspects;
+
+	/**
+	 * Creates a factory whose cells share no suspects with other nodes.
+	 */
+	public StdSchedulers() {
+		this(new CrashSuspects());
+	}
+
+	/**
+	 * Creates a factory.
+	 * @param suspects what is known of requests that crash workers, here and elsewhere
+	 */
+	public StdSchedulers(CrashSuspects suspects) {
+		this.suspects = suspects;
+	}
+
 	@Override
 	public CellScheduler cell(String cell, ContractSet contracts) {
-		return new StdCellScheduler(CellSettings.defaults(), contracts, cell.hashCode());
+		return new StdCellScheduler(CellSettings.defaults(), contracts, cell.hashCode(), this.suspects);
 	}
 
 	@Override
--- a/src/main/java/io/shallotspur/node/ledger/LedgerSettings.java
+++ b/src/main/java/io/shallotspur/node/ledger/LedgerSettings.java
@@ -38,6 +38,16 @@
 				this.resendAgeMs, this.answerBytes, this.maxEnds, this.endDelayMs);
 	}
 
+	/**
+	 * Returns the same settings with another patience with the store.
+	 * @param storeTimeoutMs how long a call to the store may take, in milliseconds
+	 * @return new settings
+	 */
+	public LedgerSettings withStoreTimeout(long storeTimeoutMs) {
+		return new LedgerSettings(this.limits, storeTimeoutMs, this.askTimeoutMs, this.pollMs, this.peerDownMs,
+				this.resendAgeMs, this.answerBytes, this.maxEnds, this.endDelayMs);
+	}
+
 	/**
 	 * Returns the same settings with another delay of ends.
 	 * @param endDelayMs how long an end waits for another write, in milliseconds
--- a/src/main/java/io/shallotspur/standin/EngineStandin.java
+++ b/src/main/java/io/shallotspur/standin/EngineStandin.java
@@ -5,13 +5,13 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.Callable;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import org.jspecify.annotations.Nullable;
 import org.reactivestreams.Publisher;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
@@ -45,7 +45,7 @@
 
 	private final Map<String, StandinWorker> workers = new LinkedHashMap<>();
 
-	private @Nullable DisposableServer server;
+	private final List<DisposableServer> servers = new CopyOnWriteArrayList<>();
 
 	/**
 	 * Creates a stand-in.
@@ -65,9 +65,21 @@
 	public Mono<String> start() {
 		long every = this.settings.reportEveryMs();
 		this.thread.schedulePeriodically(this::publishLoad, every, every, TimeUnit.MILLISECONDS);
+		return listen(this.settings.host(), this.settings.port());
+	}
+
+	/**
+	 * Listens on one more address, where all workers are served as well. So each worker
+	 * can have an address of its own while transfers between them stay within this
+	 * object.
+	 * @param host the address to listen on
+	 * @param port the port, or 0 for any that is free
+	 * @return the address, {@code host:port}
+	 */
+	public Mono<String> listen(String host, int port) {
 		return HttpServer.create()
-			.host(this.settings.host())
-			.port(this.settings.port())
+			.host(host)
+			.port(port)
 			.route((r) -> r.get("/debug/state", (req, res) -> json(res, on(this::state)))
 				.post("/workers/{id}/prefill/{stream}", this::prefill)
 				.post("/workers/{id}/transfer/{stream}", this::transfer)
@@ -77,7 +89,7 @@
 				.get("/workers/{id}/reports", this::reports)
 				.post("/workers/{id}/order", this::order))
 			.bind()
-			.doOnNext((s) -> this.server = s)
+			.doOnNext((s) -> this.servers.add(s))
 			.map((s) -> s.host() + ":" + s.port());
 	}
 
@@ -85,9 +97,7 @@
 	 * Stops.
 	 */
 	public void close() {
-		if (this.server != null) {
-			this.server.disposeNow();
-		}
+		this.servers.forEach(DisposableServer::disposeNow);
 		this.thread.dispose();
 	}
 
--- a/src/test/java/io/shallotspur/cfg/SettingsReaderTests.java
+++ b/src/test/java/io/shallotspur/cfg/SettingsReaderTests.java
@@ -50,8 +50,8 @@
 	@ParameterizedTest
 	@CsvSource(delimiter = '|', textBlock = """
 			listen = "127.0.0.1:8101"      | listen = "8101"              | callers.listen
-			batch_ms = 20                  | batch_ms = "20"              | ledger.batch_ms
-			shards = 16                    | shards = 0                   | ledger.shards
+			batch_ms = 100                 | batch_ms = "100"             | ledger.batch_ms
+			timed_shards = 28              | timed_shards = 0             | ledger.timed_shards
 			format = "plain"               | format = "xml"               | log.format
 			grace_ms = 60000               | grace = 60000                | drain.grace
 			id = "resumo-2"                | id = "resumo-1"              | upstream[0].worker[1].id
