--- a/src/main/java/io/shallotspur/cli/Main.java
+++ b/src/main/java/io/shallotspur/cli/Main.java
@@ -5,6 +5,8 @@
 
 import io.shallotspur.demo.Demo;
 import io.shallotspur.demo.DemoOptions;
+import io.shallotspur.demo.LedgerMeasure;
+import io.shallotspur.demo.LedgerMeasureOptions;
 import io.shallotspur.exc.ShallotspurException;
 import io.shallotspur.replay.ReplayCommand;
 import io.shallotspur.replay.ReplayOptions;
@@ -36,6 +38,8 @@
 						(o, out, err) -> new ReplayCommand().run(o, out, err)),
 				new CommandEntry<>("measure-routing", "measure the policies on traces", SweepOptions::new,
 						(o, out, err) -> sweep(o, err)),
+				new CommandEntry<>("measure-ledger", "measure the ledger, retries and quarantine",
+						LedgerMeasureOptions::new, (o, out, err) -> new LedgerMeasure().run(o, out, err)),
 				CommandEntry.of("version", "print the version", VersionCommand::new));
 	}
 
