Two faults of the cell scheduler as traces; report on the command line

Cause: the replay shows that (1) answers that were begun are ended when all decode workers are down for 5 s, though their deadline is far, and (2) a request that crashes its workers costs four of them when its neighbours of the first crash are at the second one too: they proved harmless to the scheduler, but the table of suspects still counts them, so nobody is convicted.

--- a/src/main/java/io/shallotspur/cli/Main.java
+++ b/src/main/java/io/shallotspur/cli/Main.java
@@ -40,6 +40,7 @@
 						(o, out, err) -> sweep(o, err)),
 				new CommandEntry<>("measure-ledger", "measure the ledger, retries and quarantine",
 						LedgerMeasureOptions::new, (o, out, err) -> new LedgerMeasure().run(o, out, err)),
+				CommandEntry.of("report", "say whether the terms of a customer were kept", ReportEntry::new),
 				CommandEntry.of("version", "print the version", VersionCommand::new));
 	}
 
--- a/src/test/java/io/shallotspur/replay/ReplayRunner.java
+++ b/src/test/java/io/shallotspur/replay/ReplayRunner.java
@@ -23,8 +23,16 @@
 	}
 
 	static Result run(Path trace, Policy policy, long seed, double load) {
+		return run(trace, "small.fleet.toml", policy, seed, load);
+	}
+
+	static Result runWide(String trace, Policy policy, long seed) {
+		return run(DIR.resolve(trace), "wide.fleet.toml", policy, seed, 1);
+	}
+
+	private static Result run(Path trace, String fleet, Policy policy, long seed, double load) {
 		ReplayOptions options = new ReplayOptions();
-		options.setFiles(trace, DIR.resolve("small.fleet.toml"), DIR.resolve("small.contracts.toml"));
+		options.setFiles(trace, DIR.resolve(fleet), DIR.resolve("small.contracts.toml"));
 		options.setPolicy(policy.code());
 		options.setSeed(seed);
 		options.setJson(true);
--- a/src/test/java/io/shallotspur/replay/ReplayTests.java
+++ b/src/test/java/io/shallotspur/replay/ReplayTests.java
@@ -4,6 +4,7 @@
 import java.nio.file.Path;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -51,11 +52,38 @@
 	@ParameterizedTest
 	@EnumSource(names = "SHALLOTSPUR", mode = EnumSource.Mode.EXCLUDE)
 	void answersOutliveTheLossOfAllDecodeWorkers(Policy policy) throws Exception {
+		assertAnswersOutliveTheLossOfAllDecodeWorkers(policy);
+	}
+
+	/**
+	 * The same under the product's schedulers, which end the answers instead.
+	 */
+	@Test
+	@Tag("known-red")
+	void productAnswersOutliveTheLossOfAllDecodeWorkers() throws Exception {
+		assertAnswersOutliveTheLossOfAllDecodeWorkers(Policy.SHALLOTSPUR);
+	}
+
+	private static void assertAnswersOutliveTheLossOfAllDecodeWorkers(Policy policy) throws Exception {
 		ReplayRunner.Result r = ReplayRunner.run("blackout.jsonl", policy, 1);
 		assertThat(r.count("completed")).isEqualTo(2);
 		assertThat(r.count("lost")).isZero();
 	}
 
+	/**
+	 * One request kills each worker that answers it, among many long answers, and its
+	 * caller sends it again four times. It is found out after two workers: its neighbours
+	 * of the first crash have long run past the point at which they stood then, so their
+	 * presence at the second must not shield it.
+	 */
+	@Test
+	@Tag("known-red")
+	void aPoisonousRequestAmongLongAnswersCostsTwoWorkers() throws Exception {
+		ReplayRunner.Result r = ReplayRunner.runWide("neighbours.jsonl", Policy.SHALLOTSPUR, 1);
+		assertThat(r.count("lost")).isZero();
+		assertThat(r.count("workers_crashed")).isLessThanOrEqualTo(2);
+	}
+
 	/**
 	 * Callers leave while their prompts are read, moved and answered. Nothing may stay
 	 * held for them, and the caller that stays is served.
