Relay: one write and one flush for all tokens of an event-loop turn

Cause: each token was a buffer, an HTTP chunk and a flush of its own, though one read from the engine often brings several. Change: EventBatches collects what arrives within a turn of the connection's event loop into one buffer; no timer is involved.

--- a/src/main/java/io/shallotspur/adapter/caller/CallerRoutes.java
+++ b/src/main/java/io/shallotspur/adapter/caller/CallerRoutes.java
@@ -3,7 +3,9 @@
 import java.io.IOException;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.Executor;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.AtomicReference;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -127,16 +129,19 @@
 			if (first.isOnError()) {
 				return Mono.<Void>error(first.getThrowable());
 			}
-			Flux<ByteBuf> events = all.map((p) -> f.event(p, res.alloc()))
-				.concatWith(Mono.fromSupplier(() -> f.done(res.alloc())))
-				.onErrorResume((ex) -> Mono.fromSupplier(() -> f.error(CallerServer.refusal(ex), res.alloc())));
 			return res.status(200)
 				.header(HttpHeaderNames.CONTENT_TYPE, "text/event-stream")
 				.header(HttpHeaderNames.CACHE_CONTROL, "no-cache")
-				.send(events, (b) -> true);
+				.send(events(res, f, all), (b) -> true);
 		}).then();
 	}
 
+	private static Flux<ByteBuf> events(HttpServerResponse res, CompletionFormat f, Flux<AnswerPart> answer) {
+		AtomicReference<Executor> loop = new AtomicReference<>(Runnable::run);
+		res.withConnection((c) -> loop.set(c.channel().eventLoop()));
+		return new EventBatches(answer, f, res.alloc(), loop.get());
+	}
+
 	private Mono<Void> whole(HttpServerResponse res, CompletionFormat f, Flux<AnswerPart> answer) {
 		return Mono.defer(() -> {
 			WholeAnswer w = new WholeAnswer(this.settings.maxAnswerBytes());
--- a/src/main/java/io/shallotspur/adapter/caller/CompletionFormat.java
+++ b/src/main/java/io/shallotspur/adapter/caller/CompletionFormat.java
@@ -5,7 +5,6 @@
 
 import com.fasterxml.jackson.core.io.JsonStringEncoder;
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.ByteBufAllocator;
 import io.netty.buffer.ByteBufUtil;
 
 import io.shallotspur.node.AnswerPart;
@@ -29,8 +28,6 @@
 
 	private final boolean chat;
 
-	private final String id;
-
 	private final String head;
 
 	private final byte[] prefix;
@@ -45,7 +42,6 @@
 	 */
 	CompletionFormat(boolean chat, String id, long created) {
 		this.chat = chat;
-		this.id = id;
 		String object = chat ? "chat.completion.chunk" : "text_completion";
 		this.head = "{\"id\":\"" + id + "\",\"object\":\"" + object + "\",\"created\":" + created;
 		String open = chat ? "\"delta\":{\"content\":\"" : "\"text\":\"";
@@ -56,42 +52,39 @@
 	/**
 	 * Writes the event of a part.
 	 * @param part the part
-	 * @param alloc gives the buffer
-	 * @return the event
+	 * @param b takes the event
 	 */
-	ByteBuf event(AnswerPart part, ByteBufAllocator alloc) {
+	void write(AnswerPart part, ByteBuf b) {
 		if (part instanceof AnswerPart.Token t) {
-			return token(t, alloc);
+			writeToken(t, b);
+			return;
 		}
 		String empty = this.chat ? "\"delta\":{\"role\":\"assistant\",\"content\":\"\"}" : "\"text\":\"\"";
 		String token = ((AnswerPart.Started) part).resumeToken();
-		return ByteBufUtil.writeUtf8(alloc, "data: " + this.head + ",\"shallotspur_resume\":\"" + token
-				+ "\",\"choices\":[{\"index\":0," + empty + ",\"finish_reason\":null}]}\n\n");
+		b.writeCharSequence("data: " + this.head + ",\"shallotspur_resume\":\"" + token
+				+ "\",\"choices\":[{\"index\":0," + empty + ",\"finish_reason\":null}]}\n\n", StandardCharsets.UTF_8);
 	}
 
 	/**
 	 * Writes the end of a whole answer.
-	 * @param alloc gives the buffer
-	 * @return the last events
+	 * @param b takes the last events
 	 */
-	ByteBuf done(ByteBufAllocator alloc) {
+	void writeDone(ByteBuf b) {
 		String empty = this.chat ? "\"delta\":{}" : "\"text\":\"\"";
-		ByteBuf b = alloc.buffer();
 		b.writeCharSequence(
 				"data: " + this.head + ",\"choices\":[{\"index\":0," + empty + ",\"finish_reason\":\"stop\"}]}\n\n",
 				StandardCharsets.UTF_8);
-		return b.writeBytes(DONE);
+		b.writeBytes(DONE);
 	}
 
 	/**
 	 * Writes the end of an answer that is not whole. It has an event type of its own and
 	 * no {@code [DONE]}, so that the answer cannot be taken for a whole one.
 	 * @param r what the caller is told
-	 * @param alloc gives the buffer
-	 * @return the last event
+	 * @param b takes the last event
 	 */
-	ByteBuf error(Refusal r, ByteBufAllocator alloc) {
-		return alloc.buffer().writeBytes(ERROR).writeBytes(Problem.of(r).toJson()).writeBytes(END);
+	void writeError(Refusal r, ByteBuf b) {
+		b.writeBytes(ERROR).writeBytes(Problem.of(r).toJson()).writeBytes(END);
 	}
 
 	/**
@@ -110,17 +103,8 @@
 		return out.toByteArray();
 	}
 
-	/**
-	 * Returns the name of the answer.
-	 * @return the id
-	 */
-	String id() {
-		return this.id;
-	}
-
-	private ByteBuf token(AnswerPart.Token t, ByteBufAllocator alloc) {
+	private void writeToken(AnswerPart.Token t, ByteBuf b) {
 		String text = t.text();
-		ByteBuf b = alloc.buffer(this.prefix.length + this.suffix.length + EVENT_BYTES + text.length());
 		b.writeBytes(ID);
 		writeDecimal(b, t.index());
 		b.writeBytes(this.prefix);
@@ -130,7 +114,7 @@
 		else {
 			b.writeBytes(JsonStringEncoder.getInstance().quoteAsUTF8(text));
 		}
-		return b.writeBytes(this.suffix);
+		b.writeBytes(this.suffix);
 	}
 
 	private static boolean isPlain(String text) {
