--- a/src/main/java/io/shallotspur/demo/VirtualTime.java
+++ b/src/main/java/io/shallotspur/demo/VirtualTime.java
@@ -55,14 +55,18 @@
 
 	/**
 	 * Runs what is due until a condition holds.
-	 * @param condition the condition, checked after each task
+	 * @param condition the condition, checked when a moment is over
 	 * @param limitMs the longest time, in milliseconds
 	 * @return whether the condition held in time
 	 */
 	public boolean advanceUntil(BooleanSupplier condition, long limitMs) {
 		long end = this.now + limitMs;
-		while (!condition.getAsBoolean()) {
+		while (true) {
 			Task t = this.tasks.peek();
+			boolean momentOver = t == null || t.at() > this.now;
+			if (momentOver && condition.getAsBoolean()) {
+				return true;
+			}
 			if (t == null || t.at() > end) {
 				return false;
 			}
@@ -70,7 +74,6 @@
 			this.now = t.at();
 			t.run().run();
 		}
-		return true;
 	}
 
 	private record Task(long at, long sequence, Runnable run) {
--- a/src/main/java/io/shallotspur/membership/Membership.java
+++ b/src/main/java/io/shallotspur/membership/Membership.java
@@ -5,6 +5,7 @@
 import java.util.Random;
 import java.util.function.Consumer;
 
+import net.openhft.hashing.LongHashFunction;
 import org.jspecify.annotations.Nullable;
 
 import io.shallotspur.membership.MembershipMessage.Ack;
@@ -87,9 +88,12 @@
 	public Membership(Member self, MembershipSettings settings, long seed, long now) {
 		this.self = self;
 		this.settings = settings;
-		this.random = new Random(seed);
+		// Random numbers of neighbouring seeds resemble each other. Seeds made from names
+		// like vm-1 and vm-2 would make all VMs probe the same member at the same time,
+		// and find the death of another one seconds later than they should.
+		this.random = new Random(LongHashFunction.xx3().hashLong(seed));
 		this.lastSeen = now;
-		this.nextPeriodAt = now;
+		this.nextPeriodAt = now + this.random.nextInt((int) settings.periodMs());
 		this.insideAt = now + JOIN_PERIODS * settings.periodMs();
 		this.statements = new Statements(settings, this.random);
 		this.statements.table().put(self);
--- a/src/main/java/io/shallotspur/node/cluster/ClusterService.java
+++ b/src/main/java/io/shallotspur/node/cluster/ClusterService.java
@@ -12,6 +12,7 @@
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 
+import net.openhft.hashing.LongHashFunction;
 import org.jspecify.annotations.Nullable;
 import org.tinylog.Logger;
 import reactor.core.Disposable;
@@ -110,7 +111,7 @@
 		this.scheduler = ports.scheduler();
 		this.clock = ports.clock();
 		this.plans = CellPlanner.plan(workers);
-		this.random = new Random(seed);
+		this.random = new Random(LongHashFunction.xx3().hashLong(seed));
 		Membership m = new Membership(self, MembershipSettings.DEFAULT, seed, now());
 		this.membership = new MembershipLoop(m, this.network, this.scheduler, this.clock);
 		ContractStore store = new ContractStore(ports.store(),
--- a/src/main/java/io/shallotspur/node/cluster/ContractLoop.java
+++ b/src/main/java/io/shallotspur/node/cluster/ContractLoop.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 
+import net.openhft.hashing.LongHashFunction;
 import org.tinylog.Logger;
 import reactor.core.Disposable;
 import reactor.core.Disposables;
@@ -88,7 +89,7 @@
 		this.network = network;
 		this.view = view;
 		this.scheduler = scheduler;
-		this.random = new Random(seed);
+		this.random = new Random(LongHashFunction.xx3().hashLong(seed));
 		this.watcher = new StoreWatcher(store, scheduler, this.random, this.table::size, (l) -> take(l, true),
 				this::complete);
 		network.onSend(ContractMessage.Push.class, (m) -> post(() -> take(m.contracts(), true)));
--- a/src/main/java/io/shallotspur/node/cluster/VmListLoop.java
+++ b/src/main/java/io/shallotspur/node/cluster/VmListLoop.java
@@ -13,6 +13,7 @@
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 
+import net.openhft.hashing.LongHashFunction;
 import org.tinylog.Logger;
 import reactor.core.Disposable;
 import reactor.core.Disposables;
@@ -89,7 +90,7 @@
 		this.scheduler = scheduler;
 		this.clock = clock;
 		this.pollMs = pollMs;
-		this.random = new Random(seed);
+		this.random = new Random(LongHashFunction.xx3().hashLong(seed));
 		this.out = out;
 		network.onSend(ClusterNotice.Marks.class, (m) -> scheduler.schedule(() -> hear(m)));
 	}
