--- a/src/main/java/io/shallotspur/cli/Main.java
+++ b/src/main/java/io/shallotspur/cli/Main.java
@@ -3,6 +3,8 @@
 import java.io.PrintStream;
 import java.util.List;
 
+import io.shallotspur.demo.ClusterMeasure;
+import io.shallotspur.demo.ClusterMeasureOptions;
 import io.shallotspur.demo.Demo;
 import io.shallotspur.demo.DemoOptions;
 import io.shallotspur.exc.ShallotspurException;
@@ -36,6 +38,8 @@
 						(o, out, err) -> new ReplayCommand().run(o, out, err)),
 				new CommandEntry<>("measure-routing", "measure the policies on traces", SweepOptions::new,
 						(o, out, err) -> sweep(o, err)),
+				new CommandEntry<>("measure-cluster", "measure membership and contracts at several sizes",
+						ClusterMeasureOptions::new, ClusterMeasure::run),
 				CommandEntry.of("version", "print the version", VersionCommand::new));
 	}
 
