--- a/src/main/java/io/shallotspur/cli/Main.java
+++ b/src/main/java/io/shallotspur/cli/Main.java
@@ -24,6 +24,7 @@
 				new CommandEntry("measure-ledger", "measure the ledger, retries and quarantine",
 						MeasureLedgerEntry::new),
 				new CommandEntry("measure-routing", "measure the policies on traces", MeasureRoutingEntry::new),
+				new CommandEntry("standin", "run stand-ins for the platform and the engines", StandinCommand::new),
 				new CommandEntry("version", "print the version", VersionCommand::new));
 	}
 
--- a/src/main/java/io/shallotspur/ledger/LedgerLimits.java
+++ b/src/main/java/io/shallotspur/ledger/LedgerLimits.java
@@ -23,7 +23,7 @@
 	 * 32 shards written at most every 100 ms: 320 writes a second at any request rate. A
 	 * window of ten minutes.
 	 */
-	public static final LedgerLimits DEFAULT = new LedgerLimits(28, 4, 128, 512, 64 * 1024, 256 * 1024, 2_000, 100,
+	public static final LedgerLimits DEFAULT = new LedgerLimits(28, 4, 256, 512, 64 * 1024, 256 * 1024, 2_000, 100,
 			600_000, 60_000, 256);
 
 	/**
--- a/src/test/java/io/shallotspur/LayeringTests.java
+++ b/src/test/java/io/shallotspur/LayeringTests.java
@@ -15,7 +15,8 @@
 	private static final String[] DECISIONS = { "..exc..", "..outcome..", "..contract..", "..fleet..",
 			"io.shallotspur.cell..", "io.shallotspur.plain..", "..routing..", "..admission..", "..retry..",
 			"io.shallotspur.ledger..", "io.shallotspur.quarantine..", "io.shallotspur.resume..",
-			"io.shallotspur.order..", "..membership..", "..record.." };
+			"io.shallotspur.order..", "..membership..", "io.shallotspur.distribution..", "io.shallotspur.locate..",
+			"..record.." };
 
 	@ArchTest
 	final ArchRule decisionsKnowNoOuterLayer = ArchRuleDefinition.noClasses()
