Register ledger and quarantine messages in one place; bounds from settings

Cause: whoever builds a node had to know each message number, and the settings name shards, batch and window only.

Change: LedgerMessages and SuspectMessages register their types, as ClusterMessages does; LedgerLimits.of makes bounds from those three. The measurement also runs a window that keys enter and leave.

--- a/src/main/java/io/shallotspur/demo/LedgerLoad.java
+++ b/src/main/java/io/shallotspur/demo/LedgerLoad.java
@@ -11,12 +11,7 @@
 import io.shallotspur.ledger.Attempt;
 import io.shallotspur.ledger.IntentDecision;
 import io.shallotspur.ledger.IntentKey;
-import io.shallotspur.node.ledger.AnswerAsk;
-import io.shallotspur.node.ledger.AnswerReply;
-import io.shallotspur.node.ledger.EndAck;
-import io.shallotspur.node.ledger.EndTold;
-import io.shallotspur.node.ledger.IntentAsk;
-import io.shallotspur.node.ledger.IntentReply;
+import io.shallotspur.node.ledger.LedgerMessages;
 import io.shallotspur.node.ledger.LedgerService;
 import io.shallotspur.node.ledger.LedgerSettings;
 
@@ -65,7 +60,7 @@
 
 	LedgerLoad(LedgerSettings settings, long seed) {
 		this.random = new SplittableRandom(seed);
-		this.peers = new VirtualPeers(this.time, codec(), HOP_MS);
+		this.peers = new VirtualPeers(this.time, LedgerMessages.register(PeerCodec.builder()).build(), HOP_MS);
 		for (int i = 0; i < NODES; i++) {
 			String self = address(i);
 			VirtualNode node = new VirtualNode(this.time);
@@ -102,6 +97,14 @@
 				(double) this.refused / Math.max(1, this.sent), this.sent - this.granted - this.refused, cpuUs);
 	}
 
+	/**
+	 * Returns how many keys were granted.
+	 * @return the number of keys
+	 */
+	long granted() {
+		return this.granted;
+	}
+
 	private void send() {
 		LedgerService s = this.services.get(this.random.nextInt(NODES));
 		long at = this.time.now();
@@ -122,17 +125,6 @@
 		return "10.0.0." + (node + 1) + ":7100";
 	}
 
-	private static PeerCodec codec() {
-		return PeerCodec.builder()
-			.register(IntentAsk.TYPE, IntentAsk.class)
-			.register(IntentReply.TYPE, IntentReply.class)
-			.register(EndTold.TYPE, EndTold.class)
-			.register(EndAck.TYPE, EndAck.class)
-			.register(AnswerAsk.TYPE, AnswerAsk.class)
-			.register(AnswerReply.TYPE, AnswerReply.class)
-			.build();
-	}
-
 	/**
 	 * What was seen at one request rate.
 	 *
--- a/src/main/java/io/shallotspur/demo/LedgerMeasure.java
+++ b/src/main/java/io/shallotspur/demo/LedgerMeasure.java
@@ -22,6 +22,10 @@
 
 	private static final int WARM_RATE = 1_000;
 
+	private static final int WINDOW_SECONDS = 60;
+
+	private static final long WINDOW_MS = 10_000;
+
 	/**
 	 * Runs all measurements and writes the page of results.
 	 * @param options how long, with which seed, and where to
@@ -32,6 +36,7 @@
 	public int run(LedgerMeasureOptions options, PrintStream out, PrintStream err) {
 		StringBuilder page = new StringBuilder();
 		ledger(options, page);
+		window(options, page);
 		failures(options, page);
 		out.print(page);
 		Path file = options.getOut().resolve("ledger.md");
@@ -71,6 +76,17 @@
 		}
 	}
 
+	private static void window(LedgerMeasureOptions o, StringBuilder page) {
+		LedgerLimits limits = LedgerLimits.DEFAULT.withSegments(LedgerLimits.DEFAULT.segmentBytes(),
+				LedgerLimits.DEFAULT.timedSlots(), WINDOW_MS);
+		LedgerLoad load = new LedgerLoad(LedgerSettings.DEFAULT.withLimits(limits), o.getSeed());
+		LedgerLoad.Result r = load.run(WARM_RATE, WINDOW_SECONDS);
+		page.append("\n## Keys come and go\n\n")
+			.append(String.format(Locale.ROOT,
+					"%d requests/s for %d s with a window of %d s: %d keys granted, %.1f %% refused, largest record %d bytes.%n",
+					WARM_RATE, WINDOW_SECONDS, WINDOW_MS / 1_000, load.granted(), r.refused() * 100, r.largest()));
+	}
+
 	private static void row(StringBuilder page, String mode, LedgerLoad.Result r) {
 		page.append(String.format(Locale.ROOT, ROW, r.rate(), mode, r.writes(), r.reads(), r.bytes() / 1_000,
 				r.largest(), r.p50(), r.p99(), r.refused() * 100, r.silent(),
--- a/src/main/java/io/shallotspur/ledger/LedgerLimits.java
+++ b/src/main/java/io/shallotspur/ledger/LedgerLimits.java
@@ -26,6 +26,23 @@
 	public static final LedgerLimits DEFAULT = new LedgerLimits(28, 4, 256, 512, 64 * 1024, 256 * 1024, 2_000, 100,
 			600_000, 60_000, 256);
 
+	private static final int UNTIMED_PART = 8;
+
+	/**
+	 * Creates bounds from what operators set. One shard in eight is for keys without a
+	 * time.
+	 * @param shards the shards of both kinds, at least 2
+	 * @param batchMs the least time between two writes of a shard, in milliseconds
+	 * @param windowMs how long a timed key is remembered, in milliseconds
+	 * @return the bounds
+	 */
+	public static LedgerLimits of(int shards, long batchMs, long windowMs) {
+		int untimed = Math.max(1, shards / UNTIMED_PART);
+		return DEFAULT.withShards(shards - untimed, untimed)
+			.withBatch(batchMs, DEFAULT.batchEntries)
+			.withSegments(DEFAULT.segmentBytes, DEFAULT.timedSlots, windowMs);
+	}
+
 	/**
 	 * Returns the number of shards of both kinds.
 	 * @return the number of shards
@@ -80,12 +97,13 @@
 	/**
 	 * Returns the same bounds with other segments and another window.
 	 * @param segmentBytes the size at which a head is sealed, in bytes
-	 * @param slots the most sealed segments of a shard of either kind
+	 * @param slots the most sealed segments of a timed shard; an untimed one has twice as
+	 * many
 	 * @param windowMs how long a timed key is remembered, in milliseconds
 	 * @return new bounds
 	 */
 	public LedgerLimits withSegments(int segmentBytes, int slots, long windowMs) {
-		return new LedgerLimits(this.timedShards, this.untimedShards, slots, slots, segmentBytes, this.batchBytes,
+		return new LedgerLimits(this.timedShards, this.untimedShards, slots, 2 * slots, segmentBytes, this.batchBytes,
 				this.batchEntries, this.batchMs, windowMs, this.aheadMs, this.inlineBytes);
 	}
 
--- a/src/test/java/io/shallotspur/node/quarantine/SuspectExchangeTests.java
+++ b/src/test/java/io/shallotspur/node/quarantine/SuspectExchangeTests.java
@@ -10,8 +10,6 @@
 import io.shallotspur.demo.VirtualPeers;
 import io.shallotspur.demo.VirtualTime;
 import io.shallotspur.quarantine.CrashSuspects;
-import io.shallotspur.quarantine.SuspectsAsk;
-import io.shallotspur.quarantine.SuspectsTold;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -22,11 +20,7 @@
 	private final VirtualTime time = new VirtualTime(1_000);
 
 	private final VirtualPeers peers = new VirtualPeers(this.time,
-			PeerCodec.builder()
-				.register(SuspectsTold.TYPE, SuspectsTold.class)
-				.register(SuspectsAsk.TYPE, SuspectsAsk.class)
-				.build(),
-			1);
+			SuspectMessages.register(PeerCodec.builder()).build(), 1);
 
 	private final CrashSuspects a = new CrashSuspects();
 
