--- a/src/main/java/io/shallotspur/node/ledger/ShardJudge.java
+++ b/src/main/java/io/shallotspur/node/ledger/ShardJudge.java
@@ -28,8 +28,9 @@
 	ShardJudge(WriterContext ctx, NodeLiveness liveness) {
 		this.ctx = ctx;
 		this.liveness = liveness;
+		LedgerLayout layout = new LedgerLayout(ctx);
 		for (int i = 0; i < ctx.settings().limits().shards(); i++) {
-			this.writers.add(new ShardWriter(i, ctx));
+			this.writers.add(new ShardWriter(i, ctx, layout));
 		}
 	}
 
--- a/src/main/java/io/shallotspur/node/ledger/ShardLoader.java
+++ b/src/main/java/io/shallotspur/node/ledger/ShardLoader.java
@@ -30,9 +30,12 @@
 
 	private final WriterContext ctx;
 
-	ShardLoader(int shard, WriterContext ctx) {
+	private final LedgerLayout layout;
+
+	ShardLoader(int shard, WriterContext ctx, LedgerLayout layout) {
 		this.shard = shard;
 		this.ctx = ctx;
+		this.layout = layout;
 	}
 
 	String headKey() {
@@ -44,6 +47,10 @@
 	}
 
 	Mono<Loaded> load(Map<SegmentRef, Segment> known) {
+		return this.layout.confirm().flatMap((ok) -> loadHead(known));
+	}
+
+	private Mono<Loaded> loadHead(Map<SegmentRef, Segment> known) {
 		this.ctx.meter().read();
 		return this.ctx.timed(this.ctx.store().get(headKey()))
 			.flatMap((r) -> decode(r, known))
--- a/src/main/java/io/shallotspur/node/ledger/ShardWriter.java
+++ b/src/main/java/io/shallotspur/node/ledger/ShardWriter.java
@@ -82,9 +82,9 @@
 
 	private long wakeAt = Long.MAX_VALUE;
 
-	ShardWriter(int shard, WriterContext ctx) {
+	ShardWriter(int shard, WriterContext ctx, LedgerLayout layout) {
 		this.ctx = ctx;
-		this.loader = new ShardLoader(shard, ctx);
+		this.loader = new ShardLoader(shard, ctx, layout);
 	}
 
 	void intend(Intent i, long deadlineAt, Consumer<Verdict> done) {
--- a/src/test/java/io/shallotspur/node/ledger/LedgerFleet.java
+++ b/src/test/java/io/shallotspur/node/ledger/LedgerFleet.java
@@ -137,7 +137,11 @@
 		}
 
 		private LedgerService start() {
-			return new LedgerService(new Attempt(this.address, this.incarnation, 0), SETTINGS, LedgerFleet.this.store,
+			return start(SETTINGS);
+		}
+
+		private LedgerService start(LedgerSettings settings) {
+			return new LedgerService(new Attempt(this.address, this.incarnation, 0), settings, LedgerFleet.this.store,
 					LedgerFleet.this.peers.join(this.address), (s) -> "node-" + LedgerFleet.this.preferred,
 					LedgerFleet.this::isAlive, this.scheduler, new MetricRegistry());
 		}
@@ -160,6 +164,11 @@
 			LedgerFleet.this.peers.leave(this.address);
 		}
 
+		void restart(LedgerLimits limits) {
+			restart();
+			this.service = start(SETTINGS.withLimits(limits));
+		}
+
 		void restart() {
 			this.incarnation++;
 			this.dead = false;
--- a/src/test/java/io/shallotspur/node/ledger/LedgerServiceTests.java
+++ b/src/test/java/io/shallotspur/node/ledger/LedgerServiceTests.java
@@ -161,6 +161,24 @@
 		assertThat(begin(0, 300).isTold()).isFalse();
 	}
 
+	@Test
+	void nodeWithAnotherLayoutRunsNothing() {
+		// One entry VM is started with other settings. It would look for keys in other
+		// records than the rest, find none, and run them again.
+		begin(1, 1_000);
+		this.fleet.node(2).crash();
+		this.fleet.node(2).restart(LedgerFleet.SETTINGS.limits().withShards(5, 2));
+		this.fleet.prefer(2);
+		for (int i = 0; i < 10; i++) {
+			Call c = this.fleet.node(2).begin("k" + i, 1, 500);
+			this.fleet.advance(1_000);
+			assertRefused(c, RefusalCode.STORE_UNAVAILABLE, Outcome.NOT_RUN);
+		}
+		Call again = begin(2, 500);
+		this.fleet.advance(1_000);
+		assertThat(again.decision()).isInstanceOf(IntentDecision.Refused.class);
+	}
+
 	@Test
 	void otherBodyIsRefused() {
 		begin(1, 1_000);
