Contracts from the command line; message types are registered through a port

Cause: operators had only curl; and packages under node knew the peer adapter because its codec was where message types are registered. Conclusion: node depends on ports only.

--- a/src/main/java/io/shallotspur/adapter/peer/PeerCodec.java
+++ b/src/main/java/io/shallotspur/adapter/peer/PeerCodec.java
@@ -11,6 +11,7 @@
 import org.msgpack.jackson.dataformat.MessagePackMapper;
 
 import io.shallotspur.exc.PeerException;
+import io.shallotspur.port.MessageRegistry;
 import io.shallotspur.port.PeerMessage;
 
 /**
@@ -100,7 +101,7 @@
 	/**
 	 * Collects the registered types. Not thread-safe.
 	 */
-	public static final class Builder {
+	public static final class Builder implements MessageRegistry {
 
 		private final Map<Integer, Class<? extends PeerMessage>> byNumber = new HashMap<>();
 
@@ -109,12 +110,7 @@
 		private Builder() {
 		}
 
-		/**
-		 * Registers a type. The number must never be used again for another type.
-		 * @param typeNumber its number, at least 1
-		 * @param type the record class
-		 * @return this builder
-		 */
+		@Override
 		public Builder register(int typeNumber, Class<? extends PeerMessage> type) {
 			boolean taken = this.byNumber.putIfAbsent(typeNumber, type) != null;
 			if (typeNumber < 1 || taken || this.byClass.putIfAbsent(type, typeNumber) != null) {
--- a/src/main/java/io/shallotspur/boot/PeerTypes.java
+++ b/src/main/java/io/shallotspur/boot/PeerTypes.java
@@ -3,14 +3,8 @@
 import io.shallotspur.adapter.peer.PeerCodec;
 import io.shallotspur.node.cluster.ClusterMessages;
 import io.shallotspur.node.forward.ForwardTypes;
-import io.shallotspur.node.ledger.AnswerAsk;
-import io.shallotspur.node.ledger.AnswerReply;
-import io.shallotspur.node.ledger.EndAck;
-import io.shallotspur.node.ledger.EndTold;
-import io.shallotspur.node.ledger.IntentAsk;
-import io.shallotspur.node.ledger.IntentReply;
-import io.shallotspur.quarantine.SuspectsAsk;
-import io.shallotspur.quarantine.SuspectsTold;
+import io.shallotspur.node.ledger.LedgerMessages;
+import io.shallotspur.node.quarantine.SuspectMessages;
 
 /**
  * The messages between entry VMs with their type numbers. Stateless.
@@ -25,17 +19,12 @@
 	 * @return the codec
 	 */
 	public static PeerCodec codec() {
-		PeerCodec.Builder b = ClusterMessages.register(PeerCodec.builder());
+		PeerCodec.Builder b = PeerCodec.builder();
+		ClusterMessages.register(b);
 		ForwardTypes.all().forEach(b::register);
-		return b.register(IntentAsk.TYPE, IntentAsk.class)
-			.register(IntentReply.TYPE, IntentReply.class)
-			.register(EndTold.TYPE, EndTold.class)
-			.register(EndAck.TYPE, EndAck.class)
-			.register(AnswerAsk.TYPE, AnswerAsk.class)
-			.register(AnswerReply.TYPE, AnswerReply.class)
-			.register(SuspectsTold.TYPE, SuspectsTold.class)
-			.register(SuspectsAsk.TYPE, SuspectsAsk.class)
-			.build();
+		LedgerMessages.register(b);
+		SuspectMessages.register(b);
+		return b.build();
 	}
 
 }
--- a/src/main/java/io/shallotspur/boot/SettingsMapping.java
+++ b/src/main/java/io/shallotspur/boot/SettingsMapping.java
@@ -60,10 +60,7 @@
 	}
 
 	static LedgerSettings ledger(LedgerSection l, long storeTimeoutMs) {
-		LedgerLimits d = LedgerLimits.DEFAULT;
-		LedgerLimits limits = new LedgerLimits(l.timedShards(), l.untimedShards(), d.timedSlots(), d.untimedSlots(),
-				d.segmentBytes(), d.batchBytes(), d.batchEntries(), l.batchMs(), l.windowMs(), d.aheadMs(),
-				d.inlineBytes());
+		LedgerLimits limits = LedgerLimits.of(l.shards(), l.batchMs(), l.windowMs());
 		return LedgerSettings.DEFAULT.withLimits(limits).withStoreTimeout(storeTimeoutMs);
 	}
 
--- a/src/main/java/io/shallotspur/cfg/SettingsReader.java
+++ b/src/main/java/io/shallotspur/cfg/SettingsReader.java
@@ -122,8 +122,7 @@
 	}
 
 	private static LedgerSection ledger(TomlTable t) {
-		LedgerSection l = new LedgerSection((int) t.whole("timed_shards", 28, 1, 4_096),
-				(int) t.whole("untimed_shards", 4, 1, 4_096), t.whole("batch_ms", 100, 1, 10_000),
+		LedgerSection l = new LedgerSection((int) t.whole("shards", 32, 2, 4_096), t.whole("batch_ms", 100, 1, 10_000),
 				t.whole("window_ms", 10 * 60_000, 60_000, 24 * HOUR_MS));
 		t.finish();
 		return l;
--- a/src/main/java/io/shallotspur/cli/Main.java
+++ b/src/main/java/io/shallotspur/cli/Main.java
@@ -36,6 +36,7 @@
 				new CommandEntry<>("demo", "three entry VMs and all they need in one process, under traffic",
 						DemoOptions::new, (o, out, err) -> new Demo().run(o, out, err)),
 				CommandEntry.of("run", "run an entry VM", RunCommand::new),
+				CommandEntry.of("contract", "list, get, put or retire contracts", ContractCommand::new),
 				CommandEntry.of("standin", "run stand-ins for the platform and the engines", StandinCommand::new),
 				new CommandEntry<>("replay", "replay a recorded trace against a policy", ReplayOptions::new,
 						(o, out, err) -> new ReplayCommand().run(o, out, err)),
--- a/src/main/java/io/shallotspur/node/cluster/ClusterMessages.java
+++ b/src/main/java/io/shallotspur/node/cluster/ClusterMessages.java
@@ -1,8 +1,8 @@
 package io.shallotspur.node.cluster;
 
-import io.shallotspur.adapter.peer.PeerCodec;
 import io.shallotspur.distribution.ContractMessage;
 import io.shallotspur.membership.MembershipMessage;
+import io.shallotspur.port.MessageRegistry;
 
 /**
  * The type numbers of the messages of this package. A number is never used again for
@@ -47,11 +47,12 @@
 
 	/**
 	 * Registers the messages.
-	 * @param builder the codec to be
-	 * @return the same builder
+	 * @param registry takes them
+	 * @param <R> the type of the registry
+	 * @return the same registry
 	 */
-	public static PeerCodec.Builder register(PeerCodec.Builder builder) {
-		return builder.register(PING, MembershipMessage.Ping.class)
+	public static <R extends MessageRegistry> R register(R registry) {
+		registry.register(PING, MembershipMessage.Ping.class)
 			.register(ACK, MembershipMessage.Ack.class)
 			.register(PING_REQUEST, MembershipMessage.PingRequest.class)
 			.register(GOSSIP, MembershipMessage.Gossip.class)
@@ -67,6 +68,7 @@
 			.register(CONTRACTS_REQUEST, ContractMessage.ContractsRequest.class)
 			.register(CONTRACTS_REPLY, ContractMessage.ContractsReply.class)
 			.register(SNAPSHOT_REQUEST, ContractMessage.SnapshotRequest.class);
+		return registry;
 	}
 
 }
--- a/src/main/java/io/shallotspur/node/ledger/LedgerMessages.java
+++ b/src/main/java/io/shallotspur/node/ledger/LedgerMessages.java
@@ -1,6 +1,6 @@
 package io.shallotspur.node.ledger;
 
-import io.shallotspur.adapter.peer.PeerCodec;
+import io.shallotspur.port.MessageRegistry;
 
 /**
  * The type numbers of the messages of this package. A number is never used again for
@@ -13,16 +13,18 @@
 
 	/**
 	 * Registers the messages.
-	 * @param builder the codec to be
-	 * @return the same builder
+	 * @param registry takes them
+	 * @param <R> the type of the registry
+	 * @return the same registry
 	 */
-	public static PeerCodec.Builder register(PeerCodec.Builder builder) {
-		return builder.register(IntentAsk.TYPE, IntentAsk.class)
+	public static <R extends MessageRegistry> R register(R registry) {
+		registry.register(IntentAsk.TYPE, IntentAsk.class)
 			.register(IntentReply.TYPE, IntentReply.class)
 			.register(EndTold.TYPE, EndTold.class)
 			.register(EndAck.TYPE, EndAck.class)
 			.register(AnswerAsk.TYPE, AnswerAsk.class)
 			.register(AnswerReply.TYPE, AnswerReply.class);
+		return registry;
 	}
 
 }
--- a/src/main/java/io/shallotspur/node/quarantine/SuspectMessages.java
+++ b/src/main/java/io/shallotspur/node/quarantine/SuspectMessages.java
@@ -1,6 +1,6 @@
 package io.shallotspur.node.quarantine;
 
-import io.shallotspur.adapter.peer.PeerCodec;
+import io.shallotspur.port.MessageRegistry;
 import io.shallotspur.quarantine.SuspectsAsk;
 import io.shallotspur.quarantine.SuspectsTold;
 
@@ -15,11 +15,13 @@
 
 	/**
 	 * Registers the messages.
-	 * @param builder the codec to be
-	 * @return the same builder
+	 * @param registry takes them
+	 * @param <R> the type of the registry
+	 * @return the same registry
 	 */
-	public static PeerCodec.Builder register(PeerCodec.Builder builder) {
-		return builder.register(SuspectsTold.TYPE, SuspectsTold.class).register(SuspectsAsk.TYPE, SuspectsAsk.class);
+	public static <R extends MessageRegistry> R register(R registry) {
+		registry.register(SuspectsTold.TYPE, SuspectsTold.class).register(SuspectsAsk.TYPE, SuspectsAsk.class);
+		return registry;
 	}
 
 }
--- a/src/test/java/io/shallotspur/LayeringTests.java
+++ b/src/test/java/io/shallotspur/LayeringTests.java
@@ -63,6 +63,15 @@
 		.resideInAnyPackage("io.shallotspur.adapter..", "io.shallotspur.node..", "io.shallotspur.cli..",
 				"reactor.netty..", "io.netty..");
 
+	@ArchTest
+	final ArchRule nodeKnowsNoAdapter = ArchRuleDefinition.noClasses()
+		.that()
+		.resideInAPackage("io.shallotspur.node..")
+		.should()
+		.dependOnClassesThat()
+		.resideInAnyPackage("io.shallotspur.adapter..", "io.shallotspur.boot..", "io.shallotspur.cli..",
+				"reactor.netty..", "io.netty..");
+
 	@ArchTest
 	final ArchRule adaptersKnowNoCommandLine = ArchRuleDefinition.noClasses()
 		.that()
