Each caller's request is recorded where it comes in

Cause: nothing fed the record in a live node. Change: RecordingHandler wraps the request handler of an entry VM and tells a RequestLog the verdict, the time to the first token and the gaps of each request; EntryVmBuilder.requestLog sets it (additive; nothing by default). Prefill tokens are not seen there and stay 0.

--- a/src/main/java/io/shallotspur/node/EntryVm.java
+++ b/src/main/java/io/shallotspur/node/EntryVm.java
@@ -39,6 +39,8 @@
 
 	private final Flux<ContractSet> contractSource;
 
+	private final RequestHandler recorded;
+
 	private volatile ContractSet contracts;
 
 	private volatile String callerAddress = "";
@@ -61,6 +63,7 @@
 		StreamResumer resumer = new StreamResumer(ports, adoptions);
 		this.handler = new StdRequestHandler(ports, this.cells, this::contracts, b.need(b.ownership, "ownership"),
 				b.need(b.locator, "locator"), new Forwarder(ports, peers, resumer), resumer);
+		this.recorded = new RecordingHandler(this.handler, this::contracts, b.requestLog, b.clock);
 		new ForwardReceiver(ports, this::contracts, this.handler).listen(peers);
 	}
 
@@ -84,7 +87,7 @@
 					(ex) -> Logger.error(ex, "[node] Contracts are no longer followed."));
 			return Flux.fromIterable(this.parts)
 				.concatMap(NodePart::start)
-				.then(this.frontEnd.start(this.handler))
+				.then(this.frontEnd.start(this.recorded))
 				.doOnNext((a) -> {
 					this.callerAddress = a;
 					this.sweeper.start(this.sweepEvery);
--- a/src/main/java/io/shallotspur/node/EntryVmBuilder.java
+++ b/src/main/java/io/shallotspur/node/EntryVmBuilder.java
@@ -17,6 +17,7 @@
 import io.shallotspur.port.Engine;
 import io.shallotspur.port.PeerNetwork;
 import io.shallotspur.port.PlainService;
+import io.shallotspur.record.RequestLog;
 import io.shallotspur.resume.ResumeKey;
 import io.shallotspur.resume.ResumeTokens;
 
@@ -72,6 +73,9 @@
 
 	Duration sweepEvery = DEFAULT_SWEEP;
 
+	RequestLog requestLog = (end, now) -> {
+	};
+
 	EntryVmBuilder(String vm, long incarnation) {
 		this.vm = vm;
 		this.incarnation = incarnation;
@@ -226,6 +230,16 @@
 		return this;
 	}
 
+	/**
+	 * Sets what is told of the end of each caller's request; by default nothing.
+	 * @param requestLog the log
+	 * @return this builder
+	 */
+	public EntryVmBuilder requestLog(RequestLog requestLog) {
+		this.requestLog = requestLog;
+		return this;
+	}
+
 	/**
 	 * Adds a part with a life-cycle of its own.
 	 * @param part the part
--- a/src/main/java/io/shallotspur/record/Recorder.java
+++ b/src/main/java/io/shallotspur/record/Recorder.java
@@ -13,7 +13,7 @@
  * returned by {@link #drain}, either in the counts or, when there is no more room, in
  * {@link RecordPart#unrecorded()}.
  */
-public final class Recorder {
+public final class Recorder implements RequestLog {
 
 	/**
 	 * The length of an interval.
@@ -42,11 +42,7 @@
 		this.maxSlices = maxSlices;
 	}
 
-	/**
-	 * Counts a request.
-	 * @param end how it ended
-	 * @param now the present time in milliseconds since the epoch
-	 */
+	@Override
 	public synchronized void finished(RequestEnd end, long now) {
 		long minute = Math.floorDiv(now, MINUTE_MS);
 		Interval i = this.intervals.computeIfAbsent(minute, (m) -> new Interval());
