--- a/src/main/java/io/shallotspur/cli/Main.java
+++ b/src/main/java/io/shallotspur/cli/Main.java
@@ -3,6 +3,8 @@
 import java.io.PrintStream;
 import java.util.List;
 
+import io.shallotspur.demo.ClusterMeasure;
+import io.shallotspur.demo.ClusterMeasureOptions;
 import io.shallotspur.demo.Demo;
 import io.shallotspur.demo.DemoOptions;
 import io.shallotspur.demo.LedgerMeasure;
@@ -33,6 +35,7 @@
 		return List.of(CommandEntry.of("check", "check a settings file", CheckCommand::new),
 				new CommandEntry<>("demo", "three entry VMs and all they need in one process, under traffic",
 						DemoOptions::new, (o, out, err) -> new Demo().run(o, out, err)),
+				CommandEntry.of("run", "run an entry VM", RunCommand::new),
 				CommandEntry.of("standin", "run stand-ins for the platform and the engines", StandinCommand::new),
 				new CommandEntry<>("replay", "replay a recorded trace against a policy", ReplayOptions::new,
 						(o, out, err) -> new ReplayCommand().run(o, out, err)),
@@ -41,6 +44,8 @@
 				new CommandEntry<>("measure-ledger", "measure the ledger, retries and quarantine",
 						LedgerMeasureOptions::new, (o, out, err) -> new LedgerMeasure().run(o, out, err)),
 				CommandEntry.of("report", "say whether the terms of a customer were kept", ReportEntry::new),
+				new CommandEntry<>("measure-cluster", "measure membership and contracts at several sizes",
+						ClusterMeasureOptions::new, ClusterMeasure::run),
 				CommandEntry.of("version", "print the version", VersionCommand::new));
 	}
 
