Record and metrics of a running entry VM

Cause: a running VM counted nothing per customer. Change: boot wires the recorder, its writer and the metrics to the request log. Conclusion: prefill tokens are not counted per request yet.

--- a/src/main/java/io/shallotspur/boot/VmAssembly.java
+++ b/src/main/java/io/shallotspur/boot/VmAssembly.java
@@ -27,6 +27,7 @@
 import io.shallotspur.membership.MemberStatus;
 import io.shallotspur.node.EntryVm;
 import io.shallotspur.node.NodePart;
+import io.shallotspur.node.RecordLoop;
 import io.shallotspur.node.StdSchedulers;
 import io.shallotspur.node.cluster.CellSink;
 import io.shallotspur.node.cluster.ClusterService;
@@ -34,6 +35,9 @@
 import io.shallotspur.node.quarantine.SuspectExchange;
 import io.shallotspur.quarantine.CrashSuspects;
 import io.shallotspur.record.NodeMetrics;
+import io.shallotspur.record.RecordLimits;
+import io.shallotspur.record.RecordWriter;
+import io.shallotspur.record.Recorder;
 
 /**
  * Builds one entry VM from its settings. Not thread-safe; one instance builds once.
@@ -50,7 +54,7 @@
 
 	private static final Duration SHARE_OUT = Duration.ofSeconds(1);
 
-	private static final Duration METRICS_WINDOW = Duration.ofMinutes(1);
+	private static final int MAX_SLICES = 20_000;
 
 	private static final long PLAIN_TIMEOUT_MS = 60_000;
 
@@ -66,6 +70,10 @@
 
 	private final CrashSuspects suspects = new CrashSuspects();
 
+	private final Recorder recorder;
+
+	private final RecordWriter recordWriter;
+
 	private final Member self;
 
 	private final TcpPeerNetwork peers;
@@ -87,6 +95,8 @@
 		long timeout = settings.platform().timeoutMs();
 		this.store = new BudgetedKvStore(new HttpKvStore(SettingsMapping.url(settings.platform().store()), timeout),
 				SettingsMapping.budget(settings.platform()), this.clock);
+		this.recorder = new Recorder(settings.node().id(), this.incarnation, MAX_SLICES);
+		this.recordWriter = new RecordWriter(this.store, this.recorder, RecordLimits.defaults());
 		HttpVmList list = new HttpVmList(SettingsMapping.url(settings.platform().vmList()), timeout);
 		this.cluster = new ClusterService(this.self, SettingsMapping.workers(settings),
 				new ClusterService.Ports(this.peers, this.store, list, this.control, this.clock),
@@ -119,6 +129,8 @@
 			.part(PartOf.startAndStop(this.peers.start(), this.peers::stop))
 			.part(this.cluster)
 			.part(housekeeping(r))
+			.requestLog(this.recorder.and((end, now) -> this.metrics.finished(end)))
+			.part(new RecordLoop(this.recordWriter, this.metrics, this.clock))
 			.part(admin())
 			.build();
 		this.cluster.attach(CellSink.of(vm.cells()), vm.cells()::loads);
@@ -147,8 +159,7 @@
 		Random random = new Random(this.incarnation);
 		return new Repeating(this.control).with(SHARE_OUT, () -> this.store.setMembers(r.liveCount()))
 			.with(QUARANTINE_TELL, x::tellChanges)
-			.with(QUARANTINE_REPAIR, () -> x.repair(random))
-			.with(METRICS_WINDOW, this.metrics::rotate);
+			.with(QUARANTINE_REPAIR, () -> x.repair(random));
 	}
 
 	private NodePart admin() {
@@ -167,6 +178,8 @@
 		gauge("store.writes", () -> this.store.use().writes());
 		gauge("store.watches", () -> this.store.use().openWatches());
 		gauge("store.refused", () -> this.store.use().refused());
+		gauge("record.pending", this.recordWriter::pending);
+		gauge("record.dropped", this.recordWriter::droppedRequests);
 		gauge("quarantine.entries", () -> this.suspects.entries(this.clock.getAsLong()).size());
 		gauge("peers.bytes.control.out", () -> this.peers.traffic().bytesOut(0, TcpPeerNetwork.FIRST_DATA_TYPE));
 		gauge("peers.bytes.control.in", () -> this.peers.traffic().bytesIn(0, TcpPeerNetwork.FIRST_DATA_TYPE));
