--- a/src/main/java/io/shallotspur/cell/CellFleet.java
+++ b/src/main/java/io/shallotspur/cell/CellFleet.java
@@ -112,6 +112,15 @@
 		return false;
 	}
 
+	// Returns the declared slots of the decode workers that take new work.
+	int slots() {
+		int n = 0;
+		for (DecodeWorker d : this.decode.values()) {
+			n += d.leaving() ? 0 : d.worker().slots();
+		}
+		return n;
+	}
+
 	// Returns whether both roles have a worker that takes new work.
 	boolean takesWork() {
 		return this.prefill.values().stream().anyMatch((p) -> !p.leaving())
--- a/src/main/java/io/shallotspur/cell/Placer.java
+++ b/src/main/java/io/shallotspur/cell/Placer.java
@@ -28,7 +28,7 @@
 	/**
 	 * What a full decode worker weighs against an empty one, in milliseconds.
 	 */
-	private static final double LOAD_WEIGHT_MS = 1000;
+	private static final double LOAD_WEIGHT_MS = 300;
 
 	/**
 	 * A preamble not used for so long is not worth keeping.
@@ -40,7 +40,7 @@
 	/**
 	 * The part of a late prefill that has to be of use to later requests.
 	 */
-	private static final double WARMING_PART = 0.4;
+	private static final double WARMING_PART = 0.6;
 
 	private final CellFleet fleet;
 
--- a/src/main/java/io/shallotspur/cell/StdCellScheduler.java
+++ b/src/main/java/io/shallotspur/cell/StdCellScheduler.java
@@ -35,9 +35,14 @@
 	private static final long RECHECK_MS = 20;
 
 	/**
-	 * A request that is late anyway gets none of the last slots.
+	 * What a millisecond of avoidable prefill weighs against one of waiting.
 	 */
-	private static final double SPARE_SLOTS = 3;
+	private static final double WASTE_WEIGHT = 0.3;
+
+	/**
+	 * A request that is late anyway gets none of this last part of the slots.
+	 */
+	private static final double SPARE_PART = 0.15;
 
 	private static final long CACHE_EVENT_LAG_MS = 500;
 
@@ -365,7 +370,7 @@
 			return;
 		}
 		Placement late = warms(j) ? p.placeLate(j) : null;
-		if (late != null && forecast(now).freeIn(late.readyAt() - now) >= SPARE_SLOTS) {
+		if (late != null && forecast(now).freeIn(late.readyAt() - now) >= SPARE_PART * this.fleet.slots()) {
 			this.flow.startPrefill(j, late, now);
 		}
 		else {
@@ -396,7 +401,7 @@
 			return;
 		}
 		SlotForecast slots = forecast(now);
-		Placer placer = new Placer(this.fleet, this.settings, 0.6, now);
+		Placer placer = new Placer(this.fleet, this.settings, WASTE_WEIGHT, now);
 		Set<Job> passed = new HashSet<>();
 		boolean started = true;
 		while (started && this.fleet.anyIdlePrefill()) {
@@ -417,7 +422,7 @@
 			if (p == null) {
 				Placement late = warms(j) ? placer.placeLate(j) : null;
 				choice.placement = late;
-				return late != null && slots.freeIn(late.readyAt() - now) >= SPARE_SLOTS;
+				return late != null && slots.freeIn(late.readyAt() - now) >= SPARE_PART * this.fleet.slots();
 			}
 			boolean slot = !this.settings.enabled(CellFeature.RESERVATION) || slots.freeIn(p.readyAt() - now) >= 1;
 			if (slot && p.worker().idle() && p.startAt() <= now) {
--- /dev/null
+++ b/src/test/java/io/shallotspur/cell/PlacementBenchmark.java
@@ -0,0 +1,134 @@
+package io.shallotspur.cell;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+
+import org.jspecify.annotations.Nullable;
+import org.openjdk.jmh.annotations.Benchmark;
+import org.openjdk.jmh.annotations.BenchmarkMode;
+import org.openjdk.jmh.annotations.Fork;
+import org.openjdk.jmh.annotations.Measurement;
+import org.openjdk.jmh.annotations.Mode;
+import org.openjdk.jmh.annotations.OutputTimeUnit;
+import org.openjdk.jmh.annotations.Param;
+import org.openjdk.jmh.annotations.Scope;
+import org.openjdk.jmh.annotations.Setup;
+import org.openjdk.jmh.annotations.State;
+import org.openjdk.jmh.annotations.Warmup;
+
+import io.shallotspur.admission.FairQueue;
+import io.shallotspur.fleet.Worker;
+import io.shallotspur.fleet.WorkerRole;
+import io.shallotspur.routing.Cell;
+import io.shallotspur.routing.CellPlan;
+import io.shallotspur.routing.LengthSample;
+import io.shallotspur.routing.PrefillWorker;
+
+/**
+ * One placement decision: find the cell of a request, take the next request in fair order
+ * from a queue in which every customer waits, choose its prefill and its decode worker,
+ * and charge its customer.
+ */
+@BenchmarkMode(Mode.AverageTime)
+@OutputTimeUnit(TimeUnit.NANOSECONDS)
+@State(Scope.Thread)
+@Fork(1)
+@Warmup(iterations = 3, time = 1)
+@Measurement(iterations = 5, time = 1)
+public class PlacementBenchmark {
+
+	private static final int REQUESTS = 1024;
+
+	private static final int PREAMBLES = 40;
+
+	/**
+	 * Workers of the deployment.
+	 */
+	@Param({ "8", "100", "6900" })
+	public int workers;
+
+	/**
+	 * Customers that wait.
+	 */
+	@Param({ "2", "1000", "33000" })
+	public int customers;
+
+	private CellPlan plan = CellPlan.of(List.of());
+
+	private final Map<String, CellFleet> fleets = new HashMap<>();
+
+	private final List<ModelRequest> requests = new ArrayList<>();
+
+	private final LengthSample lengths = new LengthSample(200);
+
+	private final FairQueue<Job> queue = new FairQueue<>((c) -> 0.01);
+
+	private long sequence;
+
+	/**
+	 * Fills caches and queue.
+	 */
+	@Setup
+	public void setUp() {
+		List<Worker> all = new ArrayList<>();
+		for (int i = 0; i < this.workers; i++) {
+			WorkerRole role = (i % 2 == 0) ? WorkerRole.PREFILL : WorkerRole.DECODE;
+			all.add(new Worker("w" + i, "llm", "hall-" + (i / 2 % 5), role, "", 20, 24_000, 800, 3000, 0.1));
+		}
+		this.plan = CellPlan.of(all);
+		Random random = new Random(1);
+		for (Cell c : this.plan.cells()) {
+			CellFleet f = new CellFleet(CellSettings.defaults());
+			c.workers().forEach(f::add);
+			for (PrefillWorker p : f.prefill()) {
+				p.index().store(preamble(random.nextInt(PREAMBLES)), 0);
+			}
+			this.fleets.put(c.id(), f);
+		}
+		for (int i = 0; i < REQUESTS; i++) {
+			this.requests.add(new ModelRequest("r" + i, "c" + i % this.customers, "c", 8500,
+					preamble(random.nextInt(PREAMBLES)), 0, 1, 2000, 53, 0, 15_000, true, i));
+		}
+		for (int i = 0; i < this.customers; i++) {
+			this.queue.add(job(this.requests.get(i % REQUESTS), "c" + i));
+		}
+	}
+
+	/**
+	 * Decides one placement.
+	 * @return the placement
+	 */
+	@Benchmark
+	public @Nullable Placement decide() {
+		ModelRequest r = this.requests.get((int) (this.sequence % REQUESTS));
+		Cell cell = this.plan.locate("llm", r.prefixBlocks()[0]).orElseThrow();
+		Placer placer = new Placer(this.fleets.get(cell.id()), CellSettings.defaults(), 0.3, 0);
+		Placement[] chosen = new Placement[1];
+		Job next = this.queue.firstInOrder(1, (j) -> {
+			chosen[0] = placer.place(j, 2000);
+			return true;
+		});
+		if (next != null) {
+			this.queue.start(next, 500);
+			this.queue.add(job(r, next.flow()));
+		}
+		return chosen[0];
+	}
+
+	private Job job(ModelRequest r, String flow) {
+		return new Job(r, flow, this.lengths, ++this.sequence);
+	}
+
+	private static long[] preamble(int n) {
+		long[] blocks = new long[33];
+		for (int i = 0; i < blocks.length; i++) {
+			blocks[i] = n * 1_000_003L + i * 7919L;
+		}
+		return blocks;
+	}
+
+}
