Learn of a worker's death before the failure of one of its requests

Cause: a request that crashes its workers cost four of them where two are allowed. The broken stream was reported 40 ms after the crash, the broken reports came at 60 ms on a busy machine, so the crash passed for the fault of one request, which was sent to the next worker without being a suspect. Change: when a stream breaks, the worker is asked whether it lives, and its death is told to the scheduler before the request's failure. The stand-in's report stream breaks at once in a crash, as a connection does. The cells of a node share one table of crash suspects.

--- a/src/main/java/io/shallotspur/demo/RelayMeasure.java
+++ b/src/main/java/io/shallotspur/demo/RelayMeasure.java
@@ -28,7 +28,7 @@
  */
 public final class RelayMeasure {
 
-	private static final Duration WARM_UP = Duration.ofSeconds(5);
+	private static final Duration WARM_UP = Duration.ofSeconds(10);
 
 	private static final Duration START_UP = Duration.ofSeconds(60);
 
--- a/src/main/java/io/shallotspur/demo/RelayOptions.java
+++ b/src/main/java/io/shallotspur/demo/RelayOptions.java
@@ -16,7 +16,7 @@
 	@Option(name = "--burst", metaVar = "N", usage = "tokens in each write of an engine stream (default 1)")
 	private int burst = 1;
 
-	@Option(name = "--seconds", metaVar = "N", usage = "how long is measured, after 5 s of warm-up (default 10)")
+	@Option(name = "--seconds", metaVar = "N", usage = "how long is measured, after 10 s of warm-up (default 10)")
 	private int seconds = 10;
 
 	/**
--- a/src/main/java/io/shallotspur/node/ModelService.java
+++ b/src/main/java/io/shallotspur/node/ModelService.java
@@ -1,13 +1,11 @@
 package io.shallotspur.node;
 
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Queue;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.ConcurrentLinkedQueue;
-import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 
 import org.tinylog.Logger;
@@ -40,16 +38,9 @@
 public final class ModelService {
 
 	/**
-	 * How long the scheduler may not know of tokens after the first one, in milliseconds.
+	 * How long after a stream broke its worker is asked whether it lives.
 	 */
-	static final long TOKEN_REPORT_MS = 20;
-
-	/**
-	 * How long the end of a broken stream is held back, in milliseconds. When a worker
-	 * dies, its streams and its reports break in any order; the scheduler has to learn of
-	 * the death first, or it would take the crash for a fault of the single request.
-	 */
-	static final long LOST_GRACE_MS = 40;
+	static final Duration LOST_GRACE = Duration.ofMillis(40);
 
 	private final String cell;
 
@@ -59,6 +50,8 @@
 
 	private final CellLoop<CellEvent, CellAction> loop;
 
+	private final TokenReports reports;
+
 	private final WorkerWatch watch;
 
 	private final StreamCanceller canceller;
@@ -67,10 +60,6 @@
 
 	private final Map<Long, ModelAttempt> attempts = new ConcurrentHashMap<>();
 
-	private final Queue<ModelAttempt> unreported = new ConcurrentLinkedQueue<>();
-
-	private final AtomicBoolean reportDue = new AtomicBoolean();
-
 	private final AtomicInteger open = new AtomicInteger();
 
 	/**
@@ -89,6 +78,7 @@
 		this.canceller = new StreamCanceller(ports);
 		this.loop = new CellLoop<>(cell, thread, ports.clock(), machine::handle, machine::nextWake,
 				new CellEvent.Tick(), this::act);
+		this.reports = new TokenReports(this.loop);
 		this.watch = new WorkerWatch(ports.engine(), this.loop::submit);
 	}
 
@@ -254,7 +244,7 @@
 			.flatMap((w) -> this.ports.engine()
 				.prefill(w, a.streamId(), a.session().call().body(), a.session().textSoFar()));
 		a.call(m.subscribe((r) -> this.loop.submit(new CellEvent.PrefillDone(a.number(), r.computedTokens())),
-				(ex) -> failed(ex, new CellEvent.PrefillFailed(a.number()))));
+				(ex) -> failed(ex, worker, new CellEvent.PrefillFailed(a.number()))));
 	}
 
 	private void startTransfer(CellAction.StartTransfer t) {
@@ -266,7 +256,7 @@
 		Mono<Void> m = Mono.zip(this.ports.worker(t.prefillWorker()), this.ports.worker(t.decodeWorker()))
 			.flatMap((w) -> this.ports.engine().transfer(w.getT1(), w.getT2(), a.streamId()));
 		a.call(m.subscribe((x) -> {
-		}, (ex) -> failed(ex, new CellEvent.TransferFailed(a.number())),
+		}, (ex) -> failed(ex, t.decodeWorker(), new CellEvent.TransferFailed(a.number())),
 				() -> this.loop.submit(new CellEvent.TransferDone(a.number()))));
 	}
 
@@ -286,45 +276,21 @@
 		Flux<AnswerPart> tokens = this.ports.worker(a.decodeWorker())
 			.flatMapMany((w) -> this.ports.engine().decode(w, a.streamId(), 0))
 			.map((t) -> {
-				report(a);
+				this.reports.count(a);
 				return a.relay(t);
 			});
 		return tokens.startWith(started).doOnComplete(() -> this.loop.run(() -> finished(a))).onErrorResume((ex) -> {
-			failed(ex, new CellEvent.DecodeFailed(a.number()));
+			failed(ex, a.decodeWorker(), new CellEvent.DecodeFailed(a.number()));
 			return Mono.empty();
 		}).takeUntilOther(a.stopped());
 	}
 
-	private void report(ModelAttempt a) {
-		if (!a.count()) {
-			return;
-		}
-		this.unreported.add(a);
-		if (this.reportDue.compareAndSet(false, true)) {
-			this.loop.runLater(this::reportTokens, (a.session().nextIndex() == 0) ? 0 : TOKEN_REPORT_MS);
-		}
-	}
-
-	private void reportTokens() {
-		this.reportDue.set(false);
-		for (ModelAttempt a = this.unreported.poll(); a != null; a = this.unreported.poll()) {
-			reportTokens(a);
-		}
-	}
-
-	private void reportTokens(ModelAttempt a) {
-		int n = a.takeUnreported();
-		if (n > 0) {
-			this.loop.deliver(new CellEvent.Tokens(a.number(), n));
-		}
-	}
-
 	private void finished(ModelAttempt a) {
 		ModelSession s = a.session();
 		if (s.ended() || !this.attempts.containsKey(a.number())) {
 			return;
 		}
-		reportTokens(a);
+		this.reports.flush(a);
 		this.loop.deliver(new CellEvent.DecodeDone(a.number()));
 		if (s.intentHeld()) {
 			byte[] answer = s.textSoFar().getBytes(StandardCharsets.UTF_8);
@@ -334,9 +300,23 @@
 		end(s);
 	}
 
-	private void failed(Throwable ex, CellEvent event) {
+	// When a worker dies, its streams and its reports break in any order. The scheduler
+	// has
+	// to learn of the death first: it would take the crash for the fault of one request,
+	// and send the request that caused it to the next worker.
+	private void failed(Throwable ex, String worker, CellEvent event) {
 		Logger.debug("[node] {}: {} ({}).", this.cell, event, ex.getMessage());
-		this.loop.submitLater(event, (ex instanceof EngineLostException) ? LOST_GRACE_MS : 0);
+		if (!(ex instanceof EngineLostException)) {
+			this.loop.submit(event);
+			return;
+		}
+		this.ports.worker(worker)
+			.flatMap((w) -> this.ports.engine().streams(w))
+			.then()
+			.onErrorResume((x) -> Mono.fromRunnable(() -> this.watch.lost(worker)))
+			.delaySubscription(LOST_GRACE)
+			.doFinally((x) -> this.loop.submit(event))
+			.subscribe();
 	}
 
 	private void gone(ModelSession s) {
--- a/src/main/java/io/shallotspur/node/StdSchedulers.java
+++ b/src/main/java/io/shallotspur/node/StdSchedulers.java
@@ -7,17 +7,35 @@
 import io.shallotspur.plain.PlainScheduler;
 import io.shallotspur.plain.PlainSettings;
 import io.shallotspur.plain.StdPlainScheduler;
+import io.shallotspur.quarantine.CrashSuspects;
 
 /**
  * Makes the schedulers that serve live traffic, with their documented defaults. Immutable
- * and thread-safe. The seed is the hash of the cell's name, so that the cells of a node
- * do not draw the same lots.
+ * and thread-safe. The cells share what is known of requests that crash workers. The seed
+ * is the hash of the cell's name, so that the cells of a node do not draw the same lots.
  */
 public final class StdSchedulers implements SchedulerFactory {
 
+	private final CrashSuspects suspects;
+
+	/**
+	 * Creates a factory whose cells share a table of suspects of their own.
+	 */
+	public StdSchedulers() {
+		this(new CrashSuspects());
+	}
+
+	/**
+	 * Creates a factory.
+	 * @param suspects what is known of requests that crash workers
+	 */
+	public StdSchedulers(CrashSuspects suspects) {
+		this.suspects = suspects;
+	}
+
 	@Override
 	public CellScheduler cell(String cell, ContractSet contracts) {
-		return new StdCellScheduler(CellSettings.defaults(), contracts, cell.hashCode());
+		return new StdCellScheduler(CellSettings.defaults(), contracts, cell.hashCode(), this.suspects);
 	}
 
 	@Override
--- a/src/main/java/io/shallotspur/node/WorkerWatch.java
+++ b/src/main/java/io/shallotspur/node/WorkerWatch.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
 
@@ -35,6 +36,8 @@
 
 	private final Map<String, Disposable> watches = new HashMap<>();
 
+	private final Map<String, AtomicBoolean> up = new ConcurrentHashMap<>();
+
 	WorkerWatch(Engine engine, Consumer<CellEvent> out) {
 		this.engine = engine;
 		this.out = out;
@@ -55,18 +58,31 @@
 		this.watches.clear();
 	}
 
+	/**
+	 * Takes the news that a worker does not answer. Any thread may bring it. The next
+	 * report brings the worker back.
+	 * @param worker the worker
+	 */
+	void lost(String worker) {
+		AtomicBoolean b = this.up.get(worker);
+		if (b != null && b.compareAndSet(true, false)) {
+			Logger.warn("[node] Worker {} is lost.", worker);
+			this.out.accept(new CellEvent.WorkerDown(worker));
+		}
+	}
+
 	private Disposable follow(Worker w) {
-		AtomicBoolean up = new AtomicBoolean();
+		AtomicBoolean b = this.up.computeIfAbsent(w.id(), (id) -> new AtomicBoolean());
 		return this.engine.reports(w)
-			.doOnNext((r) -> take(w, r, up))
+			.doOnNext((r) -> take(w, r, b))
 			.then(Mono.error(new EngineLostException("The reports ended.", w.id())))
-			.doOnError((ex) -> lost(w, up))
+			.doOnError((ex) -> lost(w.id()))
 			.retryWhen(Retry.backoff(Long.MAX_VALUE, RETRY_FIRST).maxBackoff(RETRY_LAST).transientErrors(true))
 			.subscribe();
 	}
 
-	private void take(Worker w, EngineReport report, AtomicBoolean up) {
-		if (up.compareAndSet(false, true)) {
+	private void take(Worker w, EngineReport report, AtomicBoolean isUp) {
+		if (isUp.compareAndSet(false, true)) {
 			Logger.info("[node] Worker {} is up.", w.id());
 			this.out.accept(new CellEvent.WorkerUp(w));
 		}
@@ -81,11 +97,4 @@
 		}
 	}
 
-	private void lost(Worker w, AtomicBoolean up) {
-		if (up.compareAndSet(true, false)) {
-			Logger.warn("[node] Worker {} is lost.", w.id());
-			this.out.accept(new CellEvent.WorkerDown(w.id()));
-		}
-	}
-
 }
--- a/src/main/java/io/shallotspur/standin/WorkerReports.java
+++ b/src/main/java/io/shallotspur/standin/WorkerReports.java
@@ -18,6 +18,8 @@
 
 	private final int gapEvery;
 
+	private Sinks.Empty<String> crashed = Sinks.empty();
+
 	private Sinks.Many<String> sink = Sinks.many().multicast().directBestEffort();
 
 	private long sequence;
@@ -30,7 +32,10 @@
 
 	Flux<String> follow(String first) {
 		Flux<String> later = this.sink.asFlux().onBackpressureBuffer();
-		return Flux.just(first).concatWith(later.delaySequence(Duration.ofMillis(this.lagMs), this.thread));
+		Flux<String> late = Flux.just(first)
+			.concatWith(later.delaySequence(Duration.ofMillis(this.lagMs), this.thread));
+		// A crash breaks the connection at once, however late the reports are.
+		return Flux.merge(this.crashed.asMono(), late);
 	}
 
 	void publish(String load) {
@@ -46,7 +51,8 @@
 	}
 
 	void crash() {
-		this.sink.tryEmitError(StandinFault.crashed());
+		this.crashed.tryEmitError(StandinFault.crashed());
+		this.crashed = Sinks.empty();
 		this.sink = Sinks.many().multicast().directBestEffort();
 	}
 
