--- a/src/main/java/io/shallotspur/node/StdSchedulers.java
+++ b/src/main/java/io/shallotspur/node/StdSchedulers.java
@@ -11,15 +11,15 @@
 
 /**
  * Makes the schedulers that serve live traffic, with their documented defaults. Immutable
- * and thread-safe. The cells share what is known of requests that crash workers. The seed
- * is the hash of the cell's name, so that the cells of a node do not draw the same lots.
+ * and thread-safe. The seed is the hash of the cell's name, so that the cells of a node
+ * do not draw the same lots.
  */
 public final class StdSchedulers implements SchedulerFactory {
 
 	private final CrashSuspects suspects;
 
 	/**
-	 * Creates a factory whose cells share a table of suspects of their own.
+	 * Creates a factory whose cells share no suspects with other nodes.
 	 */
 	public StdSchedulers() {
 		this(new CrashSuspects());
@@ -27,7 +27,7 @@
 
 	/**
 	 * Creates a factory.
-	 * @param suspects what is known of requests that crash workers
+	 * @param suspects what is known of requests that crash workers, here and elsewhere
 	 */
 	public StdSchedulers(CrashSuspects suspects) {
 		this.suspects = suspects;
