--- a/src/main/java/io/shallotspur/adapter/peer/FrameWriter.java
+++ b/src/main/java/io/shallotspur/adapter/peer/FrameWriter.java
@@ -62,6 +62,9 @@
 		if (bytes.length > this.maxFrameBytes) {
 			throw new PeerException("message of " + bytes.length + " bytes is over the limit", null);
 		}
+		if (!this.channel.isActive()) {
+			throw new PeerException("connection ended", null);
+		}
 		// A peer that reads slowly or not at all would let the queue grow until this VM
 		// is out of memory. The bound turns that into an error of the one call.
 		if (!this.channel.isWritable()) {
--- a/src/main/java/io/shallotspur/adapter/peer/ServerLink.java
+++ b/src/main/java/io/shallotspur/adapter/peer/ServerLink.java
@@ -163,6 +163,9 @@
 	}
 
 	private void reject(@Nullable String reason) {
+		if (!this.connection.channel().isActive()) {
+			return;
+		}
 		this.traffic.rejected();
 		Logger.warn("[peer] Closed the link from {}: {}.", this.connection.channel().remoteAddress(), reason);
 		this.writer.reject(String.valueOf(reason));
