Suspects that ran on count less; late crashes are convicted at the third

Cause: neighbours of a first crash that run on for long answers share a worker with the poison again. They counted as much as it did, so nobody was convicted and worker after worker was lost.

Change: CrashSuspects.proven marks a suspect that ran on for a while. At a crash the request with the most unproven earlier crashes is convicted, if it is the only one; with equally many, the one with the most earlier crashes. One that only has proven crashes is convicted at its third.

--- a/src/main/java/io/shallotspur/quarantine/CrashState.java
+++ b/src/main/java/io/shallotspur/quarantine/CrashState.java
@@ -11,6 +11,12 @@
 	 */
 	OPEN,
 
+	/**
+	 * The request ran on for a while afterwards, so it hardly caused the crash. It may
+	 * still be one that crashes late.
+	 */
+	PROVEN,
+
 	/**
 	 * The request caused the crash, as far as can be known.
 	 */
--- a/src/main/java/io/shallotspur/quarantine/CrashSuspects.java
+++ b/src/main/java/io/shallotspur/quarantine/CrashSuspects.java
@@ -16,11 +16,11 @@
  * Finds the requests that crash the workers they run on.
  * <p>
  * All requests on a crashed worker become suspects. A request is quarantined when it was
- * present at two crashes and was the only one at the later crash that had been at an
- * earlier one. Because the scheduler never puts two suspects on one worker, this is so at
- * its second crash. If two suspects did meet (nodes that had not told each other yet),
- * neither is convicted: innocent requests are not refused, at the price of one more
- * worker. A suspect that completes whole is cleared.
+ * present at two crashes and no other request at the later one had been at as many.
+ * Because the scheduler never puts two suspects on one worker, this is so at its second
+ * crash. If two suspects did meet (nodes that had not told each other yet), neither is
+ * convicted: innocent requests are not refused, at the price of one more worker. A
+ * suspect that completes whole is cleared; one that ran on for long counts less.
  * <p>
  * Invariants: a request that was at one crash is never quarantined; the table is bounded
  * in entries and each entry in time; {@link #merge} is idempotent and commutes.
@@ -106,7 +106,24 @@
 	public synchronized void completed(long fp, long now) {
 		SuspectEntry e = this.entries.get(fp);
 		if (e != null && e.suspected() && !isExpired(e, now)) {
-			put(e.withCleared());
+			put(e.withState(CrashState.CLEARED));
+		}
+	}
+
+	/**
+	 * Takes a sign that a request did not cause the crashes it was at: it ran on for
+	 * longer than a crash would have taken, but has not completed. It counts less than
+	 * one without such a sign, and is still convicted at a third crash.
+	 * @param fp the fingerprint
+	 * @param now the present time in milliseconds
+	 */
+	public synchronized void proven(long fp, long now) {
+		SuspectEntry e = this.entries.get(fp);
+		if (e != null && e.suspected() && !isExpired(e, now)) {
+			SuspectEntry next = e.withState(CrashState.PROVEN);
+			if (!next.equals(e)) {
+				put(next);
+			}
 		}
 	}
 
@@ -187,7 +204,7 @@
 		Set<Long> l = new LinkedHashSet<>();
 		for (long fp : candidates) {
 			SuspectEntry e = this.entries.get(fp);
-			if (e != null && !e.convicted() && e.openCrashes() > 1 && isAloneAmongSuspects(e)) {
+			if (e != null && !e.convicted() && e.openCrashes() > 1 && isMostSuspect(e)) {
 				l.add(fp);
 			}
 		}
@@ -195,13 +212,24 @@
 		return l;
 	}
 
-	private boolean isAloneAmongSuspects(SuspectEntry e) {
+	private boolean isMostSuspect(SuspectEntry e) {
 		Crash last = e.crashes().get(e.crashes().size() - 1);
-		return this.entries.values()
-			.stream()
-			.filter((o) -> o.fingerprint() != e.fingerprint() && o.openCrashes() > 1)
-			.flatMap((o) -> o.crashes().stream())
-			.noneMatch((c) -> c.isSame(last, this.limits.sameCrashMs()));
+		long open = before(e, last, CrashState.OPEN);
+		long all = before(e, last, CrashState.CONVICTED);
+		// A request that ran on after its first crash is taken for a neighbour. If it is
+		// at
+		// a third one all the same, it is one that crashes late.
+		if (last.state() == CrashState.CLEARED || (open == 0 && all < 2)) {
+			return false;
+		}
+		return this.entries.values().stream().filter((o) -> o.fingerprint() != e.fingerprint()).allMatch((o) -> {
+			long rivalOpen = before(o, last, CrashState.OPEN);
+			return rivalOpen < open || (rivalOpen == open && before(o, last, CrashState.CONVICTED) < all);
+		});
+	}
+
+	private long before(SuspectEntry e, Crash c, CrashState state) {
+		return e.crashesBefore(c, state, this.limits.sameCrashMs());
 	}
 
 	private Set<Long> quarantined() {
--- a/src/main/java/io/shallotspur/quarantine/SuspectEntry.java
+++ b/src/main/java/io/shallotspur/quarantine/SuspectEntry.java
@@ -80,12 +80,28 @@
 	}
 
 	/**
-	 * Returns the entry with all crashes cleared.
+	 * Returns the entry with all crashes at least in a state.
+	 * @param state the state
 	 * @return a new entry
 	 */
-	public SuspectEntry withCleared() {
-		return new SuspectEntry(this.fingerprint,
-				this.crashes.stream().map((c) -> c.withState(CrashState.CLEARED)).toList());
+	public SuspectEntry withState(CrashState state) {
+		return new SuspectEntry(this.fingerprint, this.crashes.stream().map((c) -> c.withState(state)).toList());
+	}
+
+	/**
+	 * Counts the crashes before another one.
+	 * @param c the other crash
+	 * @param state counts those that are not beyond this state
+	 * @param windowMs how far two observations of one crash may be apart, in milliseconds
+	 * @return the number of crashes; 0 if the request was not at that crash
+	 */
+	public long crashesBefore(Crash c, CrashState state, long windowMs) {
+		long at = this.crashes.stream()
+			.filter((o) -> o.isSame(c, windowMs))
+			.mapToLong(Crash::at)
+			.max()
+			.orElse(Long.MIN_VALUE);
+		return this.crashes.stream().filter((o) -> o.at() < at && o.state().compareTo(state) <= 0).count();
 	}
 
 	/**
--- a/src/test/java/io/shallotspur/quarantine/CrashSuspectsTests.java
+++ b/src/test/java/io/shallotspur/quarantine/CrashSuspectsTests.java
@@ -43,6 +43,38 @@
 		assertThat(this.suspects.isQuarantined(1, 9_000)).isFalse();
 	}
 
+	@Test
+	void neighboursThatRanOnDoNotHideTheCause() {
+		// After the first crash the neighbours run on for long answers and share a worker
+		// with the poison again. Did they count as much, nobody would be convicted and
+		// worker after worker would be lost.
+		this.suspects.workerCrashed("w1", List.of(1L, 2L, POISON), 0);
+		this.suspects.proven(1, 1_000);
+		this.suspects.proven(2, 1_000);
+		assertThat(this.suspects.workerCrashed("w2", List.of(1L, 2L, POISON), 5_000)).containsExactly(POISON);
+		assertThat(this.suspects.isQuarantined(1, 5_000)).isFalse();
+	}
+
+	@Test
+	void requestThatCrashesLateIsConvictedAtItsThirdCrash() {
+		// It runs on for longer each time than is taken for a proof, and its caller sends
+		// it again as a new request.
+		for (int i = 0; i < 2; i++) {
+			assertThat(this.suspects.workerCrashed("w" + i, List.of(POISON, 10L + i), i * 9_000L)).isEmpty();
+			this.suspects.proven(POISON, i * 9_000L + 1_000);
+			this.suspects.completed(10L + i, i * 9_000L + 2_000);
+		}
+		assertThat(this.suspects.workerCrashed("w3", List.of(POISON, 30L), 18_000)).containsExactly(POISON);
+	}
+
+	@Test
+	void neighbourThatRanOnIsNotConvictedForAnother() {
+		this.suspects.workerCrashed("w1", List.of(1L, 99L), 0);
+		this.suspects.proven(1, 1_000);
+		assertThat(this.suspects.workerCrashed("w2", List.of(1L, POISON), 5_000)).isEmpty();
+		assertThat(this.suspects.workerCrashed("w3", List.of(POISON), 9_000)).containsExactly(POISON);
+	}
+
 	@Test
 	void oneCrashNoticedByTwoNodesCountsOnce() {
 		// Two entry VMs share a plain worker and each notices its crash. If that counted
