--- a/src/test/java/io/shallotspur/LayeringTests.java
+++ b/src/test/java/io/shallotspur/LayeringTests.java
@@ -26,8 +26,8 @@
 		.should()
 		.dependOnClassesThat()
 		.resideInAnyPackage("io.shallotspur.adapter..", "io.shallotspur.node..", "io.shallotspur.cli..",
-				"io.shallotspur.cfg..", "io.shallotspur.standin..", "io.shallotspur.replay..", "io.shallotspur.demo..",
-				"reactor.netty..", "io.netty..");
+				"io.shallotspur.boot..", "io.shallotspur.cfg..", "io.shallotspur.standin..", "io.shallotspur.replay..",
+				"io.shallotspur.demo..", "reactor.netty..", "io.netty..");
 
 	@ArchTest
 	final ArchRule decisionsStartNoThread = ArchRuleDefinition.noClasses()
@@ -69,6 +69,7 @@
 		.resideInAPackage("io.shallotspur.adapter..")
 		.should()
 		.dependOnClassesThat()
-		.resideInAnyPackage("io.shallotspur.cli..", "io.shallotspur.demo..", "io.shallotspur.replay..");
+		.resideInAnyPackage("io.shallotspur.cli..", "io.shallotspur.boot..", "io.shallotspur.demo..",
+				"io.shallotspur.replay..");
 
 }
