--- a/src/test/java/io/shallotspur/replay/ReplayTests.java
+++ b/src/test/java/io/shallotspur/replay/ReplayTests.java
@@ -77,7 +77,6 @@
 	 * presence at the second must not shield it.
 	 */
 	@Test
-	@Tag("known-red")
 	void aPoisonousRequestAmongLongAnswersCostsTwoWorkers() throws Exception {
 		ReplayRunner.Result r = ReplayRunner.runWide("neighbours.jsonl", Policy.SHALLOTSPUR, 1);
 		assertThat(r.count("lost")).isZero();
