--- a/src/test/java/io/shallotspur/node/ServingFixture.java
+++ b/src/test/java/io/shallotspur/node/ServingFixture.java
@@ -77,6 +77,7 @@
 		.of(List.of(new Contract("lonestar-motels", 1, 0.5, List.of(Admission.keyHash("secret")),
 				List.of(new RequestClass("registration-card", "draft-llm", 3, 10_000, 200, 20_000, true),
 						new RequestClass("key-encoding", "kiosk-api", 0, 5_000, 0, 5_000, false),
+						new RequestClass("signed-card", "draft-llm", 3, 10_000, 200, 20_000, false),
 						new RequestClass("orphan", "nothing", 1, 1000, 100, 5000, true)),
 				false)));
 
--- a/src/test/java/io/shallotspur/node/WholePathTests.java
+++ b/src/test/java/io/shallotspur/node/WholePathTests.java
@@ -2,11 +2,13 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CopyOnWriteArrayList;
 
 import io.netty.handler.codec.http.HttpMethod;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import reactor.core.Disposable;
 
 import io.shallotspur.node.ServingFixture.Answer;
 import io.shallotspur.standin.StandinPrompt;
@@ -65,6 +67,38 @@
 		assertThat(a.json().path("ttl_ms").asLong()).isEqualTo(2000);
 	}
 
+	@Test
+	void runsModelRequestOnceWhenItMayNotBeRepeated() {
+		Map<String, String> h = Map.of("Shallotspur-Class", "signed-card", "Idempotency-Key", "s1");
+		String body = ServingFixture.card("Signed", 8, false);
+		int before = this.f.state("p1").path("prefills").asInt();
+		Answer first = this.f.send(this.vm, HttpMethod.POST, "/v1/completions", body, h);
+		Answer again = this.f.send(this.vm, HttpMethod.POST, "/v1/completions", body, h);
+		assertThat(first.json().at("/choices/0/text").asText()).isEqualTo(StandinPrompt.answer("Signed", 8));
+		assertThat(again.json().at("/choices/0/text")).isEqualTo(first.json().at("/choices/0/text"));
+		assertThat(this.f.state("p1").path("prefills").asInt()).isEqualTo(before + 1);
+		assertThat(this.f.ledger.calls).containsExactly("begin s1", "answered s1", "begin s1");
+	}
+
+	/**
+	 * An entry VM is taken out of service while an answer streams through it. The answer
+	 * comes whole, and a new request is sent elsewhere.
+	 */
+	@Test
+	void drainCutsNoAnswer() {
+		List<String> seen = new CopyOnWriteArrayList<>();
+		Disposable d = this.f.stream(this.vm, ServingFixture.card("x", 100, true), Map.of()).subscribe(seen::add);
+		ServingFixture.await(() -> seen.size() > 3);
+		Disposable drain = this.vm.drain().subscribe();
+		ServingFixture.await(() -> this.f.send(this.vm, "/v1/completions", ServingFixture.card("y", 1, false))
+			.body()
+			.contains("draining"));
+		assertThat(drain.isDisposed()).isFalse();
+		ServingFixture.await(d::isDisposed);
+		assertThat(seen.get(seen.size() - 1)).isEqualTo("data: [DONE]\n\n");
+		ServingFixture.await(drain::isDisposed);
+	}
+
 	@Test
 	void givesResentKeyTheSameAnswer() {
 		Map<String, String> h = Map.of("Shallotspur-Class", "key-encoding", "Idempotency-Key", "k1");
