A trial of eight entry VMs as processes: kill, stop, drain

Cause: the proof under failure ran within one JVM only. Callers go to another VM when a connection breaks or falls silent, with the same key or their resume token. What was run is read from the stand-ins at the end. The clock of a VM is the monotonic one. Conclusion: calls that are forwarded to a stopped VM end as unknown until it is suspected; repeatable ones could be sent elsewhere sooner.

--- a/src/main/java/io/shallotspur/boot/MonotonicClock.java
+++ b/src/main/java/io/shallotspur/boot/MonotonicClock.java
@@ -1,23 +1,25 @@
 package io.shallotspur.boot;
 
-import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 
 /**
- * The system's clock in milliseconds since the epoch, made never to fall. Thread-safe.
+ * Milliseconds since the epoch as they were at the start of the process, carried on by
+ * the machine's monotonic clock. Immutable and thread-safe.
  * <p>
- * A clock that is set back would let timeouts end late and would look like time that did
- * not pass; one that jumps ahead looks like a pause, which the membership survives. It
- * goes on while the process is stopped, so that a paused process can notice its pause.
+ * A clock that operators or a time service set back would let timeouts end late; one that
+ * jumps ahead would look like a pause of the process. This one does neither, and goes on
+ * while the process is stopped, so that a paused process can notice its pause.
  */
 final class MonotonicClock implements LongSupplier {
 
-	private final AtomicLong last = new AtomicLong();
+	private final long epoch = System.currentTimeMillis();
+
+	private final long start = System.nanoTime();
 
 	@Override
 	public long getAsLong() {
-		long t = System.currentTimeMillis();
-		return this.last.updateAndGet((l) -> Math.max(l, t));
+		return this.epoch + TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - this.start);
 	}
 
 }
--- a/src/main/java/io/shallotspur/cli/Main.java
+++ b/src/main/java/io/shallotspur/cli/Main.java
@@ -9,6 +9,8 @@
 import io.shallotspur.demo.DemoOptions;
 import io.shallotspur.demo.LedgerMeasure;
 import io.shallotspur.demo.LedgerMeasureOptions;
+import io.shallotspur.demo.Traffic;
+import io.shallotspur.demo.TrafficOptions;
 import io.shallotspur.exc.ShallotspurException;
 import io.shallotspur.replay.ReplayCommand;
 import io.shallotspur.replay.ReplayOptions;
@@ -35,6 +37,8 @@
 		return List.of(CommandEntry.of("check", "check a settings file", CheckCommand::new),
 				new CommandEntry<>("demo", "three entry VMs and all they need in one process, under traffic",
 						DemoOptions::new, (o, out, err) -> new Demo().run(o, out, err)),
+				new CommandEntry<>("traffic", "callers of the demonstration against entry VMs in other processes",
+						TrafficOptions::new, Traffic::run),
 				CommandEntry.of("run", "run an entry VM", RunCommand::new),
 				CommandEntry.of("contract", "list, get, put or retire contracts", ContractCommand::new),
 				CommandEntry.of("standin", "run stand-ins for the platform and the engines", StandinCommand::new),
--- a/src/main/java/io/shallotspur/demo/Demo.java
+++ b/src/main/java/io/shallotspur/demo/Demo.java
@@ -1,15 +1,7 @@
 package io.shallotspur.demo;
 
 import java.io.PrintStream;
-import java.time.Duration;
-import java.util.LinkedHashMap;
-import java.util.List;
-import java.util.Map;
-import java.util.Random;
-import java.util.concurrent.atomic.AtomicInteger;
 
-import reactor.core.Disposable;
-import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 
 import io.shallotspur.exc.ShallotspurException;
@@ -27,17 +19,9 @@
 	 */
 	public static final int BROKEN = 1;
 
-	private static final Duration SETTLE = Duration.ofSeconds(20);
-
-	private static final Duration POLL = Duration.ofMillis(50);
-
 	private final DemoFleet fleet = new DemoFleet();
 
-	private final DemoCaller caller = new DemoCaller(this.fleet);
-
-	private final Map<DemoClass, DemoStats> stats = new LinkedHashMap<>();
-
-	private final AtomicInteger done = new AtomicInteger();
+	private final DemoTraffic traffic = new DemoTraffic(this.fleet);
 
 	/**
 	 * Runs the demonstration.
@@ -48,76 +32,24 @@
 	 * @throws ShallotspurException if a part cannot be started
 	 */
 	public int run(DemoOptions options, PrintStream out, PrintStream err) throws ShallotspurException {
-		DemoContracts.traffic().forEach((c) -> this.stats.put(c, new DemoStats()));
 		try {
 			this.fleet.start();
-			awaitWorkers();
-			err.printf("Three entry VMs: %s%n", this.fleet.vms().stream().map(EntryVm::callerAddress).toList());
-			traffic(options, err);
-			DemoReport report = report(options.getSeconds());
-			if (options.isJson()) {
-				report.printJson(out);
-			}
-			else {
-				report.print(out);
-			}
+			this.traffic.awaitWorkers();
+			err.printf("Three entry VMs: %s%n", this.fleet.callers());
+			this.traffic.run(options.getSeconds(), options.getSeed(), err);
+			DemoReport report = this.traffic.report(options.getSeconds(), this::open);
+			report.print(out, options.isJson());
 			if (options.isKeep()) {
 				keep(err);
 			}
 			return report.broken() ? BROKEN : 0;
 		}
 		finally {
-			this.caller.close();
+			this.traffic.close();
 			this.fleet.close();
 		}
 	}
 
-	private void awaitWorkers() {
-		for (DemoClass c : this.stats.keySet()) {
-			DemoStats s = new DemoStats();
-			Mono.defer(() -> this.caller.send(c, -1, new Random(0), s))
-				.then(Mono.delay(POLL))
-				.repeat(() -> s.row(c).met() == 0)
-				.blockLast(SETTLE);
-		}
-	}
-
-	private void traffic(DemoOptions options, PrintStream err) {
-		Duration length = Duration.ofSeconds(options.getSeconds());
-		List<Mono<Void>> sources = this.stats.entrySet()
-			.stream()
-			.map((e) -> source(e.getKey(), e.getValue(), length, options.getSeed()))
-			.toList();
-		Flux<Long> progress = Flux.interval(Duration.ofSeconds(1))
-			.doOnNext((i) -> err.printf("%2d s: %d requests ended%n", i + 1, this.done.get()));
-		Disposable p = progress.subscribe();
-		try {
-			Mono.when(sources).block(length.plus(SETTLE));
-		}
-		finally {
-			p.dispose();
-		}
-	}
-
-	private Mono<Void> source(DemoClass c, DemoStats s, Duration length, long seed) {
-		Random random = new Random(seed + c.hashCode());
-		int n = (int) Math.round(c.perSecond() * length.toSeconds());
-		return Flux.range(0, n)
-			.flatMap((i) -> Mono.delay(length.multipliedBy(i).dividedBy(Math.max(1, n)))
-				.then(Mono.defer(() -> this.caller.send(c, i, random, s)))
-				.doFinally((x) -> this.done.incrementAndGet()), Math.max(1, n))
-			.then();
-	}
-
-	private DemoReport report(int seconds) {
-		long end = System.nanoTime() + SETTLE.toNanos();
-		while ((this.fleet.heldAtEngines() > 0 || open() > 0) && System.nanoTime() < end) {
-			Mono.delay(POLL).block();
-		}
-		List<DemoRow> rows = this.stats.entrySet().stream().map((e) -> e.getValue().row(e.getKey())).toList();
-		return new DemoReport(seconds, rows, this.fleet.heldAtEngines(), open());
-	}
-
 	private int open() {
 		return this.fleet.vms().stream().mapToInt(EntryVm::openRequests).sum();
 	}
--- a/src/main/java/io/shallotspur/demo/DemoAnswer.java
+++ b/src/main/java/io/shallotspur/demo/DemoAnswer.java
@@ -26,6 +26,10 @@
 
 	private String pending = "";
 
+	private String resumeToken = "";
+
+	private long lastId = -1;
+
 	private long lastToken;
 
 	private long ttftMs;
@@ -70,6 +74,41 @@
 		this.notRun = json(json).path("outcome").asText().equals("not_run");
 	}
 
+	/**
+	 * Returns what lets the caller get the rest elsewhere.
+	 * @return the token, or empty before the first event
+	 */
+	String resumeToken() {
+		return this.resumeToken;
+	}
+
+	/**
+	 * Returns the id of the last event, as a header wants it.
+	 * @return the id, or -1 before the first token
+	 */
+	long lastId() {
+		return this.lastId;
+	}
+
+	/**
+	 * Begins a new connection: what was half received on the old one is dropped.
+	 */
+	void reconnected() {
+		this.pending = "";
+	}
+
+	/**
+	 * Begins again from nothing, because no token can be had that belongs to what is
+	 * there.
+	 */
+	void restarted() {
+		this.pending = "";
+		this.resumeToken = "";
+		this.lastId = -1;
+		this.text.setLength(0);
+		this.refused = false;
+	}
+
 	boolean isWhole() {
 		return this.whole;
 	}
@@ -116,8 +155,13 @@
 			this.whole = true;
 		}
 		else if (e.startsWith("id: ")) {
+			this.lastId = Long.parseLong(e.substring("id: ".length(), e.indexOf('\n')));
 			token(json(data).at("/choices/0/text").asText());
 		}
+		else {
+			String t = json(data).path("shallotspur_resume").asText();
+			this.resumeToken = t.isEmpty() ? this.resumeToken : t;
+		}
 	}
 
 	private void token(String t) {
--- a/src/main/java/io/shallotspur/demo/DemoCaller.java
+++ b/src/main/java/io/shallotspur/demo/DemoCaller.java
@@ -1,11 +1,13 @@
 package io.shallotspur.demo;
 
+import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ThreadLocalRandom;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
@@ -29,18 +31,27 @@
 
 	private static final int FIRST_ERROR = 400;
 
+	/**
+	 * A caller gives up a connection that says nothing for so long.
+	 */
+	private static final Duration SILENCE = Duration.ofSeconds(5);
+
+	private static final Duration PAUSE = Duration.ofMillis(300);
+
+	private static final int TRIES = 20;
+
 	private static final ObjectMapper MAPPER = new ObjectMapper();
 
-	private final DemoFleet fleet;
+	private final DemoTarget target;
 
 	private final ConnectionProvider connections = ConnectionProvider.builder("demo").maxConnections(2000).build();
 
-	private final HttpClient client = HttpClient.create(this.connections);
+	private final HttpClient client = HttpClient.create(this.connections).disableRetry(true);
 
 	private final Map<String, Located> located = new ConcurrentHashMap<>();
 
-	DemoCaller(DemoFleet fleet) {
-		this.fleet = fleet;
+	DemoCaller(DemoTarget target) {
+		this.target = target;
 	}
 
 	void close() {
@@ -60,7 +71,7 @@
 		boolean leaves = random.nextInt(100) < c.leaves();
 		long leavesAfter = 1 + random.nextInt(400);
 		boolean resends = random.nextInt(100) < c.resends();
-		int stale = (random.nextInt(100) < STALE_OF_100) ? random.nextInt(this.fleet.vms().size()) : -1;
+		int stale = (random.nextInt(100) < STALE_OF_100) ? random.nextInt(this.target.callers().size()) : -1;
 		Mono<Void> m = address(c, stale)
 			.flatMap((a) -> c.isModel() ? model(c, number, a, stats) : plain(c, number, a, resends, stats));
 		if (!leaves) {
@@ -71,39 +82,84 @@
 
 	private Mono<String> address(DemoClass c, int stale) {
 		if (stale >= 0) {
-			return Mono.just(this.fleet.vms().get(stale).callerAddress());
+			return Mono.just(this.target.callers().get(stale));
 		}
 		String key = c.customer() + "/" + c.terms().name();
 		Located l = this.located.get(key);
 		if (l != null && System.currentTimeMillis() < l.until) {
 			return Mono.just(l.address);
 		}
-		String any = this.fleet.vms().get(0).callerAddress();
-		return this.client.get()
-			.uri("http://" + any + "/v1/locate?customer=" + c.customer() + "&class=" + c.terms().name())
+		return locate(c, key, TRIES);
+	}
+
+	private Mono<String> locate(DemoClass c, String key, int tries) {
+		return this.client.responseTimeout(SILENCE)
+			.get()
+			.uri("http://" + any() + "/v1/locate?customer=" + c.customer() + "&class=" + c.terms().name())
 			.responseContent()
 			.aggregate()
 			.asString()
 			.map(DemoCaller::json)
+			.filter((n) -> !n.at("/addresses/0").asText().isEmpty())
 			.map((n) -> {
 				Located x = new Located(n.at("/addresses/0").asText(),
 						System.currentTimeMillis() + n.path("ttl_ms").asLong());
 				this.located.put(key, x);
 				return x.address;
-			});
+			})
+			.switchIfEmpty(Mono.error(() -> new IOException("no address")))
+			.onErrorResume((ex) -> (tries <= 1) ? Mono.error(ex)
+					: Mono.delay(PAUSE).then(Mono.defer(() -> locate(c, key, tries - 1))));
+	}
+
+	private String any() {
+		List<String> l = this.target.callers();
+		return l.get(ThreadLocalRandom.current().nextInt(l.size()));
 	}
 
 	private Mono<Void> model(DemoClass c, int number, String address, DemoStats stats) {
 		String prompt = prompt(c, number);
 		String body = "{\"prompt\":\"" + prompt + "\",\"max_tokens\":" + c.output() + ",\"stream\":true}";
 		DemoAnswer a = new DemoAnswer(System.nanoTime());
-		return request(c, "", address, "/v1/completions", body)
-			.response((res, bytes) -> (res.status().code() >= FIRST_ERROR)
-					? bytes.aggregate().asString().doOnNext(a::problem)
-					: bytes.asString(StandardCharsets.UTF_8).doOnNext(a::take))
+		return stream(c, address, body, a, TRIES)
 			.then(Mono.fromRunnable(() -> count(c, a, StandinPrompt.answer(prompt, c.output()), stats)));
 	}
 
+	// A connection that breaks or falls silent is what a caller sees of an entry VM that
+	// died or was stopped. It goes to another one: with its token if it has one, else
+	// from the start.
+	private Mono<Void> stream(DemoClass c, String address, String body, DemoAnswer a, int tries) {
+		return Mono.defer(() -> {
+			a.reconnected();
+			return resuming(c, address, body, a)
+				.response((res, bytes) -> (res.status().code() >= FIRST_ERROR)
+						? bytes.aggregate().asString().doOnNext(a::problem)
+						: bytes.asString(StandardCharsets.UTF_8).doOnNext(a::take))
+				.timeout(SILENCE)
+				.then(Mono.defer(() -> (a.isWhole() || a.isRefused()) ? Mono.<Void>empty()
+						: Mono.error(new IOException("the answer was cut"))));
+		}).onErrorResume((ex) -> {
+			if (tries <= 1) {
+				return Mono.error(ex);
+			}
+			this.located.clear();
+			if (a.lastId() < 0) {
+				a.restarted();
+			}
+			return Mono.delay(PAUSE).then(Mono.defer(() -> stream(c, any(), body, a, tries - 1)));
+		});
+	}
+
+	private HttpClient.ResponseReceiver<?> resuming(DemoClass c, String address, String body, DemoAnswer a) {
+		HttpClient h = a.resumeToken().isEmpty() ? this.client : this.client.headers((x) -> {
+			x.set("Shallotspur-Resume", a.resumeToken());
+			if (a.lastId() >= 0) {
+				x.set("Last-Event-ID", a.lastId());
+			}
+		});
+		return request(h, c, "", address, "/v1/completions", body);
+	}
+
 	private static void count(DemoClass c, DemoAnswer a, String expected, DemoStats stats) {
 		if (a.isRefused()) {
 			stats.refused(a.isNotRun());
@@ -127,31 +183,46 @@
 	}
 
 	private Mono<PlainAnswer> call(DemoClass c, String key, int number, String address) {
+		return Mono.defer(() -> call(c, key, number, address, System.nanoTime(), TRIES));
+	}
+
+	private Mono<PlainAnswer> call(DemoClass c, String key, int number, String address, long start, int tries) {
 		String path = "/v1/upstreams/" + c.terms().upstream() + "/" + c.terms().name() + "/" + number;
-		return Mono.defer(() -> {
-			long start = System.nanoTime();
-			return request(c, key, address, path, "{\"n\":" + number + "}").responseSingle((res, b) -> b.asString()
+		return request(this.client, c, key, address, path, "{\"n\":" + number + "}")
+			.responseSingle((res, b) -> b.asString()
 				.defaultIfEmpty("")
-				.map((x) -> new PlainAnswer(res.status().code(), x, millisSince(start))));
-		});
+				.map((x) -> new PlainAnswer(res.status().code(), x, millisSince(start), tries == TRIES)))
+			.timeout(SILENCE)
+			.onErrorResume((ex) -> {
+				if (tries <= 1) {
+					return Mono.error(ex);
+				}
+				this.located.clear();
+				return Mono.delay(PAUSE).then(Mono.defer(() -> call(c, key, number, any(), start, tries - 1)));
+			});
 	}
 
-	private void count(DemoClass c, String key, List<PlainAnswer> answers, DemoStats stats) {
+	private static void count(DemoClass c, String key, List<PlainAnswer> answers, DemoStats stats) {
 		PlainAnswer a = answers.get(0);
 		boolean same = answers.stream().allMatch((x) -> x.body.equals(a.body));
-		int runs = key.isEmpty() ? 1 : this.fleet.runs(key);
-		if (a.status >= FIRST_ERROR) {
-			boolean notRun = json(a.body).path("outcome").asText().equals("not_run");
+		boolean refused = a.status >= FIRST_ERROR;
+		boolean notRun = refused && json(a.body).path("outcome").asText().equals("not_run");
+		if (!key.isEmpty()) {
+			// A caller that sent the request again is told of its last call only: the
+			// first one may have run on the VM that it lost.
+			stats.keyed(key, notRun && same && answers.stream().allMatch(PlainAnswer::first));
+		}
+		if (refused) {
 			stats.refused(notRun);
-			stats.duplicated((notRun && same && !key.isEmpty()) ? runs : 0);
-			return;
 		}
-		stats.answered(same, a.ms, List.of(), a.ms <= c.terms().ttftMs());
-		stats.duplicated(Math.max(0, runs - 1));
+		else {
+			stats.answered(same, a.ms, List.of(), a.ms <= c.terms().ttftMs());
+		}
 	}
 
-	private HttpClient.ResponseReceiver<?> request(DemoClass c, String key, String address, String path, String body) {
-		return this.client.headers((h) -> {
+	private static HttpClient.ResponseReceiver<?> request(HttpClient client, DemoClass c, String key, String address,
+			String path, String body) {
+		return client.headers((h) -> {
 			h.set("Authorization", "Bearer " + c.token());
 			h.set("Shallotspur-Class", c.terms().name());
 			h.set("Content-Type", "application/json");
@@ -196,8 +267,9 @@
 	 * @param status the HTTP status
 	 * @param body the body
 	 * @param ms how long it took, in milliseconds
+	 * @param first whether it answers the first try
 	 */
-	private record PlainAnswer(int status, String body, long ms) {
+	private record PlainAnswer(int status, String body, long ms, boolean first) {
 
 	}
 
--- a/src/main/java/io/shallotspur/demo/DemoFleet.java
+++ b/src/main/java/io/shallotspur/demo/DemoFleet.java
@@ -5,7 +5,9 @@
 import java.net.ServerSocket;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.stream.IntStream;
 
@@ -53,7 +55,7 @@
  * Three entry VMs, the stand-ins of both deployments and of the platform, all in this
  * process, on ports of 127.0.0.1. Not thread-safe.
  */
-final class DemoFleet {
+final class DemoFleet implements DemoTarget {
 
 	static final Duration PATIENCE = Duration.ofSeconds(10);
 
@@ -114,28 +116,28 @@
 		this.store.stop();
 	}
 
+	@Override
+	public List<String> callers() {
+		return this.vms.stream().map(EntryVm::callerAddress).toList();
+	}
+
 	List<EntryVm> vms() {
 		return this.vms;
 	}
 
-	/**
-	 * Returns the requests that hold engine memory.
-	 * @return the number, over all workers
-	 */
-	int heldAtEngines() {
+	@Override
+	public int heldAtEngines() {
 		return this.engines.readState()
 			.map((s) -> s.valueStream().mapToInt((w) -> w.path("active").asInt()).sum())
 			.blockOptional(PATIENCE)
 			.orElse(0);
 	}
 
-	/**
-	 * Returns how often a key was run.
-	 * @param key the key
-	 * @return the executions, over all plain workers
-	 */
-	int runs(String key) {
-		return this.plain.stream().map((p) -> p.runs().get(key)).mapToInt((n) -> (n != null) ? n.get() : 0).sum();
+	@Override
+	public Map<String, Integer> runs() {
+		Map<String, Integer> all = new HashMap<>();
+		this.plain.forEach((p) -> p.runs().forEach((k, n) -> all.merge(k, n.get(), Integer::sum)));
+		return all;
 	}
 
 	private void startWorkers() {
--- a/src/main/java/io/shallotspur/demo/DemoReport.java
+++ b/src/main/java/io/shallotspur/demo/DemoReport.java
@@ -27,7 +27,16 @@
 		return this.heldForGone > 0 || this.openRequests > 0 || this.rows.stream().anyMatch(DemoRow::broken);
 	}
 
-	void print(PrintStream out) {
+	void print(PrintStream out, boolean json) {
+		if (json) {
+			printJson(out);
+		}
+		else {
+			printTable(out);
+		}
+	}
+
+	private void printTable(PrintStream out) {
 		out.printf(LINE, "customer", "class", "sent", "met", "left", "refused", "unknown", "lost", "wrong", "dup",
 				"ttft p50/95/99 ms", "tbt p50/95/99 ms");
 		for (DemoRow r : this.rows) {
@@ -38,7 +47,7 @@
 		out.println(broken() ? "A promise was broken." : "All promises were kept.");
 	}
 
-	void printJson(PrintStream out) {
+	private void printJson(PrintStream out) {
 		try {
 			out.println(new ObjectMapper().setPropertyNamingStrategy(PropertyNamingStrategies.SNAKE_CASE)
 				.writeValueAsString(this));
--- a/src/main/java/io/shallotspur/demo/DemoStats.java
+++ b/src/main/java/io/shallotspur/demo/DemoStats.java
@@ -1,6 +1,8 @@
 package io.shallotspur.demo;
 
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 
 import org.HdrHistogram.Histogram;
 
@@ -17,6 +19,8 @@
 
 	private final Histogram gaps = new Histogram(MAX_MS, DIGITS);
 
+	private final Map<String, Integer> mostRuns = new HashMap<>();
+
 	private int sent;
 
 	private int met;
@@ -54,8 +58,24 @@
 		this.lost++;
 	}
 
-	synchronized void duplicated(int n) {
-		this.duplicated += n;
+	/**
+	 * Takes what the caller of a keyed request was told.
+	 * @param key the key
+	 * @param notRun whether the caller was told, at the first try, that it was not run
+	 */
+	synchronized void keyed(String key, boolean notRun) {
+		this.mostRuns.put(key, notRun ? 0 : 1);
+	}
+
+	/**
+	 * Counts the keyed requests that were run more often than what was told allows.
+	 * @param runs the executions by key, over all plain workers
+	 */
+	synchronized void settle(Map<String, Integer> runs) {
+		this.duplicated = this.mostRuns.entrySet()
+			.stream()
+			.mapToInt((e) -> Math.max(0, runs.getOrDefault(e.getKey(), 0) - e.getValue()))
+			.sum();
 	}
 
 	/**
