Fewer prefix lookups in a placement

Cause: a placement matched each worker's prefix index three times. Change: once, and not at all for eviction where the cache has room.

--- a/src/main/java/io/shallotspur/cell/Placer.java
+++ b/src/main/java/io/shallotspur/cell/Placer.java
@@ -46,7 +46,7 @@
 
 	private final CellSettings settings;
 
-	private final Map<String, Double> planned = new HashMap<>();
+	private final Map<String, Double> planned = new HashMap<>(4);
 
 	private final double wasteFactor;
 
@@ -80,15 +80,22 @@
 			return null;
 		}
 		double step = STEPS_TO_FIRST_TOKEN * d.stepMs(d.held() + 1);
-		double cheapest = cheapestMs(job);
+		double cheapest = Double.MAX_VALUE;
+		double[] costs = new double[this.fleet.prefill().size()];
+		int i = 0;
+		for (PrefillWorker p : this.fleet.prefill()) {
+			costs[i] = p.leaving() ? Double.MAX_VALUE : prefillMs(p, job);
+			cheapest = Math.min(cheapest, costs[i++]);
+		}
+		i = 0;
 		Placement best = null;
 		double bestScore = Double.MAX_VALUE;
 		for (PrefillWorker p : this.fleet.prefill()) {
+			double ms = costs[i++];
 			if (p.leaving()) {
 				continue;
 			}
 			double start = p.freeAt(this.now) + this.planned.getOrDefault(p.id(), 0.0);
-			double ms = prefillMs(p, job);
 			double ready = d.transferEnd(job.promptTokens(), start + ms);
 			double score = start + ms + this.wasteFactor * (ms - cheapest) + evictionMs(p, job);
 			if (ready + step <= firstTokenBy && score < bestScore) {
--- a/src/main/java/io/shallotspur/routing/PrefillWorker.java
+++ b/src/main/java/io/shallotspur/routing/PrefillWorker.java
@@ -132,6 +132,9 @@
 	 * @return milliseconds of prefill
 	 */
 	public double evictionMs(long[] blocks, long since) {
+		if (this.index.hasRoom(blocks.length)) {
+			return 0;
+		}
 		return this.fit.slope() * BLOCK_TOKENS * this.index.pushedOut(blocks, this.index.match(blocks), since);
 	}
 
--- a/src/main/java/io/shallotspur/routing/PrefixIndex.java
+++ b/src/main/java/io/shallotspur/routing/PrefixIndex.java
@@ -116,6 +116,15 @@
 		}
 	}
 
+	/**
+	 * Returns whether so many blocks fit without a shared one being pushed out.
+	 * @param blocks the number of blocks
+	 * @return whether there is room
+	 */
+	public boolean hasRoom(int blocks) {
+		return this.shared.size() + blocks <= this.capacity;
+	}
+
 	/**
 	 * Returns how many shared blocks in recent use a prompt would push out.
 	 * @param blocks the hashes of the prompt's leading blocks
@@ -125,6 +134,9 @@
 	 */
 	public int pushedOut(long[] blocks, int held, long since) {
 		int room = this.capacity - this.shared.size();
+		if (blocks.length - held <= room) {
+			return 0;
+		}
 		int coming = sharedIn(blocks) - held;
 		if (coming <= room || this.shared.isEmpty()) {
 			return 0;
