Membership in smaller pieces; views for whoever shares out rates

Change: what an unanswered probe means moved to Statements, the choice of candidates to Candidates; ClusterService tells each new view.

--- a/src/main/java/io/shallotspur/membership/Candidates.java
+++ b/src/main/java/io/shallotspur/membership/Candidates.java
@@ -1,9 +1,11 @@
 package io.shallotspur.membership;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
 
 import org.jspecify.annotations.Nullable;
 
@@ -32,12 +34,14 @@
 	}
 
 	/**
-	 * Returns those that are not known to be alive, as members of an unknown incarnation.
-	 * @param selfId this VM
+	 * Picks some of those that are not known to be alive, by chance.
+	 * @param count how many at most
+	 * @param selfId this VM, which is never picked
 	 * @param table what is known
-	 * @return the members to try, in order of their ids
+	 * @param random decides
+	 * @return the members to try
 	 */
-	List<Member> untried(String selfId, MemberTable table) {
+	List<Member> pick(int count, String selfId, MemberTable table, Random random) {
 		List<Member> l = new ArrayList<>();
 		for (VmEntry e : this.entries.values()) {
 			Member known = table.get(e.id());
@@ -46,7 +50,8 @@
 			}
 		}
 		l.sort((a, b) -> a.id().compareTo(b.id()));
-		return l;
+		Collections.shuffle(l, random);
+		return List.copyOf(l.subList(0, Math.min(count, l.size())));
 	}
 
 	private static Member member(VmEntry e, @Nullable Member known) {
--- a/src/main/java/io/shallotspur/membership/Membership.java
+++ b/src/main/java/io/shallotspur/membership/Membership.java
@@ -1,6 +1,5 @@
 package io.shallotspur.membership;
 
-import java.util.Collections;
 import java.util.List;
 import java.util.Random;
 import java.util.function.Consumer;
@@ -108,14 +107,6 @@
 		return this.view;
 	}
 
-	/**
-	 * Returns what this VM says of itself.
-	 * @return the statement
-	 */
-	public Member self() {
-		return this.self;
-	}
-
 	/**
 	 * Lets time pass.
 	 * @param now the present time in milliseconds
@@ -129,7 +120,8 @@
 		}
 		if (now >= this.nextPeriodAt) {
 			if (p != null) {
-				unanswered(p, now);
+				this.probed = null;
+				this.statements.unanswered(p, now);
 			}
 			this.nextPeriodAt = now + this.settings.periodMs();
 			this.pushes = 0;
@@ -169,10 +161,7 @@
 	 */
 	public void leave(long now, Consumer<MembershipAction> out) {
 		notice(now, out);
-		if (!this.leaving) {
-			this.leaving = true;
-			speak(this.self.withStatus(MemberStatus.LEAVING));
-		}
+		startLeaving();
 		finish(now, out);
 	}
 
@@ -269,9 +258,7 @@
 		notice(now, out);
 		reply.members().forEach((m) -> hear(m, now));
 		this.statements.dropFreshOfOthers(this.self.id());
-		if (this.outside) {
-			enter();
-		}
+		enter();
 		finish(now, out);
 	}
 
@@ -283,8 +270,8 @@
 		}
 		// The process was stopped or starved. Its peers may have given its cells to
 		// others, and every answer it waited for is late through its own fault. It
-		// starts a new incarnation, owns nothing until a peer has heard of it, and
-		// blames nobody for the time it was away.
+		// starts a new incarnation, owns nothing until a peer has heard of it, and blames
+		// nobody for that time.
 		this.statements.prolong(gap);
 		this.probed = null;
 		this.nextPeriodAt = now + this.settings.periodMs();
@@ -312,6 +299,13 @@
 		this.statements.speak(this.self);
 	}
 
+	private void startLeaving() {
+		if (!this.leaving) {
+			this.leaving = true;
+			speak(this.self.withStatus(MemberStatus.LEAVING));
+		}
+	}
+
 	private void enter() {
 		this.outside = false;
 		this.statements.markChanged();
@@ -319,10 +313,8 @@
 
 	private void hearOfSelf(Member m) {
 		boolean wrong = m.status() != this.self.status() && m.status() != MemberStatus.ALIVE;
-		if (m.incarnation() < this.self.incarnation() || (m.incarnation() == this.self.incarnation() && !wrong)) {
-			return;
-		}
-		if (this.self.status() == MemberStatus.DEAD) {
+		long above = m.incarnation() - this.self.incarnation();
+		if (above < 0 || (above == 0 && !wrong) || this.self.status() == MemberStatus.DEAD) {
 			return;
 		}
 		// Either a false suspicion, or the memory of an earlier life of this VM whose
@@ -334,21 +326,6 @@
 		speak(this.self.withIncarnation(m.incarnation() + 1));
 	}
 
-	private void unanswered(Member p, long now) {
-		this.probed = null;
-		Member m = this.statements.get(p.id());
-		if (m == null || m.incarnation() != p.incarnation()) {
-			return;
-		}
-		if (m.status() == MemberStatus.ALIVE) {
-			this.statements.state(m.withStatus(MemberStatus.SUSPECT), now);
-		}
-		else if (m.status() == MemberStatus.LEAVING) {
-			// It said that it would go.
-			this.statements.state(m.withStatus(MemberStatus.DEAD), now);
-		}
-	}
-
 	private void startProbe(long now, Consumer<MembershipAction> out) {
 		Member m = this.statements.nextToProbe(this.self.id());
 		if (m == null) {
@@ -369,10 +346,8 @@
 	}
 
 	private void tryCandidates(Consumer<MembershipAction> out) {
-		List<Member> l = this.candidates.untried(this.self.id(), this.statements.table());
-		Collections.shuffle(l, this.random);
 		int count = this.statements.others(this.self.id()).isEmpty() ? this.settings.indirectProbes() : 1;
-		for (Member m : l.subList(0, Math.min(count, l.size()))) {
+		for (Member m : this.candidates.pick(count, this.self.id(), this.statements.table(), this.random)) {
 			// No probe of the present period has this number, so a silent candidate is
 			// never suspected: it was not known to be alive.
 			out.accept(new MembershipAction.Probe(m.peerAddress(), 0, ping(m)));
@@ -396,9 +371,8 @@
 	}
 
 	private void finish(long now, Consumer<MembershipAction> out) {
-		if (!this.leaving && this.candidates.isLeaving(this.self.id())) {
-			this.leaving = true;
-			speak(this.self.withStatus(MemberStatus.LEAVING));
+		if (this.candidates.isLeaving(this.self.id())) {
+			startLeaving();
 		}
 		push(out);
 		if (!this.statements.takeChanged()) {
@@ -419,9 +393,8 @@
 			return;
 		}
 		this.pushes++;
-		Gossip g = new Gossip(news);
 		for (Member m : this.statements.pick(this.settings.fanout(), this.self.id(), "")) {
-			out.accept(new MembershipAction.Send(m.peerAddress(), g));
+			out.accept(new MembershipAction.Send(m.peerAddress(), new Gossip(news)));
 		}
 	}
 
--- a/src/main/java/io/shallotspur/membership/Statements.java
+++ b/src/main/java/io/shallotspur/membership/Statements.java
@@ -83,6 +83,25 @@
 		}
 	}
 
+	/**
+	 * Draws the conclusion from a probe that nobody answered.
+	 * @param p the member as it was when it was probed
+	 * @param now the present time in milliseconds
+	 */
+	void unanswered(Member p, long now) {
+		Member m = this.table.get(p.id());
+		if (m == null || m.incarnation() != p.incarnation()) {
+			return;
+		}
+		if (m.status() == MemberStatus.ALIVE) {
+			state(m.withStatus(MemberStatus.SUSPECT), now);
+		}
+		else if (m.status() == MemberStatus.LEAVING) {
+			// It said that it would go.
+			state(m.withStatus(MemberStatus.DEAD), now);
+		}
+	}
+
 	/**
 	 * Gives all suspects more time.
 	 * @param ms how much, in milliseconds
--- a/src/main/java/io/shallotspur/node/cluster/ClusterService.java
+++ b/src/main/java/io/shallotspur/node/cluster/ClusterService.java
@@ -9,6 +9,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 
@@ -187,6 +188,15 @@
 		return this.membership.view();
 	}
 
+	/**
+	 * Adds a listener that is told of each new view, for instance to share out the
+	 * store's rates over the live members. Called before {@link #start()}.
+	 * @param listener told on the service's own thread
+	 */
+	public void onView(Consumer<View> listener) {
+		this.membership.onView(listener);
+	}
+
 	/**
 	 * Returns the contracts.
 	 * @return the loop that keeps them
