--- a/src/main/java/io/shallotspur/membership/Membership.java
+++ b/src/main/java/io/shallotspur/membership/Membership.java
@@ -21,8 +21,7 @@
  * time to refute; statements travel with the probes and, while new, at once.
  * <p>
  * Not thread-safe: one thread at a time calls it, with {@code now} never falling. It
- * reads no clock and does no input or output; {@link #tick} is to be called at least
- * every {@link #TICK_MS}.
+ * reads no clock and does no input or output.
  * <p>
  * Invariants: only this VM raises its own incarnation; a statement never replaces a newer
  * one; this VM is missing from its own view while it joins, and after a pause until a
