Measure what each role costs at several sizes

Cause: docs/CAPACITY.md is to rest on measured slopes, and only membership, the ledger's store calls and routing had figures.

--- a/src/main/java/io/shallotspur/cli/Main.java
+++ b/src/main/java/io/shallotspur/cli/Main.java
@@ -3,6 +3,8 @@
 import java.io.PrintStream;
 import java.util.List;
 
+import io.shallotspur.demo.CapacityMeasure;
+import io.shallotspur.demo.CapacityMeasureOptions;
 import io.shallotspur.demo.ClusterMeasure;
 import io.shallotspur.demo.ClusterMeasureOptions;
 import io.shallotspur.demo.Demo;
@@ -47,6 +49,8 @@
 				CommandEntry.of("report", "say whether the terms of a customer were kept", ReportEntry::new),
 				new CommandEntry<>("measure-cluster", "measure membership and contracts at several sizes",
 						ClusterMeasureOptions::new, ClusterMeasure::run),
+				new CommandEntry<>("measure-capacity", "measure what each role costs at several sizes",
+						CapacityMeasureOptions::new, CapacityMeasure::run),
 				CommandEntry.of("version", "print the version", VersionCommand::new));
 	}
 
