--- a/src/main/java/io/shallotspur/cli/Main.java
+++ b/src/main/java/io/shallotspur/cli/Main.java
@@ -11,6 +11,8 @@
 import io.shallotspur.demo.DemoOptions;
 import io.shallotspur.demo.LedgerMeasure;
 import io.shallotspur.demo.LedgerMeasureOptions;
+import io.shallotspur.demo.RelayMeasure;
+import io.shallotspur.demo.RelayOptions;
 import io.shallotspur.demo.Traffic;
 import io.shallotspur.demo.TrafficOptions;
 import io.shallotspur.exc.ShallotspurException;
@@ -55,6 +57,8 @@
 						ClusterMeasureOptions::new, ClusterMeasure::run),
 				new CommandEntry<>("measure-capacity", "measure what each role costs at several sizes",
 						CapacityMeasureOptions::new, CapacityMeasure::run),
+				new CommandEntry<>("measure-relay", "measure how many tokens an entry VM relays", RelayOptions::new,
+						(o, out, err) -> new RelayMeasure().run(o, out, err)),
 				CommandEntry.of("version", "print the version", VersionCommand::new));
 	}
 
