An answer that its caller reads is not ended on a guess of its length

Cause: with all decode workers down for 5 s, answers that had begun were refused as deadline-infeasible with 4 s to spare: the expected rest (mean of the lengths seen, 160 tokens) did not fit, though the real rest did. Ruled out: the retry budget and the number of tries. Change: for a begun answer only the shortest rest that one in ten answers has counts. Measured: the known-red test passes and is an ordinary one for all policies again (its twin is gone, the assertions are the same).

--- a/src/main/java/io/shallotspur/cell/Job.java
+++ b/src/main/java/io/shallotspur/cell/Job.java
@@ -15,6 +15,11 @@
  */
 final class Job implements FairQueue.Item {
 
+	/**
+	 * The part of answers that may be shorter than what a refusal counts on.
+	 */
+	private static final double SHORT_PART = 0.1;
+
 	final ModelRequest request;
 
 	private final String flow;
@@ -103,10 +108,13 @@
 	}
 
 	// Returns when the next first token has to be there. A caller that already has tokens
-	// waits for the rest until the deadline.
+	// waits for the rest until the deadline. Only the shortest rest that is likely
+	// counts:
+	// a caller who reads an answer would lose it to a mere expectation otherwise.
 	long firstTokenBy(double stepMs, boolean useTarget) {
 		if (this.generated > 0) {
-			return this.request.deadlineAt() - (long) (remainingTokens() * stepMs);
+			double rest = this.lengths.remainingAtLeast(this.generated, SHORT_PART);
+			return this.request.deadlineAt() - (long) (rest * stepMs);
 		}
 		return useTarget ? dueAt() : this.request.deadlineAt();
 	}
--- a/src/main/java/io/shallotspur/routing/LengthSample.java
+++ b/src/main/java/io/shallotspur/routing/LengthSample.java
@@ -76,6 +76,18 @@
 		return Math.max(1, sum / n);
 	}
 
+	/**
+	 * Returns how many more tokens an answer has at least, but for a few.
+	 * @param generated the tokens it has
+	 * @param chance the part of answers of that length so far that have fewer, under 1
+	 * @return tokens, at least 1
+	 */
+	public double remainingAtLeast(int generated, double chance) {
+		int from = above(generated);
+		int n = this.sorted.length - from;
+		return (n == 0) ? 1 : Math.max(1, this.sorted[from + (int) (chance * n)] - generated);
+	}
+
 	/**
 	 * Returns the chance that an answer ends within the next tokens.
 	 * @param generated the tokens it has
--- a/src/test/java/io/shallotspur/replay/ReplayTests.java
+++ b/src/test/java/io/shallotspur/replay/ReplayTests.java
@@ -4,7 +4,6 @@
 import java.nio.file.Path;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -50,21 +49,8 @@
 	 * deadline of the answers they were writing. The callers wait and get the rest.
 	 */
 	@ParameterizedTest
-	@EnumSource(names = "SHALLOTSPUR", mode = EnumSource.Mode.EXCLUDE)
+	@EnumSource
 	void answersOutliveTheLossOfAllDecodeWorkers(Policy policy) throws Exception {
-		assertAnswersOutliveTheLossOfAllDecodeWorkers(policy);
-	}
-
-	/**
-	 * The same under the product's schedulers, which end the answers instead.
-	 */
-	@Test
-	@Tag("known-red")
-	void productAnswersOutliveTheLossOfAllDecodeWorkers() throws Exception {
-		assertAnswersOutliveTheLossOfAllDecodeWorkers(Policy.SHALLOTSPUR);
-	}
-
-	private static void assertAnswersOutliveTheLossOfAllDecodeWorkers(Policy policy) throws Exception {
 		ReplayRunner.Result r = ReplayRunner.run("blackout.jsonl", policy, 1);
 		assertThat(r.count("completed")).isEqualTo(2);
 		assertThat(r.count("lost")).isZero();
