--- a/src/main/java/io/shallotspur/demo/CapacityMeasure.java
+++ b/src/main/java/io/shallotspur/demo/CapacityMeasure.java
@@ -2,7 +2,9 @@
 
 import java.io.PrintStream;
 import java.lang.management.ManagementFactory;
+import java.util.HashMap;
 import java.util.Locale;
+import java.util.Map;
 
 import io.shallotspur.membership.MembershipSettings;
 import io.shallotspur.standin.store.MemoryKvStore;
@@ -13,13 +15,13 @@
  */
 public final class CapacityMeasure {
 
-	private static final int[] MEMBERS = { 50, 200, 780 };
-
 	private static final int SETTLE_MS = 30_000;
 
 	private static final int IDLE_MS = 10_000;
 
-	private static final int ROUND_MS = 1000;
+	private static final int SECOND_MS = 1000;
+
+	private static final double NANOS_PER_MICRO = 1000;
 
 	private CapacityMeasure() {
 	}
@@ -40,16 +42,17 @@
 		err.println("schedulers");
 		new CapacityScheduling(t, options.seed).measure();
 		err.println("membership");
-		membership(t, options.seed);
+		membership(t, options.members, options.seed);
 		out.printf(Locale.ROOT, "%nLoad average %.1f at the end.%n", load());
 		return 0;
 	}
 
-	private static void membership(CapacityTable t, long seed) {
+	private static void membership(CapacityTable t, int largest, long seed) {
+		int[] sizes = { largest / 4, largest / 2, largest };
+		Map<Integer, Double> bytes = new HashMap<>();
+		Map<Integer, Double> messages = new HashMap<>();
 		t.section("Idle member: the live loops of membership and contracts in virtual time");
-		double[] bytes = new double[1];
-		double[] messages = new double[1];
-		t.row("processor time", "us/VM/s", "members", MEMBERS, (n) -> {
+		t.row("processor time", "us/VM/s", "members", sizes, (n) -> {
 			VirtualFleet fleet = new VirtualFleet(MembershipSettings.DEFAULT, new MemoryKvStore(() -> 0), 1, seed)
 				.start(n);
 			fleet.time().advance(SETTLE_MS);
@@ -57,13 +60,14 @@
 			long m = fleet.peers().messages();
 			long cpu = CapacityTable.cpuNanos();
 			fleet.time().advance(IDLE_MS);
-			double perVm = (double) n * IDLE_MS / ROUND_MS;
-			bytes[0] = (fleet.peers().bytes() - b) / perVm;
-			messages[0] = (fleet.peers().messages() - m) / perVm;
-			return (CapacityTable.cpuNanos() - cpu) / perVm / ROUND_MS;
+			double seconds = (double) n * IDLE_MS / SECOND_MS;
+			double micros = (CapacityTable.cpuNanos() - cpu) / NANOS_PER_MICRO / seconds;
+			bytes.put(n, (fleet.peers().bytes() - b) / seconds);
+			messages.put(n, (fleet.peers().messages() - m) / seconds);
+			return micros;
 		});
-		t.note("sent at the largest size", String.format(Locale.ROOT, "%.1f bytes/VM/s", bytes[0]));
-		t.note("sent at the largest size", String.format(Locale.ROOT, "%.2f messages/VM/s", messages[0]));
+		t.row("sent", "bytes/VM/s", "members", sizes, (n) -> bytes.getOrDefault(n, Double.NaN));
+		t.row("sent", "messages/VM/s", "members", sizes, (n) -> messages.getOrDefault(n, Double.NaN));
 	}
 
 	private static double load() {
--- a/src/main/java/io/shallotspur/demo/CapacityMeasureOptions.java
+++ b/src/main/java/io/shallotspur/demo/CapacityMeasureOptions.java
@@ -19,4 +19,10 @@
 	@Option(name = "--seed", usage = "seed of all that is random")
 	public long seed = 1;
 
+	/**
+	 * Members of the largest fleet in virtual time.
+	 */
+	@Option(name = "--members", usage = "members of the largest fleet in virtual time, at least 12")
+	public int members = 200;
+
 }
--- a/src/main/java/io/shallotspur/demo/CapacityScheduling.java
+++ b/src/main/java/io/shallotspur/demo/CapacityScheduling.java
@@ -44,6 +44,12 @@
 
 	private static final int DECODE_MS = 1500;
 
+	private static final int SLOTS = 32;
+
+	private static final long TBT_MS = 1000;
+
+	private static final int[] IN_FLIGHT = { 50, 200, 800 };
+
 	private static final int CALL_MS = 20;
 
 	private static final long DEADLINE_MS = 60_000;
@@ -76,29 +82,46 @@
 			this.table.row("StdPlainScheduler, " + w + " workers", "us/request", "customers", CUSTOMERS,
 					(c) -> plain(w, c));
 		}
+		this.table.row("StdCellScheduler, 16 workers, 25 token events", "us/request", "requests in flight", IN_FLIGHT,
+				this::inFlight);
 		this.table.note("refused in all runs", Integer.toString(this.refused));
 	}
 
 	private double cell(int workers, int customers, int tokens) {
+		return cell(workers, customers, tokens, DECODE_MS, SLOTS);
+	}
+
+	// With many slots and a slow target, the requests in flight grow with the time of
+	// decoding alone.
+	private double inFlight(int count) {
+		long gap = gapMs(WORKERS[1]);
+		return cell(WORKERS[1], 2, TOKEN_EVENTS[1], (int) (count * gap), count);
+	}
+
+	private static long gapMs(int workers) {
+		// Two thirds of what the prefill workers can do.
+		return PREFILL_MS * 3 / 2 / (workers / 3);
+	}
+
+	private double cell(int workers, int customers, int tokens, int decodeMs, int slots) {
 		StdCellScheduler s = new StdCellScheduler(CellSettings.defaults(), contracts(customers), this.seed);
 		PriorityQueue<Due<CellEvent>> due = new PriorityQueue<>(Comparator.comparingLong(Due::at));
-		for (Worker w : cellWorkers(workers)) {
+		for (Worker w : cellWorkers(workers, slots)) {
 			due.add(new Due<>(0, new CellEvent.WorkerUp(w)));
 		}
 		int n = this.table.scaled(REQUESTS);
-		// Two thirds of what the prefill workers can do.
-		long gap = PREFILL_MS * 3 / 2 / (workers / 3);
+		long gap = gapMs(workers);
 		for (int i = 0; i < n; i++) {
 			long at = 1 + i * gap;
 			due.add(new Due<>(at, new CellEvent.Submit(new ModelRequest("r" + i, "c" + i % customers, "chat", PROMPT,
-					new long[] { i, i + 1L }, tokens, 0, 2000, 53, at, at + DEADLINE_MS, true, i))));
+					new long[] { i, i + 1L }, tokens, 0, 2000, TBT_MS, at, at + DEADLINE_MS, true, i))));
 		}
 		List<CellAction> actions = new ArrayList<>();
 		long t = CapacityTable.cpuNanos();
 		while (!due.isEmpty()) {
 			long now = due.peek().at();
 			s.handle(due.remove().event(), now, actions::add);
-			actions.forEach((a) -> answer(a, now, tokens, due));
+			actions.forEach((a) -> answer(a, now, tokens, decodeMs, due));
 			actions.clear();
 			wake(due, s, now);
 		}
@@ -112,7 +135,7 @@
 		}
 	}
 
-	private void answer(CellAction a, long now, int tokens, PriorityQueue<Due<CellEvent>> due) {
+	private void answer(CellAction a, long now, int tokens, int decodeMs, PriorityQueue<Due<CellEvent>> due) {
 		if (a instanceof CellAction.StartPrefill p) {
 			due.add(new Due<>(now + PREFILL_MS, new CellEvent.PrefillDone(p.attempt(), PROMPT)));
 		}
@@ -121,9 +144,9 @@
 		}
 		else if (a instanceof CellAction.StartDecode d) {
 			for (int i = 0; i < tokens; i++) {
-				due.add(new Due<>(now + (i + 1L) * DECODE_MS / (tokens + 1), new CellEvent.Tokens(d.attempt(), 1)));
+				due.add(new Due<>(now + (i + 1L) * decodeMs / (tokens + 1), new CellEvent.Tokens(d.attempt(), 1)));
 			}
-			due.add(new Due<>(now + DECODE_MS, new CellEvent.DecodeDone(d.attempt())));
+			due.add(new Due<>(now + decodeMs, new CellEvent.DecodeDone(d.attempt())));
 		}
 		else if (a instanceof CellAction.Refuse) {
 			this.refused++;
@@ -164,11 +187,11 @@
 		return (CapacityTable.cpuNanos() - cpu) / 1000.0 / n;
 	}
 
-	private static List<Worker> cellWorkers(int count) {
+	private static List<Worker> cellWorkers(int count, int slots) {
 		List<Worker> l = new ArrayList<>();
 		for (int i = 0; i < count; i++) {
 			boolean prefill = i % 3 == 0;
-			l.add(worker("w" + i, prefill ? WorkerRole.PREFILL : WorkerRole.DECODE, prefill ? 1 : 32));
+			l.add(worker("w" + i, prefill ? WorkerRole.PREFILL : WorkerRole.DECODE, prefill ? 1 : slots));
 		}
 		return l;
 	}
