--- a/src/main/java/io/shallotspur/cell/CellEvent.java
+++ b/src/main/java/io/shallotspur/cell/CellEvent.java
@@ -162,6 +162,16 @@
 
 	}
 
+	/**
+	 * This node became the owner of the cell. The former one may admit work until it has
+	 * heard of it.
+	 *
+	 * @param until when the former owner has surely stopped, in milliseconds
+	 */
+	record TakenOver(long until) implements CellEvent {
+
+	}
+
 	/**
 	 * The time that {@link CellScheduler#nextWake(long)} asked for has come.
 	 */
--- a/src/main/java/io/shallotspur/cell/StdCellScheduler.java
+++ b/src/main/java/io/shallotspur/cell/StdCellScheduler.java
@@ -275,6 +275,9 @@
 		else if (event instanceof CellEvent.WorkerLeaving e) {
 			this.fleet.leave(e.workerId());
 		}
+		else if (event instanceof CellEvent.TakenOver e) {
+			beginTakeover(e.until());
+		}
 		else if (event instanceof CellEvent.ContractsChanged e) {
 			this.contracts = e.contracts();
 		}
--- a/src/main/java/io/shallotspur/cfg/ResumeKey.java
+++ b/src/main/java/io/shallotspur/cfg/ResumeKey.java
@@ -8,4 +8,6 @@
  */
 public record ResumeKey(String id, Secret secret) {
 
+	static final int MIN_CHARACTERS = 32;
+
 }
--- a/src/main/java/io/shallotspur/cfg/SettingsReader.java
+++ b/src/main/java/io/shallotspur/cfg/SettingsReader.java
@@ -52,7 +52,9 @@
 		PeersSection peers = peers(root.table("peers"), base);
 		PlatformSection platform = platform(root.table("platform"));
 		LogSection log = log(root.table("log"));
-		LedgerSection ledger = ledger(root.table("ledger"));
+		TomlTable ledgerTable = root.table("ledger");
+		LedgerSection ledger = ledger(ledgerTable);
+		checkWrites(ledgerTable, ledger, platform);
 		ResumeSection resume = resume(root.table("resume"), base);
 		TomlTable drain = root.table("drain");
 		long grace = drain.whole("grace_ms", 60_000, 0, HOUR_MS);
@@ -84,7 +86,7 @@
 	}
 
 	private static AdminSection admin(TomlTable t, Path base) {
-		AdminSection a = new AdminSection(endpoint(t, "listen"), secret(t, "token", base));
+		AdminSection a = new AdminSection(endpoint(t, "listen"), secret(t, "token", base, MIN_SECRET));
 		t.finish();
 		return a;
 	}
@@ -92,7 +94,7 @@
 	private static PeersSection peers(TomlTable t, Path base) {
 		Endpoint listen = endpoint(t, "listen");
 		Endpoint advertise = t.has("advertise") ? endpoint(t, "advertise") : listen;
-		PeersSection p = new PeersSection(listen, advertise, secret(t, "secret", base),
+		PeersSection p = new PeersSection(listen, advertise, secret(t, "secret", base, MIN_SECRET),
 				(int) t.whole("max_frame_bytes", 8 << 20, 65_536, MAX_SIZE), file(t, "tls_cert_file", base),
 				file(t, "tls_key_file", base), file(t, "tls_trust_file", base));
 		boolean some = !(p.tlsCertFile() + p.tlsKeyFile() + p.tlsTrustFile()).isEmpty();
@@ -122,16 +124,27 @@
 	}
 
 	private static LedgerSection ledger(TomlTable t) {
-		LedgerSection l = new LedgerSection((int) t.whole("shards", 32, 2, 4_096), t.whole("batch_ms", 100, 1, 10_000),
+		LedgerSection l = new LedgerSection((int) t.whole("shards", 32, 2, 4_096), t.whole("batch_ms", 200, 1, 10_000),
 				t.whole("window_ms", 10 * 60_000, 60_000, 24 * HOUR_MS));
 		t.finish();
 		return l;
 	}
 
+	// Were the ledger's own bound above the budget, keyed requests would be refused for
+	// want
+	// of budget at a load the ledger was set up for, and only then would it be noticed.
+	private static void checkWrites(TomlTable t, LedgerSection l, PlatformSection p) {
+		double most = l.shards() * 1000.0 / l.batchMs();
+		if (most > p.writesPerS()) {
+			t.problem("batch_ms", "the shards may be written " + Math.round(most) + " times a second",
+					"shards * 1000 / batch_ms at most platform.writes_per_s, " + p.writesPerS());
+		}
+	}
+
 	private static ResumeSection resume(TomlTable t, Path base) {
 		List<ResumeKey> keys = new ArrayList<>();
 		for (TomlTable k : t.tables("key")) {
-			keys.add(new ResumeKey(k.text("id"), secret(k, "secret", base)));
+			keys.add(new ResumeKey(k.text("id"), secret(k, "secret", base, ResumeKey.MIN_CHARACTERS)));
 			k.finish();
 		}
 		if (keys.isEmpty()) {
@@ -155,12 +168,12 @@
 		});
 	}
 
-	private static Secret secret(TomlTable t, String key, Path base) {
+	private static Secret secret(TomlTable t, String key, Path base, int min) {
 		String s = t.text(key);
 		try {
 			Secret r = Secret.resolve(s, base);
-			if (!s.isEmpty() && r.value().length() < MIN_SECRET) {
-				t.problem(key, "the secret is too short", "at least " + MIN_SECRET + " characters");
+			if (!s.isEmpty() && r.value().length() < min) {
+				t.problem(key, "the secret is too short", "at least " + min + " characters");
 			}
 			return r;
 		}
--- a/src/main/java/io/shallotspur/cli/AdminClient.java
+++ b/src/main/java/io/shallotspur/cli/AdminClient.java
@@ -3,6 +3,7 @@
 import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.UUID;
 
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpMethod;
@@ -19,6 +20,10 @@
 
 	private static final Duration TIMEOUT = Duration.ofSeconds(10);
 
+	private static final int CHANGE_TRIES = 3;
+
+	private static final int GATEWAY_TIMEOUT = 504;
+
 	private static final String CONTRACTS = "/v1/contracts";
 
 	private final String address;
@@ -42,15 +47,17 @@
 	}
 
 	Reply put(String customer, long revision, String body) throws PeerException {
-		return send(expecting(revision), HttpMethod.PUT, path(customer), body);
+		return change(expecting(revision), HttpMethod.PUT, path(customer), body);
 	}
 
 	Reply delete(String customer, long revision) throws PeerException {
-		return send(expecting(revision), HttpMethod.DELETE, path(customer), "");
+		return change(expecting(revision), HttpMethod.DELETE, path(customer), "");
 	}
 
 	private HttpClient expecting(long revision) {
+		String changeId = UUID.randomUUID().toString();
 		return this.client.headers((h) -> {
+			h.set("Change-Id", changeId);
 			if (revision > 0) {
 				h.set("If-Match", "\"" + revision + "\"");
 			}
@@ -60,6 +67,16 @@
 		});
 	}
 
+	// An answer from the store that was lost leaves open whether the change was made. The
+	// same change id sent again settles it: the change is made once.
+	private Reply change(HttpClient c, HttpMethod method, String path, String body) throws PeerException {
+		Reply r = send(c, method, path, body);
+		for (int i = 1; i < CHANGE_TRIES && r.status() == GATEWAY_TIMEOUT; i++) {
+			r = send(c, method, path, body);
+		}
+		return r;
+	}
+
 	private Reply send(HttpClient c, HttpMethod method, String path, String body) throws PeerException {
 		try {
 			return c.request(method)
--- a/src/main/java/io/shallotspur/cli/StandinCommand.java
+++ b/src/main/java/io/shallotspur/cli/StandinCommand.java
@@ -7,12 +7,14 @@
 import java.util.function.ToDoubleFunction;
 
 import org.kohsuke.args4j.Option;
+import reactor.core.Exceptions;
 
 import io.shallotspur.cfg.Endpoint;
 import io.shallotspur.cfg.StandinSettings;
 import io.shallotspur.cfg.StandinSettingsReader;
 import io.shallotspur.cfg.UpstreamSection;
 import io.shallotspur.cfg.WorkerSpeeds;
+import io.shallotspur.exc.PeerException;
 import io.shallotspur.exc.ShallotspurException;
 import io.shallotspur.fleet.Worker;
 import io.shallotspur.standin.EngineStandin;
@@ -34,9 +36,15 @@
 	@Override
 	public int run(PrintStream out, PrintStream err) throws ShallotspurException {
 		StandinSettings s = StandinSettingsReader.read(this.settings);
-		startPlatform(s, out);
-		for (UpstreamSection u : s.upstreams()) {
-			startWorkers(u, s.speeds(), out);
+		try {
+			startPlatform(s, out);
+			for (UpstreamSection u : s.upstreams()) {
+				startWorkers(u, s.speeds(), out);
+			}
+		}
+		catch (RuntimeException ex) {
+			Throwable t = Exceptions.unwrap(ex);
+			throw new PeerException("A stand-in cannot listen: " + t.getMessage(), this.settings.toString(), t);
 		}
 		out.println("ready");
 		awaitEnd();
--- a/src/main/java/io/shallotspur/locate/CellMap.java
+++ b/src/main/java/io/shallotspur/locate/CellMap.java
@@ -1,9 +1,9 @@
 package io.shallotspur.locate;
 
 import java.util.ArrayList;
-import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -32,6 +32,11 @@
 
 	private static final int MAX_ADDRESSES = 3;
 
+	/**
+	 * Many times the addresses wanted, so that a small fleet is drawn whole as a rule.
+	 */
+	private static final int DRAWS = 32;
+
 	private static final LongHashFunction HASH = LongHashFunction.xx3();
 
 	private final View view;
@@ -144,15 +149,28 @@
 			keys.put(p, Math.pow(random.nextDouble(), 1 / free));
 		}
 		cells.sort(Comparator.comparing((Placement p) -> -keys.get(p)));
-		List<Member> l = new ArrayList<>();
-		cells.forEach((p) -> addOnce(l, p.owner()));
-		List<Member> rest = new ArrayList<>(this.view.live());
-		Collections.shuffle(rest, random);
-		rest.forEach((m) -> addOnce(l, m));
+		Map<String, Member> found = new LinkedHashMap<>();
+		cells.forEach((p) -> found.putIfAbsent(p.owner().id(), p.owner()));
+		addOthers(found, random);
+		List<Member> l = new ArrayList<>(found.values());
 		l.sort(Comparator.comparing((m) -> m.status() == MemberStatus.SUSPECT));
 		return l.stream().map(Member::callerAddress).limit(MAX_ADDRESSES).toList();
 	}
 
+	// Draws from the live VMs until there are enough that are not suspected. The cost
+	// must
+	// not grow with the fleet: every VM answers every caller.
+	private void addOthers(Map<String, Member> found, Random random) {
+		List<Member> live = this.view.live();
+		int good = (int) found.values().stream().filter((m) -> m.status() != MemberStatus.SUSPECT).count();
+		for (int i = 0; i < DRAWS && good < MAX_ADDRESSES && !live.isEmpty(); i++) {
+			Member m = live.get(random.nextInt(live.size()));
+			if (found.putIfAbsent(m.id(), m) == null && m.status() != MemberStatus.SUSPECT) {
+				good++;
+			}
+		}
+	}
+
 	private List<Placement> customerCells(String upstream, String customer, double share) {
 		List<Placement> all = this.byUpstream.getOrDefault(upstream, List.of());
 		// One cell more than the share needs, so that the customer is not tied to
@@ -168,12 +186,6 @@
 			.toList();
 	}
 
-	private static void addOnce(List<Member> l, Member m) {
-		if (l.stream().noneMatch((o) -> o.id().equals(m.id()))) {
-			l.add(m);
-		}
-	}
-
 	/**
 	 * A cell and the entry VM that admits to it.
 	 *
--- a/src/main/java/io/shallotspur/node/CellHost.java
+++ b/src/main/java/io/shallotspur/node/CellHost.java
@@ -51,7 +51,8 @@
 	 * @param a the cell
 	 */
 	public synchronized void assign(CellAssignment a) {
-		if (a.equals(this.owned.put(a.cell(), a))) {
+		CellAssignment old = this.owned.put(a.cell(), a);
+		if (a.equals(old)) {
 			return;
 		}
 		Logger.info("[node] Cell {} has {} workers.", a.cell(), a.workers().size());
@@ -60,7 +61,11 @@
 			this.plains.computeIfAbsent(a.cell(), this::newPlain).setWorkers(a.workers());
 		}
 		else {
-			this.models.computeIfAbsent(a.cell(), this::newModel).setWorkers(a.workers());
+			ModelService m = this.models.computeIfAbsent(a.cell(), this::newModel);
+			if (old == null) {
+				m.takeOver();
+			}
+			m.setWorkers(a.workers());
 		}
 	}
 
--- a/src/main/java/io/shallotspur/node/ModelService.java
+++ b/src/main/java/io/shallotspur/node/ModelService.java
@@ -23,6 +23,7 @@
 import io.shallotspur.ledger.IntentKey;
 import io.shallotspur.outcome.Outcome;
 import io.shallotspur.outcome.Refusal;
+import io.shallotspur.outcome.RefusalCode;
 import io.shallotspur.port.PrefillResult;
 import io.shallotspur.resume.ResumeClaim;
 import io.shallotspur.resume.StreamId;
@@ -42,6 +43,12 @@
 	 */
 	static final Duration LOST_GRACE = Duration.ofMillis(40);
 
+	/**
+	 * A former owner that lives hears of a change of owner within about a second; one
+	 * that was paused notices its pause before it admits anything.
+	 */
+	private static final long TAKEOVER_MS = 3000;
+
 	private final String cell;
 
 	private final NodePorts ports;
@@ -107,6 +114,14 @@
 		this.loop.run(() -> this.watch.set(workers));
 	}
 
+	/**
+	 * Takes the cell over from a former owner that may not have heard of it yet: for a
+	 * while less is admitted, so that the two together do not overfill the engines.
+	 */
+	void takeOver() {
+		this.loop.submit(new CellEvent.TakenOver(this.ports.clock().getAsLong() + TAKEOVER_MS));
+	}
+
 	/**
 	 * Marks a worker as leaving.
 	 * @param workerId the worker
@@ -340,6 +355,11 @@
 					: this.ports.ledger().unknown(s.intentKey(), now());
 			m.subscribe();
 		}
+		if (refusal.code() == RefusalCode.QUARANTINED) {
+			Logger.warn("[quarantine] Request {} of {} in class {} crashes workers and is refused.",
+					Long.toHexString(s.call().request().fingerprint()), s.call().request().customer(),
+					s.call().request().className());
+		}
 		s.fail(new RefusedException(refusal));
 		end(s);
 	}
--- a/src/test/java/io/shallotspur/cell/CellFailureTests.java
+++ b/src/test/java/io/shallotspur/cell/CellFailureTests.java
@@ -248,7 +248,8 @@
 		// Two nodes may both believe that they own a cell. The new one admits a few
 		// requests per worker only, so that the engines' memory is not promised twice.
 		CellDriver d = cell(4, 2);
-		d.scheduler.beginTakeover(6000);
+		d.scheduler.handle(new CellEvent.TakenOver(6000), 0, (a) -> {
+		});
 		Set<Integer> seen = new HashSet<>();
 		for (int i = 0; i < 40; i++) {
 			d.submit(d.request("r" + i, "a", 0, 5400), 100);
--- a/src/test/java/io/shallotspur/cfg/SettingsReaderTests.java
+++ b/src/test/java/io/shallotspur/cfg/SettingsReaderTests.java
@@ -50,7 +50,7 @@
 	@ParameterizedTest
 	@CsvSource(delimiter = '|', textBlock = """
 			listen = "127.0.0.1:8101"      | listen = "8101"              | callers.listen
-			batch_ms = 100                 | batch_ms = "100"             | ledger.batch_ms
+			batch_ms = 200                 | batch_ms = "200"             | ledger.batch_ms
 			shards = 32                    | shards = 1                   | ledger.shards
 			format = "plain"               | format = "xml"               | log.format
 			grace_ms = 60000               | grace = 60000                | drain.grace
@@ -71,7 +71,7 @@
 		return Files.readString(Path.of("examples", name))
 			.replace("env:SHALLOTSPUR_ADMIN_TOKEN", "a-secret-of-the-test-admin")
 			.replace("env:SHALLOTSPUR_PEER_SECRET", "a-secret-of-the-test-peer")
-			.replace("env:SHALLOTSPUR_RESUME_KEY", "a-secret-of-the-test-resume");
+			.replace("env:SHALLOTSPUR_RESUME_KEY", "a-secret-of-the-test-resume-32-long");
 	}
 
 	private Path write(String text) throws Exception {
