--- a/src/main/java/io/shallotspur/cell/JobFlow.java
+++ b/src/main/java/io/shallotspur/cell/JobFlow.java
@@ -318,8 +318,8 @@
 		this.jobs.remove(job);
 	}
 
-	private static void enter(Job job, Stage stage, long now) {
-		job.stage = stage;
+	private void enter(Job job, Stage stage, long now) {
+		this.jobs.enter(job, stage);
 		job.stageSince = now;
 	}
 
--- a/src/main/java/io/shallotspur/cell/JobTable.java
+++ b/src/main/java/io/shallotspur/cell/JobTable.java
@@ -20,6 +20,8 @@
 
 	private final Map<Long, Job> byAttempt = new LinkedHashMap<>();
 
+	private final TreeMap<Long, Job> kvReady = new TreeMap<>();
+
 	private final TreeMap<Long, Integer> gapTargets = new TreeMap<>();
 
 	private long sequence;
@@ -54,7 +56,29 @@
 		this.gapTargets.merge(job.request.tbtMs(), 1, Integer::sum);
 	}
 
+	/**
+	 * Moves an attempt to another stage. Those whose KV cache waits are kept apart: they
+	 * are asked for at every event, and a walk over all requests in flight would cost
+	 * more than the decisions.
+	 * @param job the request
+	 * @param stage its new stage
+	 */
+	void enter(Job job, Stage stage) {
+		job.stage = stage;
+		if (stage == Stage.KV_READY) {
+			this.kvReady.put(job.attempt, job);
+		}
+		else {
+			this.kvReady.remove(job.attempt, job);
+		}
+	}
+
+	List<Job> kvReady() {
+		return List.copyOf(this.kvReady.values());
+	}
+
 	void endAttempt(Job job) {
+		this.kvReady.remove(job.attempt, job);
 		if (this.byAttempt.remove(job.attempt) != null) {
 			this.gapTargets.computeIfPresent(job.request.tbtMs(), (k, n) -> (n > 1) ? n - 1 : null);
 		}
--- a/src/main/java/io/shallotspur/cell/StdCellScheduler.java
+++ b/src/main/java/io/shallotspur/cell/StdCellScheduler.java
@@ -388,8 +388,7 @@
 	}
 
 	private void startTransfers(long now) {
-		List<Job> ready = this.jobs.inFlight((j) -> j.stage == Stage.KV_READY);
-		for (Job j : ready) {
+		for (Job j : this.jobs.kvReady()) {
 			boolean urgent = now >= j.kvUntil - JobFlow.KV_URGENT_MS;
 			DecodeWorker d = new Placer(this.fleet, this.settings, 0, now).transferTarget(j, urgent);
 			if (d != null) {
