Live nodes record what was prefilled and what of it was wasted

Change: the node that ran a request tells a PrefillLog, at its end, the computed tokens and those of whose answer no token reached the caller; recorder and metrics take both. Measured: tests: a served prompt counts as used, one whose caller leaves during the transfer as wasted; whole verify green. Conclusion: a prefill cancelled before its end is not counted; the engines do not say how far they came.

--- a/src/main/java/io/shallotspur/boot/VmAssembly.java
+++ b/src/main/java/io/shallotspur/boot/VmAssembly.java
@@ -130,6 +130,7 @@
 			.part(this.cluster)
 			.part(housekeeping(r))
 			.requestLog(this.recorder.and((end, now) -> this.metrics.finished(end)))
+			.prefillLog(this.recorder.and(this.metrics))
 			.part(new RecordLoop(this.recordWriter, this.metrics, this.clock))
 			.part(admin())
 			.build();
--- a/src/main/java/io/shallotspur/node/EntryVmBuilder.java
+++ b/src/main/java/io/shallotspur/node/EntryVmBuilder.java
@@ -17,6 +17,7 @@
 import io.shallotspur.port.Engine;
 import io.shallotspur.port.PeerNetwork;
 import io.shallotspur.port.PlainService;
+import io.shallotspur.record.PrefillLog;
 import io.shallotspur.record.RequestLog;
 import io.shallotspur.resume.ResumeKey;
 import io.shallotspur.resume.ResumeTokens;
@@ -76,6 +77,9 @@
 	RequestLog requestLog = (end, now) -> {
 	};
 
+	PrefillLog prefillLog = (customer, className, computed, wasted, now) -> {
+	};
+
 	EntryVmBuilder(String vm, long incarnation) {
 		this.vm = vm;
 		this.incarnation = incarnation;
@@ -240,6 +244,17 @@
 		return this;
 	}
 
+	/**
+	 * Sets who is told what was prefilled for each request that ran here; by default
+	 * nobody.
+	 * @param prefillLog the log
+	 * @return this builder
+	 */
+	public EntryVmBuilder prefillLog(PrefillLog prefillLog) {
+		this.prefillLog = prefillLog;
+		return this;
+	}
+
 	/**
 	 * Adds a part with a life-cycle of its own.
 	 * @param part the part
@@ -260,7 +275,8 @@
 
 	NodePorts ports() {
 		return new NodePorts(this.vm, this.incarnation, need(this.engine, "engine"),
-				need(this.plainService, "plainService"), need(this.ledger, "ledger"), this.resume, this.clock);
+				need(this.plainService, "plainService"), need(this.ledger, "ledger"), this.resume, this.prefillLog,
+				this.clock);
 	}
 
 	private static ResumeTokens ownTokens() {
--- a/src/main/java/io/shallotspur/node/ModelService.java
+++ b/src/main/java/io/shallotspur/node/ModelService.java
@@ -16,6 +16,7 @@
 import io.shallotspur.cell.CellAction;
 import io.shallotspur.cell.CellEvent;
 import io.shallotspur.cell.CellScheduler;
+import io.shallotspur.cell.ModelRequest;
 import io.shallotspur.contract.ContractSet;
 import io.shallotspur.exc.EngineLostException;
 import io.shallotspur.fleet.Worker;
@@ -258,7 +259,7 @@
 		Mono<PrefillResult> m = this.ports.worker(worker)
 			.flatMap((w) -> this.ports.engine()
 				.prefill(w, a.streamId(), a.session().call().body(), a.session().textSoFar()));
-		a.call(m.subscribe((r) -> this.loop.submit(new CellEvent.PrefillDone(a.number(), r.computedTokens())),
+		a.call(m.subscribe((r) -> this.loop.run(() -> prefillDone(a, r.computedTokens())),
 				(ex) -> failed(ex, worker, new CellEvent.PrefillFailed(a.number()))));
 	}
 
@@ -364,8 +365,17 @@
 		end(s);
 	}
 
+	private void prefillDone(ModelAttempt a, int computed) {
+		a.session().prefilled(computed);
+		this.loop.deliver(new CellEvent.PrefillDone(a.number(), computed));
+	}
+
 	private void end(ModelSession s) {
 		s.end();
+		ModelRequest r = s.call().request();
+		if (s.prefill() > 0) {
+			this.ports.prefills().prefilled(r.customer(), r.className(), s.prefill(), s.unsentPrefill(), now());
+		}
 		this.sessions.remove(s.id());
 		this.open.decrementAndGet();
 		// The scheduler may yet name the attempts to free what they hold, within the same
--- a/src/main/java/io/shallotspur/node/ModelSession.java
+++ b/src/main/java/io/shallotspur/node/ModelSession.java
@@ -28,6 +28,10 @@
 
 	private boolean intentHeld;
 
+	private long prefill;
+
+	private long unsentPrefill;
+
 	private boolean ended;
 
 	ModelSession(ModelCall call) {
@@ -70,6 +74,24 @@
 		return this.attempts;
 	}
 
+	/**
+	 * Takes the end of a prefill. Its tokens are wasted unless a token of the answer
+	 * follows.
+	 * @param computed the tokens that were computed
+	 */
+	void prefilled(int computed) {
+		this.prefill += computed;
+		this.unsentPrefill += computed;
+	}
+
+	long prefill() {
+		return this.prefill;
+	}
+
+	long unsentPrefill() {
+		return this.unsentPrefill;
+	}
+
 	String textSoFar() {
 		return this.text.toString();
 	}
@@ -81,6 +103,7 @@
 	void append(String token) {
 		this.text.append(token);
 		this.nextIndex++;
+		this.unsentPrefill = 0;
 	}
 
 	/**
--- a/src/main/java/io/shallotspur/node/NodePorts.java
+++ b/src/main/java/io/shallotspur/node/NodePorts.java
@@ -11,6 +11,7 @@
 import io.shallotspur.ledger.IntentLedger;
 import io.shallotspur.port.Engine;
 import io.shallotspur.port.PlainService;
+import io.shallotspur.record.PrefillLog;
 import io.shallotspur.resume.ResumeTokens;
 
 /**
@@ -23,15 +24,16 @@
  * @param service the plain services
  * @param ledger lets a request run at most once
  * @param resume makes resume tokens
+ * @param prefills takes what was prefilled for each request
  * @param clock gives the present time in milliseconds
  * @param workers the workers by id
  */
 record NodePorts(String vm, long incarnation, Engine engine, PlainService service, IntentLedger ledger,
-		ResumeTokens resume, LongSupplier clock, Map<String, Worker> workers) {
+		ResumeTokens resume, PrefillLog prefills, LongSupplier clock, Map<String, Worker> workers) {
 
 	NodePorts(String vm, long incarnation, Engine engine, PlainService service, IntentLedger ledger,
-			ResumeTokens resume, LongSupplier clock) {
-		this(vm, incarnation, engine, service, ledger, resume, clock, new ConcurrentHashMap<>());
+			ResumeTokens resume, PrefillLog prefills, LongSupplier clock) {
+		this(vm, incarnation, engine, service, ledger, resume, prefills, clock, new ConcurrentHashMap<>());
 	}
 
 	/**
--- a/src/main/java/io/shallotspur/record/ClassCounts.java
+++ b/src/main/java/io/shallotspur/record/ClassCounts.java
@@ -51,6 +51,16 @@
 		}
 	}
 
+	/**
+	 * Adds what was prefilled for a request.
+	 * @param computed the tokens that were computed
+	 * @param wasted those of them of whose answer no token reached the caller
+	 */
+	public void addPrefill(long computed, long wasted) {
+		this.prefillTokens += computed;
+		this.wastedPrefillTokens += wasted;
+	}
+
 	/**
 	 * Adds other counts.
 	 * @param other the counts, which stay as they are
--- a/src/main/java/io/shallotspur/record/ClassMetrics.java
+++ b/src/main/java/io/shallotspur/record/ClassMetrics.java
@@ -48,6 +48,11 @@
 		return name.startsWith(PREFIX);
 	}
 
+	void addPrefill(long computed, long wasted) {
+		this.prefillTokens.inc(computed);
+		this.wastedPrefillTokens.inc(wasted);
+	}
+
 	void add(RequestEnd end) {
 		counter(end.verdict()).inc();
 		this.prefillTokens.inc(end.prefillTokens());
--- a/src/main/java/io/shallotspur/record/NodeMetrics.java
+++ b/src/main/java/io/shallotspur/record/NodeMetrics.java
@@ -32,7 +32,7 @@
  * the number of customers; the rest is counted as {@link #OTHER}. A request is counted in
  * exactly one place, and a customer that loses its own metrics leaves its counts there.
  */
-public final class NodeMetrics {
+public final class NodeMetrics implements PrefillLog {
 
 	/**
 	 * The label of customers, and of classes, without metrics of their own.
@@ -88,6 +88,11 @@
 		metricsOf(end.customer(), end.className()).add(end);
 	}
 
+	@Override
+	public void prefilled(String customer, String className, long computed, long wasted, long now) {
+		metricsOf(customer, className).addPrefill(computed, wasted);
+	}
+
 	/**
 	 * Begins a new window of the quantiles and forgets former use by half. To be called
 	 * once a minute.
--- a/src/main/java/io/shallotspur/record/Recorder.java
+++ b/src/main/java/io/shallotspur/record/Recorder.java
@@ -6,6 +6,8 @@
 import java.util.SortedMap;
 import java.util.TreeMap;
 
+import org.jspecify.annotations.Nullable;
+
 /**
  * Counts the ends of requests, by customer, class and minute. Thread-safe.
  * <p>
@@ -13,7 +15,7 @@
  * returned by {@link #drain}, either in the counts or, when there is no more room, in
  * {@link RecordPart#unrecorded()}.
  */
-public final class Recorder implements RequestLog {
+public final class Recorder implements RequestLog, PrefillLog {
 
 	/**
 	 * The length of an interval.
@@ -44,20 +46,36 @@
 
 	@Override
 	public synchronized void finished(RequestEnd end, long now) {
+		ClassCounts c = counts(end.customer(), end.className(), now);
+		if (c != null) {
+			c.add(end);
+		}
+	}
+
+	@Override
+	public synchronized void prefilled(String customer, String className, long computed, long wasted, long now) {
+		ClassCounts c = counts(customer, className, now);
+		if (c != null) {
+			c.addPrefill(computed, wasted);
+		}
+	}
+
+	// Returns the counts of a slice, or null and a note of it if there is no room.
+	private @Nullable ClassCounts counts(String customer, String className, long now) {
 		long minute = Math.floorDiv(now, MINUTE_MS);
 		Interval i = this.intervals.computeIfAbsent(minute, (m) -> new Interval());
-		SliceKey key = new SliceKey(end.customer(), end.className(), minute);
+		SliceKey key = new SliceKey(customer, className, minute);
 		ClassCounts c = i.slices.get(key);
 		if (c == null && this.slices >= this.maxSlices) {
 			i.unrecorded++;
-			return;
+			return null;
 		}
 		if (c == null) {
 			c = new ClassCounts();
 			i.slices.put(key, c);
 			this.slices++;
 		}
-		c.add(end);
+		return c;
 	}
 
 	/**
--- a/src/test/java/io/shallotspur/node/CallerGoneTests.java
+++ b/src/test/java/io/shallotspur/node/CallerGoneTests.java
@@ -62,8 +62,10 @@
 		this.f.engines.stall("d2", 60_000).block(ServingFixture.PATIENCE);
 		Disposable d = this.f.stream(vm, ServingFixture.card("x", 5, true), NONE).subscribe();
 		ServingFixture.await(() -> held("d1") + held("d2") > 0);
+		long before = this.f.wasted.get();
 		d.dispose();
 		ServingFixture.await(this.f::nothingHeld);
+		ServingFixture.await(() -> this.f.wasted.get() > before);
 	}
 
 	/**
--- a/src/test/java/io/shallotspur/node/CellHostTests.java
+++ b/src/test/java/io/shallotspur/node/CellHostTests.java
@@ -53,7 +53,8 @@
 	private CellHost host() {
 		ResumeTokens tokens = new ResumeTokens(List.of(new ResumeKey("k", new byte[32])), 1000);
 		NodePorts ports = new NodePorts("vm", 1, new HttpEngine(), new HttpPlainService(1000), new FakeLedger(), tokens,
-				() -> NOW);
+				(customer, className, computed, wasted, now) -> {
+				}, () -> NOW);
 		return new CellHost(ports, new SchedulerFactory() {
 
 			@Override
--- a/src/test/java/io/shallotspur/node/ServingFixture.java
+++ b/src/test/java/io/shallotspur/node/ServingFixture.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.BooleanSupplier;
 
@@ -55,6 +56,10 @@
 
 	final Set<String> dead = ConcurrentHashMap.newKeySet();
 
+	final AtomicLong prefilled = new AtomicLong();
+
+	final AtomicLong wasted = new AtomicLong();
+
 	final FakeLedger ledger = new FakeLedger();
 
 	final FakePeers peers = new FakePeers();
@@ -127,6 +132,10 @@
 			.ownership(ownership)
 			.locator((customer, className, now) -> new Location(List.of("127.0.0.1:1", "127.0.0.1:2"), 2000))
 			.schedulers(new StdSchedulers())
+			.prefillLog((customer, className, computed, wasted, now) -> {
+				this.prefilled.addAndGet(computed);
+				this.wasted.addAndGet(wasted);
+			})
 			.contracts(this.contracts, Flux.never())
 			.frontEnd(new CallerServer(settings))
 			.build();
--- a/src/test/java/io/shallotspur/node/WholePathTests.java
+++ b/src/test/java/io/shallotspur/node/WholePathTests.java
@@ -59,6 +59,15 @@
 		ServingFixture.await(this.f::nothingHeld);
 	}
 
+	@Test
+	void countsWhatWasPrefilledForAnAnswerAsUsed() {
+		ServingFixture.await(this.f::nothingHeld);
+		long before = this.f.prefilled.get();
+		this.f.send(this.vm, "/v1/completions", ServingFixture.card("z".repeat(2000), 3, false));
+		ServingFixture.await(() -> this.f.prefilled.get() > before);
+		assertThat(this.f.wasted).hasValue(0);
+	}
+
 	@Test
 	void locatesOwners() {
 		Answer a = this.f.send(this.vm, HttpMethod.GET, "/v1/locate?customer=lonestar-motels&class=registration-card",
