One division of a model into cells, with both roles in each

Cause: two planners stood side by side. The live one (locate.CellPlanner) could make a cell of a hall with few decode workers that has none, and one of 17 workers: eachCellOfAModelHasBothRoles fails on it. CellMapTests: 16 workers at most instead of 17; 480 workers make 42 cells instead of 30, because cells are filled to 12 so that a new worker finds room. Measured: the new test fails before and passes after; whole verify green.

--- a/src/main/java/io/shallotspur/locate/CellPlanner.java
+++ b/src/main/java/io/shallotspur/locate/CellPlanner.java
@@ -17,16 +17,16 @@
  * a worker more or less moves few others. Stateless.
  * <p>
  * An upstream with at most {@link #MAX_WORKERS} workers is one cell, whatever the halls:
- * one owner then knows all of it exactly. A larger one is divided hall by hall, so that
- * KV caches stay within a hall; workers of a hall that lacks a role join the cells of the
- * next hall.
+ * one owner then knows all of it exactly. The workers of a larger model are divided by
+ * {@link io.shallotspur.routing.CellPlan}, so that each cell has both roles and keeps
+ * within a hall where it can; those of a larger plain service are spread evenly.
  */
 public final class CellPlanner {
 
 	/**
 	 * The most workers in a cell.
 	 */
-	public static final int MAX_WORKERS = 16;
+	public static final int MAX_WORKERS = io.shallotspur.routing.CellPlan.MAX_WORKERS;
 
 	private static final LongHashFunction HASH = LongHashFunction.xx3();
 
@@ -51,45 +51,28 @@
 	private static void divide(String upstream, List<Worker> workers, List<CellPlan> out) {
 		if (workers.size() <= MAX_WORKERS) {
 			out.add(cell(upstream, upstream, workers));
-			return;
 		}
-		Map<String, List<Worker>> byHall = new TreeMap<>();
-		workers.forEach((w) -> byHall.computeIfAbsent(w.hall(), (h) -> new ArrayList<>()).add(w));
-		Map<String, List<Worker>> groups = new TreeMap<>();
-		List<Worker> carried = new ArrayList<>();
-		String last = "";
-		for (Map.Entry<String, List<Worker>> e : byHall.entrySet()) {
-			carried.addAll(e.getValue());
-			if (isWhole(carried)) {
-				last = e.getKey();
-				groups.put(last, carried);
-				carried = new ArrayList<>();
-			}
+		else if (workers.stream().anyMatch((w) -> w.role() == WorkerRole.PLAIN)) {
+			dividePlain(upstream, workers, out);
+		}
+		else {
+			io.shallotspur.routing.CellPlan.of(workers)
+				.cells()
+				.forEach((c) -> out.add(cell(c.id(), upstream, c.workers())));
 		}
-		groups.computeIfAbsent(last, (h) -> new ArrayList<>()).addAll(carried);
-		groups.forEach((hall, list) -> divideHall(upstream, hall, list, out));
-	}
-
-	private static boolean isWhole(List<Worker> workers) {
-		boolean prefill = workers.stream().anyMatch((w) -> w.role() == WorkerRole.PREFILL);
-		boolean decode = workers.stream().anyMatch((w) -> w.role() == WorkerRole.DECODE);
-		return prefill == decode;
 	}
 
-	private static void divideHall(String upstream, String hall, List<Worker> workers, List<CellPlan> out) {
+	private static void dividePlain(String upstream, List<Worker> workers, List<CellPlan> out) {
 		int count = (workers.size() + MAX_WORKERS - 1) / MAX_WORKERS;
+		int room = (workers.size() + count - 1) / count;
 		List<List<Worker>> cells = new ArrayList<>();
 		for (int i = 0; i < count; i++) {
 			cells.add(new ArrayList<>());
 		}
-		for (WorkerRole role : WorkerRole.values()) {
-			List<Worker> l = workers.stream().filter((w) -> w.role() == role).sorted(BY_ID).toList();
-			int room = (l.size() + count - 1) / count;
-			int[] taken = new int[count];
-			l.forEach((w) -> cells.get(preferred(w, taken, room)).add(w));
-		}
+		int[] taken = new int[count];
+		workers.stream().sorted(BY_ID).forEach((w) -> cells.get(preferred(w, taken, room)).add(w));
 		for (int i = 0; i < count; i++) {
-			out.add(cell(upstream + "/" + hall + "/" + i, upstream, cells.get(i)));
+			out.add(cell(upstream + "/" + i, upstream, cells.get(i)));
 		}
 	}
 
--- a/src/test/java/io/shallotspur/locate/CellMapTests.java
+++ b/src/test/java/io/shallotspur/locate/CellMapTests.java
@@ -21,13 +21,31 @@
 
 class CellMapTests {
 
+	/**
+	 * A hall has many prefill workers and one decode worker. A cell without a decode
+	 * worker could not answer anything, and its callers would be refused.
+	 */
+	@Test
+	void eachCellOfAModelHasBothRoles() {
+		List<Worker> l = new ArrayList<>(Workers.model("m", 2));
+		for (int i = 0; i < 30; i++) {
+			l.add(new Worker("m-extra-" + i, "m", "hall-x", WorkerRole.PREFILL, "", 0, 24_000, 800, 0, 0));
+		}
+		List<CellPlan> cells = CellPlanner.plan(l);
+		assertThat(cells).isNotEmpty().allSatisfy((c) -> {
+			assertThat(c.workers()).anyMatch((w) -> w.role() == WorkerRole.DECODE);
+			assertThat(c.workers()).anyMatch((w) -> w.role() == WorkerRole.PREFILL);
+			assertThat(c.workers()).hasSizeLessThanOrEqualTo(CellPlanner.MAX_WORKERS);
+		});
+	}
+
 	@Test
 	void aSmallUpstreamIsOneCellAndALargeOneIsDividedByHall() {
 		assertThat(CellPlanner.plan(Workers.model("small", 16))).hasSize(1);
 		List<CellPlan> cells = CellPlanner.plan(Workers.model("large", 480));
-		assertThat(cells).hasSize(30);
+		assertThat(cells).hasSize(42);
 		for (CellPlan c : cells) {
-			assertThat(c.workers()).hasSizeLessThanOrEqualTo(CellPlanner.MAX_WORKERS + 1)
+			assertThat(c.workers()).hasSizeLessThanOrEqualTo(CellPlanner.MAX_WORKERS)
 				.anyMatch((w) -> w.role() == WorkerRole.PREFILL)
 				.anyMatch((w) -> w.role() == WorkerRole.DECODE);
 			assertThat(c.workers().stream().map(Worker::hall).distinct()).hasSize(1);
