A request that crashes late is convicted at its third crash

Cause: a suspect that had generated some tokens was cleared as if it had completed; a request that crashes its worker after that point was cleared on the way each time, so every resend cost one more worker. Change: such a suspect is marked as proven (CrashSuspects.proven), which counts less and still convicts at the third crash. Two workers for a request that crashes early, three for a late one.

--- a/src/main/java/io/shallotspur/cell/StdCellScheduler.java
+++ b/src/main/java/io/shallotspur/cell/StdCellScheduler.java
@@ -159,7 +159,7 @@
 				j.generated += e.count();
 				j.decodedHere += e.count();
 				if (this.flow.clearIfProven(j)) {
-					this.crashes.completed(j.request.fingerprint(), now);
+					this.crashes.proven(j.request.fingerprint(), now);
 				}
 			}
 		}
--- a/src/test/java/io/shallotspur/cell/CellDriver.java
+++ b/src/test/java/io/shallotspur/cell/CellDriver.java
@@ -53,6 +53,11 @@
 
 	final Set<String> poison = new HashSet<>();
 
+	/**
+	 * The tokens after which a poisonous request crashes its worker.
+	 */
+	int poisonAfter;
+
 	final List<String> crashed = new ArrayList<>();
 
 	final Map<String, Long> computed = new HashMap<>();
@@ -240,7 +245,7 @@
 			if (!this.decoding.containsKey(a.attempt())) {
 				return;
 			}
-			if (this.poison.contains(a.requestId())) {
+			if (this.poison.contains(a.requestId()) && done >= this.poisonAfter) {
 				crash(a.decodeWorker());
 				return;
 			}
--- a/src/test/java/io/shallotspur/cell/CellFailureTests.java
+++ b/src/test/java/io/shallotspur/cell/CellFailureTests.java
@@ -224,6 +224,28 @@
 		assertThat(most).isEqualTo(1);
 	}
 
+	@Test
+	void aRequestThatCrashesLateIsConvictedAtTheThirdCrash() {
+		// The request runs past the point at which suspects are taken for harmless, and
+		// crashes its worker each time its caller sends it again. Were it cleared on the
+		// way, each resend would cost one more worker.
+		CellDriver d = cell(2, 8);
+		d.poison.add("bad");
+		d.poisonAfter = CellSettings.defaults().provenTokens() + 10;
+		for (int i = 0; i < 6 && !d.refused.containsKey("bad"); i++) {
+			int before = d.crashed.size();
+			d.submit(d.request("bad", "a", 0, 5400), 100);
+			d.submit(d.request("n" + i, "a", 0, 5400), 60);
+			while (d.crashed.size() == before && !d.refused.containsKey("bad") && d.now < 120_000) {
+				d.runTo(d.now + 10);
+			}
+			d.event(new CellEvent.CallerGone("bad"));
+			d.runTo(d.now + 1000);
+		}
+		assertThat(d.refused.get("bad").code()).isEqualTo(RefusalCode.QUARANTINED);
+		assertThat(d.crashed).hasSizeLessThanOrEqualTo(3);
+	}
+
 	@Test
 	void resendOfASuspectIsASuspectToo() {
 		// The caller of a request that crashed a worker gives up and sends it again.
