A virtual node's worker and its tasks share one way of being given up

Cause: VirtualNode held the same flag, its check and its two accessors twice. Change: NodeWorker uses a Cancellable in place of a copy of it.

--- a/src/main/java/io/shallotspur/demo/VirtualNode.java
+++ b/src/main/java/io/shallotspur/demo/VirtualNode.java
@@ -150,37 +150,32 @@
 	 */
 	private final class NodeWorker implements Worker {
 
-		private final AtomicBoolean disposed = new AtomicBoolean();
+		private final Cancellable gate = new Cancellable();
 
 		@Override
 		public Disposable schedule(Runnable task) {
-			return VirtualNode.this.schedule(() -> runUnlessDisposed(task));
+			return VirtualNode.this.schedule(() -> this.gate.runUnlessDisposed(task));
 		}
 
 		@Override
 		public Disposable schedule(Runnable task, long delay, TimeUnit unit) {
-			return VirtualNode.this.schedule(() -> runUnlessDisposed(task), delay, unit);
+			return VirtualNode.this.schedule(() -> this.gate.runUnlessDisposed(task), delay, unit);
 		}
 
 		@Override
 		public Disposable schedulePeriodically(Runnable task, long initialDelay, long period, TimeUnit unit) {
-			return VirtualNode.this.schedulePeriodically(() -> runUnlessDisposed(task), initialDelay, period, unit);
+			return VirtualNode.this.schedulePeriodically(() -> this.gate.runUnlessDisposed(task), initialDelay, period,
+					unit);
 		}
 
 		@Override
 		public void dispose() {
-			this.disposed.set(true);
+			this.gate.dispose();
 		}
 
 		@Override
 		public boolean isDisposed() {
-			return this.disposed.get();
-		}
-
-		private void runUnlessDisposed(Runnable task) {
-			if (!isDisposed()) {
-				task.run();
-			}
+			return this.gate.isDisposed();
 		}
 
 	}
