Prefill apart and reserve a place at the decode worker first

Cause: decode workers prefilled every prompt at half speed between the tokens of all they ran, and refused what did not fit; routes with one attempt had no other. A drain closed connections whose answers were in progress, since the sets of busy and of open connections held different objects for one connection. Change: PrefillChoice, HoldQueue, Placing: a place is reserved, then the prompt is prefilled where the way is shorter, then the request is sent. Busy connections are known by their channel. A caller is taken for gone only before the answer. The memory of decode workers binds in the bursts.

--- a/src/main/java/io/shallotspur/gateway/Gateway.java
+++ b/src/main/java/io/shallotspur/gateway/Gateway.java
@@ -1,7 +1,8 @@
 package io.shallotspur.gateway;
 
+import java.util.HashMap;
+import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.function.LongSupplier;
 
 import org.jspecify.annotations.Nullable;
@@ -43,6 +44,8 @@
 
 	final RetryAllowance retries;
 
+	private final Map<String, HoldQueue> holdQueues = new HashMap<>();
+
 	private @Nullable RouteTable table;
 
 	private int inProgress;
@@ -151,8 +154,22 @@
 		a.refuse(refusal);
 	}
 
-	boolean hasWorker(String upstream, Set<WorkerStage> stages, Set<String> tried, long now) {
-		return !this.roster.candidates(upstream, stages, tried, now).isEmpty();
+	HoldQueue holdQueue(String upstream) {
+		return this.holdQueues.computeIfAbsent(upstream, (u) -> new HoldQueue(this, u));
+	}
+
+	void freed(String upstream, String worker) {
+		HoldQueue q = this.holdQueues.get(upstream);
+		if (q != null) {
+			q.freed(worker, this.clock.getAsLong());
+		}
+	}
+
+	void firstByte(String upstream, long ms) {
+		HoldQueue q = this.holdQueues.get(upstream);
+		if (q != null) {
+			q.firstByte(ms);
+		}
 	}
 
 }
--- /dev/null
+++ b/src/main/java/io/shallotspur/gateway/HoldQueue.java
@@ -0,0 +1,291 @@
+package io.shallotspur.gateway;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeSet;
+
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Where requests of one model upstream wait for a place and memory at a decode worker.
+ * Not thread-safe; confined to the gateway's thread.
+ * <p>
+ * Answers a burst of twice what the decode workers' memory bears. Each VM sees only its
+ * own requests, so none knows whether a worker has room; a request that is sent to a full
+ * worker comes back refused, its prefill is lost, and a route with one attempt has no
+ * other. So a place is reserved first: the worker is the only one who counts its places
+ * exactly. Requests that find none wait here and not inside a worker, where one that is
+ * urgent could not pass the others.
+ * <p>
+ * Those who can still be answered in time go before those who cannot; within both the
+ * more urgent goes first, then the one that has to start first. When a request of this VM
+ * ends its worker is asked at once, since a place has just become free there; otherwise a
+ * full worker is left alone for a while, so that many VMs do not spend their time asking.
+ */
+final class HoldQueue {
+
+	// A worker with 10 places and answers of 3 s frees one each 300 ms; asking it more
+	// often than that is mostly in vain, ms.
+	private static final long FULL_MS = 200;
+
+	// Reservations asked for at a time: the way to a worker and back takes 2 ms.
+	private static final int CALLS_AT_ONCE = 4;
+
+	// A queue beyond this is worth more than the longest wait allowed, requests.
+	private static final int MOST_WAITING = 64;
+
+	// Until the first answers have shown it, ms: a prefill of 3,000 tokens and a
+	// transfer.
+	private static final double FIRST_LEAD_MS = 200;
+
+	private static final double LEAD_WEIGHT = 0.05;
+
+	private static final Comparator<Ticket> ORDER = Comparator.comparing((Ticket t) -> t.late)
+		.thenComparingInt((t) -> t.waiting.priority())
+		.thenComparingLong((t) -> t.waiting.latestStart())
+		.thenComparingLong((t) -> t.number);
+
+	private final Gateway g;
+
+	private final String upstream;
+
+	private final TreeSet<Ticket> queue = new TreeSet<>(ORDER);
+
+	private final Map<String, Long> fullUntil = new HashMap<>();
+
+	private long number;
+
+	private int calls;
+
+	private double leadMs = FIRST_LEAD_MS;
+
+	private Runnable cancelTimer = () -> {
+	};
+
+	HoldQueue(Gateway g, String upstream) {
+		this.g = g;
+		this.upstream = upstream;
+	}
+
+	/**
+	 * Returns how long it takes from a place to the first event, prefill included.
+	 * @return a running mean, in milliseconds
+	 */
+	long leadMs() {
+		return (long) this.leadMs;
+	}
+
+	void firstByte(long ms) {
+		this.leadMs += LEAD_WEIGHT * (ms - this.leadMs);
+	}
+
+	int size() {
+		return this.queue.size();
+	}
+
+	/**
+	 * Adds a request.
+	 * @param w the request
+	 * @param now the present time in milliseconds
+	 * @return its ticket
+	 */
+	Ticket enter(Waiting w, long now) {
+		Ticket t = new Ticket(w, ++this.number);
+		if (this.queue.size() >= MOST_WAITING) {
+			t.over = true;
+			w.turnedAway(now);
+			return t;
+		}
+		this.queue.add(t);
+		pump(now);
+		return t;
+	}
+
+	/**
+	 * Takes a request out again; its reservation, if one is on its way, is given back.
+	 * @param t its ticket
+	 */
+	void leave(Ticket t) {
+		t.over = true;
+		this.queue.remove(t);
+	}
+
+	/**
+	 * A request of this VM at a worker has ended.
+	 * @param worker the worker
+	 * @param now the present time in milliseconds
+	 */
+	void freed(String worker, long now) {
+		this.fullUntil.remove(worker);
+		pump(now);
+	}
+
+	private void pump(long now) {
+		settle(now);
+		while (this.calls < CALLS_AT_ONCE && !this.queue.isEmpty()) {
+			Ticket t = this.queue.first();
+			Optional<WorkerState> w = choose(t, now);
+			if (w.isEmpty()) {
+				break;
+			}
+			this.queue.remove(t);
+			ask(t, w.get(), now);
+		}
+		wakeLater(now);
+	}
+
+	// Turns away those whose time is up and moves those that have become late.
+	private void settle(long now) {
+		for (Ticket t : new ArrayList<>(this.queue)) {
+			if (now >= t.waiting.waitUntil()) {
+				leave(t);
+				t.waiting.turnedAway(now);
+			}
+			else if (!t.late && now > t.waiting.latestStart()) {
+				this.queue.remove(t);
+				t.late = true;
+				this.queue.add(t);
+			}
+		}
+	}
+
+	private Optional<WorkerState> choose(Ticket t, long now) {
+		List<WorkerState> l = t.waiting.candidates(now)
+			.stream()
+			.filter((w) -> this.fullUntil.getOrDefault(w.info().id(), 0L) <= now)
+			.toList();
+		return Placement.cheapest(l, this.g.settings.hall(), this.g.random, now);
+	}
+
+	private void ask(Ticket t, WorkerState w, long now) {
+		this.calls++;
+		w.started(t.waiting.tokens());
+		this.g.workers.hold(w.info(), t.waiting.tokens(), t.waiting.holdMs(), new HoldListener() {
+
+			@Override
+			public void onHeld(String hold) {
+				answered(t, w, hold, null);
+			}
+
+			@Override
+			public void onFull() {
+				answered(t, w, null, null);
+			}
+
+			@Override
+			public void onFailure(ExchangeFailure failure) {
+				answered(t, w, null, failure);
+			}
+
+		});
+	}
+
+	private void answered(Ticket t, WorkerState w, @Nullable String hold, @Nullable ExchangeFailure failure) {
+		long now = this.g.clock.getAsLong();
+		this.calls--;
+		w.ended(t.waiting.tokens());
+		if (hold != null) {
+			held(t, w, hold, now);
+		}
+		else {
+			full(w, failure, now);
+			if (!t.over) {
+				this.queue.add(t);
+			}
+		}
+		pump(now);
+	}
+
+	private void held(Ticket t, WorkerState w, String hold, long now) {
+		if (t.over) {
+			this.g.workers.drop(w.info(), hold);
+			return;
+		}
+		t.over = true;
+		t.waiting.admitted(w, hold, now);
+	}
+
+	private void full(WorkerState w, @Nullable ExchangeFailure failure, long now) {
+		long pause = (long) (FULL_MS * (0.75 + this.g.random.next() / 2));
+		this.fullUntil.put(w.info().id(), now + pause);
+		if (failure != null) {
+			this.g.roster.detector(this.upstream).failed(w.info().id(), now);
+			w.outcome(true);
+		}
+	}
+
+	private void wakeLater(long now) {
+		this.cancelTimer.run();
+		if (this.queue.isEmpty()) {
+			return;
+		}
+		long at = now + FULL_MS;
+		for (long until : this.fullUntil.values()) {
+			at = (until > now) ? Math.min(at, until) : at;
+		}
+		for (Ticket t : this.queue) {
+			at = Math.min(at, t.waiting.waitUntil());
+		}
+		this.cancelTimer = this.g.timer.after(Math.max(1, at - now), () -> pump(this.g.clock.getAsLong()));
+	}
+
+	/**
+	 * A request that waits.
+	 */
+	interface Waiting {
+
+		// The memory it needs, tokens.
+		int tokens();
+
+		// Its rank; 0 is first.
+		int priority();
+
+		// Until when it can start and still be answered in time, ms.
+		long latestStart();
+
+		// Until when it waits at all, ms.
+		long waitUntil();
+
+		// How long a reservation is to last, ms.
+		long holdMs();
+
+		// The workers that may run it.
+		List<WorkerState> candidates(long now);
+
+		// A place is reserved.
+		void admitted(WorkerState worker, String hold, long now);
+
+		// It waited in vain.
+		void turnedAway(long now);
+
+	}
+
+	/**
+	 * The place of a request in the queue.
+	 */
+	static final class Ticket {
+
+		private final Waiting waiting;
+
+		private final long number;
+
+		private boolean late;
+
+		private boolean over;
+
+		boolean isOver() {
+			return this.over;
+		}
+
+		private Ticket(Waiting waiting, long number) {
+			this.waiting = waiting;
+			this.number = number;
+		}
+
+	}
+
+}
--- /dev/null
+++ b/src/main/java/io/shallotspur/gateway/Placing.java
@@ -0,0 +1,240 @@
+package io.shallotspur.gateway;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+
+import org.jspecify.annotations.Nullable;
+
+import io.shallotspur.route.EngineSpec;
+import io.shallotspur.route.Route;
+
+/**
+ * Finds the worker of each attempt of one request, and what it takes to run there: for a
+ * plain call a worker, for a model request a reserved place at a decode worker and, if it
+ * is the shorter way, the KV cache from a prefill worker. Not thread-safe; confined to
+ * the gateway's thread.
+ * <p>
+ * Invariants: a reservation or KV cache that was got and not handed on is given back;
+ * {@link Sink} is told once for each {@link #start}, unless {@link #cancel} comes first.
+ */
+final class Placing implements HoldQueue.Waiting {
+
+	// Work that comes later than its objective is worth a fifth; after twice the
+	// objective
+	// the caller is better off asking again elsewhere, multiples of the objective.
+	private static final int WAIT_OBJECTIVES = 2;
+
+	// A prefill takes some 100 ms; one without an answer in several times that is at a
+	// worker that is cut off, ms.
+	private static final long LEAST_PREFILL_MS = 400;
+
+	// Of the time to the first event the rest is left for a decode worker that has to
+	// prefill by itself after all.
+	private static final double PREFILL_SHARE = 0.6;
+
+	private static final int MAX_PRIORITY = 9;
+
+	private final Gateway g;
+
+	private final Route route;
+
+	private final RelayRequest request;
+
+	private final String upstream;
+
+	private final @Nullable EngineSpec engine;
+
+	private final Sink sink;
+
+	private final long arrivedAt;
+
+	private final long answerBy;
+
+	private final Set<String> tried = new HashSet<>();
+
+	private HoldQueue.@Nullable Ticket ticket;
+
+	private @Nullable PrefillStep prefill;
+
+	private boolean prefilled;
+
+	private @Nullable WorkerState target;
+
+	private @Nullable String hold;
+
+	private @Nullable KvSource source;
+
+	Placing(Gateway g, Route route, RelayRequest request, String upstream, @Nullable EngineSpec engine, Sink sink,
+			long arrivedAt, long answerBy) {
+		this.g = g;
+		this.route = route;
+		this.request = request;
+		this.upstream = upstream;
+		this.engine = engine;
+		this.sink = sink;
+		this.arrivedAt = arrivedAt;
+		this.answerBy = answerBy;
+	}
+
+	void start(long now) {
+		EngineSpec e = this.engine;
+		if (candidates(now).isEmpty()) {
+			this.sink.nowhere(RefusalReason.NO_WORKER, now);
+		}
+		else if (e != null && e.holdMs() > 0 && this.request.prompt() != null) {
+			HoldQueue.Ticket t = this.g.holdQueue(this.upstream).enter(this, now);
+			this.ticket = t.isOver() ? null : t;
+		}
+		else {
+			WorkerState w = Placement.cheapest(candidates(now), this.g.settings.hall(), this.g.random, now)
+				.orElseThrow();
+			prefillOrGo(w, now);
+		}
+	}
+
+	boolean anyLeft(long now) {
+		return !candidates(now).isEmpty();
+	}
+
+	@Override
+	public List<WorkerState> candidates(long now) {
+		Set<WorkerStage> stages = Set.of((this.engine != null) ? WorkerStage.DECODE : WorkerStage.PLAIN);
+		return this.g.roster.candidates(this.upstream, stages, this.tried, now);
+	}
+
+	@Override
+	public int tokens() {
+		return (this.request.prompt() != null) ? this.request.prompt().totalTokens() : 0;
+	}
+
+	@Override
+	public int priority() {
+		return Math.min(MAX_PRIORITY, this.route.priority());
+	}
+
+	@Override
+	public long latestStart() {
+		return this.arrivedAt + this.route.targetMs() - this.g.holdQueue(this.upstream).leadMs();
+	}
+
+	@Override
+	public long waitUntil() {
+		return Math.min(this.answerBy, this.arrivedAt + WAIT_OBJECTIVES * this.route.targetMs());
+	}
+
+	@Override
+	public long holdMs() {
+		return (this.engine != null) ? this.engine.holdMs() : 0;
+	}
+
+	@Override
+	public void admitted(WorkerState worker, String reservation, long now) {
+		this.ticket = null;
+		this.hold = reservation;
+		prefillOrGo(worker, now);
+	}
+
+	@Override
+	public void turnedAway(long now) {
+		this.ticket = null;
+		this.sink.nowhere(RefusalReason.WORKERS_FULL, now);
+	}
+
+	private void prefillOrGo(WorkerState w, long now) {
+		this.target = w;
+		PromptShape prompt = this.request.prompt();
+		if (this.engine == null || prompt == null || this.prefilled || this.sink.resuming()) {
+			go(now);
+			return;
+		}
+		List<WorkerState> l = this.g.roster.candidates(this.upstream, Set.of(WorkerStage.PREFILL), Set.of(), now);
+		Optional<WorkerState> p = PrefillChoice.choose(prompt, l, w, this.g.random, now);
+		if (p.isEmpty()) {
+			go(now);
+			return;
+		}
+		// Only the first prefill of a request is free of its attempts and of the budget.
+		this.prefilled = true;
+		this.prefill = new PrefillStep(this.g, p.get(), prompt.promptTokens(), this::prefillEnded);
+		long limit = Math.max(LEAST_PREFILL_MS, (long) (this.route.targetMs() * PREFILL_SHARE));
+		this.prefill.start(new WorkerCall(this.request, p.get().info(), Math.max(1, this.answerBy - now), priority(),
+				null, null, null), limit);
+	}
+
+	private void prefillEnded(PrefillStep.Result r) {
+		long now = this.g.clock.getAsLong();
+		this.prefill = null;
+		this.source = r.source();
+		if (r.failure() != null) {
+			this.sink.note("prefill failed seen=\"" + r.failure() + "\" refused=" + r.refused(), now);
+		}
+		if (r.refused() && !this.sink.mayGoOnAfterRefusal(now)) {
+			cancel();
+			this.sink.nowhere(RefusalReason.WORKERS_FULL, now);
+			return;
+		}
+		go(now);
+	}
+
+	private void go(long now) {
+		WorkerState w = this.target;
+		if (w == null) {
+			return;
+		}
+		this.tried.add(w.info().id());
+		WorkerCall call = new WorkerCall(this.request, w.info(), Math.max(1, this.answerBy - now), priority(), null,
+				this.source, this.hold);
+		this.target = null;
+		this.source = null;
+		this.hold = null;
+		this.sink.ready(w, call, now);
+	}
+
+	/**
+	 * Gives up what is under way and gives back what was got.
+	 */
+	void cancel() {
+		if (this.ticket != null) {
+			this.g.holdQueue(this.upstream).leave(this.ticket);
+			this.ticket = null;
+		}
+		if (this.prefill != null) {
+			this.prefill.cancel();
+			this.prefill = null;
+		}
+		if (this.source != null) {
+			this.g.workers.release(this.source);
+			this.source = null;
+		}
+		if (this.hold != null && this.target != null) {
+			this.g.workers.drop(this.target.info(), this.hold);
+			this.hold = null;
+		}
+		this.target = null;
+	}
+
+	/**
+	 * Hears where the request goes.
+	 */
+	interface Sink {
+
+		// Send the call.
+		void ready(WorkerState worker, WorkerCall call, long now);
+
+		// No worker takes it.
+		void nowhere(RefusalReason reason, long now);
+
+		// A prefill was refused, which counts as an attempt: is another allowed?
+		boolean mayGoOnAfterRefusal(long now);
+
+		// Whether the caller already has the beginning of the answer.
+		boolean resuming();
+
+		// Something for the log.
+		void note(String what, long now);
+
+	}
+
+}
--- a/src/main/java/io/shallotspur/gateway/PrefillListener.java
+++ b/src/main/java/io/shallotspur/gateway/PrefillListener.java
@@ -1,10 +1,17 @@
 package io.shallotspur.gateway;
 
 /**
- * Hears what becomes of a prefill. One method is called, once, on the gateway's thread.
+ * Hears what becomes of a prefill, on the gateway's thread. One of the methods other than
+ * {@link #onLoad} is called, once.
  */
 public interface PrefillListener {
 
+	/**
+	 * The worker told of its load, before what follows.
+	 * @param report the load
+	 */
+	void onLoad(LoadReport report);
+
 	/**
 	 * The KV cache is there.
 	 * @param handle its name at the worker
@@ -12,9 +19,15 @@
 	void onReady(String handle);
 
 	/**
-	 * The worker refused the prefill, or it failed on the way.
+	 * The prefill failed on the way.
 	 * @param failure what was seen
 	 */
 	void onFailure(ExchangeFailure failure);
 
+	/**
+	 * The worker refused the prefill and has not done it.
+	 * @param reason what was seen
+	 */
+	void onRefused(String reason);
+
 }
--- /dev/null
+++ b/src/main/java/io/shallotspur/gateway/PrefillStep.java
@@ -0,0 +1,118 @@
+package io.shallotspur.gateway;
+
+import java.util.function.Consumer;
+
+import org.jspecify.annotations.Nullable;
+
+/**
+ * A prefill at a worker of its own, before the request is sent to its decode worker. Not
+ * thread-safe; confined to the gateway's thread.
+ * <p>
+ * Invariant: a KV cache that became ready is either handed to the task or freed.
+ */
+final class PrefillStep implements PrefillListener {
+
+	private final Gateway g;
+
+	private final WorkerState worker;
+
+	private final int tokens;
+
+	private final Consumer<Result> then;
+
+	private @Nullable Exchange exchange;
+
+	private Runnable cancelTimer = () -> {
+	};
+
+	private boolean over;
+
+	/**
+	 * Creates a step.
+	 * @param g the gateway
+	 * @param worker the prefill worker
+	 * @param tokens the tokens of the prompt
+	 * @param then told of the result, once, unless the step is cancelled
+	 */
+	PrefillStep(Gateway g, WorkerState worker, int tokens, Consumer<Result> then) {
+		this.g = g;
+		this.worker = worker;
+		this.tokens = tokens;
+		this.then = then;
+	}
+
+	void start(WorkerCall call, long limitMs) {
+		this.worker.started(this.tokens);
+		this.cancelTimer = this.g.timer.after(limitMs, () -> onFailure(new ExchangeFailure(true, "no answer")));
+		Exchange e = this.g.workers.prefill(call, this);
+		this.exchange = e;
+		if (this.over) {
+			e.cancel();
+		}
+	}
+
+	WorkerState worker() {
+		return this.worker;
+	}
+
+	@Override
+	public void onLoad(LoadReport report) {
+		this.worker.reported(report, this.g.clock.getAsLong());
+	}
+
+	@Override
+	public void onReady(String handle) {
+		KvSource s = new KvSource(this.worker.info(), handle);
+		if (this.over) {
+			this.g.workers.release(s);
+			return;
+		}
+		end();
+		this.then.accept(new Result(s, null, false));
+	}
+
+	@Override
+	public void onRefused(String reason) {
+		if (!this.over) {
+			end();
+			this.then.accept(new Result(null, reason, true));
+		}
+	}
+
+	@Override
+	public void onFailure(ExchangeFailure f) {
+		if (!this.over) {
+			cancel();
+			this.then.accept(new Result(null, f.reason(), false));
+		}
+	}
+
+	void cancel() {
+		if (this.over) {
+			return;
+		}
+		end();
+		if (this.exchange != null) {
+			this.exchange.cancel();
+		}
+	}
+
+	private void end() {
+		this.over = true;
+		this.cancelTimer.run();
+		this.worker.ended(this.tokens);
+	}
+
+	/**
+	 * How a prefill ended. Immutable.
+	 *
+	 * @param source the KV cache, or {@code null} if there is none
+	 * @param failure what was seen if there is none
+	 * @param refused whether the worker turned the prefill away; that counts as an
+	 * attempt
+	 */
+	record Result(@Nullable KvSource source, @Nullable String failure, boolean refused) {
+
+	}
+
+}
--- a/src/main/java/io/shallotspur/gateway/RelayTask.java
+++ b/src/main/java/io/shallotspur/gateway/RelayTask.java
@@ -1,15 +1,12 @@
 package io.shallotspur.gateway;
 
-import java.util.HashSet;
-import java.util.List;
-import java.util.Optional;
-import java.util.Set;
-
 import org.jspecify.annotations.Nullable;
 
+import io.shallotspur.route.EngineSpec;
 import io.shallotspur.route.Route;
 import io.shallotspur.route.RouteKind;
 import io.shallotspur.route.RouteTable;
+import io.shallotspur.route.UpstreamSpec;
 
 /**
  * One request on its way: places it, judges each attempt's end and answers the caller.
@@ -18,7 +15,7 @@
  * Invariants: the caller is answered once; a request that may have run is never answered
  * as not run, and is sent again only if a second run does no harm.
  */
-final class RelayTask implements Attempt.Sink {
+final class RelayTask implements Attempt.Sink, Placing.Sink {
 
 	// The worker stops by itself at the end of its time; its own answer is worth waiting
 	// for a little, ms. Answers cross a hall in a few ms.
@@ -29,8 +26,6 @@
 	// crossings and a few ms of work.
 	private static final long LEAST_ATTEMPT_MS = 10;
 
-	private static final int MAX_PRIORITY = 9;
-
 	private final Gateway g;
 
 	private final RouteTable table;
@@ -47,7 +42,7 @@
 
 	private final long answerBy;
 
-	private final Set<String> tried = new HashSet<>();
+	private final Placing placing;
 
 	private AttemptHistory history = AttemptHistory.NONE;
 
@@ -60,6 +55,8 @@
 
 	private @Nullable String lastEventId;
 
+	private boolean prefillsThere;
+
 	private boolean begun;
 
 	private boolean finished;
@@ -74,6 +71,8 @@
 		this.answerBy = now + Math.min(request.waitMs(), route.timeoutMs());
 		this.upstream = route.chooseUpstream(g.random.next());
 		this.lastEventId = request.lastEventId();
+		EngineSpec engine = table.upstream(this.upstream).map(UpstreamSpec::engine).orElse(null);
+		this.placing = new Placing(g, route, request, this.upstream, engine, this, now, this.answerBy);
 	}
 
 	void start(long now) {
@@ -81,37 +80,40 @@
 		long callerLeft = this.request.waitMs() - (this.answerBy - now);
 		long slack = Math.min(WORKER_TIMEOUT_SLACK_MS, callerLeft);
 		this.cancelDeadline = this.g.timer.after(this.answerBy + slack - now, this::timeUp);
-		place(now);
+		this.placing.start(now);
 	}
 
-	private void place(long now) {
-		Optional<WorkerState> w = Placement.cheapest(candidates(now), this.g.settings.hall(), this.g.random, now);
-		if (w.isEmpty()) {
-			refuseOrReport(RefusalReason.NO_WORKER, now);
-			return;
-		}
-		send(w.get(), now);
+	@Override
+	public void ready(WorkerState w, WorkerCall call, long now) {
+		this.attemptAt = now;
+		w.started(tokens());
+		this.g.roster.detector(this.upstream).started(w.info().id(), now);
+		Attempt a = new Attempt(this, w, this.route.kind() == RouteKind.STREAM, this.begun);
+		this.attempt = a;
+		this.prefillsThere = call.kvSource() == null && this.request.prompt() != null;
+		w.prefilling(this.prefillsThere ? 1 : 0);
+		a.send(this.g.workers, call.withLastEventId(this.lastEventId));
 	}
 
-	private List<WorkerState> candidates(long now) {
-		return this.g.roster.candidates(this.upstream, stages(), this.tried, now);
+	@Override
+	public void nowhere(RefusalReason reason, long now) {
+		refuseOrReport(reason, now);
 	}
 
-	private Set<WorkerStage> stages() {
-		boolean model = this.table.upstream(this.upstream).map((u) -> u.engine() != null).orElse(false);
-		return model ? Set.of(WorkerStage.DECODE) : Set.of(WorkerStage.PLAIN);
+	@Override
+	public boolean mayGoOnAfterRefusal(long now) {
+		this.history = this.history.with(AttemptEnd.NOT_RUN);
+		return mayRetry(AttemptEnd.NOT_RUN, now);
 	}
 
-	private void send(WorkerState w, long now) {
-		this.tried.add(w.info().id());
-		this.attemptAt = now;
-		w.started(tokens());
-		this.g.roster.detector(this.upstream).started(w.info().id(), now);
-		Attempt a = new Attempt(this, w, this.route.kind() == RouteKind.STREAM, this.begun);
-		this.attempt = a;
-		int priority = Math.min(MAX_PRIORITY, this.route.priority());
-		a.send(this.g.workers, new WorkerCall(this.request, w.info(), Math.max(1, this.answerBy - now), priority,
-				this.lastEventId, null));
+	@Override
+	public boolean resuming() {
+		return this.lastEventId != null;
+	}
+
+	@Override
+	public void note(String what, long now) {
+		log(now, what);
 	}
 
 	private int tokens() {
@@ -146,11 +148,20 @@
 		this.answer.write(bytes);
 	}
 
+	private void prefillOver() {
+		if (this.prefillsThere && this.attempt != null) {
+			this.attempt.worker().prefilling(-1);
+			this.prefillsThere = false;
+		}
+	}
+
 	private void firstByte() {
 		long now = this.g.clock.getAsLong();
+		prefillOver();
 		this.g.metrics.firstByte(this.route.name(), now - this.arrivedAt);
 		if (this.attempt != null) {
 			String id = this.attempt.worker().info().id();
+			this.g.firstByte(this.upstream, now - this.attemptAt);
 			this.g.roster.detector(this.upstream).succeeded(id, now - this.attemptAt, now);
 			this.attempt.worker().outcome(false);
 		}
@@ -159,17 +170,19 @@
 	@Override
 	public void succeeded(AnswerHead head, byte[] body, boolean inParts) {
 		long now = this.g.clock.getAsLong();
+		if (!inParts) {
+			firstByte();
+		}
+		this.g.metrics.answered(this.route.name(), now - this.arrivedAt);
+		log(now, "answered status=" + head.status());
+		endAttempt();
+		finish();
 		if (inParts) {
 			this.answer.end();
 		}
 		else {
-			firstByte();
 			this.answer.whole(head.status(), head.headers(), body);
 		}
-		endAttempt();
-		this.g.metrics.answered(this.route.name(), now - this.arrivedAt);
-		log(now, "answered status=" + head.status());
-		finish();
 	}
 
 	@Override
@@ -184,7 +197,7 @@
 		switch (next) {
 			case RETRY -> {
 				this.g.metrics.retried();
-				place(now);
+				this.placing.start(now);
 			}
 			case RELAY_FAILURE -> relayFailure(head, body, now);
 			case REFUSE_NOT_RUN, REPORT_UNKNOWN -> refuseOrReport(reason(end), now);
@@ -213,7 +226,7 @@
 		if (this.begun && !this.route.resumable()) {
 			return false;
 		}
-		if (this.answerBy - now < LEAST_ATTEMPT_MS || candidates(now).isEmpty()) {
+		if (this.answerBy - now < LEAST_ATTEMPT_MS || !this.placing.anyLeft(now)) {
 			return false;
 		}
 		// What never left this VM has arrived nowhere, so it takes nothing of the budget.
@@ -233,9 +246,9 @@
 			refuseOrReport(RefusalReason.WORKER_LOST, now);
 			return;
 		}
-		this.answer.whole(head.status(), head.headers(), body);
 		log(now, "failed status=" + head.status());
 		finish();
+		this.answer.whole(head.status(), head.headers(), body);
 	}
 
 	private void refuseOrReport(RefusalReason reason, long now) {
@@ -267,16 +280,16 @@
 		cancelAttempt();
 		this.g.metrics.refused(r.code());
 		log(now, "refused status=" + r.status() + " reason=" + r.code().code() + " retry-after-ms=" + r.retryAfterMs());
-		this.answer.refuse(r);
 		finish();
+		this.answer.refuse(r);
 	}
 
 	private void breakOff(RefusalReason reason, long now) {
 		cancelAttempt();
 		this.g.metrics.brokenOff();
 		log(now, "broken-off reason=" + reason.code() + " last-event=" + this.lastEventId);
-		this.answer.breakOff();
 		finish();
+		this.answer.breakOff();
 	}
 
 	void callerGone() {
@@ -290,6 +303,7 @@
 	}
 
 	private void cancelAttempt() {
+		this.placing.cancel();
 		if (this.attempt != null) {
 			this.attempt.cancel();
 			endAttempt();
@@ -298,11 +312,16 @@
 
 	private void endAttempt() {
 		if (this.attempt != null) {
-			this.attempt.worker().ended(tokens());
+			WorkerState w = this.attempt.worker();
+			w.ended(tokens());
+			prefillOver();
 			this.attempt = null;
+			this.g.freed(this.upstream, w.info().id());
 		}
 	}
 
+	// Comes before the answer: the end of a connection that closes with its answer must
+	// not be taken for a caller who has left.
 	private void finish() {
 		this.finished = true;
 		this.cancelDeadline.run();
--- a/src/main/java/io/shallotspur/gateway/WorkerCall.java
+++ b/src/main/java/io/shallotspur/gateway/WorkerCall.java
@@ -11,8 +11,18 @@
  * @param priority the rank at the worker, 0 is the highest
  * @param lastEventId the event after which the answer goes on, or {@code null}
  * @param kvSource where the prompt's KV cache is to be fetched from, or {@code null}
+ * @param hold the reservation to be used, or {@code null}
  */
 public record WorkerCall(RelayRequest request, WorkerInfo worker, long timeLeftMs, int priority,
-		@Nullable String lastEventId, @Nullable KvSource kvSource) {
+		@Nullable String lastEventId, @Nullable KvSource kvSource, @Nullable String hold) {
+
+	/**
+	 * Returns this call with another place to go on from.
+	 * @param id the event after which the answer goes on, or {@code null}
+	 * @return a call that differs in that only
+	 */
+	public WorkerCall withLastEventId(@Nullable String id) {
+		return new WorkerCall(this.request, this.worker, this.timeLeftMs, this.priority, id, this.kvSource, this.hold);
+	}
 
 }
--- a/src/main/java/io/shallotspur/gateway/WorkerPort.java
+++ b/src/main/java/io/shallotspur/gateway/WorkerPort.java
@@ -27,4 +27,20 @@
 	 */
 	void release(KvSource source);
 
+	/**
+	 * Reserves a place and memory at a worker.
+	 * @param worker the worker
+	 * @param tokens the memory, in tokens
+	 * @param ttlMs how long the reservation lasts, in milliseconds
+	 * @param listener hears the result
+	 */
+	void hold(WorkerInfo worker, int tokens, long ttlMs, HoldListener listener);
+
+	/**
+	 * Gives a reservation back that will not be used.
+	 * @param worker the worker
+	 * @param hold the reservation
+	 */
+	void drop(WorkerInfo worker, String hold);
+
 }
--- a/src/main/java/io/shallotspur/gateway/WorkerState.java
+++ b/src/main/java/io/shallotspur/gateway/WorkerState.java
@@ -24,6 +24,8 @@
 
 	private long tokens;
 
+	private int prefilling;
+
 	private @Nullable LoadReport report;
 
 	private int runningAtReport;
@@ -69,6 +71,15 @@
 		this.tokens -= requestTokens;
 	}
 
+	// The start or end of a prefill that this VM has a decode worker do itself.
+	void prefilling(int change) {
+		this.prefilling += change;
+	}
+
+	int prefilling() {
+		return this.prefilling;
+	}
+
 	int running() {
 		return this.running;
 	}
--- a/src/main/java/io/shallotspur/platform/CallerIngress.java
+++ b/src/main/java/io/shallotspur/platform/CallerIngress.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Set;
 
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -49,9 +50,9 @@
 
 	private final Gateway gateway;
 
-	private final Set<Connection> connections = new HashSet<>();
+	private final Set<Channel> connections = new HashSet<>();
 
-	private final Set<Connection> busy = new HashSet<>();
+	private final Set<Channel> busy = new HashSet<>();
 
 	private boolean closing;
 
@@ -75,8 +76,9 @@
 	}
 
 	private void connected(Connection c) {
-		this.connections.add(c);
-		c.onDispose(() -> this.connections.remove(c));
+		Channel ch = c.channel();
+		this.connections.add(ch);
+		ch.closeFuture().addListener((f) -> this.connections.remove(ch));
 	}
 
 	/**
@@ -90,7 +92,7 @@
 	 * Closes the connections that wait for no answer.
 	 */
 	void closeIdle() {
-		List.copyOf(this.connections).stream().filter((c) -> !this.busy.contains(c)).forEach(Connection::dispose);
+		List.copyOf(this.connections).stream().filter((c) -> !this.busy.contains(c)).forEach(Channel::close);
 	}
 
 	private Mono<Void> handle(HttpServerRequest req, HttpServerResponse res) {
@@ -129,18 +131,18 @@
 			Logger.info("[caller] malformed request seen=\"{}\"", ex.getMessage());
 			return refuse(answer, res, BAD_REQUEST);
 		}
-		res.withConnection((c) -> watch(c, r, answer));
+		res.withConnection((c) -> watch(c.channel(), r, answer));
 		return answer.done();
 	}
 
-	private void watch(Connection c, RelayRequest r, CallerExchange answer) {
+	private void watch(Channel c, RelayRequest r, CallerExchange answer) {
 		this.busy.add(c);
 		Runnable gone = this.gateway.handle(r, answer);
 		ChannelFutureListener l = (f) -> gone.run();
-		c.channel().closeFuture().addListener(l);
+		c.closeFuture().addListener(l);
 		answer.onDone(() -> {
 			this.busy.remove(c);
-			c.channel().closeFuture().removeListener(l);
+			c.closeFuture().removeListener(l);
 		});
 	}
 
--- a/src/main/java/io/shallotspur/platform/HttpWorkerPort.java
+++ b/src/main/java/io/shallotspur/platform/HttpWorkerPort.java
@@ -1,10 +1,13 @@
 package io.shallotspur.platform;
 
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import io.netty.buffer.ByteBuf;
@@ -22,13 +25,16 @@
 import reactor.netty.resources.ConnectionProvider;
 
 import io.shallotspur.gateway.AnswerHead;
+import io.shallotspur.gateway.AnswerOrigin;
 import io.shallotspur.gateway.Exchange;
 import io.shallotspur.gateway.ExchangeFailure;
 import io.shallotspur.gateway.ExchangeListener;
+import io.shallotspur.gateway.HoldListener;
 import io.shallotspur.gateway.KvSource;
 import io.shallotspur.gateway.PrefillListener;
 import io.shallotspur.gateway.RelayRequest;
 import io.shallotspur.gateway.WorkerCall;
+import io.shallotspur.gateway.WorkerInfo;
 import io.shallotspur.gateway.WorkerPort;
 
 /**
@@ -45,7 +51,10 @@
 	// takes this long is cut off or dark, ms.
 	private static final int CONNECT_TIMEOUT_MS = 300;
 
-	private static final long RELEASE_TIMEOUT_MS = 1_000;
+	// Reservations and what is given back are answered in a few ms; a worker that does
+	// not
+	// answer in many times that is cut off, ms.
+	private static final long SIDE_CALL_MS = 300;
 
 	// Requests of one VM at one worker at a time are a few; the limit only keeps a dark
 	// worker from taking all descriptors.
@@ -67,9 +76,12 @@
 
 	private final HttpClient client;
 
+	private final Loop loop;
+
 	private final Map<InetSocketAddress, Long> idleMs = new HashMap<>();
 
 	HttpWorkerPort(Loop loop) {
+		this.loop = loop;
 		ConnectionProvider pool = ConnectionProvider.builder("workers")
 			.maxConnections(CONNECTIONS_PER_WORKER)
 			.pendingAcquireTimeout(Duration.ofMillis(CONNECT_TIMEOUT_MS))
@@ -118,28 +130,100 @@
 		Disposable d = send(call, "prefill", sent)
 			.responseSingle((r, content) -> content.asByteArray()
 				.defaultIfEmpty(new byte[0])
-				.flatMap((b) -> handle(r.status().code(), b)))
-			.subscribe(listener::onReady, (ex) -> listener.onFailure(failure(sent, ex)),
-					() -> listener.onFailure(new ExchangeFailure(true, "no handle")));
+				.map((b) -> prefilled(head(call.request(), r), b)))
+			.subscribe((p) -> tell(p, listener), (ex) -> listener.onFailure(failure(sent, ex)));
 		return d::dispose;
 	}
 
-	private static Mono<String> handle(int status, byte[] body) {
-		return Mono.fromCallable(() -> EntryDecoder.JSON.readTree(body))
-			.map((JsonNode n) -> n.path("kv_handle").asText())
-			.filter((h) -> status == OK && !h.isEmpty())
-			.switchIfEmpty(Mono.error(() -> new IllegalStateException("status " + status)));
+	private static Prefilled prefilled(AnswerHead head, byte[] body) {
+		try {
+			JsonNode n = EntryDecoder.JSON.readTree(body);
+			return new Prefilled(head, (head.status() == OK) ? n.path("kv_handle").asText() : "");
+		}
+		catch (IOException ex) {
+			// Not an answer in the protocol: the same as none.
+			Logger.info("[platform] prefill answer left aside status={} seen=\"{}\"", head.status(), ex.toString());
+			return new Prefilled(head, "");
+		}
+	}
+
+	private static void tell(Prefilled p, PrefillListener listener) {
+		if (p.head().load() != null) {
+			listener.onLoad(p.head().load());
+		}
+		String status = "status " + p.head().status();
+		if (!p.handle().isEmpty() && p.head().origin() != AnswerOrigin.FOREIGN) {
+			listener.onReady(p.handle());
+		}
+		else if (p.head().notRun()) {
+			listener.onRefused(status);
+		}
+		else {
+			listener.onFailure(new ExchangeFailure(true, status));
+		}
 	}
 
 	@Override
 	public void release(KvSource source) {
-		this.client.delete()
-			.uri("http://" + source.worker().address() + Names.KV_HANDLE_PATH + source.handle())
+		delete(source.worker(), Names.KV_HANDLE_PATH + source.handle());
+	}
+
+	@Override
+	public void drop(WorkerInfo worker, String hold) {
+		delete(worker, Names.DROP_PATH + hold);
+	}
+
+	private void delete(WorkerInfo worker, String path) {
+		this.client.headers((h) -> h.set(Names.EXPECTED_WORKER, worker.id()))
+			.delete()
+			.uri("http://" + worker.address() + path)
 			.response()
-			.timeout(Duration.ofMillis(RELEASE_TIMEOUT_MS))
+			.timeout(Duration.ofMillis(SIDE_CALL_MS), this.loop.scheduler())
 			.subscribe((r) -> {
-			}, (ex) -> Logger.info("[platform] handle not freed worker={} handle={} seen=\"{}\"", source.worker().id(),
-					source.handle(), ex.toString()));
+			}, (ex) -> Logger.info("[platform] not freed worker={} path={} seen=\"{}\"", worker.id(), path,
+					ex.toString()));
+	}
+
+	@Override
+	public void hold(WorkerInfo worker, int tokens, long ttlMs, HoldListener listener) {
+		byte[] body = EntryDecoder.JSON.createObjectNode()
+			.put("tokens", tokens)
+			.put("ttl_ms", ttlMs)
+			.toString()
+			.getBytes(StandardCharsets.UTF_8);
+		this.client.headers((h) -> {
+			h.set(Names.EXPECTED_WORKER, worker.id());
+			h.set(HttpHeaderNames.CONTENT_TYPE, "application/json");
+			h.set(HttpHeaderNames.CONTENT_LENGTH, body.length);
+		})
+			.post()
+			.uri("http://" + worker.address() + Names.HOLD_PATH)
+			.send(Mono.just(Unpooled.wrappedBuffer(body)))
+			.responseSingle((r, content) -> content.asByteArray()
+				.defaultIfEmpty(new byte[0])
+				.map((b) -> held(r.status().code(), b)))
+			.timeout(Duration.ofMillis(SIDE_CALL_MS), this.loop.scheduler())
+			.subscribe((h) -> tell(h, listener), (ex) -> listener.onFailure(new ExchangeFailure(true, ex.toString())));
+	}
+
+	private static Optional<String> held(int status, byte[] body) {
+		try {
+			String h = (status == OK) ? EntryDecoder.JSON.readTree(body).path("hold").asText() : "";
+			return h.isEmpty() ? Optional.empty() : Optional.of(h);
+		}
+		catch (IOException ex) {
+			Logger.info("[platform] reservation answer left aside status={} seen=\"{}\"", status, ex.toString());
+			return Optional.empty();
+		}
+	}
+
+	private static void tell(Optional<String> hold, HoldListener listener) {
+		if (hold.isPresent()) {
+			listener.onHeld(hold.get());
+		}
+		else {
+			listener.onFull();
+		}
 	}
 
 	private HttpClient.ResponseReceiver<?> send(WorkerCall call, String stage, Sent sent) {
@@ -173,6 +257,9 @@
 		if (!stage.isEmpty()) {
 			h.set(Names.STAGE, stage);
 		}
+		if (call.hold() != null) {
+			h.set(Names.HOLD, call.hold());
+		}
 		if (call.kvSource() != null) {
 			h.set(Names.KV_SOURCE, call.kvSource().worker().address() + "/" + call.kvSource().handle());
 		}
@@ -187,4 +274,11 @@
 
 	}
 
+	/**
+	 * A worker's answer to a prefill.
+	 */
+	private record Prefilled(AnswerHead head, String handle) {
+
+	}
+
 }
--- a/src/main/java/io/shallotspur/platform/Names.java
+++ b/src/main/java/io/shallotspur/platform/Names.java
@@ -44,6 +44,13 @@
 	/** Where the KV cache of the prompt is to be fetched, IP:PORT/HANDLE. */
 	static final String KV_SOURCE = "X-Kv-Source";
 
+	/** The reservation that the request uses. */
+	static final String HOLD = "X-Hold";
+
+	static final String HOLD_PATH = "/api/hold-take";
+
+	static final String DROP_PATH = "/api/hold-drop/";
+
 	static final String READY_PATH = "/api/readiness";
 
 	static final String LOCATE_PATH = "/api/resolution";
--- a/src/main/java/io/shallotspur/platform/PlatformVm.java
+++ b/src/main/java/io/shallotspur/platform/PlatformVm.java
@@ -76,10 +76,10 @@
 	void start() {
 		ControlServers control = new ControlServers(this.loop, this.gateway.vms(), this.clock,
 				this.settings.locateTtlMs());
-		this.loop.execute(this.follower::start);
 		this.servers.add(this.ingress.bind());
 		this.servers.add(control.ready(this.settings.ready(), this::ready));
 		this.servers.add(control.locate(this.settings.locate(), () -> this.follower.listed() && !this.leaving));
+		this.loop.execute(this.follower::start);
 		this.loop.execute(this.registration::start);
 		Logger.info("[run] started vm={} hall={} callers={} store={}", this.settings.gateway().vm(),
 				this.settings.gateway().hall(), this.settings.callers(), this.settings.store());
--- a/src/main/java/io/shallotspur/route/EngineSpec.java
+++ b/src/main/java/io/shallotspur/route/EngineSpec.java
@@ -9,7 +9,10 @@
  * @param linkMbps rate of a worker's link in megabits a second
  * @param handleTtlMs how long the result of a prefill is kept for its decode worker, in
  * milliseconds
+ * @param holdMs the longest time for which a place can be reserved, in milliseconds; 0 if
+ * none can
  */
-public record EngineSpec(int slots, long cacheTokens, double tokenBytes, double linkMbps, long handleTtlMs) {
+public record EngineSpec(int slots, long cacheTokens, double tokenBytes, double linkMbps, long handleTtlMs,
+		long holdMs) {
 
 }
