Set aside the prompt and the likely answer

Cause: with half of the likely answer, workers dropped running requests and read their prompts again. Change: PromptShape.reservedTokens takes the caller's whole estimate.

--- a/src/main/java/io/shallotspur/gateway/PromptShape.java
+++ b/src/main/java/io/shallotspur/gateway/PromptShape.java
@@ -32,7 +32,7 @@
 	 * @return tokens
 	 */
 	public int reservedTokens() {
-		int output = Math.max(LEAST_OUTPUT, this.likelyOutputTokens / 2);
+		int output = Math.max(LEAST_OUTPUT, this.likelyOutputTokens);
 		return this.promptTokens + Math.min(this.maxOutputTokens, output);
 	}
 
