Know late callers by the time they have left, and wait until shortly before they leave

Cause: a caller that came back after a refusal passed others as if it were new, though late already; callers were refused after 1.8 s who would have stayed for 3.6 s. Change: CallerAges; the wait ends after 3.3 objectives.

--- a/src/main/java/io/shallotspur/gateway/Gateway.java
+++ b/src/main/java/io/shallotspur/gateway/Gateway.java
@@ -42,6 +42,8 @@
 
 	final EntryVms vms = new EntryVms();
 
+	final CallerAges ages = new CallerAges();
+
 	final RetryAllowance retries;
 
 	private final Map<String, HoldQueue> holdQueues = new HashMap<>();
--- a/src/main/java/io/shallotspur/gateway/Placing.java
+++ b/src/main/java/io/shallotspur/gateway/Placing.java
@@ -21,10 +21,9 @@
  */
 final class Placing implements HoldQueue.Waiting {
 
-	// Work that comes later than its objective is worth a fifth; after twice the
-	// objective
-	// the caller is better off asking again elsewhere, multiples of the objective.
-	private static final int WAIT_OBJECTIVES = 2;
+	// A late answer is still worth something to the caller, but one who has heard
+	// nothing for four objectives leaves. Before that it is told to come back.
+	private static final double WAIT_OBJECTIVES = 3.3;
 
 	// A prefill takes some 100 ms; one without an answer in several times that is at a
 	// worker that is cut off, ms.
@@ -52,6 +51,8 @@
 
 	private final long answerBy;
 
+	private final long askedAt;
+
 	private final Set<String> tried = new HashSet<>();
 
 	private HoldQueue.@Nullable Ticket ticket;
@@ -78,6 +79,7 @@
 		this.sink = sink;
 		this.arrivedAt = arrivedAt;
 		this.answerBy = answerBy;
+		this.askedAt = arrivedAt - g.ages.ageMs(route.name(), request.waitMs());
 	}
 
 	void start(long now) {
@@ -126,12 +128,12 @@
 
 	@Override
 	public long latestStart() {
-		return this.arrivedAt + this.route.targetMs() - this.g.holdQueue(this.upstream).leadMs();
+		return this.askedAt + this.route.targetMs() - this.g.holdQueue(this.upstream).leadMs();
 	}
 
 	@Override
 	public long waitUntil() {
-		return Math.min(this.answerBy, this.arrivedAt + WAIT_OBJECTIVES * this.route.targetMs());
+		return Math.min(this.answerBy, this.arrivedAt + (long) (WAIT_OBJECTIVES * this.route.targetMs()));
 	}
 
 	@Override
