--- a/src/main/java/io/shallotspur/platform/PlatformVm.java
+++ b/src/main/java/io/shallotspur/platform/PlatformVm.java
@@ -104,10 +104,30 @@
 			pause(DRAIN_POLL_MS);
 		}
 		Logger.info("[run] stopped left-in-progress={}", this.gateway.inProgress());
+		close();
+	}
+
+	/**
+	 * Closes all sockets at once.
+	 */
+	void close() {
+		this.loop.execute(this.follower::stop);
 		this.servers.forEach((s) -> s.dispose());
 		this.loop.close();
 	}
 
+	int callersPort() {
+		return this.servers.get(0).port();
+	}
+
+	int readyPort() {
+		return this.servers.get(1).port();
+	}
+
+	int locatePort() {
+		return this.servers.get(2).port();
+	}
+
 	private void leave() {
 		this.leaving = true;
 		this.ingress.closeAfterAnswers();
--- a/src/main/java/io/shallotspur/registry/RegistryFollower.java
+++ b/src/main/java/io/shallotspur/registry/RegistryFollower.java
@@ -61,7 +61,9 @@
 
 	private final long workerGraceMs;
 
-	private final Disposable.Swap call = Disposables.swap();
+	private Disposable call = Disposables.disposed();
+
+	private long calls;
 
 	private Runnable onVmGone = () -> {
 	};
@@ -145,8 +147,14 @@
 	}
 
 	private void run(Mono<RegistryNews> news, Consumer<RegistryNews> then) {
-		if (!this.stopped) {
-			this.call.update(news.subscribe(then, this::onFailure));
+		if (this.stopped) {
+			return;
+		}
+		long n = ++this.calls;
+		Disposable d = news.subscribe(then, this::onFailure);
+		// A call that was answered at once has made the next one already.
+		if (n == this.calls) {
+			this.call = d;
 		}
 	}
 
--- a/src/test/java/io/shallotspur/LayeringTests.java
+++ b/src/test/java/io/shallotspur/LayeringTests.java
@@ -17,7 +17,8 @@
 			"io.shallotspur.routing..", "io.shallotspur.admission..", "io.shallotspur.retry..",
 			"io.shallotspur.ledger..", "io.shallotspur.quarantine..", "io.shallotspur.resume..",
 			"io.shallotspur.order..", "io.shallotspur.membership..", "io.shallotspur.distribution..",
-			"io.shallotspur.locate..", "io.shallotspur.record.." };
+			"io.shallotspur.locate..", "io.shallotspur.record..", "io.shallotspur.route..", "io.shallotspur.gateway..",
+			"io.shallotspur.registry.." };
 
 	@ArchTest
 	final ArchRule decisionsKnowNoOuterLayer = ArchRuleDefinition.noClasses()
@@ -27,7 +28,28 @@
 		.dependOnClassesThat()
 		.resideInAnyPackage("io.shallotspur.adapter..", "io.shallotspur.node..", "io.shallotspur.cli..",
 				"io.shallotspur.boot..", "io.shallotspur.cfg..", "io.shallotspur.standin..", "io.shallotspur.replay..",
-				"io.shallotspur.demo..", "reactor.netty..", "io.netty..");
+				"io.shallotspur.demo..", "io.shallotspur.platform..", "reactor.netty..", "io.netty..");
+
+	// The platform's names stay in one package, and that package only translates: it
+	// knows
+	// the ports and types of the gateway, not what decides.
+	@ArchTest
+	final ArchRule platformOnlyTranslates = ArchRuleDefinition.noClasses()
+		.that()
+		.resideInAPackage("io.shallotspur.platform..")
+		.should()
+		.dependOnClassesThat()
+		.resideInAnyPackage("io.shallotspur.retry..", "io.shallotspur.cell..", "io.shallotspur.plain..",
+				"io.shallotspur.routing..", "io.shallotspur.admission..", "io.shallotspur.quarantine..",
+				"io.shallotspur.node..");
+
+	@ArchTest
+	final ArchRule onlyTheCommandLineKnowsThePlatform = ArchRuleDefinition.noClasses()
+		.that()
+		.resideOutsideOfPackages("io.shallotspur.platform..", "io.shallotspur.cli..")
+		.should()
+		.dependOnClassesThat()
+		.resideInAPackage("io.shallotspur.platform..");
 
 	@ArchTest
 	final ArchRule decisionsStartNoThread = ArchRuleDefinition.noClasses()
--- /dev/null
+++ b/src/test/java/io/shallotspur/gateway/AttemptHistoryTests.java
@@ -0,0 +1,54 @@
+package io.shallotspur.gateway;
+
+import java.util.List;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.Size;
+import org.assertj.core.api.Assertions;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/**
+ * Tests of {@link AttemptHistory}.
+ */
+class AttemptHistoryTests {
+
+	@ParameterizedTest
+	@CsvSource({ "NOT_SENT, true, RETRY", "NOT_SENT, false, REFUSE_NOT_RUN", "NOT_RUN, true, RETRY",
+			"NOT_RUN, false, REFUSE_NOT_RUN", "FAILED, true, RETRY", "FAILED, false, RELAY_FAILURE",
+			"UNKNOWN, true, RETRY", "UNKNOWN, false, REPORT_UNKNOWN" })
+	void eachEndHasOneNextStep(AttemptEnd end, boolean mayRetry, NextStep next) {
+		AttemptHistory h = AttemptHistory.NONE.with(end);
+		Assertions.assertThat(h.next(end, mayRetry)).isEqualTo(next);
+	}
+
+	// A first worker dies with the request, a second one refuses it. Whoever looks at the
+	// second alone tells the caller that nothing ran, and the caller sends a renewal
+	// again
+	// that the first worker has issued.
+	@Property(tries = 10_000, seed = "1")
+	void neverPromisesNotRunAfterAnAttemptThatMayHaveRun(@ForAll @Size(min = 1, max = 6) List<AttemptEnd> ends) {
+		AttemptHistory h = AttemptHistory.NONE;
+		boolean mayHaveRun = false;
+		for (AttemptEnd e : ends) {
+			h = h.with(e);
+			mayHaveRun |= e.mayHaveRun();
+			NextStep next = h.next(e, false);
+			Assertions.assertThat(next == NextStep.REFUSE_NOT_RUN).isEqualTo(!mayHaveRun);
+		}
+	}
+
+	@Property(tries = 10_000, seed = "1")
+	void runsOnceAtMostUnlessRepeatable(@ForAll @Size(max = 6) List<AttemptEnd> ends) {
+		AttemptHistory h = AttemptHistory.NONE;
+		for (AttemptEnd e : ends) {
+			h = h.with(e);
+		}
+		boolean mayHaveRun = ends.stream().anyMatch(AttemptEnd::mayHaveRun);
+		Assertions.assertThat(h.allowsAnother(100, false)).isEqualTo(!mayHaveRun);
+		Assertions.assertThat(h.allowsAnother(100, true)).isTrue();
+		Assertions.assertThat(h.allowsAnother(h.sends(), true)).isFalse();
+	}
+
+}
--- /dev/null
+++ b/src/test/java/io/shallotspur/gateway/GatewayFixture.java
@@ -0,0 +1,90 @@
+package io.shallotspur.gateway;
+
+import java.util.List;
+
+import com.codahale.metrics.MetricRegistry;
+import org.jspecify.annotations.Nullable;
+
+import io.shallotspur.route.EngineSpec;
+import io.shallotspur.route.IngressLimits;
+import io.shallotspur.route.Route;
+import io.shallotspur.route.RouteKind;
+import io.shallotspur.route.RouteTable;
+import io.shallotspur.route.RouteTarget;
+import io.shallotspur.route.UpstreamSpec;
+
+/**
+ * A gateway with hand-driven workers, callers and time. Routes: {@code /safe/} and
+ * {@code /unsafe/} to the plain upstream, {@code /once/} (one attempt) and
+ * {@code /resume/} (two, resumable) to the model upstream.
+ */
+final class GatewayFixture {
+
+	static final long TARGET_MS = 900;
+
+	static final String EVENTS = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+
+	final ManualTimer timer = new ManualTimer();
+
+	final FakeWorkers workers = new FakeWorkers();
+
+	final MetricRegistry metrics = new MetricRegistry();
+
+	final Gateway gateway = new Gateway(new GatewaySettings("vm-1", "hall-a", 0.2, 50, 10_000), new GatewayPorts(
+			this.workers, this.timer, this.timer::now, () -> 0.5, new DecisionLog(0), new RelayMetrics(this.metrics)));
+
+	private int ids;
+
+	GatewayFixture configured() {
+		this.gateway.configure(table(1));
+		return this;
+	}
+
+	static RouteTable table(long version) {
+		List<Route> routes = List.of(route("safe", RouteKind.SAFE, "plain", 2, false),
+				route("unsafe", RouteKind.UNSAFE, "plain", 2, false), route("once", RouteKind.STREAM, "llm", 1, false),
+				route("resume", RouteKind.STREAM, "llm", 2, true));
+		List<UpstreamSpec> upstreams = List.of(new UpstreamSpec("plain", 100, null),
+				new UpstreamSpec("llm", 100, new EngineSpec(64, 40_000, 18_432, 170_000, 500, 2_000)));
+		return new RouteTable(version, routes, upstreams, IngressLimits.DEFAULT);
+	}
+
+	private static Route route(String name, RouteKind kind, String upstream, int attempts, boolean resumable) {
+		long timeout = (kind == RouteKind.STREAM) ? 14_000 : 800;
+		return new Route(name, "shop.example", "/" + name + "/", kind, List.of(new RouteTarget(upstream, 1)), timeout,
+				TARGET_MS, 300, 1, attempts, resumable, kind == RouteKind.STREAM);
+	}
+
+	GatewayFixture plainWorkers(int n) {
+		for (int i = 1; i <= n; i++) {
+			worker("p" + i, "plain", WorkerStage.PLAIN);
+		}
+		return this;
+	}
+
+	WorkerInfo worker(String id, String upstream, WorkerStage stage) {
+		WorkerInfo w = new WorkerInfo(id, upstream, "10.0.0." + (++this.ids), 80, "hall-a", 6, stage, false, 0);
+		this.gateway.roster().seen(w, this.timer.now());
+		return w;
+	}
+
+	Call call(String route) {
+		return call(route, 1_500, null);
+	}
+
+	Call prompt(String route, int tokens) {
+		return call(route, 14_000, new PromptShape(tokens, 1_190, 400, List.of("a", "b")));
+	}
+
+	Call call(String route, long waitMs, @Nullable PromptShape prompt) {
+		RelayRequest r = new RelayRequest("r" + (++this.ids), "POST", "/" + route + "/x", "shop.example", List.of(),
+				new byte[0], waitMs, prompt, null);
+		FakeCaller c = new FakeCaller();
+		return new Call(c, this.gateway.handle(r, c));
+	}
+
+	record Call(FakeCaller caller, Runnable gone) {
+
+	}
+
+}
--- /dev/null
+++ b/src/test/java/io/shallotspur/gateway/HoldQueueTests.java
@@ -0,0 +1,119 @@
+package io.shallotspur.gateway;
+
+import java.util.List;
+
+import org.assertj.core.api.Assertions;
+import org.junit.jupiter.api.Test;
+
+import io.shallotspur.gateway.GatewayFixture.Call;
+
+/**
+ * Tests of waiting for a place at a decode worker, under the load it answers: more long
+ * answers than the decode workers' memory bears.
+ */
+class HoldQueueTests {
+
+	private final GatewayFixture f = new GatewayFixture().configured();
+
+	private FakeWorkers.Hold hold(int i) {
+		return this.f.workers.holds.get(i);
+	}
+
+	@Test
+	void asksTheNextWorkerWhenOneIsFull() {
+		this.f.worker("d1", "llm", WorkerStage.DECODE);
+		this.f.worker("d2", "llm", WorkerStage.DECODE);
+		this.f.prompt("once", 100);
+		hold(0).listener().onFull();
+		Assertions.assertThat(hold(1).worker().id()).isNotEqualTo(hold(0).worker().id());
+	}
+
+	// All places are taken for a moment. A refusal would cost the caller its one return;
+	// the place that this VM's own request frees is taken at once instead.
+	@Test
+	void takesThePlaceThatAnEndingRequestFrees() {
+		this.f.worker("d1", "llm", WorkerStage.DECODE);
+		this.f.prompt("once", 100);
+		hold(0).listener().onHeld("h1");
+		Call second = this.f.prompt("once", 100);
+		hold(1).listener().onFull();
+		Assertions.assertThat(this.f.workers.holds).hasSize(2);
+		this.f.workers.last().head(200);
+		this.f.workers.last().events(GatewayFixture.EVENTS);
+		this.f.workers.last().listener.onEnd();
+		Assertions.assertThat(this.f.workers.holds).hasSize(3);
+		hold(2).listener().onHeld("h2");
+		Assertions.assertThat(this.f.workers.runs).hasSize(2);
+		Assertions.assertThat(second.caller().answers).isZero();
+	}
+
+	// Many VMs before few workers: each must leave a full worker alone for a while, lest
+	// all of them spend their time asking.
+	@Test
+	void leavesAFullWorkerAloneForAWhile() {
+		this.f.worker("d1", "llm", WorkerStage.DECODE);
+		this.f.prompt("once", 100);
+		hold(0).listener().onFull();
+		this.f.timer.advance(100);
+		Assertions.assertThat(this.f.workers.holds).hasSize(1);
+		this.f.timer.advance(200);
+		Assertions.assertThat(this.f.workers.holds).hasSize(2);
+	}
+
+	@Test
+	void refusesAsNotRunBeforeTheCallerWouldLeave() {
+		this.f.worker("d1", "llm", WorkerStage.DECODE);
+		Call c = this.f.prompt("once", 100);
+		for (int i = 0; i < 100 && c.caller().answers == 0; i++) {
+			int n = this.f.workers.holds.size();
+			hold(n - 1).listener().onFull();
+			while (this.f.workers.holds.size() == n && c.caller().answers == 0) {
+				this.f.timer.advance(50);
+			}
+		}
+		Assertions.assertThat(c.caller().status).isEqualTo(503);
+		Assertions.assertThat(c.caller().refusal.retryAfterMs()).isPositive();
+		Assertions.assertThat(this.f.workers.runs).isEmpty();
+	}
+
+	// A burst has left callers waiting whose answers will be late in any case. A new one
+	// that can still be answered in time goes first, else all of them are late.
+	@Test
+	void thoseInTimeGoBeforeTheLate() {
+		this.f.worker("d1", "llm", WorkerStage.DECODE);
+		this.f.prompt("once", 1_111);
+		hold(0).listener().onFull();
+		this.f.timer.advance(240);
+		hold(1).listener().onFull();
+		while (this.f.workers.holds.size() < 6) {
+			int n = this.f.workers.holds.size();
+			this.f.timer.advance(250);
+			if (this.f.workers.holds.size() > n) {
+				hold(n).listener().onFull();
+			}
+		}
+		this.f.prompt("once", 2_222);
+		int n = this.f.workers.holds.size();
+		this.f.timer.advance(250);
+		Assertions.assertThat(hold(n).tokens()).isGreaterThan(2_222);
+	}
+
+	// A caller who was refused comes back with less time left. Its objective counts from
+	// its first try; taken for new, it would pass those who can still be in time.
+	@Test
+	void aCallerWhoCameBackIsKnownByTheTimeItHasLeft() {
+		this.f.worker("d1", "llm", WorkerStage.DECODE);
+		this.f.prompt("once", 3_333);
+		hold(0).listener().onFull();
+		PromptShape p = new PromptShape(1_111, 1_190, 400, List.of());
+		this.f.call("once", 10_000, p);
+		this.f.timer.advance(250);
+		Assertions.assertThat(hold(1).tokens()).isGreaterThan(3_333);
+	}
+
+	@Test
+	void refusesAtOnceWithoutAnyDecodeWorker() {
+		Assertions.assertThat(this.f.prompt("once", 100).caller().status).isEqualTo(503);
+	}
+
+}
--- /dev/null
+++ b/src/test/java/io/shallotspur/gateway/NopWorkers.java
@@ -0,0 +1,32 @@
+package io.shallotspur.gateway;
+
+/**
+ * Workers that never answer.
+ */
+public final class NopWorkers implements WorkerPort {
+
+	@Override
+	public Exchange run(WorkerCall call, ExchangeListener listener) {
+		return () -> {
+		};
+	}
+
+	@Override
+	public Exchange prefill(WorkerCall call, PrefillListener listener) {
+		return () -> {
+		};
+	}
+
+	@Override
+	public void release(KvSource source) {
+	}
+
+	@Override
+	public void hold(WorkerInfo worker, int tokens, long ttlMs, HoldListener listener) {
+	}
+
+	@Override
+	public void drop(WorkerInfo worker, String hold) {
+	}
+
+}
--- /dev/null
+++ b/src/test/java/io/shallotspur/gateway/StreamRelayTests.java
@@ -0,0 +1,151 @@
+package io.shallotspur.gateway;
+
+import org.assertj.core.api.Assertions;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+import io.shallotspur.gateway.GatewayFixture.Call;
+
+/**
+ * Tests of model requests: reservation, prefill, streams and their resumption.
+ */
+class StreamRelayTests {
+
+	private final GatewayFixture f = new GatewayFixture().configured();
+
+	@BeforeEach
+	void engines() {
+		this.f.worker("d1", "llm", WorkerStage.DECODE);
+		this.f.worker("d2", "llm", WorkerStage.DECODE);
+	}
+
+	private Call running(String route) {
+		Call c = this.f.prompt(route, 100);
+		this.f.workers.holds.get(this.f.workers.holds.size() - 1).listener().onHeld("h");
+		return c;
+	}
+
+	@Test
+	void relaysWholeEvents() {
+		Call c = running("once");
+		FakeWorkers.Run r = this.f.workers.last();
+		r.head(200);
+		r.events("id: 1\nda");
+		Assertions.assertThat(c.caller().answers).isZero();
+		r.events("ta: a\n\nid: 2\n");
+		Assertions.assertThat(c.caller().body).isEqualTo("id: 1\ndata: a\n\n");
+		r.events("data: b\n\n");
+		r.listener.onEnd();
+		Assertions.assertThat(c.caller().body).isEqualTo(GatewayFixture.EVENTS);
+		Assertions.assertThat(c.caller().ended).isTrue();
+	}
+
+	// A worker dies in the middle of an event of a stream that must not run twice. An end
+	// that looks complete would hand the clerk half a summary.
+	@Test
+	void breaksOffAStreamThatCannotGoOn() {
+		Call c = running("once");
+		this.f.workers.last().head(200);
+		this.f.workers.last().events(GatewayFixture.EVENTS + "id: 3\nda");
+		this.f.workers.last().lost();
+		Assertions.assertThat(c.caller().body).isEqualTo(GatewayFixture.EVENTS);
+		Assertions.assertThat(c.caller().brokenOff).isTrue();
+		Assertions.assertThat(c.caller().ended).isFalse();
+		Assertions.assertThat(this.f.workers.runs).hasSize(1);
+	}
+
+	// The same, where the route allows going on: another worker continues after the last
+	// whole event, and the caller notices nothing.
+	@Test
+	void resumesAStreamAfterItsLastWholeEvent() {
+		Call c = running("resume");
+		this.f.workers.last().head(200);
+		this.f.workers.last().events(GatewayFixture.EVENTS + "id: 3\nda");
+		this.f.workers.last().lost();
+		this.f.workers.holds.get(1).listener().onHeld("h2");
+		FakeWorkers.Run r = this.f.workers.last();
+		Assertions.assertThat(r.call.lastEventId()).isEqualTo("2");
+		r.head(200);
+		r.events("id: 3\ndata: c\n\n");
+		r.listener.onEnd();
+		Assertions.assertThat(c.caller().body).isEqualTo(GatewayFixture.EVENTS + "id: 3\ndata: c\n\n");
+		Assertions.assertThat(c.caller().ended).isTrue();
+		Assertions.assertThat(c.caller().answers).isEqualTo(1);
+	}
+
+	// An answer without a length ends in the middle of an event with a clean close. It
+	// must not pass for a whole one.
+	@Test
+	void aCleanCloseWithinAnEventIsNoEnd() {
+		Call c = running("once");
+		this.f.workers.last().head(200);
+		this.f.workers.last().events(GatewayFixture.EVENTS + "id: 3\n");
+		this.f.workers.last().listener.onEnd();
+		Assertions.assertThat(c.caller().brokenOff).isTrue();
+	}
+
+	@Test
+	void prefillsLongPromptsApart() {
+		this.f.worker("f1", "llm", WorkerStage.PREFILL);
+		Call c = this.f.prompt("once", 3_000);
+		this.f.workers.holds.get(0).listener().onHeld("h1");
+		this.f.workers.prefills.get(0).listener.onReady("kv1");
+		WorkerCall call = this.f.workers.last().call;
+		Assertions.assertThat(call.kvSource().handle()).isEqualTo("kv1");
+		Assertions.assertThat(call.hold()).isEqualTo("h1");
+		this.f.workers.last().head(200);
+		this.f.workers.last().events(GatewayFixture.EVENTS);
+		this.f.workers.last().listener.onEnd();
+		Assertions.assertThat(c.caller().ended).isTrue();
+	}
+
+	// The caller leaves while its prompt is prefilled. The place at the decode worker and
+	// the KV cache that still comes would stay held for nobody.
+	@Test
+	void givesBackWhatACallerWhoLeftHeld() {
+		this.f.worker("f1", "llm", WorkerStage.PREFILL);
+		Call c = this.f.prompt("once", 3_000);
+		this.f.workers.holds.get(0).listener().onHeld("h1");
+		c.gone().run();
+		this.f.workers.prefills.get(0).listener.onReady("kv1");
+		Assertions.assertThat(this.f.workers.prefills.get(0).cancelled).isTrue();
+		Assertions.assertThat(this.f.workers.dropped).containsExactly("h1");
+		Assertions.assertThat(this.f.workers.released).containsExactly("kv1");
+		Assertions.assertThat(this.f.workers.runs).isEmpty();
+	}
+
+	// The caller leaves while the reservation is on its way.
+	@Test
+	void givesBackAReservationThatComesTooLate() {
+		Call c = this.f.prompt("once", 3_000);
+		c.gone().run();
+		this.f.workers.holds.get(0).listener().onHeld("h1");
+		Assertions.assertThat(this.f.workers.dropped).containsExactly("h1");
+		Assertions.assertThat(this.f.workers.runs).isEmpty();
+	}
+
+	// A prefill worker goes dark. The request must reach its decode worker while its
+	// answer can still be on time.
+	@Test
+	void prefillsAtTheDecodeWorkerWhenAPrefillDoesNotAnswer() {
+		this.f.worker("f1", "llm", WorkerStage.PREFILL);
+		this.f.prompt("once", 3_000);
+		this.f.workers.holds.get(0).listener().onHeld("h1");
+		this.f.timer.advance(GatewayFixture.TARGET_MS * 6 / 10 + 1);
+		Assertions.assertThat(this.f.workers.last().call.kvSource()).isNull();
+		Assertions.assertThat(this.f.workers.last().call.hold()).isEqualTo("h1");
+	}
+
+	// A refused prefill counts as an attempt; a route with one attempt has none left.
+	@Test
+	void aRefusedPrefillUsesUpTheOnlyAttempt() {
+		this.f.worker("f1", "llm", WorkerStage.PREFILL);
+		Call c = this.f.prompt("once", 3_000);
+		this.f.workers.holds.get(0).listener().onHeld("h1");
+		this.f.workers.prefills.get(0).listener.onRefused("status 503");
+		Assertions.assertThat(c.caller().status).isEqualTo(503);
+		Assertions.assertThat(this.f.workers.dropped).containsExactly("h1");
+		Assertions.assertThat(this.f.workers.runs).isEmpty();
+	}
+
+}
--- /dev/null
+++ b/src/test/java/io/shallotspur/platform/PlatformPathTests.java
@@ -0,0 +1,297 @@
+package io.shallotspur.platform;
+
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.BooleanSupplier;
+
+import org.assertj.core.api.Assertions;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+import io.shallotspur.cfg.Endpoint;
+import io.shallotspur.gateway.GatewaySettings;
+
+/**
+ * The whole path on the platform over real sockets: store, workers and callers are
+ * doubles.
+ */
+class PlatformPathTests {
+
+	private static final Duration LIMIT = Duration.ofSeconds(20);
+
+	private final StoreDouble store = new StoreDouble();
+
+	private final WorkerDouble p1 = new WorkerDouble("p1", "");
+
+	private final WorkerDouble p2 = new WorkerDouble("p2", "");
+
+	private final WorkerDouble d1 = new WorkerDouble("d1", "decode");
+
+	private final WorkerDouble f1 = new WorkerDouble("f1", "prefill");
+
+	private final HttpClient client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+
+	private PlatformVm vm;
+
+	@BeforeEach
+	void start() {
+		this.store.put("op/config", config(7));
+		this.store.put("servers/p1", this.p1.entry("plain", "ready"));
+		this.store.put("servers/p2", this.p2.entry("plain", "ready"));
+		this.store.put("servers/d1", this.d1.entry("llm", "ready"));
+		this.store.put("servers/f1", this.f1.entry("llm", "ready"));
+		this.vm = new PlatformVm(settings(this.store.address()));
+		this.vm.start();
+		await(() -> status(this.vm.readyPort(), "/api/readiness") == 200);
+	}
+
+	@AfterEach
+	void stop() {
+		this.vm.close();
+		this.store.stop();
+		this.p1.stop();
+		this.p2.stop();
+		this.d1.stop();
+		this.f1.stop();
+	}
+
+	private static PlatformSettings settings(Endpoint store) {
+		Endpoint any = new Endpoint("127.0.0.1", 0);
+		return new PlatformSettings(new GatewaySettings("vm-1", "hall-a", 0.2, 50, 10_000), any, any, any, any, store,
+				2_000, 8_000, 2_000, new PlatformSettings.LogVolume("info", 10));
+	}
+
+	private static String config(long version) {
+		return """
+				{"version":%d,"new_field":1,"routes":[
+				{"name":"s","host":"127.0.0.1","prefix":"/safe/","kind":"safe","timeout_ms":5000,
+				"target_latency_ms":300,"priority":2,"service":"plain","max_attempts":2},
+				{"name":"u","host":"127.0.0.1","prefix":"/unsafe/","kind":"unsafe","timeout_ms":5000,
+				"target_latency_ms":300,"priority":2,"service":"plain","max_attempts":1},
+				{"name":"m","host":"127.0.0.1","prefix":"/model/","kind":"streaming","timeout_ms":9000,
+				"target_latency_ms":900,"priority":1,"service":"llm","max_attempts":1,"session_affinity":true,
+				"allow_resume":false,"target_gap_ms":300}],
+				"services":[{"name":"plain","health_path":"/health","connection_limit":100},
+				{"name":"llm","health_path":"/health","connection_limit":100,
+				"engine":{"slots":8,"kv_cache_tokens":40000,"kv_token_bytes":10,"link_mbps":100,"kv_handle_s":0.5,
+				"hold_ms":2000}}],
+				"limits":{"max_header_bytes":16384,"max_body_bytes":1000,"header_timeout_ms":3000,
+				"idle_timeout_ms":15000}}""".formatted(version);
+	}
+
+	private HttpRequest.Builder request(String path) {
+		return HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + this.vm.callersPort() + path))
+			.timeout(LIMIT)
+			.header("X-Request-Id", "r1")
+			.header("X-Deadline-Ms", "5000");
+	}
+
+	private HttpResponse<String> send(HttpRequest r) {
+		try {
+			// The client cannot name another host; the caller's port does not matter.
+			return this.client.send(r, HttpResponse.BodyHandlers.ofString());
+		}
+		catch (IOException | InterruptedException ex) {
+			throw new IllegalStateException(ex);
+		}
+	}
+
+	private int status(int port, String path) {
+		return send(HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + port + path)).build()).statusCode();
+	}
+
+	private static void await(BooleanSupplier done) {
+		long end = System.nanoTime() + LIMIT.toNanos();
+		while (!done.getAsBoolean() && System.nanoTime() < end) {
+			Thread.onSpinWait();
+		}
+		Assertions.assertThat(done.getAsBoolean()).isTrue();
+	}
+
+	@Test
+	void relaysAPlainCall() {
+		HttpResponse<String> r = send(request("/safe/x?q=1%2F2").build());
+		Assertions.assertThat(r.statusCode()).isEqualTo(200);
+		Assertions.assertThat(r.body()).startsWith("fine from p");
+		Assertions.assertThat(r.headers().firstValue("X-Server-Stamp")).isPresent();
+		WorkerDouble w = this.p1.paths.isEmpty() ? this.p2 : this.p1;
+		Assertions.assertThat(w.paths).containsExactly("GET /safe/x?q=1%2F2 ");
+		Assertions.assertThat(w.seen.get(0).get("X-Expect-Instance")).isEqualTo((w == this.p1) ? "p1" : "p2");
+	}
+
+	// A caller sets fields that only the system may set, and could take another's memory.
+	@Test
+	void dropsFieldsThatOnlyTheSystemMaySet() {
+		send(request("/safe/x").header("X-Hold", "h").header("X-Kv-Source", "s").header("X-Other", "kept").build());
+		WorkerDouble w = this.p1.paths.isEmpty() ? this.p2 : this.p1;
+		Assertions.assertThat(w.seen.get(0).contains("X-Hold")).isFalse();
+		Assertions.assertThat(w.seen.get(0).contains("X-Kv-Source")).isFalse();
+		Assertions.assertThat(w.seen.get(0).get("X-Other")).isEqualTo("kept");
+	}
+
+	@Test
+	void relaysAStreamWithItsPromptPrefilledApart() {
+		HttpResponse<String> r = send(request("/model/x").header("X-Token-Count", "3000,100")
+			.header("X-Prompt-Prefix", "a:200,b:2800")
+			.header("X-Model", "m")
+			.POST(HttpRequest.BodyPublishers.ofString("prompt"))
+			.build());
+		Assertions.assertThat(r.body()).isEqualTo("id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+		Assertions.assertThat(this.f1.paths).containsExactly("POST /model/x prompt");
+		Assertions.assertThat(this.d1.seen.get(0).get("X-Kv-Source")).endsWith("/kv1");
+		Assertions.assertThat(this.d1.seen.get(0).get("X-Hold")).isEqualTo("h1");
+	}
+
+	// A stream breaks off in the middle of an event. The caller's client must see that
+	// the
+	// answer is not whole.
+	@Test
+	void aTornStreamDoesNotLookComplete() {
+		this.d1.next.add(WorkerDouble::tornStream);
+		HttpRequest q = request("/model/x").POST(HttpRequest.BodyPublishers.ofString("p")).build();
+		Assertions.assertThatThrownBy(() -> send(q)).hasRootCauseInstanceOf(IOException.class);
+	}
+
+	@Test
+	void anAnswerThatIsCutIsNotPassedOn() {
+		this.p1.next.add(WorkerDouble::cut);
+		this.p2.next.add(WorkerDouble::cut);
+		HttpResponse<String> r = send(request("/safe/x").build());
+		Assertions.assertThat(r.statusCode()).isEqualTo(502);
+		Assertions.assertThat(send(request("/safe/x").build()).body()).startsWith("fine");
+	}
+
+	@Test
+	void aResetAfterTheSendIsNeverCalledNotRun() {
+		this.p1.next.add(WorkerDouble::reset);
+		this.p2.next.add(WorkerDouble::reset);
+		Assertions.assertThat(send(request("/unsafe/x").build()).statusCode()).isEqualTo(502);
+		Assertions.assertThat(this.p1.paths.size() + this.p2.paths.size()).isEqualTo(1);
+	}
+
+	@Test
+	void anAnswerToAnotherRequestIsNotPassedOn() {
+		this.p1.next.add(WorkerDouble::foreign);
+		this.p2.next.add(WorkerDouble::foreign);
+		HttpResponse<String> r = send(request("/unsafe/x").build());
+		Assertions.assertThat(r.statusCode()).isEqualTo(502);
+		Assertions.assertThat(r.headers().firstValue("X-Server-Stamp")).isEmpty();
+	}
+
+	@Test
+	void aFullWorkersRefusalIsTruthfullyNotRun() {
+		this.p1.next.add(WorkerDouble::full);
+		this.p2.next.add(WorkerDouble::full);
+		HttpResponse<String> r = send(request("/unsafe/x").build());
+		Assertions.assertThat(r.statusCode()).isEqualTo(503);
+		Assertions.assertThat(r.headers().firstValue("Retry-After")).isPresent();
+	}
+
+	// The caller hangs up while a worker is silent. Unless the worker hears so, it goes
+	// on
+	// with work that nobody waits for.
+	@Test
+	void hangsUpOnTheWorkerWhenTheCallerHangsUp() {
+		this.p1.next.add(this.p1::silent);
+		this.p2.next.add(this.p2::silent);
+		CompletableFuture<?> c = this.client.sendAsync(request("/safe/x").build(),
+				HttpResponse.BodyHandlers.ofString());
+		await(() -> this.p1.paths.size() + this.p2.paths.size() == 1);
+		c.cancel(true);
+		await(() -> this.p1.cancelled.get() + this.p2.cancelled.get() == 1);
+	}
+
+	@Test
+	void refusesWhatBreaksTheLimits() {
+		String big = "x".repeat(2_000);
+		Assertions
+			.assertThat(send(request("/safe/x").POST(HttpRequest.BodyPublishers.ofString(big)).build()).statusCode())
+			.isEqualTo(413);
+		Assertions.assertThat(send(request("/safe/x").header("X-Big", "x".repeat(20_000)).build()).statusCode())
+			.isEqualTo(431);
+		Assertions.assertThat(send(request("/safe/x").header("X-Token-Count", "many").build()).statusCode())
+			.isEqualTo(400);
+		Assertions.assertThat(send(request("/nowhere/x").build()).statusCode()).isEqualTo(404);
+	}
+
+	@Test
+	void tellsCallersWhereToConnect() {
+		HttpResponse<String> r = send(HttpRequest
+			.newBuilder(URI
+				.create("http://127.0.0.1:" + this.vm.locatePort() + "/api/resolution?name=shop.example&zone=hall-a"))
+			.build());
+		Assertions.assertThat(r.body()).contains("\"addresses\":[\"127.0.0.1:").contains("\"ttl_s\":2.0");
+	}
+
+	@Test
+	void takesAChangeOfTheConfiguration() {
+		this.store.put("op/config", config(9).replace("/safe/", "/moved/"));
+		await(() -> send(request("/moved/x").build()).statusCode() == 200);
+		Assertions.assertThat(send(request("/safe/x").build()).statusCode()).isEqualTo(404);
+	}
+
+	// The operator's entry is not what it should be. What was in force must stay so.
+	@Test
+	void leavesAnUnreadableConfigurationAside() {
+		this.store.put("op/config", "{\"version\":\"x\"}");
+		this.store.put("servers/p1", this.p1.entry("plain", "draining"));
+		await(() -> {
+			send(request("/safe/x").build());
+			return !this.p2.paths.isEmpty();
+		});
+		Assertions.assertThat(send(request("/safe/x").build()).statusCode()).isEqualTo(200);
+	}
+
+	@Test
+	void goesOnWhileTheStoreIsAwayAndCatchesUp() {
+		this.store.away(true);
+		Assertions.assertThat(send(request("/safe/x").build()).statusCode()).isEqualTo(200);
+		this.store.put("op/config", config(9).replace("/safe/", "/moved/"));
+		this.store.dropHistory();
+		this.store.away(false);
+		await(() -> send(request("/moved/x").build()).statusCode() == 200);
+	}
+
+	@Test
+	void readsAListingInPages() {
+		this.store.pageSize(2);
+		this.store.dropHistory();
+		this.store.put("op/config", config(9).replace("/safe/", "/moved/"));
+		await(() -> send(request("/moved/x").build()).statusCode() == 200);
+	}
+
+	@Test
+	void anAnswerThatIsNotJsonCountsAsNone() {
+		this.store.nonsense(true);
+		this.store.put("op/config", config(9).replace("/safe/", "/moved/"));
+		Assertions.assertThat(send(request("/safe/x").build()).statusCode()).isEqualTo(200);
+		this.store.nonsense(false);
+		await(() -> send(request("/moved/x").build()).statusCode() == 200);
+	}
+
+	// The VM is told to leave while a stream runs. It must leave the answers to callers
+	// at
+	// once and finish what it has begun.
+	@Test
+	void finishesWhatIsInProgressBeforeItLeaves() {
+		await(() -> this.store.has("vms/"));
+		this.p1.next.add(this.p1::silent);
+		this.p2.next.add(this.p2::silent);
+		CompletableFuture<HttpResponse<String>> c = this.client.sendAsync(request("/safe/x").build(),
+				HttpResponse.BodyHandlers.ofString());
+		await(() -> this.p1.paths.size() + this.p2.paths.size() == 1);
+		Thread t = new Thread(this.vm::drain);
+		t.start();
+		await(() -> !this.store.has("vms/"));
+		Assertions.assertThat(status(this.vm.readyPort(), "/api/readiness")).isEqualTo(503);
+		Assertions.assertThat(c.join().statusCode()).isEqualTo(504);
+		Assertions.assertThat(c.join().headers().firstValue("Connection")).hasValue("close");
+	}
+
+}
--- /dev/null
+++ b/src/test/java/io/shallotspur/platform/StoreDouble.java
@@ -0,0 +1,207 @@
+package io.shallotspur.platform;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.netty.handler.codec.http.QueryStringDecoder;
+import org.reactivestreams.Publisher;
+import reactor.core.publisher.Mono;
+import reactor.netty.DisposableServer;
+import reactor.netty.http.server.HttpServer;
+import reactor.netty.http.server.HttpServerRequest;
+import reactor.netty.http.server.HttpServerResponse;
+
+import io.shallotspur.cfg.Endpoint;
+
+/**
+ * A stand-in for the platform's store with its failures: away, history dropped, small
+ * pages, answers that are not JSON. Thread-safe: methods hold its monitor.
+ */
+final class StoreDouble {
+
+	private static final ObjectMapper JSON = new ObjectMapper();
+
+	private static final Duration POLL = Duration.ofMillis(5);
+
+	private final Map<String, ObjectNode> items = new TreeMap<>();
+
+	private final List<ObjectNode> events = new ArrayList<>();
+
+	private final DisposableServer server;
+
+	private final AtomicInteger ranges = new AtomicInteger();
+
+	private long revision = 1;
+
+	private long lease = 100;
+
+	private long firstKept;
+
+	private int pageSize = 500;
+
+	private boolean away;
+
+	private boolean nonsense;
+
+	StoreDouble() {
+		this.server = HttpServer.create()
+			.host("127.0.0.1")
+			.port(0)
+			.route((r) -> r.get("/api/kv-range", this::range)
+				.get("/api/kv-watch", this::watch)
+				.post("/api/kv-lease", (q, s) -> send(s, 200, lease()))
+				.post("/api/kv-keep/{id}", (q, s) -> send(s, 200, JSON.createObjectNode().put("ttl_ms", 6_000)))
+				.delete("/api/kv-lease-end/{id}", this::endLease)
+				.post("/api/kv-txn", this::txn))
+			.bindNow();
+	}
+
+	Endpoint address() {
+		return new Endpoint("127.0.0.1", this.server.port());
+	}
+
+	int ranges() {
+		return this.ranges.get();
+	}
+
+	synchronized void away(boolean yes) {
+		this.away = yes;
+	}
+
+	synchronized void nonsense(boolean yes) {
+		this.nonsense = yes;
+	}
+
+	synchronized void pageSize(int n) {
+		this.pageSize = n;
+	}
+
+	synchronized void dropHistory() {
+		this.firstKept = this.revision;
+		this.events.clear();
+	}
+
+	synchronized boolean has(String prefix) {
+		return this.items.keySet().stream().anyMatch((k) -> k.startsWith(prefix));
+	}
+
+	synchronized void put(String key, String json) {
+		put(key, Base64.getEncoder().encodeToString(json.getBytes(StandardCharsets.UTF_8)), 0);
+	}
+
+	private void put(String key, String value, long ofLease) {
+		ObjectNode n = JSON.createObjectNode()
+			.put("key", key)
+			.put("value", value)
+			.put("revision", ++this.revision)
+			.put("lease", ofLease);
+		this.items.put(key, n);
+		this.events.add(n);
+	}
+
+	synchronized void remove(String key) {
+		this.items.remove(key);
+		this.events
+			.add(JSON.createObjectNode().put("key", key).put("revision", ++this.revision).put("tombstone", true));
+	}
+
+	void stop() {
+		this.server.disposeNow();
+	}
+
+	private synchronized ObjectNode lease() {
+		return JSON.createObjectNode().put("lease", ++this.lease).put("ttl_ms", 6_000);
+	}
+
+	private synchronized Publisher<Void> endLease(HttpServerRequest q, HttpServerResponse s) {
+		long id = Long.parseLong(q.param("id"));
+		List.copyOf(this.items.values())
+			.stream()
+			.filter((n) -> n.path("lease").asLong() == id)
+			.forEach((n) -> remove(n.path("key").asText()));
+		return send(s, 200, JSON.createObjectNode());
+	}
+
+	private Publisher<Void> txn(HttpServerRequest q, HttpServerResponse s) {
+		return q.receive().aggregate().asString().flatMap((body) -> {
+			try {
+				JsonNode n = JSON.readTree(body);
+				synchronized (this) {
+					n.path("puts")
+						.forEach(
+								(p) -> put(p.path("key").asText(), p.path("value").asText(), p.path("lease").asLong()));
+					return Mono.from(send(s, 200, JSON.createObjectNode().put("revision", this.revision)));
+				}
+			}
+			catch (IOException ex) {
+				return Mono.error(ex);
+			}
+		});
+	}
+
+	private synchronized Publisher<Void> range(HttpServerRequest q, HttpServerResponse s) {
+		this.ranges.incrementAndGet();
+		String after = param(q, "after", "");
+		ObjectNode out = JSON.createObjectNode();
+		ArrayNode l = out.putArray("items");
+		boolean more = false;
+		for (Map.Entry<String, ObjectNode> e : this.items.entrySet()) {
+			if (e.getKey().compareTo(after) > 0) {
+				more = l.size() >= this.pageSize;
+				if (more) {
+					break;
+				}
+				l.add(e.getValue());
+			}
+		}
+		out.put("truncated", more).put("store_revision", this.revision);
+		return send(s, 200, out);
+	}
+
+	private Publisher<Void> watch(HttpServerRequest q, HttpServerResponse s) {
+		long after = Long.parseLong(param(q, "after", "0"));
+		long end = System.nanoTime() + Duration.ofMillis(Long.parseLong(param(q, "wait_ms", "0"))).toNanos();
+		return poll(s, after, end);
+	}
+
+	private Mono<Void> poll(HttpServerResponse s, long after, long end) {
+		synchronized (this) {
+			if (after < this.firstKept) {
+				return Mono.from(send(s, 410, JSON.createObjectNode()));
+			}
+			boolean any = this.events.stream().anyMatch((e) -> e.path("revision").asLong() > after);
+			if (any || this.away || System.nanoTime() > end) {
+				ObjectNode out = JSON.createObjectNode().put("store_revision", this.revision);
+				ArrayNode l = out.putArray("events");
+				this.events.stream().filter((e) -> e.path("revision").asLong() > after).forEach(l::add);
+				return Mono.from(send(s, 200, out));
+			}
+		}
+		return Mono.delay(POLL).then(Mono.defer(() -> poll(s, after, end)));
+	}
+
+	private synchronized Publisher<Void> send(HttpServerResponse s, int status, JsonNode body) {
+		if (this.away) {
+			return s.status(503).send();
+		}
+		String text = this.nonsense ? "<html>" : body.toString();
+		return s.status(status).sendString(Mono.just(text));
+	}
+
+	private static String param(HttpServerRequest q, String name, String dflt) {
+		List<String> l = new QueryStringDecoder(q.uri()).parameters().get(name);
+		return (l != null) ? l.get(0) : dflt;
+	}
+
+}
--- /dev/null
+++ b/src/test/java/io/shallotspur/platform/WorkerDouble.java
@@ -0,0 +1,130 @@
+package io.shallotspur.platform;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import io.netty.handler.codec.http.HttpHeaders;
+import org.reactivestreams.Publisher;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+import reactor.netty.DisposableServer;
+import reactor.netty.http.server.HttpServer;
+import reactor.netty.http.server.HttpServerRequest;
+import reactor.netty.http.server.HttpServerResponse;
+
+/**
+ * A stand-in for a worker of either kind. Behaves well unless a behaviour was queued for
+ * the next request. Thread-safe.
+ */
+final class WorkerDouble {
+
+	final Queue<Behaviour> next = new ConcurrentLinkedQueue<>();
+
+	final List<HttpHeaders> seen = new CopyOnWriteArrayList<>();
+
+	final List<String> paths = new CopyOnWriteArrayList<>();
+
+	final AtomicInteger cancelled = new AtomicInteger();
+
+	private final DisposableServer server;
+
+	private final String id;
+
+	private final String stage;
+
+	WorkerDouble(String id, String stage) {
+		this.id = id;
+		this.stage = stage;
+		this.server = HttpServer.create().host("127.0.0.1").port(0).handle(this::handle).bindNow();
+	}
+
+	String entry(String upstream, String state) {
+		return """
+				{"service":"%s","address":"127.0.0.1:%d","zone":"hall-a","version":"v1","slots":6,"state":"%s",
+				"cold_remaining_ms":0,"stage":"%s","models":[],"sequence_number":1}""".formatted(upstream,
+				this.server.port(), state, this.stage);
+	}
+
+	void stop() {
+		this.server.disposeNow();
+	}
+
+	private Publisher<Void> handle(HttpServerRequest q, HttpServerResponse s) {
+		return q.receive().aggregate().asString().defaultIfEmpty("").flatMap((body) -> Mono.from(answer(q, s, body)));
+	}
+
+	private Publisher<Void> answer(HttpServerRequest q, HttpServerResponse s, String body) {
+		if (q.uri().equals("/api/hold-take")) {
+			return s.sendString(Mono.just("{\"hold\":\"h1\"}"));
+		}
+		if (q.uri().startsWith("/api/")) {
+			return s.send();
+		}
+		this.seen.add(q.requestHeaders());
+		this.paths.add(q.method() + " " + q.uri() + " " + body);
+		s.header("X-Request-Id", q.requestHeaders().get("X-Request-Id", ""));
+		if ("prefill".equals(q.requestHeaders().get("X-Stage"))) {
+			return s.sendString(Mono.just("{\"kv_handle\":\"kv1\",\"tokens\":1,\"version\":1}"));
+		}
+		Behaviour b = this.next.poll();
+		return (b != null) ? b.answer(s) : well(s);
+	}
+
+	private Publisher<Void> well(HttpServerResponse s) {
+		s.header("X-Server-Stamp", "stamp-" + this.id).header("X-Server-Load", "1,0,6");
+		if (this.stage.isEmpty()) {
+			return s.sendString(Mono.just("fine from " + this.id));
+		}
+		return s.header("Content-Type", "text/event-stream")
+			.sendString(Flux.just("id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"));
+	}
+
+	// Says that it has not run the request.
+	static Publisher<Void> full(HttpServerResponse s) {
+		return s.status(503).header("X-Not-Executed", "1").send();
+	}
+
+	// Closes the connection without an answer.
+	static Publisher<Void> reset(HttpServerResponse s) {
+		return s.withConnection((c) -> c.channel().close()).neverComplete();
+	}
+
+	// Promises more than it sends.
+	static Publisher<Void> cut(HttpServerResponse s) {
+		s.header("X-Server-Stamp", "x").header("Content-Length", "100");
+		return s.sendByteArray(Flux.just("half".getBytes()).concatWith(Flux.error(new RuntimeException())));
+	}
+
+	// Answers another request.
+	static Publisher<Void> foreign(HttpServerResponse s) {
+		return s.header("X-Request-Id", "other").header("X-Server-Stamp", "x").sendString(Mono.just("not yours"));
+	}
+
+	// Breaks off in the middle of an event.
+	static Publisher<Void> tornStream(HttpServerResponse s) {
+		s.header("X-Server-Stamp", "x").header("Content-Type", "text/event-stream");
+		return s.sendString(Flux.just("id: 1\ndata: a\n\n", "id: 2\nda").concatWith(Flux.error(new RuntimeException())),
+				StandardCharsets.UTF_8);
+	}
+
+	// Never answers; notes when its connection is closed.
+	Publisher<Void> silent(HttpServerResponse s) {
+		s.withConnection((c) -> c.channel().closeFuture().addListener((f) -> this.cancelled.incrementAndGet()));
+		return Mono.never();
+	}
+
+	/**
+	 * What a worker does with one request.
+	 */
+	@FunctionalInterface
+	interface Behaviour {
+
+		Publisher<Void> answer(HttpServerResponse response);
+
+	}
+
+}
--- /dev/null
+++ b/src/test/java/io/shallotspur/registry/RegistryFollowerTests.java
@@ -0,0 +1,158 @@
+package io.shallotspur.registry;
+
+import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import com.codahale.metrics.MetricRegistry;
+import org.assertj.core.api.Assertions;
+import org.junit.jupiter.api.Test;
+
+import io.shallotspur.exc.StoreHistoryGoneException;
+import io.shallotspur.exc.StoreUnavailableException;
+import io.shallotspur.gateway.DecisionLog;
+import io.shallotspur.gateway.Gateway;
+import io.shallotspur.gateway.GatewayPorts;
+import io.shallotspur.gateway.GatewaySettings;
+import io.shallotspur.gateway.ManualTimer;
+import io.shallotspur.gateway.NopWorkers;
+import io.shallotspur.gateway.RelayMetrics;
+import io.shallotspur.gateway.WorkerInfo;
+import io.shallotspur.gateway.WorkerStage;
+import io.shallotspur.route.IngressLimits;
+import io.shallotspur.route.RouteTable;
+
+/**
+ * Tests of {@link RegistryFollower}.
+ */
+class RegistryFollowerTests {
+
+	private static final long LEAVE_MS = 2_000;
+
+	private final ManualTimer timer = new ManualTimer();
+
+	private final FakeRegistry registry = new FakeRegistry();
+
+	private final Gateway gateway = new Gateway(new GatewaySettings("vm", "hall-a", 0.2, 50, 10_000),
+			new GatewayPorts(new NopWorkers(), this.timer, this.timer::now, () -> 0.5, new DecisionLog(0),
+					new RelayMetrics(new MetricRegistry())));
+
+	private final RegistryFollower follower = new RegistryFollower(this.registry, this.gateway, this.timer,
+			this.timer::now, () -> 0.5, LEAVE_MS);
+
+	private static RegistryChange worker(String id) {
+		return new RegistryChange.WorkerSeen(
+				new WorkerInfo(id, "up", "10.0.0.1", 80, "hall-a", 6, WorkerStage.PLAIN, false, 0));
+	}
+
+	private static RegistryChange config(long version) {
+		return new RegistryChange.Configured(new RouteTable(version, List.of(), List.of(), IngressLimits.DEFAULT));
+	}
+
+	private int workers() {
+		return this.gateway.roster().size(this.timer.now());
+	}
+
+	private void follow(RegistryChange... changes) {
+		this.registry.listings.add(new RegistryNews(10, List.of(changes)));
+		this.follower.start();
+	}
+
+	private void tell(long revision, RegistryChange... changes) {
+		this.registry.watch.tryEmitValue(new RegistryNews(revision, List.of(changes)));
+	}
+
+	private void lose() {
+		this.registry.watch.tryEmitError(new StoreUnavailableException("away", "test"));
+	}
+
+	@Test
+	void takesTheListingAndWatchesFromThere() {
+		follow(config(3), worker("w1"));
+		Assertions.assertThat(this.gateway.table().orElseThrow().version()).isEqualTo(3);
+		Assertions.assertThat(workers()).isEqualTo(1);
+		Assertions.assertThat(this.registry.watchedAfter).containsExactly(10L);
+		Assertions.assertThat(this.follower.listed()).isTrue();
+	}
+
+	// Many workers start at once. A watch for each of their entries would be billed as a
+	// call each.
+	@Test
+	void gathersChangesThatComeTogether() {
+		follow(config(3));
+		tell(11, worker("w1"));
+		Assertions.assertThat(this.registry.watchedAfter).hasSize(1);
+		this.timer.advance(200);
+		Assertions.assertThat(this.registry.watchedAfter).containsExactly(10L, 11L);
+	}
+
+	@Test
+	void aWorkerWhoseEntryIsGoneGetsNothingMore() {
+		follow(worker("w1"));
+		tell(11, new RegistryChange.WorkerGone("w1"));
+		Assertions.assertThat(workers()).isZero();
+	}
+
+	// The store is away and the entries of living workers lapse. Taken as gone, no
+	// request
+	// could be served until the workers have written their entries again.
+	@Test
+	void entriesThatLapsedWhileTheStoreWasAwayAreWaitedFor() {
+		follow(worker("w1"));
+		lose();
+		this.timer.advance(400);
+		tell(20, new RegistryChange.WorkerGone("w1"));
+		Assertions.assertThat(workers()).isEqualTo(1);
+		this.timer.advance(LEAVE_MS);
+		Assertions.assertThat(workers()).isZero();
+	}
+
+	@Test
+	void anEntryThatComesBackInTimeKeepsItsWorker() {
+		follow(worker("w1"));
+		lose();
+		this.timer.advance(400);
+		tell(20, new RegistryChange.WorkerGone("w1"));
+		this.timer.advance(400);
+		tell(21, worker("w1"));
+		this.timer.advance(10_000);
+		Assertions.assertThat(workers()).isEqualTo(1);
+	}
+
+	// The store has dropped its history while this VM could not watch. Changes in the gap
+	// would be missed for good unless all is read again.
+	@Test
+	void readsAllAgainWhenTheHistoryIsGone() {
+		follow(config(3), worker("w1"), worker("w2"));
+		this.registry.listings.add(new RegistryNews(30, List.of(config(4), worker("w2"))));
+		this.registry.watch.tryEmitError(new StoreHistoryGoneException("gone", "10"));
+		Assertions.assertThat(this.gateway.table().orElseThrow().version()).isEqualTo(4);
+		Assertions.assertThat(workers()).isEqualTo(1);
+		Assertions.assertThat(this.registry.watchedAfter).endsWith(30L);
+	}
+
+	@Test
+	void keepsWhatItKnowsWhileTheStoreIsAway() {
+		follow(config(3), worker("w1"));
+		lose();
+		for (int i = 0; i < 20; i++) {
+			this.timer.advance(500);
+			lose();
+		}
+		Assertions.assertThat(this.gateway.table()).isPresent();
+		Assertions.assertThat(workers()).isEqualTo(1);
+		Assertions.assertThat(this.registry.watchedAfter).hasSizeBetween(8, 21);
+	}
+
+	// The store drops this VM's registration (it was taken for dead). Callers would no
+	// longer be sent here although it serves.
+	@Test
+	void tellsWhenTheOwnRegistrationIsGone() {
+		AtomicInteger gone = new AtomicInteger();
+		this.follower.own("vms/me", gone::incrementAndGet);
+		follow(config(3), new RegistryChange.VmSeen("vms/me", "10.0.0.9:80", "hall-a"));
+		tell(11, new RegistryChange.VmGone("vms/me"));
+		Assertions.assertThat(gone).hasValue(1);
+		Assertions.assertThat(this.gateway.vms().count(this.timer.now())).isEqualTo(1);
+	}
+
+}
--- /dev/null
+++ b/src/test/java/io/shallotspur/registry/VmRegistrationTests.java
@@ -0,0 +1,66 @@
+package io.shallotspur.registry;
+
+import org.assertj.core.api.Assertions;
+import org.junit.jupiter.api.Test;
+
+import io.shallotspur.gateway.ManualTimer;
+
+/**
+ * Tests of {@link VmRegistration}.
+ */
+class VmRegistrationTests {
+
+	private final ManualTimer timer = new ManualTimer();
+
+	private final FakeRegistry registry = new FakeRegistry();
+
+	private final VmRegistration registration = new VmRegistration(this.registry,
+			new RegistryChange.VmSeen("vms/me", "10.0.0.9:80", "hall-a"), this.timer);
+
+	@Test
+	void renewsItsLease() {
+		this.registration.start();
+		this.timer.advance(10_000);
+		Assertions.assertThat(this.registry.registrations).isEqualTo(1);
+		Assertions.assertThat(this.registry.renewals).isEqualTo(5);
+	}
+
+	// The process was paused for longer than its lease. Callers are no longer sent here
+	// until it registers again.
+	@Test
+	void registersAgainWhenTheLeaseHasLapsed() {
+		this.registration.start();
+		this.registry.leaseThere = false;
+		this.timer.advance(2_000);
+		Assertions.assertThat(this.registry.registrations).isEqualTo(2);
+	}
+
+	@Test
+	void triesAgainWhileTheStoreIsAway() {
+		this.registry.away = true;
+		this.registration.start();
+		this.timer.advance(3_000);
+		this.registry.away = false;
+		this.timer.advance(1_000);
+		Assertions.assertThat(this.registry.registrations).isEqualTo(1);
+	}
+
+	// A second start while renewals run must not double them: calls are billed.
+	@Test
+	void startingAgainDoesNotDoubleTheRenewals() {
+		this.registration.start();
+		this.registration.start();
+		this.timer.advance(10_000);
+		Assertions.assertThat(this.registry.renewals).isEqualTo(5);
+	}
+
+	@Test
+	void endsItsLeaseAndStaysAway() {
+		this.registration.start();
+		this.registration.end().block();
+		this.timer.advance(10_000);
+		Assertions.assertThat(this.registry.ended).isNotNull();
+		Assertions.assertThat(this.registry.renewals).isZero();
+	}
+
+}
