Ask a store that was lost without waiting until it answers

The store had been silent; the watch that was lost with it ended only after its wait of 3 s and 0.7 s more. Change: while the store is away watches are made without a wait. Stack traces of the libraries no longer go to the log.

--- a/src/main/java/io/shallotspur/registry/RegistryFollower.java
+++ b/src/main/java/io/shallotspur/registry/RegistryFollower.java
@@ -143,7 +143,11 @@
 	}
 
 	private void watch() {
-		run(this.registry.changes(this.revision, WATCH_MS), this::onChanges);
+		// A call that waits and was lost with a silent store would be noticed only after
+		// its
+		// wait; until the store has answered again it is asked without one. Otherwise a
+		// configuration could be unknown here for seconds after the store's return.
+		run(this.registry.changes(this.revision, this.away ? 0 : WATCH_MS), this::onChanges);
 	}
 
 	private void run(Mono<RegistryNews> news, Consumer<RegistryNews> then) {
--- a/src/main/java/io/shallotspur/util/log/LogSetup.java
+++ b/src/main/java/io/shallotspur/util/log/LogSetup.java
@@ -41,6 +41,10 @@
 	 */
 	public static void toOutput(String level) {
 		Configuration.set("level", level.toLowerCase(Locale.ROOT));
+		// Lost connections are told by whoever used them, with the request's id; the
+		// libraries would add a stack trace to each.
+		Configuration.set("level@io.netty", "error");
+		Configuration.set("level@reactor.netty", "off");
 		Configuration.set("writingthread", "true");
 		Configuration.set("autoshutdown", "true");
 		Configuration.set("writer", "console");
--- a/src/test/java/io/shallotspur/registry/FakeRegistry.java
+++ b/src/test/java/io/shallotspur/registry/FakeRegistry.java
@@ -23,6 +23,8 @@
 
 	Sinks.One<RegistryNews> watch = Sinks.one();
 
+	long lastWaitMs;
+
 	int leases;
 
 	int renewals;
@@ -44,6 +46,7 @@
 	@Override
 	public Mono<RegistryNews> changes(long after, long waitMs) {
 		this.watchedAfter.add(after);
+		this.lastWaitMs = waitMs;
 		this.watch = Sinks.one();
 		return this.watch.asMono();
 	}
--- a/src/test/java/io/shallotspur/registry/RegistryFollowerTests.java
+++ b/src/test/java/io/shallotspur/registry/RegistryFollowerTests.java
@@ -155,4 +155,19 @@
 		Assertions.assertThat(this.gateway.vms().count(this.timer.now())).isEqualTo(1);
 	}
 
+	// The store goes silent and returns. A call that was to wait for seconds was lost
+	// with
+	// it: a route that the operator had added meanwhile was refused as unknown until that
+	// call's time was up.
+	@Test
+	void asksWithoutWaitingUntilTheStoreIsBack() {
+		follow(config(3));
+		Assertions.assertThat(this.registry.lastWaitMs).isPositive();
+		lose();
+		this.timer.advance(1_000);
+		Assertions.assertThat(this.registry.lastWaitMs).isZero();
+		tell(11);
+		Assertions.assertThat(this.registry.lastWaitMs).isPositive();
+	}
+
 }
