Leave replaced and unreachable workers alone at once

Change: a 421 ends the incarnation here; a worker that took no connection, or lost a prefill, is passed over for a second.

--- a/src/main/java/io/shallotspur/gateway/AnswerHead.java
+++ b/src/main/java/io/shallotspur/gateway/AnswerHead.java
@@ -11,10 +11,12 @@
  * @param headers the fields to be relayed, without those of one connection
  * @param origin whether the answer is the worker's answer to this request
  * @param notRun whether the worker says that it has not run the request and never will
+ * @param otherWorker whether another incarnation has the address, so that the one that
+ * was meant is gone
  * @param load the worker's load, or {@code null} if it does not tell
  */
 public record AnswerHead(int status, List<HeaderField> headers, AnswerOrigin origin, boolean notRun,
-		@Nullable LoadReport load) {
+		boolean otherWorker, @Nullable LoadReport load) {
 
 	private static final int LEAST_SUCCESS = 200;
 
--- a/src/main/java/io/shallotspur/gateway/HoldListener.java
+++ b/src/main/java/io/shallotspur/gateway/HoldListener.java
@@ -17,6 +17,11 @@
 	 */
 	void onFull();
 
+	/**
+	 * Another incarnation has the worker's address.
+	 */
+	void onReplaced();
+
 	/**
 	 * The worker did not answer.
 	 * @param failure what was seen
--- a/src/main/java/io/shallotspur/gateway/HoldQueue.java
+++ b/src/main/java/io/shallotspur/gateway/HoldQueue.java
@@ -187,6 +187,12 @@
 				answered(t, w, null, null);
 			}
 
+			@Override
+			public void onReplaced() {
+				HoldQueue.this.g.roster.replaced(w.info().id(), HoldQueue.this.g.clock.getAsLong());
+				answered(t, w, null, null);
+			}
+
 			@Override
 			public void onFailure(ExchangeFailure failure) {
 				answered(t, w, null, failure);
@@ -227,6 +233,7 @@
 		if (failure != null) {
 			this.g.roster.detector(this.upstream).failed(w.info().id(), now);
 			w.outcome(true);
+			w.unreachable(now);
 		}
 	}
 
--- a/src/main/java/io/shallotspur/gateway/PrefillListener.java
+++ b/src/main/java/io/shallotspur/gateway/PrefillListener.java
@@ -27,7 +27,8 @@
 	/**
 	 * The worker refused the prefill and has not done it.
 	 * @param reason what was seen
+	 * @param otherWorker whether another incarnation has the worker's address
 	 */
-	void onRefused(String reason);
+	void onRefused(String reason, boolean otherWorker);
 
 }
--- a/src/main/java/io/shallotspur/gateway/PrefillStep.java
+++ b/src/main/java/io/shallotspur/gateway/PrefillStep.java
@@ -72,7 +72,10 @@
 	}
 
 	@Override
-	public void onRefused(String reason) {
+	public void onRefused(String reason, boolean otherWorker) {
+		if (otherWorker) {
+			this.g.roster.replaced(this.worker.info().id(), this.g.clock.getAsLong());
+		}
 		if (!this.over) {
 			end();
 			this.then.accept(new Result(null, reason, true));
@@ -83,6 +86,9 @@
 	public void onFailure(ExchangeFailure f) {
 		if (!this.over) {
 			cancel();
+			// An answer that does not come, or a connection that cannot be made: the next
+			// prompts are better off elsewhere for a while.
+			this.worker.unreachable(this.g.clock.getAsLong());
 			this.then.accept(new Result(null, f.reason(), false));
 		}
 	}
--- a/src/main/java/io/shallotspur/gateway/RelayTask.java
+++ b/src/main/java/io/shallotspur/gateway/RelayTask.java
@@ -124,8 +124,12 @@
 
 	@Override
 	public void load(AnswerHead head) {
+		long now = this.g.clock.getAsLong();
 		if (this.attempt != null && head.load() != null) {
-			this.attempt.worker().reported(head.load(), this.g.clock.getAsLong());
+			this.attempt.worker().reported(head.load(), now);
+		}
+		if (this.attempt != null && head.otherWorker()) {
+			this.g.roster.replaced(this.attempt.worker().info().id(), now);
 		}
 	}
 
@@ -220,6 +224,9 @@
 		else {
 			this.g.roster.detector(this.upstream).failed(w.info().id(), now);
 		}
+		if (end == AttemptEnd.NOT_SENT) {
+			w.unreachable(now);
+		}
 	}
 
 	private boolean mayRetry(AttemptEnd end, long now) {
--- a/src/main/java/io/shallotspur/gateway/Roster.java
+++ b/src/main/java/io/shallotspur/gateway/Roster.java
@@ -51,6 +51,16 @@
 		}
 	}
 
+	/**
+	 * Takes that another incarnation answers at a worker's address. The registry tells so
+	 * only seconds later; until then each request sent there would come back unrun.
+	 * @param id the worker that was meant
+	 * @param now the present time in milliseconds
+	 */
+	void replaced(String id, long now) {
+		vanished(id, now, 0);
+	}
+
 	/**
 	 * Takes a whole listing of the registry: workers that it lacks have vanished.
 	 * @param ids the ids of all entries
@@ -88,7 +98,7 @@
 				continue;
 			}
 			all.add(s);
-			if (d.health(i.id(), now) != WorkerHealth.OUT) {
+			if (s.reachable(now) && d.health(i.id(), now) != WorkerHealth.OUT) {
 				well.add(s);
 			}
 		}
--- a/src/main/java/io/shallotspur/gateway/WorkerState.java
+++ b/src/main/java/io/shallotspur/gateway/WorkerState.java
@@ -18,6 +18,10 @@
 	// Weight of the newest outcome in the failure rate: the last ten or so count.
 	private static final double FAILURE_WEIGHT = 0.1;
 
+	// A worker that took no connection is left alone for so long, ms: most crashed ones
+	// are back or gone from the registry within a few seconds.
+	private static final long UNREACHABLE_MS = 1_000;
+
 	private WorkerInfo info;
 
 	private int running;
@@ -38,6 +42,8 @@
 
 	private long vanishAt = Long.MAX_VALUE;
 
+	private long unreachableUntil;
+
 	WorkerState(WorkerInfo info, long now) {
 		this.info = info;
 		this.coldUntil = now + info.coldMs();
@@ -61,6 +67,14 @@
 		return now >= this.vanishAt;
 	}
 
+	void unreachable(long now) {
+		this.unreachableUntil = now + UNREACHABLE_MS;
+	}
+
+	boolean reachable(long now) {
+		return now >= this.unreachableUntil;
+	}
+
 	void started(int requestTokens) {
 		this.running++;
 		this.tokens += requestTokens;
--- a/src/main/java/io/shallotspur/platform/AnswerDecoder.java
+++ b/src/main/java/io/shallotspur/platform/AnswerDecoder.java
@@ -19,7 +19,7 @@
 final class AnswerDecoder {
 
 	/** Another incarnation has the address. */
-	private static final int MISDIRECTED = 421;
+	static final int MISDIRECTED = 421;
 
 	private static final int LOAD_FIELDS = 3;
 
@@ -33,8 +33,9 @@
 				fields.add(new HeaderField(e.getKey(), e.getValue()));
 			}
 		}
-		boolean notRun = h.contains(Names.NOT_RUN) || status == MISDIRECTED;
-		return new AnswerHead(status, fields, origin(requestId, h), notRun, load(h.get(Names.LOAD)));
+		boolean other = status == MISDIRECTED;
+		boolean notRun = h.contains(Names.NOT_RUN) || other;
+		return new AnswerHead(status, fields, origin(requestId, h), notRun, other, load(h.get(Names.LOAD)));
 	}
 
 	private static AnswerOrigin origin(String requestId, HttpHeaders h) {
--- a/src/main/java/io/shallotspur/platform/HttpWorkerPort.java
+++ b/src/main/java/io/shallotspur/platform/HttpWorkerPort.java
@@ -156,7 +156,7 @@
 			listener.onReady(p.handle());
 		}
 		else if (p.head().notRun()) {
-			listener.onRefused(status);
+			listener.onRefused(status, p.head().otherWorker());
 		}
 		else {
 			listener.onFailure(new ExchangeFailure(true, status));
@@ -201,7 +201,7 @@
 			.send(Mono.just(Unpooled.wrappedBuffer(body)))
 			.responseSingle((r, content) -> content.asByteArray()
 				.defaultIfEmpty(new byte[0])
-				.map((b) -> held(r.status().code(), b)))
+				.map((b) -> new HoldAnswer(r.status().code(), held(r.status().code(), b))))
 			.timeout(Duration.ofMillis(SIDE_CALL_MS), this.loop.scheduler())
 			.subscribe((h) -> tell(h, listener), (ex) -> listener.onFailure(new ExchangeFailure(true, ex.toString())));
 	}
@@ -217,9 +217,12 @@
 		}
 	}
 
-	private static void tell(Optional<String> hold, HoldListener listener) {
-		if (hold.isPresent()) {
-			listener.onHeld(hold.get());
+	private static void tell(HoldAnswer a, HoldListener listener) {
+		if (a.hold().isPresent()) {
+			listener.onHeld(a.hold().get());
+		}
+		else if (a.status() == AnswerDecoder.MISDIRECTED) {
+			listener.onReplaced();
 		}
 		else {
 			listener.onFull();
@@ -274,6 +277,13 @@
 
 	}
 
+	/**
+	 * A worker's answer to a call for a reservation.
+	 */
+	private record HoldAnswer(int status, Optional<String> hold) {
+
+	}
+
 	/**
 	 * A worker's answer to a prefill.
 	 */
--- a/src/test/java/io/shallotspur/gateway/RelayTests.java
+++ b/src/test/java/io/shallotspur/gateway/RelayTests.java
@@ -100,7 +100,7 @@
 	@Test
 	void neverPassesOnAnAnswerToAnotherRequest() {
 		Call c = this.f.call("unsafe");
-		this.f.workers.last().listener.onHead(new AnswerHead(200, List.of(), AnswerOrigin.FOREIGN, false, null));
+		this.f.workers.last().listener.onHead(new AnswerHead(200, List.of(), AnswerOrigin.FOREIGN, false, false, null));
 		Assertions.assertThat(c.caller().status).isEqualTo(502);
 		Assertions.assertThat(this.f.workers.last().cancelled).isTrue();
 	}
@@ -108,7 +108,8 @@
 	@Test
 	void neverPassesOnAnUnsignedSuccess() {
 		Call c = this.f.call("unsafe");
-		this.f.workers.last().listener.onHead(new AnswerHead(200, List.of(), AnswerOrigin.UNSIGNED, false, null));
+		this.f.workers.last().listener
+			.onHead(new AnswerHead(200, List.of(), AnswerOrigin.UNSIGNED, false, false, null));
 		Assertions.assertThat(c.caller().status).isEqualTo(502);
 	}
 
@@ -182,4 +183,32 @@
 		Assertions.assertThat(this.f.gateway.table().orElseThrow().version()).isEqualTo(5);
 	}
 
+	// A worker crashed and another incarnation answers at its address, but the registry
+	// still has the old entry for seconds. Each request sent there comes back unrun, and
+	// a
+	// route with one attempt refuses its callers although the other workers are free.
+	@Test
+	void aReplacedWorkerGetsNothingMore() {
+		this.f.call("unsafe");
+		String gone = this.f.workers.last().call.worker().id();
+		this.f.workers.last().replaced();
+		for (int i = 0; i < 20; i++) {
+			this.f.call("safe");
+			Assertions.assertThat(this.f.workers.last().call.worker().id()).isNotEqualTo(gone);
+		}
+	}
+
+	// A worker is dark: no connection is made. Each request tried there first loses the
+	// time of a connection that is never made.
+	@Test
+	void aWorkerThatTakesNoConnectionIsLeftAloneForAWhile() {
+		this.f.call("unsafe");
+		String dark = this.f.workers.last().call.worker().id();
+		this.f.workers.last().notSent();
+		for (int i = 0; i < 20; i++) {
+			this.f.call("safe");
+			Assertions.assertThat(this.f.workers.last().call.worker().id()).isNotEqualTo(dark);
+		}
+	}
+
 }
--- a/src/test/java/io/shallotspur/gateway/StreamRelayTests.java
+++ b/src/test/java/io/shallotspur/gateway/StreamRelayTests.java
@@ -142,7 +142,7 @@
 		this.f.worker("f1", "llm", WorkerStage.PREFILL);
 		Call c = this.f.prompt("once", 3_000);
 		this.f.workers.holds.get(0).listener().onHeld("h1");
-		this.f.workers.prefills.get(0).listener.onRefused("status 503");
+		this.f.workers.prefills.get(0).listener.onRefused("status 503", false);
 		Assertions.assertThat(c.caller().status).isEqualTo(503);
 		Assertions.assertThat(this.f.workers.dropped).containsExactly("h1");
 		Assertions.assertThat(this.f.workers.runs).isEmpty();
