--- a/src/main/java/io/shallotspur/platform/PlatformVm.java
+++ b/src/main/java/io/shallotspur/platform/PlatformVm.java
@@ -8,7 +8,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 
-import com.codahale.metrics.MetricRegistry;
 import org.tinylog.Logger;
 import reactor.netty.DisposableServer;
 
@@ -16,6 +15,7 @@
 import io.shallotspur.gateway.Gateway;
 import io.shallotspur.gateway.GatewayPorts;
 import io.shallotspur.gateway.RelayMetrics;
+import io.shallotspur.record.NodeMetrics;
 import io.shallotspur.registry.RegistryChange;
 import io.shallotspur.registry.RegistryFollower;
 import io.shallotspur.registry.VmRegistration;
@@ -41,7 +41,8 @@
 
 	private final Loop loop = new Loop();
 
-	private final MetricRegistry metrics = new MetricRegistry();
+	// Routes stand where the metrics know customers; none has series of its own.
+	private final NodeMetrics metrics = new NodeMetrics(0);
 
 	private final Gateway gateway;
 
@@ -59,7 +60,7 @@
 		this.settings = s;
 		GatewayPorts ports = new GatewayPorts(new HttpWorkerPort(this.loop), this.loop, this.clock,
 				() -> ThreadLocalRandom.current().nextDouble(), new DecisionLog(s.log().linesPerSecond()),
-				new RelayMetrics(this.metrics));
+				new RelayMetrics(this.metrics.registry()));
 		this.gateway = new Gateway(s.gateway(), ports);
 		StoreRegistry registry = new StoreRegistry(s.store(), this.loop);
 		String incarnation = Long.toHexString(ThreadLocalRandom.current().nextLong());
@@ -79,10 +80,12 @@
 		this.servers.add(this.ingress.bind());
 		this.servers.add(control.ready(this.settings.ready(), this::ready));
 		this.servers.add(control.locate(this.settings.locate(), () -> this.follower.listed() && !this.leaving));
+		this.servers.add(control.metrics(this.settings.metrics(), this.metrics::scrape));
 		this.loop.execute(this.follower::start);
 		this.loop.execute(this.registration::start);
-		Logger.info("[run] started vm={} hall={} callers={} store={}", this.settings.gateway().vm(),
-				this.settings.gateway().hall(), this.settings.callers(), this.settings.store());
+		Logger.info("[run] started vm={} hall={} callers={} metrics={} store={}", this.settings.gateway().vm(),
+				this.settings.gateway().hall(), this.settings.callers(), this.settings.metrics(),
+				this.settings.store());
 	}
 
 	private boolean ready() {
@@ -124,6 +127,10 @@
 		return this.servers.get(1).port();
 	}
 
+	int metricsPort() {
+		return this.servers.get(3).port();
+	}
+
 	int locatePort() {
 		return this.servers.get(2).port();
 	}
--- a/src/main/java/io/shallotspur/platform/Rehearsal.java
+++ b/src/main/java/io/shallotspur/platform/Rehearsal.java
@@ -35,6 +35,7 @@
 			ask(vm.callersPort(), "/x");
 			ask(vm.readyPort(), Names.READY_PATH);
 			ask(vm.locatePort(), Names.LOCATE_PATH);
+			ask(vm.metricsPort(), "/metrics");
 		}
 		vm.drain();
 	}
--- a/src/test/java/io/shallotspur/platform/PlatformPathTests.java
+++ b/src/test/java/io/shallotspur/platform/PlatformPathTests.java
@@ -229,6 +229,14 @@
 		Assertions.assertThat(r.body()).contains("\"addresses\":[\"127.0.0.1:").contains("\"ttl_s\":2.0");
 	}
 
+	@Test
+	void servesItsMetrics() {
+		send(request("/safe/x").build());
+		HttpResponse<String> r = send(
+				HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + this.vm.metricsPort() + "/metrics")).build());
+		Assertions.assertThat(r.body()).contains("relay_requests_s").contains("relay_answered_s");
+	}
+
 	@Test
 	void takesAChangeOfTheConfiguration() {
 		this.store.put("op/config", config(9).replace("/safe/", "/moved/"));
