--- a/src/main/java/io/shallotspur/cell/StdCellScheduler.java
+++ b/src/main/java/io/shallotspur/cell/StdCellScheduler.java
@@ -1,6 +1,5 @@
 package io.shallotspur.cell;
 
-import java.util.Collection;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -17,7 +16,6 @@
 import io.shallotspur.quarantine.CrashSuspects;
 import io.shallotspur.routing.DecodeWorker;
 import io.shallotspur.routing.OutputLengths;
-import io.shallotspur.routing.PrefillWorker;
 
 /**
  * The scheduler of a cell. A prefill starts only when a decode slot is expected to be
@@ -44,8 +42,6 @@
 	 */
 	private static final double SPARE_PART = 0.15;
 
-	private static final long CACHE_EVENT_LAG_MS = 500;
-
 	private final CellSettings settings;
 
 	private final CellFleet fleet;
@@ -62,6 +58,10 @@
 
 	private final CrashSuspects crashes;
 
+	private final CellObserver observer;
+
+	private final CellSuspects suspects;
+
 	private ContractSet contracts;
 
 	private ToDoubleFunction<String> shareFactor = (c) -> 1;
@@ -93,12 +93,14 @@
 		this.queue = new FairQueue<>(this::share);
 		this.lengths = new OutputLengths(settings.priorOutputTokens());
 		this.flow = new JobFlow(settings, this.jobs, this.queue, this.timers, seed);
+		this.observer = new CellObserver(this.fleet, this.jobs, this.flow, crashes);
+		this.suspects = new CellSuspects(settings, crashes, this.flow);
 	}
 
 	@Override
 	public void handle(CellEvent event, long now, Consumer<CellAction> out) {
 		this.flow.emitTo(out);
-		if (observe(event, now)) {
+		if (this.observer.take(event, now)) {
 			return;
 		}
 		if (!onRequest(event, now) && !onAttempt(event, now)) {
@@ -152,41 +154,6 @@
 		this.fleet.limitSlots(Integer.MAX_VALUE, 0);
 	}
 
-	private boolean observe(CellEvent event, long now) {
-		if (event instanceof CellEvent.Tokens e) {
-			Job j = this.jobs.byAttempt(e.attempt(), Stage.DECODING);
-			if (j != null) {
-				j.generated += e.count();
-				j.decodedHere += e.count();
-				if (this.flow.clearIfProven(j)) {
-					this.crashes.proven(j.request.fingerprint(), now);
-				}
-			}
-		}
-		else if (event instanceof CellEvent.StepObserved e) {
-			DecodeWorker d = this.fleet.decode(e.workerId());
-			if (d != null) {
-				d.observeStep(e.batch(), e.stepMs());
-			}
-		}
-		else if (event instanceof CellEvent.LoadReport e) {
-			DecodeWorker d = this.fleet.decode(e.workerId());
-			if (d != null) {
-				d.report(e.active());
-			}
-		}
-		else if (event instanceof CellEvent.CacheChange e) {
-			PrefillWorker p = this.fleet.prefill(e.workerId());
-			if (p != null) {
-				p.index().apply(e.sequence(), e.block(), e.stored(), now, CACHE_EVENT_LAG_MS);
-			}
-		}
-		else {
-			return false;
-		}
-		return true;
-	}
-
 	private boolean onRequest(CellEvent event, long now) {
 		if (event instanceof CellEvent.Submit e) {
 			submit(e.request(), now);
@@ -206,7 +173,7 @@
 	private void submit(ModelRequest r, long now) {
 		Job j = new Job(r, this.settings.enabled(CellFeature.FAIR_QUEUEING) ? r.customer() : "",
 				this.lengths.of(r.customer(), r.className()), this.jobs.nextSequence());
-		suspectIf(j, now);
+		this.suspects.mark(j, now);
 		if (this.crashes.isQuarantined(r.fingerprint(), now)) {
 			this.flow.refuse(j, RefusalCode.QUARANTINED, "The request crashed workers before.", 0, now);
 		}
@@ -287,7 +254,7 @@
 		List<Job> reading = this.jobs.inFlight((j) -> j.prefill != null && j.prefill.id().equals(id));
 		List<Job> onDecode = this.jobs.inFlight((j) -> j.decode != null && j.decode.id().equals(id));
 		this.fleet.remove(id);
-		suspect(id, onDecode, now);
+		this.suspects.crashed(id, onDecode, now);
 		for (Job j : reading) {
 			this.flow.lostPrefill(j);
 			this.flow.retry(j, RefusalCode.WORKER_LOST, now);
@@ -311,27 +278,11 @@
 			this.flow.refuse(j, RefusalCode.QUARANTINED, "The request crashes the workers that run it.", 0, now);
 		}
 		else {
-			suspectIf(j, now);
+			this.suspects.mark(j, now);
 			this.flow.retry(j, RefusalCode.WORKER_LOST, now);
 		}
 	}
 
-	private void suspectIf(Job j, long now) {
-		boolean apart = this.settings.enabled(CellFeature.CRASH_ISOLATION);
-		j.suspect = apart && this.crashes.isSuspect(j.request.fingerprint(), now);
-		if (j.crashes == 0) {
-			j.provenAfter = this.settings.provenTokens();
-		}
-	}
-
-	private void suspect(String id, List<Job> onDecode, long now) {
-		Collection<Long> running = new HashSet<>();
-		onDecode.stream().filter((j) -> j.stage == Stage.DECODING).forEach((j) -> running.add(this.flow.atCrash(j)));
-		if (!running.isEmpty()) {
-			this.crashes.workerCrashed(id, running, now);
-		}
-	}
-
 	private void runTimers(long now) {
 		Job j = this.timers.poll(now);
 		while (j != null) {
