Stop listening once late callers have been served

The listener stayed open until the process ended, and a stream in progress kept it alive to the end of its grace.

--- a/src/main/java/io/shallotspur/platform/PlatformVm.java
+++ b/src/main/java/io/shallotspur/platform/PlatformVm.java
@@ -101,6 +101,9 @@
 		Logger.info("[run] stopping in-progress={}", this.gateway.inProgress());
 		this.loop.execute(this::leave);
 		pause(Math.min(LATE_CALLERS_MS, this.settings.graceMs() / 2));
+		// From here on no request begins that could not be finished. Callers who still
+		// have this address find no listener and take another at once.
+		this.servers.get(0).dispose();
 		this.loop.execute(this.ingress::closeIdle);
 		long last = begin + this.settings.graceMs() - GRACE_MARGIN_MS;
 		while (this.gateway.inProgress() > 0 && this.clock.getAsLong() < last) {
--- a/src/test/java/io/shallotspur/platform/PlatformPathTests.java
+++ b/src/test/java/io/shallotspur/platform/PlatformPathTests.java
@@ -1,6 +1,7 @@
 package io.shallotspur.platform;
 
 import java.io.IOException;
+import java.net.Socket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -302,4 +303,28 @@
 		Assertions.assertThat(c.join().headers().firstValue("Connection")).hasValue("close");
 	}
 
+	// A stream keeps a VM that was told to leave alive until its grace is nearly over. A
+	// caller with an old address connects in the last moment, and the process ends under
+	// its request: a renewal whose outcome nobody knows.
+	@Test
+	void takesNoNewConnectionInTheLastPartOfItsGrace() {
+		this.d1.next.add(this.d1::silent);
+		HttpRequest q = request("/model/x").POST(HttpRequest.BodyPublishers.ofString("p")).build();
+		CompletableFuture<HttpResponse<String>> c = this.client.sendAsync(q, HttpResponse.BodyHandlers.ofString());
+		await(() -> this.d1.paths.size() == 1);
+		Thread t = new Thread(this.vm::drain);
+		t.start();
+		await(() -> !connects(this.vm.callersPort()));
+		Assertions.assertThat(c.isDone()).isFalse();
+	}
+
+	private static boolean connects(int port) {
+		try (Socket s = new Socket("127.0.0.1", port)) {
+			return s.isConnected();
+		}
+		catch (IOException ex) {
+			return false;
+		}
+	}
+
 }
