A start runs on the loop's thread alone

Cause: about one start in a hundred ended with SIGILL in libc's read while two threads were reading; main bound the sockets and loaded classes while the loop's threads read theirs. Change: sockets are bound on the loop's thread, which also accepts; main waits.

--- a/src/main/java/io/shallotspur/platform/CallerIngress.java
+++ b/src/main/java/io/shallotspur/platform/CallerIngress.java
@@ -62,7 +62,7 @@
 		this.gateway = gateway;
 	}
 
-	DisposableServer bind() {
+	Mono<? extends DisposableServer> bind() {
 		return HttpServer.create()
 			.host(this.listen.host())
 			.port(this.listen.port())
@@ -72,7 +72,7 @@
 			.childOption(ChannelOption.TCP_NODELAY, true)
 			.doOnConnection(this::connected)
 			.handle(this::handle)
-			.bindNow();
+			.bind();
 	}
 
 	private void connected(Connection c) {
--- a/src/main/java/io/shallotspur/platform/ControlServers.java
+++ b/src/main/java/io/shallotspur/platform/ControlServers.java
@@ -46,19 +46,19 @@
 		this.ttlMs = ttlMs;
 	}
 
-	DisposableServer ready(Endpoint listen, BooleanSupplier ready) {
+	Mono<? extends DisposableServer> ready(Endpoint listen, BooleanSupplier ready) {
 		return http(listen).route((r) -> r.get(Names.READY_PATH, (req, res) -> res.status(status(ready)).send()))
-			.bindNow();
+			.bind();
 	}
 
-	DisposableServer locate(Endpoint listen, BooleanSupplier known) {
-		return http(listen).route((r) -> r.get(Names.LOCATE_PATH, (req, res) -> addresses(req, res, known))).bindNow();
+	Mono<? extends DisposableServer> locate(Endpoint listen, BooleanSupplier known) {
+		return http(listen).route((r) -> r.get(Names.LOCATE_PATH, (req, res) -> addresses(req, res, known))).bind();
 	}
 
-	DisposableServer metrics(Endpoint listen, Supplier<String> text) {
+	Mono<? extends DisposableServer> metrics(Endpoint listen, Supplier<String> text) {
 		return http(listen).route((r) -> r.get("/metrics", (req,
 				res) -> res.header(HttpHeaderNames.CONTENT_TYPE, "text/plain").sendString(Mono.fromSupplier(text))))
-			.bindNow();
+			.bind();
 	}
 
 	private HttpServer http(Endpoint listen) {
--- a/src/main/java/io/shallotspur/platform/Loop.java
+++ b/src/main/java/io/shallotspur/platform/Loop.java
@@ -21,7 +21,7 @@
 
 	private static final Duration CLOSE = Duration.ofMillis(500);
 
-	private final LoopResources resources = LoopResources.create("gateway", 1, 1, true, true);
+	private final LoopResources resources = LoopResources.create("gateway", 1, true);
 
 	private final EventLoop loop = this.resources.onServer(false).next();
 
--- a/src/main/java/io/shallotspur/platform/PlatformVm.java
+++ b/src/main/java/io/shallotspur/platform/PlatformVm.java
@@ -9,6 +9,8 @@
 import java.util.function.LongSupplier;
 
 import org.tinylog.Logger;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
 import reactor.netty.DisposableServer;
 
 import io.shallotspur.gateway.DecisionLog;
@@ -74,15 +76,30 @@
 		this.ingress = new CallerIngress(s.callers(), this.loop, this.gateway);
 	}
 
+	/**
+	 * Opens all sockets and begins to follow the store.
+	 */
 	void start() {
-		ControlServers control = new ControlServers(this.loop, this.gateway.vms(), this.clock,
-				this.settings.locateTtlMs());
-		this.servers.add(this.ingress.bind());
-		this.servers.add(control.ready(this.settings.ready(), this::ready));
-		this.servers.add(control.locate(this.settings.locate(), () -> this.follower.listed() && !this.leaving));
-		this.servers.add(control.metrics(this.settings.metrics(), this.metrics::scrape));
-		this.loop.execute(this.follower::start);
-		this.loop.execute(this.registration::start);
+		// All of a start runs on the loop's thread. Two threads that load classes and
+		// read
+		// sockets at once only take turns on a part of a core.
+		Flux.defer(this::sockets)
+			.subscribeOn(this.loop.scheduler())
+			.doOnNext(this.servers::add)
+			.then(Mono.fromRunnable(this::started))
+			.block();
+	}
+
+	private Flux<DisposableServer> sockets() {
+		ControlServers c = new ControlServers(this.loop, this.gateway.vms(), this.clock, this.settings.locateTtlMs());
+		return Flux.concat(this.ingress.bind(), c.ready(this.settings.ready(), this::ready),
+				c.locate(this.settings.locate(), () -> this.follower.listed() && !this.leaving),
+				c.metrics(this.settings.metrics(), this.metrics::scrape));
+	}
+
+	private void started() {
+		this.follower.start();
+		this.registration.start();
 		Logger.info("[run] started vm={} hall={} callers={} metrics={} store={}", this.settings.gateway().vm(),
 				this.settings.gateway().hall(), this.settings.callers(), this.settings.metrics(),
 				this.settings.store());
