Refuse at once what cannot end in time, and call long answers back early enough

Change: HoldQueue learns how long a token of the caller's estimate takes; a request is not placed with less time than its answer, and late advice leaves one and a half times that.

--- a/src/main/java/io/shallotspur/gateway/Gateway.java
+++ b/src/main/java/io/shallotspur/gateway/Gateway.java
@@ -174,4 +174,11 @@
 		}
 	}
 
+	void streamed(String upstream, long ms, int likelyTokens) {
+		HoldQueue q = this.holdQueues.get(upstream);
+		if (q != null) {
+			q.streamed(ms, likelyTokens);
+		}
+	}
+
 }
--- a/src/main/java/io/shallotspur/gateway/HoldQueue.java
+++ b/src/main/java/io/shallotspur/gateway/HoldQueue.java
@@ -49,6 +49,14 @@
 
 	private static final double LEAD_WEIGHT = 0.05;
 
+	// The last fifty answers or so tell how long a token takes.
+	private static final double STREAMED_DECAY = 0.98;
+
+	// Until answers have shown it: 500 tokens in 3.5 s.
+	private static final double FIRST_STREAMED_MS = 3_500;
+
+	private static final double FIRST_STREAMED_TOKENS = 500;
+
 	private static final Comparator<Ticket> ORDER = Comparator.comparing((Ticket t) -> t.late)
 		.thenComparingInt((t) -> t.waiting.priority())
 		.thenComparingLong((t) -> t.waiting.latestStart())
@@ -70,6 +78,10 @@
 
 	private double leadMs = FIRST_LEAD_MS;
 
+	private double streamedMs = FIRST_STREAMED_MS;
+
+	private double streamedTokens = FIRST_STREAMED_TOKENS;
+
 	private Runnable cancelTimer = () -> {
 	};
 
@@ -86,6 +98,20 @@
 		return (long) this.leadMs;
 	}
 
+	/**
+	 * Returns how long an answer takes from its first event to its last.
+	 * @param likelyTokens the caller's estimate of its tokens
+	 * @return milliseconds, as long as recent answers took for each estimated token
+	 */
+	long answerMs(int likelyTokens) {
+		return (long) (likelyTokens * this.streamedMs / this.streamedTokens);
+	}
+
+	void streamed(long ms, int likelyTokens) {
+		this.streamedMs = STREAMED_DECAY * this.streamedMs + ms;
+		this.streamedTokens = STREAMED_DECAY * this.streamedTokens + Math.max(1, likelyTokens);
+	}
+
 	void firstByte(long ms) {
 		this.leadMs += LEAD_WEIGHT * (ms - this.leadMs);
 	}
--- a/src/main/java/io/shallotspur/gateway/Placing.java
+++ b/src/main/java/io/shallotspur/gateway/Placing.java
@@ -133,7 +133,19 @@
 
 	@Override
 	public long waitUntil() {
-		return Math.min(this.answerBy, this.arrivedAt + (long) (WAIT_OBJECTIVES * this.route.targetMs()));
+		long patience = this.arrivedAt + (long) (WAIT_OBJECTIVES * this.route.targetMs());
+		return Math.min(this.answerBy - answerMs(), patience);
+	}
+
+	/**
+	 * Returns how long the answer will likely take once it has begun. A request that is
+	 * placed with less time than that left holds memory for seconds, and its caller's
+	 * deadline passes in the middle of its answer.
+	 * @return milliseconds; 0 if the request does not say how long it is
+	 */
+	long answerMs() {
+		PromptShape p = this.request.prompt();
+		return (p != null) ? this.g.holdQueue(this.upstream).answerMs(p.likelyOutputTokens()) : 0;
 	}
 
 	@Override
--- a/src/main/java/io/shallotspur/gateway/RelayTask.java
+++ b/src/main/java/io/shallotspur/gateway/RelayTask.java
@@ -181,6 +181,9 @@
 			firstByte();
 		}
 		this.g.metrics.answered(this.route.name(), now - this.arrivedAt);
+		if (inParts && this.request.prompt() != null && this.request.lastEventId() == null) {
+			this.g.streamed(this.upstream, now - this.firstAt, this.request.prompt().likelyOutputTokens());
+		}
 		log(now, "answered status=" + head.status() + times());
 		endAttempt();
 		finish();
@@ -286,7 +289,7 @@
 		boolean late = now > this.placing.latestStart();
 		boolean known = this.request.waitMs() != Long.MAX_VALUE;
 		if (late && known && this.route.kind() == RouteKind.STREAM) {
-			return Math.max(1, RetryAdvice.afterLateMs(left, draw));
+			return Math.max(1, RetryAdvice.afterLateMs(left, this.placing.answerMs(), draw));
 		}
 		return RetryAdvice.afterMs(this.route, draw);
 	}
--- a/src/main/java/io/shallotspur/gateway/RetryAdvice.java
+++ b/src/main/java/io/shallotspur/gateway/RetryAdvice.java
@@ -25,6 +25,10 @@
 	// The return of late callers is spread over this part of the longest advice.
 	private static final double SPREAD = 0.4;
 
+	// Estimates of answers are right at the median only, and the caller may have to wait
+	// for a place when it is back.
+	private static final double ANSWER_MARGIN = 1.5;
+
 	private RetryAdvice() {
 	}
 
@@ -43,12 +47,15 @@
 	 * Returns when a caller is to come back whose answer will be late in any case. It
 	 * loses nothing by coming later, and by then the burst that kept it waiting is more
 	 * likely over; back at once, it would wait in vain a second time, and has no third.
+	 * It must not come so late that a long answer can no longer end in time.
 	 * @param leftMs how long it will still wait, in milliseconds
+	 * @param answerMs how long its answer will likely take, in milliseconds
 	 * @param draw a random number from 0 to 1
 	 * @return milliseconds
 	 */
-	static long afterLateMs(long leftMs, double draw) {
-		return (long) (leftMs * HEEDED_SHARE * (1 - SPREAD * draw));
+	static long afterLateMs(long leftMs, long answerMs, double draw) {
+		double latest = Math.max(STREAM_MS, leftMs - ANSWER_MARGIN * answerMs);
+		return (long) (Math.min(leftMs * HEEDED_SHARE, latest) * (1 - SPREAD * draw));
 	}
 
 }
--- a/src/test/java/io/shallotspur/gateway/HoldQueueTests.java
+++ b/src/test/java/io/shallotspur/gateway/HoldQueueTests.java
@@ -125,12 +125,29 @@
 	// comes back within a second waits in vain once more, and has no third try.
 	@Test
 	void sendsALateCallerBackAfterTheBurst() {
-		Assertions.assertThat(RetryAdvice.afterLateMs(9_000, 0)).isEqualTo(3_000);
-		Assertions.assertThat(RetryAdvice.afterLateMs(9_000, 1)).isEqualTo(1_800);
+		Assertions.assertThat(RetryAdvice.afterLateMs(9_000, 2_000, 0)).isEqualTo(3_000);
+		Assertions.assertThat(RetryAdvice.afterLateMs(9_000, 2_000, 1)).isEqualTo(1_800);
 		this.f.worker("d1", "llm", WorkerStage.DECODE);
 		Call c = waitInVain();
 		Assertions.assertThat(c.caller().status).isEqualTo(503);
 		Assertions.assertThat(c.caller().refusal.retryAfterMs()).isBetween(2_000L, 3_700L);
 	}
 
+	// A caller with a long answer was refused and comes back with less time than its
+	// answer takes. Placed, it holds memory for seconds and is cut off in the middle.
+	@Test
+	void refusesAtOnceWhatCannotEndInTime() {
+		this.f.worker("d1", "llm", WorkerStage.DECODE);
+		PromptShape p = new PromptShape(3_000, 1_190, 1_190, List.of());
+		Assertions.assertThat(this.f.call("once", 14_000, p).caller().answers).isZero();
+		Assertions.assertThat(this.f.call("once", 8_000, p).caller().status).isEqualTo(503);
+		Assertions.assertThat(this.f.workers.holds).hasSize(1);
+	}
+
+	@Test
+	void callsALongAnswerBackWhileItCanStillEndInTime() {
+		Assertions.assertThat(RetryAdvice.afterLateMs(11_000, 6_000, 0)).isEqualTo(2_000);
+		Assertions.assertThat(RetryAdvice.afterLateMs(11_000, 9_000, 0)).isEqualTo(500);
+	}
+
 }
