Slow senders get 408; idle connections outlast what operators allow

Cause: reading the change anew: the idle limit was that of the default, so an operator's longer one would have closed connections under their next request, and a body that never ended was waited for without a limit. Change: limits of 60 s idle and 15 s for reading a request; constants and comments in order. Measured: platform, registry and layering tests pass. The 408 itself is the library's and has no test here.

--- a/src/main/java/io/shallotspur/gateway/Attempt.java
+++ b/src/main/java/io/shallotspur/gateway/Attempt.java
@@ -14,10 +14,9 @@
  */
 final class Attempt implements ExchangeListener {
 
-	// Answers up to this size are held until they are whole, so that a cut one can still
-	// be replaced by another worker's answer or by a true error, bytes. Measured answers
-	// of
-	// plain services stay below 8 KB.
+	// Answers up to this size are held until they are whole, so that a cut one can
+	// still be replaced by another worker's answer or by a true error, bytes. Measured
+	// answers of plain services stay below 8 KB.
 	private static final int HELD_BYTES = 256 << 10;
 
 	private final Sink sink;
--- a/src/main/java/io/shallotspur/gateway/Gateway.java
+++ b/src/main/java/io/shallotspur/gateway/Gateway.java
@@ -20,10 +20,12 @@
  */
 public final class Gateway {
 
-	// Until the first configuration has come, which takes a second or so after a start,
-	// ms.
+	// Until the first configuration has come, which takes a second or so
+	// after a start, ms.
 	private static final long STARTING_RETRY_MS = 500;
 
+	private static final int NOT_FOUND = 404;
+
 	final GatewaySettings settings;
 
 	final WorkerPort workers;
@@ -142,8 +144,6 @@
 		return task::callerGone;
 	}
 
-	private static final int NOT_FOUND = 404;
-
 	void ended() {
 		this.inProgress--;
 	}
--- a/src/main/java/io/shallotspur/gateway/HoldQueue.java
+++ b/src/main/java/io/shallotspur/gateway/HoldQueue.java
@@ -43,8 +43,8 @@
 	// A queue beyond this is worth more than the longest wait allowed, requests.
 	private static final int MOST_WAITING = 64;
 
-	// Until the first answers have shown it, ms: a prefill of 3,000 tokens and a
-	// transfer.
+	// Until the first answers have shown it, ms: a prefill of 3,000 tokens
+	// and a transfer.
 	private static final double FIRST_LEAD_MS = 200;
 
 	private static final double LEAD_WEIGHT = 0.05;
--- a/src/main/java/io/shallotspur/gateway/Placement.java
+++ b/src/main/java/io/shallotspur/gateway/Placement.java
@@ -14,15 +14,14 @@
 	private static final double FAR_COST = 0.3;
 
 	// Cost of a worker that failed each of its last requests, in parts of its slots: it
-	// is
-	// passed over until all others are twice as busy as they can bear.
+	// is passed over until all others are twice as busy as they can bear.
 	private static final double FAILURE_COST = 4;
 
 	// A worker that has just started is slower than its load tells.
 	private static final double COLD_COST = 0.5;
 
-	// Breaks ties at random. Without it, VMs that all see idle workers choose the same
-	// one.
+	// Breaks ties at random. Without it, VMs that all see idle workers
+	// choose the same one.
 	private static final double JITTER = 0.05;
 
 	private Placement() {
--- a/src/main/java/io/shallotspur/gateway/RelayTask.java
+++ b/src/main/java/io/shallotspur/gateway/RelayTask.java
@@ -22,8 +22,7 @@
 	private static final long WORKER_TIMEOUT_SLACK_MS = 60;
 
 	// With less time than this left no worker can answer, ms: the fastest answer takes
-	// two
-	// crossings and a few ms of work.
+	// two crossings and a few ms of work.
 	private static final long LEAST_ATTEMPT_MS = 10;
 
 	private final Gateway g;
--- a/src/main/java/io/shallotspur/gateway/RetryAdvice.java
+++ b/src/main/java/io/shallotspur/gateway/RetryAdvice.java
@@ -12,8 +12,7 @@
 final class RetryAdvice {
 
 	// A plain worker frees a slot every few ms; a queue of a worker's length is gone
-	// after
-	// this time, ms.
+	// after this time, ms.
 	private static final long PLAIN_MS = 150;
 
 	// Model requests hold a slot for half a second to a second, ms.
--- a/src/main/java/io/shallotspur/platform/CallerIngress.java
+++ b/src/main/java/io/shallotspur/platform/CallerIngress.java
@@ -44,6 +44,15 @@
 
 	private static final int HEADERS_TOO_LARGE = 431;
 
+	// Callers reuse connections for most of the idle time that the operator sets, which
+	// is not known when they connect. Closed before that, a connection could meet the
+	// next request on its way. A few times the usual 15 s.
+	private static final Duration IDLE_LIMIT = Duration.ofSeconds(60);
+
+	// A caller that sends its request more slowly is answered 408: it would hold a
+	// connection for nothing. Five times what operators allow for the headers.
+	private static final Duration READ_LIMIT = Duration.ofSeconds(15);
+
 	private final Endpoint listen;
 
 	private final Loop loop;
@@ -68,7 +77,8 @@
 			.port(this.listen.port())
 			.runOn(this.loop.resources(), false)
 			.httpRequestDecoder((d) -> d.maxHeaderSize(DECODER_HEADER_BYTES).maxInitialLineLength(DECODER_HEADER_BYTES))
-			.idleTimeout(Duration.ofMillis(IngressLimits.DEFAULT.idleTimeoutMs()))
+			.idleTimeout(IDLE_LIMIT)
+			.requestTimeout(READ_LIMIT)
 			.childOption(ChannelOption.TCP_NODELAY, true)
 			.doOnConnection(this::connected)
 			.handle(this::handle)
--- a/src/main/java/io/shallotspur/platform/ConfigDecoder.java
+++ b/src/main/java/io/shallotspur/platform/ConfigDecoder.java
@@ -63,8 +63,8 @@
 		return switch (r.path("kind").asText()) {
 			case "safe" -> RouteKind.SAFE;
 			case "streaming" -> RouteKind.STREAM;
-			// Whatever else a kind may come to mean, running at most once is always
-			// allowed.
+			// Whatever else a kind may come to mean, running at most once
+			// is always allowed.
 			case "unsafe" -> RouteKind.UNSAFE;
 			case "" -> throw new InputException("A route has no kind.", Names.CONFIG_KEY + " routes " + name);
 			default -> RouteKind.UNSAFE;
--- a/src/main/java/io/shallotspur/platform/HttpWorkerPort.java
+++ b/src/main/java/io/shallotspur/platform/HttpWorkerPort.java
@@ -52,8 +52,7 @@
 	private static final int CONNECT_TIMEOUT_MS = 300;
 
 	// Reservations and what is given back are answered in a few ms; a worker that does
-	// not
-	// answer in many times that is cut off, ms.
+	// not answer in many times that is cut off, ms.
 	private static final long SIDE_CALL_MS = 300;
 
 	// Requests of one VM at one worker at a time are a few; the limit only keeps a dark
--- a/src/main/java/io/shallotspur/platform/PlatformVm.java
+++ b/src/main/java/io/shallotspur/platform/PlatformVm.java
@@ -81,8 +81,7 @@
 	 */
 	void start() {
 		// All of a start runs on the loop's thread. Two threads that load classes and
-		// read
-		// sockets at once only take turns on a part of a core.
+		// read sockets at once only take turns on a part of a core.
 		Flux.defer(this::sockets)
 			.subscribeOn(this.loop.scheduler())
 			.doOnNext(this.servers::add)
--- a/src/main/java/io/shallotspur/registry/RegistryFollower.java
+++ b/src/main/java/io/shallotspur/registry/RegistryFollower.java
@@ -25,9 +25,8 @@
 public final class RegistryFollower {
 
 	// A watch on a connection that went silent looks like one without changes. This is
-	// how
-	// long such a loss can stay unnoticed, ms; a configuration has to be in force within
-	// two seconds once the VM is in touch again, and calls are billed.
+	// how long such a loss can stay unnoticed, ms; a configuration has to be in force
+	// within two seconds once the VM is in touch again, and calls are billed.
 	private static final long WATCH_MS = 3_000;
 
 	// Changes come in bursts (a release, many workers at a start). One call after a pause
@@ -49,6 +48,10 @@
 	// meanwhile, ms: the time for its return, and for this VM to notice.
 	private static final long AWAY_WINDOW_MS = RETURN_MS + WATCH_MS;
 
+	// A leaving worker gets nothing for so long before it must not get anything, ms: for
+	// requests that are on their way when the time is up.
+	private static final long LEAVE_MARGIN_MS = 300;
+
 	private final Registry registry;
 
 	private final Gateway gateway;
@@ -99,12 +102,9 @@
 		this.timer = timer;
 		this.clock = clock;
 		this.random = random;
-		// A margin for requests that are on their way when the time is up.
-		this.workerGraceMs = Math.max(0, Math.min(RETURN_MS, leaveMs - WATCH_MARGIN_MS));
+		this.workerGraceMs = Math.max(0, Math.min(RETURN_MS, leaveMs - LEAVE_MARGIN_MS));
 	}
 
-	private static final long WATCH_MARGIN_MS = 300;
-
 	/**
 	 * Says which registration is this VM's own.
 	 * @param key its key
@@ -143,10 +143,10 @@
 	}
 
 	private void watch() {
-		// A call that waits and was lost with a silent store would be noticed only after
-		// its
-		// wait; until the store has answered again it is asked without one. Otherwise a
-		// configuration could be unknown here for seconds after the store's return.
+		// A call that waits and was lost with a silent store would be
+		// noticed only after its wait; until the store has answered again
+		// it is asked without one. Otherwise a configuration could be
+		// unknown here for seconds after the store's return.
 		run(this.registry.changes(this.revision, this.away ? 0 : WATCH_MS), this::onChanges);
 	}
 
