--- a/src/main/java/io/shallotspur/gateway/EntryVms.java
+++ b/src/main/java/io/shallotspur/gateway/EntryVms.java
@@ -55,6 +55,20 @@
 		}
 	}
 
+	/**
+	 * Returns how many other VMs come before one in an order that all VMs agree on as far
+	 * as they know the same registrations.
+	 * @param key the VM's key
+	 * @param now the present time in milliseconds
+	 * @return its rank; 0 is first
+	 */
+	public int rank(String key, long now) {
+		return (int) this.byKey.entrySet()
+			.stream()
+			.filter((e) -> now < e.getValue().until() && e.getKey().compareTo(key) < 0)
+			.count();
+	}
+
 	/**
 	 * Returns how many VMs take callers.
 	 * @param now the present time in milliseconds
--- a/src/main/java/io/shallotspur/gateway/Gateway.java
+++ b/src/main/java/io/shallotspur/gateway/Gateway.java
@@ -50,6 +50,8 @@
 
 	private final Map<String, HoldQueue> holdQueues = new HashMap<>();
 
+	private final Map<String, EngineTimes> times = new HashMap<>();
+
 	private @Nullable RouteTable table;
 
 	private int inProgress;
@@ -109,6 +111,15 @@
 		return this.vms;
 	}
 
+	/**
+	 * Returns what the latest requests took at the engines of an upstream.
+	 * @param upstream the upstream
+	 * @return the figures, kept up to date
+	 */
+	public EngineTimes times(String upstream) {
+		return this.times.computeIfAbsent(upstream, (u) -> new EngineTimes());
+	}
+
 	/**
 	 * Returns how many requests are in progress.
 	 * @return the number of requests
@@ -174,7 +185,8 @@
 		}
 	}
 
-	void streamed(String upstream, long ms, int likelyTokens) {
+	void streamed(String upstream, long ms, int likelyTokens, int reservedTokens) {
+		times(upstream).streamed(ms, reservedTokens);
 		HoldQueue q = this.holdQueues.get(upstream);
 		if (q != null) {
 			q.streamed(ms, likelyTokens);
--- a/src/main/java/io/shallotspur/gateway/HoldQueue.java
+++ b/src/main/java/io/shallotspur/gateway/HoldQueue.java
@@ -215,7 +215,7 @@
 
 			@Override
 			public void onReplaced() {
-				HoldQueue.this.g.roster.replaced(w.info().id(), HoldQueue.this.g.clock.getAsLong());
+				HoldQueue.this.g.roster.replaced(w.info().id(), WorkerStage.DECODE, HoldQueue.this.g.clock.getAsLong());
 				answered(t, w, null, null);
 			}
 
--- a/src/main/java/io/shallotspur/gateway/Placing.java
+++ b/src/main/java/io/shallotspur/gateway/Placing.java
@@ -112,8 +112,15 @@
 
 	@Override
 	public List<WorkerState> candidates(long now) {
-		Set<WorkerStage> stages = Set.of((this.engine != null) ? WorkerStage.DECODE : WorkerStage.PLAIN);
-		return this.g.roster.candidates(this.upstream, stages, this.tried, now);
+		return this.g.roster.candidates(this.upstream, Set.of(stage()), this.tried, now);
+	}
+
+	/**
+	 * Returns what a worker has to do to run the request.
+	 * @return the stage
+	 */
+	WorkerStage stage() {
+		return (this.engine != null) ? WorkerStage.DECODE : WorkerStage.PLAIN;
 	}
 
 	@Override
--- a/src/main/java/io/shallotspur/gateway/PrefillStep.java
+++ b/src/main/java/io/shallotspur/gateway/PrefillStep.java
@@ -25,6 +25,8 @@
 	private Runnable cancelTimer = () -> {
 	};
 
+	private long startedAt;
+
 	private boolean over;
 
 	/**
@@ -42,6 +44,7 @@
 	}
 
 	void start(WorkerCall call, long limitMs) {
+		this.startedAt = this.g.clock.getAsLong();
 		this.worker.started(this.tokens);
 		this.cancelTimer = this.g.timer.after(limitMs, () -> onFailure(new ExchangeFailure(true, "no answer")));
 		Exchange e = this.g.workers.prefill(call, this);
@@ -68,13 +71,14 @@
 			return;
 		}
 		end();
+		this.g.times(this.worker.info().upstream()).prefilled(this.g.clock.getAsLong() - this.startedAt);
 		this.then.accept(new Result(s, null, false));
 	}
 
 	@Override
 	public void onRefused(String reason, boolean otherWorker) {
 		if (otherWorker) {
-			this.g.roster.replaced(this.worker.info().id(), this.g.clock.getAsLong());
+			this.g.roster.replaced(this.worker.info().id(), WorkerStage.PREFILL, this.g.clock.getAsLong());
 		}
 		if (!this.over) {
 			end();
--- a/src/main/java/io/shallotspur/gateway/RelayTask.java
+++ b/src/main/java/io/shallotspur/gateway/RelayTask.java
@@ -128,7 +128,7 @@
 			this.attempt.worker().reported(head.load(), now);
 		}
 		if (this.attempt != null && head.otherWorker()) {
-			this.g.roster.replaced(this.attempt.worker().info().id(), now);
+			this.g.roster.replaced(this.attempt.worker().info().id(), this.placing.stage(), now);
 		}
 	}
 
@@ -181,7 +181,8 @@
 		}
 		this.g.metrics.answered(this.route.name(), now - this.arrivedAt);
 		if (inParts && this.request.prompt() != null && this.request.lastEventId() == null) {
-			this.g.streamed(this.upstream, now - this.firstAt, this.request.prompt().likelyOutputTokens());
+			PromptShape p = this.request.prompt();
+			this.g.streamed(this.upstream, now - this.firstAt, p.likelyOutputTokens(), p.reservedTokens());
 		}
 		log(now, "answered status=" + head.status() + times());
 		endAttempt();
--- a/src/main/java/io/shallotspur/gateway/Roster.java
+++ b/src/main/java/io/shallotspur/gateway/Roster.java
@@ -22,6 +22,10 @@
 
 	private final Map<String, OutlierDetector> outliers = new HashMap<>();
 
+	// What workers are announced to change over to. While one does, it refuses, and a
+	// refused prefill is the only attempt that some routes have.
+	private final Map<String, WorkerStage> marks = new HashMap<>();
+
 	/**
 	 * Takes a worker's entry in the registry.
 	 * @param info the entry
@@ -53,12 +57,63 @@
 
 	/**
 	 * Takes that another incarnation answers at a worker's address. The registry tells so
-	 * only seconds later; until then each request sent there would come back unrun.
+	 * only seconds later; until then each request sent there would come back unrun. A
+	 * worker that has changed over meanwhile answers in the same way and is kept.
 	 * @param id the worker that was meant
+	 * @param asked the stage for which it was asked
 	 * @param now the present time in milliseconds
 	 */
-	void replaced(String id, long now) {
-		vanished(id, now, 0);
+	void replaced(String id, WorkerStage asked, long now) {
+		WorkerState s = this.byId.get(id);
+		if (s != null && s.info().stage() == asked) {
+			vanished(id, now, 0);
+		}
+	}
+
+	/**
+	 * Takes the announcement that a worker changes over.
+	 * @param id the worker
+	 * @param stage what it is going to do
+	 */
+	public void marked(String id, WorkerStage stage) {
+		this.marks.put(id, stage);
+	}
+
+	/**
+	 * Takes that nothing is announced for a worker any more.
+	 * @param id the worker
+	 */
+	public void unmarked(String id) {
+		this.marks.remove(id);
+	}
+
+	/**
+	 * Takes a whole listing: announcements that it lacks are no more.
+	 * @param ids the workers for which something is announced
+	 */
+	public void retainMarks(Set<String> ids) {
+		this.marks.keySet().retainAll(ids);
+	}
+
+	/**
+	 * Returns the workers of an upstream that want requests and can be reached, those
+	 * that change over as what they are going to be.
+	 * @param upstream the upstream
+	 * @param now the present time in milliseconds
+	 * @return their entries
+	 */
+	public List<WorkerInfo> staying(String upstream, long now) {
+		sweep(now);
+		return this.byId.values()
+			.stream()
+			.filter((s) -> s.info().upstream().equals(upstream) && !s.info().leaving() && s.reachable(now))
+			.map((s) -> s.info().withStage(this.marks.getOrDefault(s.info().id(), s.info().stage())))
+			.toList();
+	}
+
+	private boolean changingOver(WorkerInfo i) {
+		WorkerStage next = this.marks.get(i.id());
+		return next != null && next != i.stage();
 	}
 
 	/**
@@ -93,8 +148,8 @@
 		OutlierDetector d = detector(upstream);
 		for (WorkerState s : this.byId.values()) {
 			WorkerInfo i = s.info();
-			if (!i.upstream().equals(upstream) || i.leaving() || !stages.contains(i.stage())
-					|| tried.contains(i.id())) {
+			if (!i.upstream().equals(upstream) || i.leaving() || !stages.contains(i.stage()) || tried.contains(i.id())
+					|| changingOver(i)) {
 				continue;
 			}
 			all.add(s);
--- a/src/main/java/io/shallotspur/gateway/WorkerInfo.java
+++ b/src/main/java/io/shallotspur/gateway/WorkerInfo.java
@@ -16,6 +16,16 @@
 public record WorkerInfo(String id, String upstream, String host, int port, String hall, int slots, WorkerStage stage,
 		boolean leaving, long coldMs) {
 
+	/**
+	 * Returns this worker as one that does something else.
+	 * @param other what it does
+	 * @return an entry that differs in that only
+	 */
+	public WorkerInfo withStage(WorkerStage other) {
+		return new WorkerInfo(this.id, this.upstream, this.host, this.port, this.hall, this.slots, other, this.leaving,
+				this.coldMs);
+	}
+
 	/**
 	 * Returns the address in the form in which workers name one another.
 	 * @return {@code host:port}
--- a/src/main/java/io/shallotspur/platform/EntryDecoder.java
+++ b/src/main/java/io/shallotspur/platform/EntryDecoder.java
@@ -48,6 +48,14 @@
 		if (key.startsWith(Names.VM_PREFIX)) {
 			return Optional.of(gone ? new RegistryChange.VmGone(key) : vm(key, value(item)));
 		}
+		if (key.equals(Names.DUTY_KEY)) {
+			return Optional.of(gone ? new RegistryChange.DutyFree() : duty(item));
+		}
+		if (key.startsWith(Names.STAGE_PREFIX)) {
+			String id = key.substring(Names.STAGE_PREFIX.length());
+			return Optional.of(gone ? new RegistryChange.StageUnmarked(id)
+					: new RegistryChange.StageMarked(id, stage(value(item).path("stage").asText())));
+		}
 		if (key.equals(Names.CONFIG_KEY) && !gone) {
 			return Optional.of(new RegistryChange.Configured(ConfigDecoder.decode(value(item))));
 		}
@@ -67,7 +75,11 @@
 				v.path("cold_remaining_ms").asLong()));
 	}
 
-	private static WorkerStage stage(String s) {
+	static RegistryChange.DutyHeld duty(JsonNode item) throws IOException {
+		return new RegistryChange.DutyHeld(value(item).path("vm").asText(), item.path("revision").asLong());
+	}
+
+	static WorkerStage stage(String s) {
 		return switch (s) {
 			case "prefill" -> WorkerStage.PREFILL;
 			case "decode" -> WorkerStage.DECODE;
@@ -80,7 +92,10 @@
 	}
 
 	static String encode(RegistryChange.VmSeen vm) {
-		ObjectNode n = JSON.createObjectNode().put("address", vm.address()).put("hall", vm.hall());
+		return encode(JSON.createObjectNode().put("address", vm.address()).put("hall", vm.hall()));
+	}
+
+	static String encode(ObjectNode n) {
 		return Base64.getEncoder().encodeToString(n.toString().getBytes(StandardCharsets.UTF_8));
 	}
 
--- a/src/main/java/io/shallotspur/platform/HttpWorkerPort.java
+++ b/src/main/java/io/shallotspur/platform/HttpWorkerPort.java
@@ -98,6 +98,10 @@
 			.headers((h) -> h.remove(HttpHeaderNames.USER_AGENT));
 	}
 
+	HttpClient client() {
+		return this.client;
+	}
+
 	private long mostIdle(SocketAddress a) {
 		return this.idleMs.getOrDefault(a, MOST_IDLE_MS);
 	}
--- a/src/main/java/io/shallotspur/platform/Names.java
+++ b/src/main/java/io/shallotspur/platform/Names.java
@@ -54,6 +54,10 @@
 
 	static final String DROP_PATH = "/api/hold-drop/";
 
+	static final String REPORT_PATH = "/api/report";
+
+	static final String ORDER_PATH = "/api/order";
+
 	static final String READY_PATH = "/api/readiness";
 
 	static final String LOCATE_PATH = "/api/resolution";
@@ -67,6 +71,12 @@
 	/** Our own keys: one for each start of an entry VM. */
 	static final String VM_PREFIX = "vms/";
 
+	/** Our own key: the VM that gives orders to workers. */
+	static final String DUTY_KEY = "duties/stages";
+
+	/** Our own keys: one for each worker that changes over. */
+	static final String STAGE_PREFIX = "stages/";
+
 	// Fields of one connection, and those that only the system may set. A caller who set
 	// the latter could take another request's memory or rank.
 	private static final Set<String> NOT_RELAYED = Set.of("connection", "keep-alive", "proxy-connection", "te",
--- a/src/main/java/io/shallotspur/platform/PlatformSettings.java
+++ b/src/main/java/io/shallotspur/platform/PlatformSettings.java
@@ -21,10 +21,11 @@
  * @param locateTtlMs how long callers may keep addresses, in milliseconds
  * @param graceMs how long the process may go on after SIGTERM, in milliseconds
  * @param drainMs how long a leaving worker may still get requests, in milliseconds
+ * @param orders how workers are given orders
  * @param log level and volume of the log
  */
 record PlatformSettings(GatewaySettings gateway, Endpoint callers, Endpoint ready, Endpoint locate, Endpoint metrics,
-		Endpoint store, long locateTtlMs, long graceMs, long drainMs, LogVolume log) {
+		Endpoint store, long locateTtlMs, long graceMs, long drainMs, OrderSettings orders, LogVolume log) {
 
 	private static final long HOUR_MS = 3_600_000;
 
@@ -59,13 +60,15 @@
 		double ttl = Math.min(MOST_TTL_S, bounds.number("locate_ttl_max_s", MOST_TTL_S, 0.1, 3_600));
 		long grace = (long) (bounds.number("grace_s", 8, 0, 3_600) * MS_PER_S);
 		long drain = bounds.whole("worker_drain_ms", 2_000, 0, HOUR_MS);
+		OrderSettings orders = new OrderSettings(bounds.flag("workers_check_fences", false),
+				bounds.whole("order_turn_ms", 3_000, 0, HOUR_MS));
 		bounds.finish();
 		TomlTable log = root.table("log");
 		LogVolume volume = new LogVolume(log.text("level", "info"), (int) log.whole("lines_per_s", 100, 0, 1_000_000));
 		log.finish();
 		root.finish();
 		return new PlatformSettings(g, callers, ready, locate, metrics, address, (long) (ttl * MS_PER_S), grace, drain,
-				volume);
+				orders, volume);
 	}
 
 	private static GatewaySettings gateway(TomlTable vm, TomlTable bounds) {
@@ -77,6 +80,18 @@
 				(long) (bounds.number("retry_window_s", 10, 0.1, 3_600) * MS_PER_S));
 	}
 
+	/**
+	 * How workers are given orders. Immutable.
+	 *
+	 * @param fenced whether workers refuse orders with a lower fencing number than one
+	 * they have seen; without that no orders are given, since a VM that was paused could
+	 * undo what its successor had ordered
+	 * @param turnMs how long a VM waits after it has got the duty, in milliseconds
+	 */
+	record OrderSettings(boolean fenced, long turnMs) {
+
+	}
+
 	/**
 	 * How much is logged. Immutable.
 	 *
--- a/src/main/java/io/shallotspur/platform/PlatformVm.java
+++ b/src/main/java/io/shallotspur/platform/PlatformVm.java
@@ -18,9 +18,11 @@
 import io.shallotspur.gateway.GatewayPorts;
 import io.shallotspur.gateway.RelayMetrics;
 import io.shallotspur.record.NodeMetrics;
+import io.shallotspur.registry.Duty;
 import io.shallotspur.registry.RegistryChange;
 import io.shallotspur.registry.RegistryFollower;
 import io.shallotspur.registry.VmRegistration;
+import io.shallotspur.stage.StageKeeper;
 
 /**
  * One entry VM on the platform: wires the gateway to its adapters, starts and drains
@@ -52,6 +54,8 @@
 
 	private final VmRegistration registration;
 
+	private final StageKeeper stages;
+
 	private final CallerIngress ingress;
 
 	private final List<DisposableServer> servers = new ArrayList<>();
@@ -60,7 +64,8 @@
 
 	PlatformVm(PlatformSettings s) {
 		this.settings = s;
-		GatewayPorts ports = new GatewayPorts(new HttpWorkerPort(this.loop), this.loop, this.clock,
+		HttpWorkerPort workers = new HttpWorkerPort(this.loop);
+		GatewayPorts ports = new GatewayPorts(workers, this.loop, this.clock,
 				() -> ThreadLocalRandom.current().nextDouble(), new DecisionLog(s.log().linesPerSecond()),
 				new RelayMetrics(this.metrics.registry()));
 		this.gateway = new Gateway(s.gateway(), ports);
@@ -72,6 +77,11 @@
 		this.follower = new RegistryFollower(registry, this.gateway, this.loop, this.clock,
 				() -> ThreadLocalRandom.current().nextDouble(), s.drainMs());
 		this.follower.own(self.key(), this.registration::start);
+		Duty duty = new Duty(registry, this.registration, this.gateway.vms(), self.key(), s.orders().turnMs(),
+				this.clock);
+		this.follower.duty(duty);
+		this.stages = new StageKeeper(s.gateway().vm(), this.gateway, duty,
+				new HttpStagePort(workers.client(), this.loop), this.loop, this.clock);
 		this.gateway.vms().seen(self.key(), self.address(), self.hall());
 		this.ingress = new CallerIngress(s.callers(), this.loop, this.gateway);
 	}
@@ -99,6 +109,9 @@
 	private void started() {
 		this.follower.start();
 		this.registration.start();
+		if (this.settings.orders().fenced()) {
+			this.stages.start();
+		}
 		Logger.info("[run] started vm={} hall={} callers={} metrics={} store={}", this.settings.gateway().vm(),
 				this.settings.gateway().hall(), this.settings.callers(), this.settings.metrics(),
 				this.settings.store());
@@ -133,6 +146,7 @@
 	 * Closes all sockets at once.
 	 */
 	void close() {
+		this.loop.execute(this.stages::stop);
 		this.loop.execute(this.follower::stop);
 		this.servers.forEach((s) -> s.dispose());
 		this.loop.close();
@@ -156,6 +170,7 @@
 
 	private void leave() {
 		this.leaving = true;
+		this.stages.stop();
 		this.ingress.closeAfterAnswers();
 		this.registration.end().timeout(Duration.ofMillis(GRACE_MARGIN_MS)).onErrorComplete().subscribe();
 	}
--- a/src/main/java/io/shallotspur/platform/Rehearsal.java
+++ b/src/main/java/io/shallotspur/platform/Rehearsal.java
@@ -27,9 +27,9 @@
 
 	static void run() {
 		Endpoint any = new Endpoint("127.0.0.1", 0);
-		PlatformVm vm = new PlatformVm(
-				new PlatformSettings(new GatewaySettings("rehearsal", "here", 0, 0, 1_000), any, any, any, any,
-						new Endpoint("127.0.0.1", 10), 1_000, 500, 500, new PlatformSettings.LogVolume("info", 10)));
+		PlatformVm vm = new PlatformVm(new PlatformSettings(new GatewaySettings("rehearsal", "here", 0, 0, 1_000), any,
+				any, any, any, new Endpoint("127.0.0.1", 10), 1_000, 500, 500,
+				new PlatformSettings.OrderSettings(true, 0), new PlatformSettings.LogVolume("info", 10)));
 		vm.start();
 		for (int i = 0; i < REQUESTS; i++) {
 			ask(vm.callersPort(), "/x");
--- a/src/main/java/io/shallotspur/platform/StoreRegistry.java
+++ b/src/main/java/io/shallotspur/platform/StoreRegistry.java
@@ -5,8 +5,11 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -22,6 +25,7 @@
 import io.shallotspur.cfg.Endpoint;
 import io.shallotspur.exc.StoreHistoryGoneException;
 import io.shallotspur.exc.StoreUnavailableException;
+import io.shallotspur.gateway.WorkerStage;
 import io.shallotspur.registry.Registry;
 import io.shallotspur.registry.RegistryChange;
 import io.shallotspur.registry.RegistryNews;
@@ -40,6 +44,8 @@
 
 	private static final int GONE = 410;
 
+	private static final int OTHER_REVISION = 412;
+
 	// An answer takes 4 ms; a slow store takes tens of times as long, ms.
 	private static final long TIMEOUT_MS = 1_000;
 
@@ -141,21 +147,75 @@
 
 	@Override
 	public Mono<Boolean> register(RegistryChange.VmSeen vm, long lease) {
+		ObjectNode body = change();
+		put(body, vm.key(), EntryDecoder.encode(vm), lease);
+		return change(body, "register");
+	}
+
+	@Override
+	public Mono<Boolean> claim(String vm, long lease) {
+		ObjectNode body = change();
+		expect(body, Names.DUTY_KEY, 0);
+		put(body, Names.DUTY_KEY, EntryDecoder.encode(EntryDecoder.JSON.createObjectNode().put("vm", vm)), lease);
+		return change(body, "claim");
+	}
+
+	@Override
+	public Mono<Optional<RegistryChange.DutyHeld>> duty() {
+		QueryStringEncoder q = new QueryStringEncoder("/api/kv-key");
+		q.addParam("key", Names.DUTY_KEY);
+		return call(HttpMethod.GET, q.toString(), null, TIMEOUT_MS).flatMap((r) -> {
+			if (r.status() == NOT_FOUND) {
+				return Mono.just(Optional.empty());
+			}
+			if (r.status() != OK) {
+				return Mono.error(refused(r, "key"));
+			}
+			return Mono.fromCallable(() -> Optional.of(EntryDecoder.duty(r.body())));
+		});
+	}
+
+	@Override
+	public Mono<Boolean> mark(String worker, WorkerStage stage, long fence, long lease) {
+		ObjectNode value = EntryDecoder.JSON.createObjectNode().put("stage", stage.name().toLowerCase(Locale.ROOT));
+		ObjectNode body = change();
+		expect(body, Names.DUTY_KEY, fence);
+		put(body, Names.STAGE_PREFIX + worker, EntryDecoder.encode(value), lease);
+		return change(body, "mark");
+	}
+
+	@Override
+	public Mono<Void> unmark(String worker) {
+		ObjectNode body = change();
+		((ArrayNode) body.path("remove")).add(Names.STAGE_PREFIX + worker);
+		return change(body, "unmark").then();
+	}
+
+	// A change to several keys, all or none.
+	private static ObjectNode change() {
 		ObjectNode body = EntryDecoder.JSON.createObjectNode();
 		body.putArray("expected");
-		body.putArray("puts")
-			.addObject()
-			.put("key", vm.key())
-			.put("value", EntryDecoder.encode(vm))
-			.put("lease", lease);
+		body.putArray("puts");
 		body.putArray("remove");
-		return call(HttpMethod.POST, "/api/kv-txn", body, TIMEOUT_MS).flatMap((r) -> there(r, "register"));
+		return body;
+	}
+
+	private static void expect(ObjectNode body, String key, long revision) {
+		((ArrayNode) body.path("expected")).addObject().put("key", key).put("revision", revision);
+	}
+
+	private static void put(ObjectNode body, String key, String value, long lease) {
+		((ArrayNode) body.path("puts")).addObject().put("key", key).put("value", value).put("lease", lease);
+	}
+
+	private Mono<Boolean> change(ObjectNode body, String what) {
+		return call(HttpMethod.POST, "/api/kv-txn", body, TIMEOUT_MS).flatMap((r) -> there(r, what));
 	}
 
 	private static Mono<Boolean> there(Reply r, String call) {
 		return switch (r.status()) {
 			case OK -> Mono.just(true);
-			case NOT_FOUND -> Mono.just(false);
+			case NOT_FOUND, OTHER_REVISION -> Mono.just(false);
 			default -> Mono.error(refused(r, call));
 		};
 	}
--- a/src/main/java/io/shallotspur/registry/Registry.java
+++ b/src/main/java/io/shallotspur/registry/Registry.java
@@ -1,7 +1,11 @@
 package io.shallotspur.registry;
 
+import java.util.Optional;
+
 import reactor.core.publisher.Mono;
 
+import io.shallotspur.gateway.WorkerStage;
+
 /**
  * The registry in the platform's store. Calls fail with
  * {@link io.shallotspur.exc.StoreException}; {@link #changes} with
@@ -52,4 +56,35 @@
 	 */
 	Mono<Boolean> register(RegistryChange.VmSeen vm, long lease);
 
+	/**
+	 * Takes the duty if nobody holds it.
+	 * @param vm the key of the VM's registration
+	 * @param lease the lease it lasts for
+	 * @return whether it was free and the lease was there
+	 */
+	Mono<Boolean> claim(String vm, long lease);
+
+	/**
+	 * Asks who holds the duty at this moment.
+	 * @return the holder, or empty if there is none
+	 */
+	Mono<Optional<RegistryChange.DutyHeld>> duty();
+
+	/**
+	 * Announces that a worker changes over.
+	 * @param worker the worker
+	 * @param stage what it is going to do
+	 * @param fence the revision of the duty's key; nothing is written if it is another
+	 * @param lease the lease the announcement lasts for
+	 * @return whether it was written
+	 */
+	Mono<Boolean> mark(String worker, WorkerStage stage, long fence, long lease);
+
+	/**
+	 * Removes an announcement.
+	 * @param worker the worker
+	 * @return when done
+	 */
+	Mono<Void> unmark(String worker);
+
 }
--- a/src/main/java/io/shallotspur/registry/RegistryChange.java
+++ b/src/main/java/io/shallotspur/registry/RegistryChange.java
@@ -1,6 +1,7 @@
 package io.shallotspur.registry;
 
 import io.shallotspur.gateway.WorkerInfo;
+import io.shallotspur.gateway.WorkerStage;
 import io.shallotspur.route.RouteTable;
 
 /**
@@ -55,4 +56,40 @@
 
 	}
 
+	/**
+	 * A VM holds the duty of giving orders to workers.
+	 *
+	 * @param vm the key of its registration
+	 * @param revision the revision at which it got the duty
+	 */
+	record DutyHeld(String vm, long revision) implements RegistryChange {
+
+	}
+
+	/**
+	 * Nobody holds the duty.
+	 */
+	record DutyFree() implements RegistryChange {
+
+	}
+
+	/**
+	 * A worker is about to change over, or has.
+	 *
+	 * @param worker the worker's id
+	 * @param stage what it is going to do
+	 */
+	record StageMarked(String worker, WorkerStage stage) implements RegistryChange {
+
+	}
+
+	/**
+	 * Nothing is announced for a worker any more.
+	 *
+	 * @param worker the worker's id
+	 */
+	record StageUnmarked(String worker) implements RegistryChange {
+
+	}
+
 }
--- a/src/main/java/io/shallotspur/registry/RegistryFollower.java
+++ b/src/main/java/io/shallotspur/registry/RegistryFollower.java
@@ -6,6 +6,7 @@
 import java.util.function.DoubleSupplier;
 import java.util.function.LongSupplier;
 
+import org.jspecify.annotations.Nullable;
 import org.tinylog.Logger;
 import reactor.core.Disposable;
 import reactor.core.Disposables;
@@ -73,6 +74,8 @@
 
 	private String ownKey = "";
 
+	private @Nullable Duty duty;
+
 	private long revision = -1;
 
 	private long awayAt = Long.MIN_VALUE / 2;
@@ -115,6 +118,14 @@
 		this.onVmGone = onGone;
 	}
 
+	/**
+	 * Says who is to hear of the duty.
+	 * @param duty the duty
+	 */
+	public void duty(Duty duty) {
+		this.duty = duty;
+	}
+
 	/**
 	 * Begins to follow.
 	 */
@@ -167,6 +178,8 @@
 		long now = this.clock.getAsLong();
 		Set<String> workers = new HashSet<>();
 		Set<String> vms = new HashSet<>();
+		Set<String> marked = new HashSet<>();
+		RegistryChange.DutyHeld holder = null;
 		for (RegistryChange c : news.changes()) {
 			apply(c, now);
 			if (c instanceof RegistryChange.WorkerSeen w) {
@@ -175,7 +188,15 @@
 			else if (c instanceof RegistryChange.VmSeen v) {
 				vms.add(v.key());
 			}
+			else if (c instanceof RegistryChange.StageMarked m) {
+				marked.add(m.worker());
+			}
+			else if (c instanceof RegistryChange.DutyHeld d) {
+				holder = d;
+			}
 		}
+		dutySeen(holder, now);
+		this.gateway.roster().retainMarks(marked);
 		boolean lostOwn = this.listed && !vms.contains(this.ownKey);
 		vms.add(this.ownKey);
 		this.gateway.roster().retain(workers, now, workerGrace(now));
@@ -222,6 +243,24 @@
 		else if (c instanceof RegistryChange.VmGone e) {
 			vmGone(e, now);
 		}
+		else if (c instanceof RegistryChange.StageMarked e) {
+			this.gateway.roster().marked(e.worker(), e.stage());
+		}
+		else if (c instanceof RegistryChange.StageUnmarked e) {
+			this.gateway.roster().unmarked(e.worker());
+		}
+		else if (c instanceof RegistryChange.DutyHeld e) {
+			dutySeen(e, now);
+		}
+		else if (c instanceof RegistryChange.DutyFree) {
+			dutySeen(null, now);
+		}
+	}
+
+	private void dutySeen(RegistryChange.@Nullable DutyHeld holder, long now) {
+		if (this.duty != null) {
+			this.duty.seen(holder, now);
+		}
 	}
 
 	private void vmGone(RegistryChange.VmGone e, long now) {
--- a/src/main/java/io/shallotspur/registry/VmRegistration.java
+++ b/src/main/java/io/shallotspur/registry/VmRegistration.java
@@ -64,6 +64,14 @@
 			.subscribe((ok) -> registered(ok), this::failed);
 	}
 
+	/**
+	 * Returns the lease that the registration hangs on.
+	 * @return its number, or 0 while there is none
+	 */
+	long lease() {
+		return (this.registering || this.ended) ? 0 : this.lease;
+	}
+
 	private void registered(boolean ok) {
 		this.registering = false;
 		Logger.info("[registry] registered vm={} lease={} done={}", this.vm.key(), this.lease, ok);
--- a/src/main/java/io/shallotspur/route/RouteTable.java
+++ b/src/main/java/io/shallotspur/route/RouteTable.java
@@ -1,6 +1,7 @@
 package io.shallotspur.route;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
@@ -54,6 +55,14 @@
 		return this.version;
 	}
 
+	/**
+	 * Returns all upstreams.
+	 * @return the upstreams, in no order
+	 */
+	public Collection<UpstreamSpec> upstreams() {
+		return this.upstreams.values();
+	}
+
 	/**
 	 * Returns what callers may send.
 	 * @return the limits
--- /dev/null
+++ b/src/main/java/io/shallotspur/stage/StageLoad.java
@@ -0,0 +1,76 @@
+package io.shallotspur.stage;
+
+import io.shallotspur.gateway.EngineTimes;
+import io.shallotspur.route.EngineSpec;
+
+/**
+ * What one request costs the engines of a model upstream. Immutable.
+ *
+ * @param prefillMs time of a prefill worker, in milliseconds
+ * @param decodeMs time for which it occupies a place at a decode worker, in milliseconds
+ * @param places requests that a decode worker has memory and slots for at once
+ */
+public record StageLoad(double prefillMs, double decodeMs, double places) {
+
+	private static final double MS_PER_S = 1_000;
+
+	// Before the first requests have shown it: prompts of 3,000 tokens and answers of
+	// 500, at 25 prompt tokens a ms and 7 ms for each token of an answer.
+	private static final double UNSEEN_PREFILL_MS = 130;
+
+	private static final double UNSEEN_DECODE_MS = 3_600;
+
+	private static final double UNSEEN_TOKENS = 3_750;
+
+	// Busier than this, a prompt waits twice as long as its prefill takes (a queue with
+	// steady service times), and the first token is late.
+	private static final double PREFILL_BUSY = 0.8;
+
+	// A decode worker prefills at half the speed of a prefill worker, and its answers
+	// stand still meanwhile.
+	private static final double PREFILL_AT_DECODE = 2;
+
+	/**
+	 * Returns what is assumed before the first requests.
+	 * @param engine the engines
+	 * @return the load
+	 */
+	static StageLoad unseen(EngineSpec engine) {
+		return new StageLoad(UNSEEN_PREFILL_MS, UNSEEN_DECODE_MS, places(engine, UNSEEN_TOKENS));
+	}
+
+	/**
+	 * Returns the load that was measured.
+	 * @param times what recent requests took
+	 * @param engine the engines
+	 * @return the load
+	 */
+	static StageLoad measured(EngineTimes times, EngineSpec engine) {
+		double prefill = Math.max(1, times.prefillMs());
+		// A place is occupied from its reservation on, which comes before the prefill.
+		double decode = prefill + Math.max(1, times.streamMs());
+		return new StageLoad(prefill, decode, places(engine, times.tokens()));
+	}
+
+	private static double places(EngineSpec engine, double tokens) {
+		return Math.min(engine.slots(), engine.cacheTokens() / Math.max(1, tokens));
+	}
+
+	/**
+	 * Returns how many requests a second the workers can answer. What the prefill workers
+	 * cannot take is prefilled at the decode workers, whose time it costs.
+	 * @param prefill prefill workers
+	 * @param decode decode workers
+	 * @return requests a second
+	 */
+	public double perSecond(int prefill, int decode) {
+		double each = this.places * MS_PER_S / this.decodeMs;
+		double apart = prefill * PREFILL_BUSY * MS_PER_S / this.prefillMs;
+		if (decode * each <= apart) {
+			return decode * each;
+		}
+		double lost = PREFILL_AT_DECODE * this.prefillMs / MS_PER_S;
+		return each * (decode + lost * apart) / (1 + each * lost);
+	}
+
+}
--- /dev/null
+++ b/src/main/java/io/shallotspur/stage/StageSwitch.java
@@ -0,0 +1,175 @@
+package io.shallotspur.stage;
+
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+
+import org.tinylog.Logger;
+
+import io.shallotspur.gateway.GatewayTimer;
+import io.shallotspur.gateway.WorkerInfo;
+import io.shallotspur.gateway.WorkerStage;
+import io.shallotspur.registry.Duty;
+
+/**
+ * Has one worker change over. Not thread-safe; confined to the gateway's thread.
+ * <p>
+ * Announces the change to all VMs, asks the worker how many orders it has accepted, makes
+ * sure of the duty, gives the order and reads back until it is in force. An order whose
+ * answer was lost is given again only while the worker has still accepted as many as
+ * before, so that it is accepted once, however late the first one arrives.
+ * <p>
+ * Invariant: {@link Consumer} is told once how it ended.
+ */
+final class StageSwitch {
+
+	// All VMs have heard an announcement after this time, ms: they fetch changes within
+	// 150 ms, and a call to the store takes tens of ms when it is slow.
+	private static final long ANNOUNCE_MS = 600;
+
+	// A worker is back some seconds after its last request; asking is billed, ms.
+	private static final long POLL_MS = 1_500;
+
+	// Requests of up to 14 s run to their end before a worker changes over, ms.
+	private static final long LIMIT_MS = 40_000;
+
+	private static final int MOST_ORDERS = 3;
+
+	private final Duty duty;
+
+	private final StagePort port;
+
+	private final GatewayTimer timer;
+
+	private final LongSupplier clock;
+
+	private final String vm;
+
+	private final WorkerInfo worker;
+
+	private final WorkerStage stage;
+
+	private final Consumer<String> then;
+
+	private long begunAt;
+
+	private int orders;
+
+	private boolean over;
+
+	StageSwitch(Duty duty, StagePort port, GatewayTimer timer, LongSupplier clock, String vm, WorkerInfo worker,
+			WorkerStage stage, Consumer<String> then) {
+		this.duty = duty;
+		this.port = port;
+		this.timer = timer;
+		this.clock = clock;
+		this.vm = vm;
+		this.worker = worker;
+		this.stage = stage;
+		this.then = then;
+	}
+
+	WorkerStage stage() {
+		return this.stage;
+	}
+
+	WorkerInfo worker() {
+		return this.worker;
+	}
+
+	void start(long now) {
+		this.begunAt = now;
+		this.duty.announce(this.worker.id(), this.stage)
+			.subscribe((ok) -> announced(ok), (ex) -> end("not announced: " + ex));
+	}
+
+	private void announced(boolean ok) {
+		if (ok) {
+			this.timer.after(ANNOUNCE_MS, this::look);
+		}
+		else {
+			end("duty lost");
+		}
+	}
+
+	private void look() {
+		if (this.clock.getAsLong() - this.begunAt > LIMIT_MS) {
+			end("not in force in time");
+			return;
+		}
+		this.port.report(this.worker).subscribe(this::judge, (ex) -> {
+			Logger.info("[stage] no report worker={} seen=\"{}\"", this.worker.id(), ex.toString());
+			lookLater();
+		});
+	}
+
+	private void lookLater() {
+		this.timer.after(POLL_MS, this::look);
+	}
+
+	private void judge(StageReport r) {
+		if (r.stage() == this.stage && !r.busy()) {
+			end("in force");
+		}
+		else if (r.busy()) {
+			lookLater();
+		}
+		else if (this.orders >= MOST_ORDERS) {
+			end("orders without effect");
+		}
+		else {
+			confirm(r.orders());
+		}
+	}
+
+	private void confirm(long accepted) {
+		this.duty.confirm().subscribe((mine) -> {
+			if (mine && this.duty.mayAct(this.clock.getAsLong())) {
+				order(accepted);
+			}
+			else {
+				end("duty lost");
+			}
+		}, (ex) -> {
+			Logger.info("[stage] duty not confirmed worker={} seen=\"{}\"", this.worker.id(), ex.toString());
+			lookLater();
+		});
+	}
+
+	private void order(long accepted) {
+		this.orders++;
+		StageOrder o = new StageOrder(this.worker, this.stage, this.vm, this.duty.fence(), accepted);
+		Logger.info("[stage] order worker={} stage={} fence={} expected={}", this.worker.id(), this.stage, o.fence(),
+				accepted);
+		this.port.order(o).subscribe(this::taken, (ex) -> {
+			Logger.info("[stage] order without answer worker={} seen=\"{}\"", this.worker.id(), ex.toString());
+			lookLater();
+		});
+	}
+
+	private void taken(OrderResult r) {
+		switch (r) {
+			case ACCEPTED, CONFLICT -> lookLater();
+			case FENCED, REPLACED, REFUSED -> end("order " + r);
+		}
+	}
+
+	private void end(String outcome) {
+		if (this.over) {
+			return;
+		}
+		this.over = true;
+		boolean done = outcome.equals("in force");
+		Logger.info("[stage] worker={} stage={} ended=\"{}\" orders={}", this.worker.id(), this.stage, outcome,
+				this.orders);
+		// No VM uses a worker that is announced to change over and has not. One that
+		// stays
+		// as it is has to be used again; an order that comes into force late after all is
+		// seen in the registry.
+		if (!done) {
+			this.duty.withdraw(this.worker.id()).subscribe((v) -> {
+			}, (ex) -> Logger.info("[stage] not withdrawn worker={} seen=\"{}\"", this.worker.id(), ex.toString()));
+		}
+		this.then.accept(outcome);
+	}
+
+}
--- /dev/null
+++ b/src/test/java/io/shallotspur/gateway/RosterTests.java
@@ -0,0 +1,76 @@
+package io.shallotspur.gateway;
+
+import java.util.List;
+import java.util.Set;
+
+import org.assertj.core.api.Assertions;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Tests of workers that change over in {@link Roster}.
+ */
+class RosterTests {
+
+	private static final long NOW = 1_000;
+
+	private final Roster roster = new Roster();
+
+	private static WorkerInfo worker(WorkerStage stage) {
+		return new WorkerInfo("w1", "llm", "10.0.0.1", 80, "hall-a", 8, stage, false, 0);
+	}
+
+	private List<WorkerState> candidates(WorkerStage stage) {
+		return this.roster.candidates("llm", Set.of(stage), Set.of(), NOW);
+	}
+
+	// A worker that changes over refuses what it is sent. A refused prefill is the only
+	// attempt that some routes have, so their callers would be turned away.
+	@Test
+	void leavesAWorkerAloneFromTheAnnouncementOn() {
+		this.roster.seen(worker(WorkerStage.PREFILL), NOW);
+		this.roster.marked("w1", WorkerStage.DECODE);
+		Assertions.assertThat(candidates(WorkerStage.PREFILL)).isEmpty();
+		Assertions.assertThat(candidates(WorkerStage.DECODE)).isEmpty();
+		this.roster.seen(worker(WorkerStage.DECODE), NOW);
+		Assertions.assertThat(candidates(WorkerStage.DECODE)).hasSize(1);
+	}
+
+	@Test
+	void usesAWorkerAgainWhoseAnnouncementIsWithdrawn() {
+		this.roster.seen(worker(WorkerStage.PREFILL), NOW);
+		this.roster.marked("w1", WorkerStage.DECODE);
+		this.roster.unmarked("w1");
+		Assertions.assertThat(candidates(WorkerStage.PREFILL)).hasSize(1);
+	}
+
+	// The withdrawal came while this VM was cut off; only a listing shows it.
+	@Test
+	void forgetsAnnouncementsThatAListingLacks() {
+		this.roster.seen(worker(WorkerStage.PREFILL), NOW);
+		this.roster.marked("w1", WorkerStage.DECODE);
+		this.roster.retainMarks(Set.of());
+		Assertions.assertThat(candidates(WorkerStage.PREFILL)).hasSize(1);
+	}
+
+	// Without this the VM that shares the workers out would see one prefill worker too
+	// many until the change is in force, and would have another one change over.
+	@Test
+	void countsAWorkerAsWhatItIsGoingToBe() {
+		this.roster.seen(worker(WorkerStage.PREFILL), NOW);
+		this.roster.marked("w1", WorkerStage.DECODE);
+		Assertions.assertThat(this.roster.staying("llm", NOW)).containsExactly(worker(WorkerStage.DECODE));
+	}
+
+	// A prefill was on its way while the worker changed over; the worker says that it is
+	// not the one that was meant. Taken for another incarnation, it would be left out
+	// until its entry changes, which can take the rest of its life.
+	@Test
+	void keepsAWorkerThatHasChangedOver() {
+		this.roster.seen(worker(WorkerStage.DECODE), NOW);
+		this.roster.replaced("w1", WorkerStage.PREFILL, NOW);
+		Assertions.assertThat(candidates(WorkerStage.DECODE)).hasSize(1);
+		this.roster.replaced("w1", WorkerStage.DECODE, NOW);
+		Assertions.assertThat(candidates(WorkerStage.DECODE)).isEmpty();
+	}
+
+}
--- /dev/null
+++ b/src/test/java/io/shallotspur/platform/HttpStagePortTests.java
@@ -0,0 +1,62 @@
+package io.shallotspur.platform;
+
+import org.assertj.core.api.Assertions;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+import io.shallotspur.exc.EngineLostException;
+import io.shallotspur.gateway.WorkerInfo;
+import io.shallotspur.gateway.WorkerStage;
+import io.shallotspur.stage.OrderResult;
+import io.shallotspur.stage.StageOrder;
+import io.shallotspur.stage.StageReport;
+
+/**
+ * Tests of {@link HttpStagePort}, against a stand-in for a worker.
+ */
+class HttpStagePortTests {
+
+	private final WorkerDouble worker = new WorkerDouble("d1", "decode");
+
+	private final Loop loop = new Loop();
+
+	private final HttpStagePort port = new HttpStagePort(new HttpWorkerPort(this.loop).client(), this.loop);
+
+	@AfterEach
+	void stop() {
+		this.loop.close();
+		this.worker.stop();
+	}
+
+	private WorkerInfo info() {
+		return this.worker.info(WorkerStage.DECODE);
+	}
+
+	@Test
+	void readsAReport() {
+		Assertions.assertThat(this.port.report(info()).block())
+			.isEqualTo(new StageReport(WorkerStage.DECODE, false, 4));
+	}
+
+	@ParameterizedTest
+	@CsvSource({ "200,ACCEPTED", "202,ACCEPTED", "400,REFUSED", "409,CONFLICT", "412,FENCED", "421,REPLACED" })
+	void tellsHowAnOrderWasTaken(int status, OrderResult expected) {
+		this.worker.orderStatus = status;
+		OrderResult r = this.port.order(new StageOrder(info(), WorkerStage.PREFILL, "vm-1", 40, 4)).block();
+		Assertions.assertThat(r).isEqualTo(expected);
+		Assertions.assertThat(this.worker.orders)
+			.containsExactly("{\"operation\":\"stage\",\"stage\":\"prefill\",\"holder\":\"vm-1\","
+					+ "\"fencing_token\":40,\"expected\":4}");
+	}
+
+	// The worker is gone. Whoever gives the order must hear that nothing is known of it.
+	@Test
+	void failsWithoutAnAnswer() {
+		this.worker.stop();
+		Assertions.assertThatThrownBy(() -> this.port.report(info()).block())
+			.hasCauseInstanceOf(EngineLostException.class);
+	}
+
+}
--- a/src/test/java/io/shallotspur/platform/StoreDouble.java
+++ b/src/test/java/io/shallotspur/platform/StoreDouble.java
@@ -59,6 +59,7 @@
 			.host("127.0.0.1")
 			.port(0)
 			.route((r) -> r.get("/api/kv-range", this::range)
+				.get("/api/kv-key", this::key)
 				.get("/api/kv-watch", this::watch)
 				.post("/api/kv-lease", (q, s) -> send(s, 200, lease()))
 				.post("/api/kv-keep/{id}", (q, s) -> send(s, 200, JSON.createObjectNode().put("ttl_ms", 6_000)))
@@ -138,6 +139,10 @@
 			try {
 				JsonNode n = JSON.readTree(body);
 				synchronized (this) {
+					if (!holds(n.path("expected"))) {
+						return Mono.from(send(s, 412, JSON.createObjectNode()));
+					}
+					n.path("remove").forEach((k) -> remove(k.asText()));
 					n.path("puts")
 						.forEach(
 								(p) -> put(p.path("key").asText(), p.path("value").asText(), p.path("lease").asLong()));
@@ -150,6 +155,21 @@
 		});
 	}
 
+	private boolean holds(JsonNode expected) {
+		boolean all = true;
+		for (JsonNode e : expected) {
+			ObjectNode item = this.items.get(e.path("key").asText());
+			long revision = (item != null) ? item.path("revision").asLong() : 0;
+			all &= revision == e.path("revision").asLong();
+		}
+		return all;
+	}
+
+	private synchronized Publisher<Void> key(HttpServerRequest q, HttpServerResponse s) {
+		ObjectNode item = this.items.get(param(q, "key", ""));
+		return (item != null) ? send(s, 200, item) : send(s, 404, JSON.createObjectNode());
+	}
+
 	private synchronized Publisher<Void> range(HttpServerRequest q, HttpServerResponse s) {
 		this.ranges.incrementAndGet();
 		String after = param(q, "after", "");
--- a/src/test/java/io/shallotspur/platform/WorkerDouble.java
+++ b/src/test/java/io/shallotspur/platform/WorkerDouble.java
@@ -16,6 +16,9 @@
 import reactor.netty.http.server.HttpServerRequest;
 import reactor.netty.http.server.HttpServerResponse;
 
+import io.shallotspur.gateway.WorkerInfo;
+import io.shallotspur.gateway.WorkerStage;
+
 /**
  * A stand-in for a worker of either kind. Behaves well unless a behaviour was queued for
  * the next request. Thread-safe.
@@ -30,6 +33,10 @@
 
 	final AtomicInteger cancelled = new AtomicInteger();
 
+	final List<String> orders = new CopyOnWriteArrayList<>();
+
+	volatile int orderStatus = 202;
+
 	private final DisposableServer server;
 
 	private final String id;
@@ -49,6 +56,10 @@
 				this.server.port(), state, this.stage);
 	}
 
+	WorkerInfo info(WorkerStage does) {
+		return new WorkerInfo(this.id, "llm", "127.0.0.1", this.server.port(), "hall-a", 6, does, false, 0);
+	}
+
 	void stop() {
 		this.server.disposeNow();
 	}
@@ -61,6 +72,14 @@
 		if (q.uri().equals("/api/hold-take")) {
 			return s.sendString(Mono.just("{\"hold\":\"h1\"}"));
 		}
+		if (q.uri().equals("/api/report")) {
+			return s
+				.sendString(Mono.just("{\"stage\":\"%s\",\"busy\":false,\"sequence_number\":4}".formatted(this.stage)));
+		}
+		if (q.uri().equals("/api/order")) {
+			this.orders.add(body);
+			return s.status(this.orderStatus).send();
+		}
 		if (q.uri().startsWith("/api/")) {
 			return s.send();
 		}
--- /dev/null
+++ b/src/test/java/io/shallotspur/registry/DutyTests.java
@@ -0,0 +1,122 @@
+package io.shallotspur.registry;
+
+import org.assertj.core.api.Assertions;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+import io.shallotspur.gateway.EntryVms;
+import io.shallotspur.gateway.ManualTimer;
+import io.shallotspur.gateway.WorkerStage;
+
+/**
+ * Tests of {@link Duty}.
+ */
+class DutyTests {
+
+	private static final long TURN_MS = 3_000;
+
+	private static final String SELF = "vms/b";
+
+	private final ManualTimer timer = new ManualTimer();
+
+	private final FakeRegistry registry = new FakeRegistry();
+
+	private final EntryVms vms = new EntryVms();
+
+	private final VmRegistration registration = new VmRegistration(this.registry,
+			new RegistryChange.VmSeen(SELF, "10.0.0.2:80", "hall-a"), this.timer);
+
+	private final Duty duty = new Duty(this.registry, this.registration, this.vms, SELF, TURN_MS, this.timer::now);
+
+	@BeforeEach
+	void register() {
+		this.registration.start();
+		this.vms.seen(SELF, "10.0.0.2:80", "hall-a");
+	}
+
+	private void ask(long afterMs) {
+		this.timer.advance(afterMs);
+		this.duty.askIfFree(this.timer.now());
+	}
+
+	private void hold(String vm, long revision) {
+		this.registry.holder = new RegistryChange.DutyHeld(vm, revision);
+		this.duty.seen(this.registry.holder, this.timer.now());
+	}
+
+	@Test
+	void asksForAFreeDutyOnce() {
+		ask(1_100);
+		Assertions.assertThat(this.registry.claims).isEqualTo(1);
+		hold(SELF, 7);
+		ask(5_000);
+		Assertions.assertThat(this.registry.claims).isEqualTo(1);
+		Assertions.assertThat(this.duty.fence()).isEqualTo(7);
+	}
+
+	// A hundred VMs notice at once that the holder has died. If all asked, the store
+	// would have a hundred calls to refuse.
+	@Test
+	void letsTheVmsBeforeItAskFirst() {
+		this.vms.seen("vms/a", "10.0.0.1:80", "hall-a");
+		ask(1_100);
+		Assertions.assertThat(this.registry.claims).isZero();
+		ask(400);
+		Assertions.assertThat(this.registry.claims).isEqualTo(1);
+	}
+
+	// The holder before it may have sent an order just before it died. Orders of two VMs
+	// that arrive interleaved would undo one another.
+	@Test
+	void waitsForATurnBeforeItActs() {
+		hold(SELF, 7);
+		this.timer.advance(TURN_MS);
+		Assertions.assertThat(this.duty.mayAct(this.timer.now())).isFalse();
+		this.timer.advance(2_000);
+		Assertions.assertThat(this.duty.mayAct(this.timer.now())).isTrue();
+	}
+
+	@Test
+	void doesNotActForAnother() {
+		hold("vms/a", 7);
+		this.timer.advance(60_000);
+		Assertions.assertThat(this.duty.mayAct(this.timer.now())).isFalse();
+	}
+
+	// The VM was paused for longer than its lease; another has taken over and this one
+	// has not heard. It must not give an order with the old fencing number.
+	@Test
+	void isNotConfirmedOnceAnotherHasTakenOver() {
+		hold(SELF, 7);
+		Assertions.assertThat(this.duty.confirm().block()).isTrue();
+		this.registry.holder = new RegistryChange.DutyHeld("vms/a", 9);
+		Assertions.assertThat(this.duty.confirm().block()).isFalse();
+		Assertions.assertThat(this.duty.announce("w1", WorkerStage.DECODE).block()).isFalse();
+		Assertions.assertThat(this.registry.marks).isEmpty();
+	}
+
+	// Its own registration lapsed and was made again: the duty went with the old lease
+	// and comes back with a higher number.
+	@Test
+	void beginsANewTurnWithANewNumber() {
+		hold(SELF, 7);
+		this.timer.advance(10_000);
+		this.duty.seen(null, this.timer.now());
+		Assertions.assertThat(this.duty.mayAct(this.timer.now())).isFalse();
+		hold(SELF, 12);
+		Assertions.assertThat(this.duty.mayAct(this.timer.now())).isFalse();
+		Assertions.assertThat(this.duty.fence()).isEqualTo(12);
+	}
+
+	@Test
+	void asksAgainLaterWhenTheStoreIsAway() {
+		this.registry.away = true;
+		ask(1_100);
+		ask(100);
+		Assertions.assertThat(this.registry.claims).isEqualTo(1);
+		this.registry.away = false;
+		ask(1_100);
+		Assertions.assertThat(this.registry.claims).isEqualTo(2);
+	}
+
+}
--- a/src/test/java/io/shallotspur/registry/FakeRegistry.java
+++ b/src/test/java/io/shallotspur/registry/FakeRegistry.java
@@ -3,21 +3,26 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.Optional;
 
 import org.jspecify.annotations.Nullable;
 import reactor.core.publisher.Mono;
 import reactor.core.publisher.Sinks;
 
 import io.shallotspur.exc.StoreUnavailableException;
+import io.shallotspur.gateway.WorkerStage;
 
 /**
  * A registry whose answers the test gives by hand. A call that nothing was prepared for
  * stays open.
  */
-final class FakeRegistry implements Registry {
+public final class FakeRegistry implements Registry {
 
-	final Deque<RegistryNews> listings = new ArrayDeque<>();
+	/** What the next listings bring. */
+	public final Deque<RegistryNews> listings = new ArrayDeque<>();
 
 	final List<Long> watchedAfter = new ArrayList<>();
 
@@ -25,6 +30,14 @@
 
 	long lastWaitMs;
 
+	/** What is announced of workers. */
+	public final Map<String, WorkerStage> marks = new HashMap<>();
+
+	/** Who holds the duty. */
+	public RegistryChange.@Nullable DutyHeld holder;
+
+	int claims;
+
 	int leases;
 
 	int renewals;
@@ -76,6 +89,32 @@
 		return Mono.just(true);
 	}
 
+	@Override
+	public Mono<Boolean> claim(String vm, long lease) {
+		this.claims++;
+		return this.away ? unavailable() : Mono.just(true);
+	}
+
+	@Override
+	public Mono<Optional<RegistryChange.DutyHeld>> duty() {
+		return this.away ? unavailable() : Mono.just(Optional.ofNullable(this.holder));
+	}
+
+	@Override
+	public Mono<Boolean> mark(String worker, WorkerStage stage, long fence, long lease) {
+		boolean mine = this.holder != null && this.holder.revision() == fence;
+		if (mine) {
+			this.marks.put(worker, stage);
+		}
+		return this.away ? unavailable() : Mono.just(mine);
+	}
+
+	@Override
+	public Mono<Void> unmark(String worker) {
+		this.marks.remove(worker);
+		return Mono.empty();
+	}
+
 	static <T> Mono<T> unavailable() {
 		return Mono.error(new StoreUnavailableException("away", "test"));
 	}
--- /dev/null
+++ b/src/test/java/io/shallotspur/stage/StageKeeperTests.java
@@ -0,0 +1,166 @@
+package io.shallotspur.stage;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+
+import com.codahale.metrics.MetricRegistry;
+import org.assertj.core.api.Assertions;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+import io.shallotspur.gateway.DecisionLog;
+import io.shallotspur.gateway.Gateway;
+import io.shallotspur.gateway.GatewayPorts;
+import io.shallotspur.gateway.GatewaySettings;
+import io.shallotspur.gateway.ManualTimer;
+import io.shallotspur.gateway.NopWorkers;
+import io.shallotspur.gateway.RelayMetrics;
+import io.shallotspur.gateway.WorkerInfo;
+import io.shallotspur.gateway.WorkerStage;
+import io.shallotspur.registry.Duty;
+import io.shallotspur.registry.FakeRegistry;
+import io.shallotspur.registry.RegistryChange;
+import io.shallotspur.registry.RegistryFollower;
+import io.shallotspur.registry.RegistryNews;
+import io.shallotspur.registry.VmRegistration;
+import io.shallotspur.route.EngineSpec;
+import io.shallotspur.route.IngressLimits;
+import io.shallotspur.route.RouteTable;
+import io.shallotspur.route.UpstreamSpec;
+
+/**
+ * Tests of {@link StageKeeper} and {@link StageSwitch}: three workers that prefill and
+ * three that decode, of which one too many prefills.
+ */
+class StageKeeperTests {
+
+	private static final String SELF = "vms/me";
+
+	private static final long FENCE = 40;
+
+	private final ManualTimer timer = new ManualTimer();
+
+	private final FakeRegistry registry = new FakeRegistry();
+
+	private final FakeStagePort port = new FakeStagePort();
+
+	private final Gateway gateway = new Gateway(new GatewaySettings("vm-1", "hall-a", 0.2, 50, 10_000),
+			new GatewayPorts(new NopWorkers(), this.timer, this.timer::now, () -> 0.5, new DecisionLog(0),
+					new RelayMetrics(new MetricRegistry())));
+
+	private final RegistryFollower follower = new RegistryFollower(this.registry, this.gateway, this.timer,
+			this.timer::now, () -> 0.5, 2_000);
+
+	@BeforeEach
+	void start() {
+		RegistryChange.VmSeen self = new RegistryChange.VmSeen(SELF, "10.0.0.9:80", "hall-a");
+		VmRegistration registration = new VmRegistration(this.registry, self, this.timer);
+		Duty duty = new Duty(this.registry, registration, this.gateway.vms(), SELF, 3_000, this.timer::now);
+		StageKeeper keeper = new StageKeeper("vm-1", this.gateway, duty, this.port, this.timer, this.timer::now);
+		this.registry.holder = new RegistryChange.DutyHeld(SELF, FENCE);
+		this.registry.listings.add(new RegistryNews(50, listing()));
+		this.follower.own(SELF, () -> {
+		});
+		this.follower.duty(duty);
+		this.follower.start();
+		registration.start();
+		keeper.start();
+	}
+
+	private List<RegistryChange> listing() {
+		EngineSpec engine = new EngineSpec(48, 42_411, 327_680, 3_300_000, 500, 2_000);
+		List<RegistryChange> l = new ArrayList<>();
+		l.add(new RegistryChange.Configured(
+				new RouteTable(1, List.of(), List.of(new UpstreamSpec("llm", 100, engine)), IngressLimits.DEFAULT)));
+		l.add(new RegistryChange.DutyHeld(SELF, FENCE));
+		for (String hall : List.of("a", "b", "c")) {
+			l.add(new RegistryChange.WorkerSeen(worker("p-" + hall, hall, WorkerStage.PREFILL)));
+			l.add(new RegistryChange.WorkerSeen(worker("d-" + hall, hall, WorkerStage.DECODE)));
+		}
+		return l;
+	}
+
+	private static WorkerInfo worker(String id, String hall, WorkerStage stage) {
+		return new WorkerInfo(id, "llm", "10.0.1.1", 80, hall, 48, stage, false, 0);
+	}
+
+	// Six workers of which three prefill and are a quarter busy, while callers wait for
+	// memory at the other three.
+	@Test
+	void hasOnePrefillWorkerChangeOver() {
+		this.timer.advance(8_000);
+		Assertions.assertThat(this.port.orders).hasSize(1);
+		StageOrder o = this.port.orders.get(0);
+		Assertions.assertThat(o.stage()).isEqualTo(WorkerStage.DECODE);
+		Assertions.assertThat(o.worker().stage()).isEqualTo(WorkerStage.PREFILL);
+		Assertions.assertThat(o.fence()).isEqualTo(FENCE);
+		Assertions.assertThat(o.holder()).isEqualTo("vm-1");
+		Assertions.assertThat(this.registry.marks).isEqualTo(Map.of(o.worker().id(), WorkerStage.DECODE));
+		this.port.done(o.worker().id(), WorkerStage.DECODE);
+		seen(worker(o.worker().id(), "a", WorkerStage.DECODE));
+		this.timer.advance(60_000);
+		Assertions.assertThat(this.port.orders).hasSize(1);
+	}
+
+	// The former holder may have sent an order just before it died.
+	@Test
+	void waitsForItsTurn() {
+		this.timer.advance(4_000);
+		Assertions.assertThat(this.port.orders).isEmpty();
+	}
+
+	// The order was accepted and its answer lost. Given again at once it would be a
+	// second order, and one of the two could undo a later one.
+	@Test
+	void readsBackAnOrderWhoseAnswerWasLost() {
+		this.port.losesAnswers = true;
+		this.timer.advance(30_000);
+		Assertions.assertThat(this.port.orders).hasSize(1);
+	}
+
+	// The order was lost on its way, or is still under way. It is given again with the
+	// same number of accepted orders, so that the worker takes one of them only.
+	@Test
+	void givesALostOrderAgainForTheSameCount() {
+		this.port.losesOrders = true;
+		this.timer.advance(30_000);
+		Assertions.assertThat(this.port.orders.size()).isBetween(2, 9);
+		Assertions.assertThat(this.port.orders).allMatch((o) -> o.expectedOrders() == 0);
+	}
+
+	// An order without effect: the worker prefills as before, and if it stayed announced
+	// nobody would use it any more.
+	@Test
+	void withdrawsTheAnnouncementOfAWorkerThatStaysAsItIs() {
+		this.port.result = OrderResult.REFUSED;
+		this.timer.advance(8_000);
+		Assertions.assertThat(this.port.orders).hasSize(1);
+		Assertions.assertThat(this.registry.marks).isEmpty();
+	}
+
+	// The VM was paused after it had announced a change, and another has taken over the
+	// duty meanwhile.
+	@Test
+	void givesNoOrderOnceAnotherHoldsTheDuty() {
+		this.timer.advance(5_100);
+		Assertions.assertThat(this.registry.marks).hasSize(1);
+		Assertions.assertThat(this.port.orders).isEmpty();
+		this.registry.holder = new RegistryChange.DutyHeld("vms/other", FENCE + 5);
+		this.timer.advance(20_000);
+		Assertions.assertThat(this.port.orders).isEmpty();
+	}
+
+	@Test
+	void givesNoOrderWithoutTheStore() {
+		this.timer.advance(5_100);
+		this.registry.holder = null;
+		this.timer.advance(20_000);
+		Assertions.assertThat(this.port.orders).isEmpty();
+	}
+
+	private void seen(WorkerInfo w) {
+		this.gateway.roster().seen(w, this.timer.now());
+	}
+
+}
--- /dev/null
+++ b/src/test/java/io/shallotspur/stage/StageSplitTests.java
@@ -0,0 +1,96 @@
+package io.shallotspur.stage;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.DoubleRange;
+import net.jqwik.api.constraints.IntRange;
+import org.assertj.core.api.Assertions;
+import org.junit.jupiter.api.Test;
+
+import io.shallotspur.route.EngineSpec;
+
+/**
+ * Tests of {@link StageSplit}, with the loads it answers.
+ */
+class StageSplitTests {
+
+	// 42,411 tokens of memory, prompts of 3,200 tokens, answers of 830 in 3.5 s.
+	private static final StageLoad LONG_ANSWERS = new StageLoad(103, 3_600, 10);
+
+	// Prefill takes half again as long, and decode workers are many.
+	private static final StageLoad SLOW_PREFILL = new StageLoad(157, 3_650, 9);
+
+	private static final StageLoad SHORT_ANSWERS = new StageLoad(400, 200, 10);
+
+	private static int split(int prefill, int decode, StageLoad load) {
+		return StageSplit.prefillWorkers(prefill, decode, load, StageSplit.MEASURED_GAIN);
+	}
+
+	// Long answers fill the memory of three decode workers while three prefill workers
+	// are a quarter busy. Callers wait for seconds and are refused.
+	@Test
+	void givesIdlePrefillWorkersToDecode() {
+		Assertions.assertThat(split(3, 3, LONG_ANSWERS)).isEqualTo(2);
+		Assertions.assertThat(LONG_ANSWERS.perSecond(2, 4)).isGreaterThan(1.3 * LONG_ANSWERS.perSecond(3, 3));
+	}
+
+	@Test
+	void leavesWorkersWhereBothStagesAreBusy() {
+		Assertions.assertThat(split(3, 5, SLOW_PREFILL)).isEqualTo(3);
+		Assertions.assertThat(split(2, 4, LONG_ANSWERS)).isEqualTo(2);
+	}
+
+	@Test
+	void sharesOutAFleet() {
+		StageLoad load = new StageLoad(157, 3_650, 6);
+		int p = split(24, 39, load);
+		Assertions.assertThat(p).isBetween(13, 17);
+		Assertions.assertThat(load.perSecond(p, 63 - p)).isGreaterThan(1.2 * load.perSecond(24, 39));
+	}
+
+	@Test
+	void givesDecodeWorkersToPrefillWhenAnswersAreShort() {
+		Assertions.assertThat(split(1, 5, SHORT_ANSWERS)).isGreaterThan(2);
+	}
+
+	// Nothing has come yet. A fleet of few decode workers is not left as it is until
+	// callers have waited, and one that is about right is not touched.
+	@Test
+	void assumesAnOrdinaryLoadBeforeTheFirstRequests() {
+		StageLoad few = StageLoad.unseen(new EngineSpec(48, 42_411, 327_680, 3_300_000, 500, 2_000));
+		Assertions.assertThat(StageSplit.prefillWorkers(3, 3, few, StageSplit.ASSUMED_GAIN)).isEqualTo(2);
+		StageLoad right = StageLoad.unseen(new EngineSpec(64, 36_068, 18_432, 170_000, 500, 2_000));
+		Assertions.assertThat(StageSplit.prefillWorkers(3, 5, right, StageSplit.ASSUMED_GAIN)).isEqualTo(3);
+	}
+
+	@Property(tries = 2_000, seed = "20")
+	void keepsOneOfEachAndNeverBearsLess(@ForAll @IntRange(min = 1, max = 80) int prefill,
+			@ForAll @IntRange(min = 1, max = 80) int decode,
+			@ForAll @DoubleRange(min = 1, max = 3_000) double prefillMs,
+			@ForAll @DoubleRange(min = 50, max = 60_000) double decodeMs,
+			@ForAll @DoubleRange(min = 0.5, max = 64) double places) {
+		StageLoad load = new StageLoad(prefillMs, decodeMs, places);
+		int p = split(prefill, decode, load);
+		Assertions.assertThat(p).isBetween(1, prefill + decode - 1);
+		if (p != prefill) {
+			Assertions.assertThat(load.perSecond(p, prefill + decode - p))
+				.isGreaterThanOrEqualTo(1.1 * load.perSecond(prefill, decode) * 0.999);
+		}
+	}
+
+	// A share that was just chosen must not be changed back by the next look.
+	@Property(tries = 2_000, seed = "21")
+	void doesNotGoBackAndForth(@ForAll @IntRange(min = 1, max = 60) int prefill,
+			@ForAll @IntRange(min = 1, max = 60) int decode,
+			@ForAll @DoubleRange(min = 10, max = 2_000) double prefillMs,
+			@ForAll @DoubleRange(min = 50, max = 60_000) double decodeMs,
+			@ForAll @DoubleRange(min = 1, max = 64) double places) {
+		StageLoad load = new StageLoad(prefillMs, decodeMs, places);
+		int all = prefill + decode;
+		int first = split(prefill, decode, load);
+		int second = split(first, all - first, load);
+		int third = split(second, all - second, load);
+		Assertions.assertThat(Integer.signum(second - first) * Integer.signum(third - second)).isNotNegative();
+	}
+
+}
