A leaving VM answers whoever comes until its last moment

VMs that were told to leave closed their listener after 3 s and went on for up to 5 s with their last streams; callers with an old address found nobody. While the store is away no VM hears of the leaving, and a VM that starts again knows no configuration.

Change: the listener stays open until nothing is in progress, to the end of the grace if the store is away; what cannot be answered by then is refused as not run with advice to come back at once.

--- a/src/main/java/io/shallotspur/gateway/Gateway.java
+++ b/src/main/java/io/shallotspur/gateway/Gateway.java
@@ -26,6 +26,12 @@
 
 	private static final int NOT_FOUND = 404;
 
+	// The callers of a VM that leaves go to another one, which is there already, ms.
+	private static final long ELSEWHERE_MS = 50;
+
+	// Estimates of answers are right at the median only.
+	private static final double ANSWER_MARGIN = 1.5;
+
 	final GatewaySettings settings;
 
 	final WorkerPort workers;
@@ -54,7 +60,12 @@
 
 	private @Nullable RouteTable table;
 
-	private int inProgress;
+	// Read by the thread that waits for the end.
+	private volatile int inProgress;
+
+	private long refusesFrom = Long.MAX_VALUE;
+
+	private long endsAt = Long.MAX_VALUE;
 
 	/**
 	 * Creates a gateway that knows no configuration and no workers.
@@ -120,6 +131,31 @@
 		return this.times.computeIfAbsent(upstream, (u) -> new EngineTimes());
 	}
 
+	/**
+	 * Says that this VM ends. Callers who still have its address would find nobody, and
+	 * some have but one try left, so it answers to the end: what cannot be answered in
+	 * time is refused as not run.
+	 * @param fromMs until when requests are taken whatever they need
+	 * @param endMs when the last answer has to be whole
+	 */
+	public void leave(long fromMs, long endMs) {
+		this.refusesFrom = fromMs;
+		this.endsAt = endMs;
+	}
+
+	private boolean tooLate(Route route, RelayRequest r, long now) {
+		if (now < this.refusesFrom) {
+			return false;
+		}
+		long most = Math.min(r.waitMs(), route.timeoutMs());
+		PromptShape p = r.prompt();
+		if (p != null) {
+			long answer = holdQueue(route.chooseUpstream(0)).answerMs(p.likelyOutputTokens());
+			most = Math.min(most, route.targetMs() + (long) (ANSWER_MARGIN * answer));
+		}
+		return now + most > this.endsAt;
+	}
+
 	/**
 	 * Returns how many requests are in progress.
 	 * @return the number of requests
@@ -148,6 +184,11 @@
 			return () -> {
 			};
 		}
+		if (tooLate(r.get(), request, now)) {
+			refuse(request, answer, RelayRefusal.notRun(RefusalReason.LEAVING, ELSEWHERE_MS), now);
+			return () -> {
+			};
+		}
 		this.metrics.arrived(r.get().name());
 		this.inProgress++;
 		RelayTask task = new RelayTask(this, t, r.get(), request, answer, now);
--- a/src/main/java/io/shallotspur/gateway/RefusalReason.java
+++ b/src/main/java/io/shallotspur/gateway/RefusalReason.java
@@ -10,6 +10,9 @@
 	/** No configuration is known yet. */
 	NO_CONFIGURATION,
 
+	/** This VM is about to end, and the answer would not be whole by then. */
+	LEAVING,
+
 	/** No route matches host and path. */
 	NO_ROUTE,
 
--- a/src/main/java/io/shallotspur/platform/PlatformVm.java
+++ b/src/main/java/io/shallotspur/platform/PlatformVm.java
@@ -37,6 +37,9 @@
 	// The process is gone this long before it would be killed, ms.
 	private static final long GRACE_MARGIN_MS = 400;
 
+	// Nobody is let in any more this long before the end, ms: a refusal takes a few ms.
+	private static final long LAST_REFUSAL_MS = 300;
+
 	private static final long DRAIN_POLL_MS = 50;
 
 	private final PlatformSettings settings;
@@ -127,15 +130,22 @@
 	 */
 	void drain() {
 		long begin = this.clock.getAsLong();
+		long end = begin + this.settings.graceMs() - GRACE_MARGIN_MS;
+		long late = begin + Math.min(LATE_CALLERS_MS, this.settings.graceMs() / 2);
 		Logger.info("[run] stopping in-progress={}", this.gateway.inProgress());
-		this.loop.execute(this::leave);
-		pause(Math.min(LATE_CALLERS_MS, this.settings.graceMs() / 2));
-		// From here on no request begins that could not be finished. Callers who still
-		// have this address find no listener and take another at once.
+		this.loop.execute(() -> leave(late, end));
+		pause(late - begin);
+		// Callers who still have this address would find nobody while the last streams go
+		// on here. Without the store they keep it, since no VM hears that this one
+		// leaves,
+		// and a VM that starts again knows no configuration; so it stays to the end.
+		while (this.clock.getAsLong() < end - LAST_REFUSAL_MS
+				&& (this.gateway.inProgress() > 0 || this.follower.away())) {
+			pause(DRAIN_POLL_MS);
+		}
 		this.servers.get(0).dispose();
 		this.loop.execute(this.ingress::closeIdle);
-		long last = begin + this.settings.graceMs() - GRACE_MARGIN_MS;
-		while (this.gateway.inProgress() > 0 && this.clock.getAsLong() < last) {
+		while (this.gateway.inProgress() > 0 && this.clock.getAsLong() < end) {
 			pause(DRAIN_POLL_MS);
 		}
 		Logger.info("[run] stopped left-in-progress={}", this.gateway.inProgress());
@@ -168,8 +178,9 @@
 		return this.servers.get(2).port();
 	}
 
-	private void leave() {
+	private void leave(long late, long end) {
 		this.leaving = true;
+		this.gateway.leave(late, end);
 		this.stages.stop();
 		this.ingress.closeAfterAnswers();
 		this.registration.end().timeout(Duration.ofMillis(GRACE_MARGIN_MS)).onErrorComplete().subscribe();
--- a/src/main/java/io/shallotspur/registry/RegistryFollower.java
+++ b/src/main/java/io/shallotspur/registry/RegistryFollower.java
@@ -80,7 +80,7 @@
 
 	private long awayAt = Long.MIN_VALUE / 2;
 
-	private boolean away = true;
+	private volatile boolean away = true;
 
 	private long retryMs = RETRY_MS;
 
@@ -141,6 +141,14 @@
 		this.call.dispose();
 	}
 
+	/**
+	 * Tells whether the store answered when it was last asked.
+	 * @return {@code true} if it did not
+	 */
+	public boolean away() {
+		return this.away;
+	}
+
 	/**
 	 * Tells whether the registry has been read since the start.
 	 * @return {@code true} once it has been
--- a/src/main/java/io/shallotspur/stage/StageKeeper.java
+++ b/src/main/java/io/shallotspur/stage/StageKeeper.java
@@ -36,6 +36,11 @@
 	// a change over and of a few answers.
 	private static final long SETTLE_MS = 10_000;
 
+	// A worker that crashes is back within some seconds, ms. Shared out again at once,
+	// the
+	// others would be one short in the other stage when it returns.
+	private static final long LASTING_MS = 5_000;
+
 	// Decode workers that leave at a time, as a part of all workers: prompts can wait or
 	// be prefilled elsewhere, answers cannot.
 	private static final double MOST_LEAVING = 0.125;
@@ -56,6 +61,9 @@
 
 	private final Map<String, Long> settledAt = new HashMap<>();
 
+	// Since when another split has been wanted.
+	private final Map<String, Long> wantedSince = new HashMap<>();
+
 	private boolean stopped;
 
 	/**
@@ -111,7 +119,6 @@
 	}
 
 	private void look(String upstream, EngineSpec engine, long now) {
-		EngineTimes times = this.gateway.times(upstream);
 		boolean settled = now - this.settledAt.getOrDefault(upstream, now - SETTLE_MS) >= SETTLE_MS;
 		boolean busy = this.running.values().stream().anyMatch((s) -> s.worker().upstream().equals(upstream));
 		if (!settled || busy) {
@@ -122,22 +129,34 @@
 		for (WorkerInfo w : this.gateway.roster().staying(upstream, now)) {
 			((w.stage() != WorkerStage.PREFILL) ? decode : prefill).add(w);
 		}
-		if (prefill.isEmpty() || decode.isEmpty()) {
-			return;
+		if (!prefill.isEmpty() && !decode.isEmpty()) {
+			share(upstream, engine, prefill, decode, now);
 		}
+	}
+
+	private void share(String upstream, EngineSpec engine, List<WorkerInfo> prefill, List<WorkerInfo> decode,
+			long now) {
+		EngineTimes times = this.gateway.times(upstream);
 		boolean measured = times.samples() >= LEAST_SAMPLES;
 		StageLoad load = measured ? StageLoad.measured(times, engine) : StageLoad.unseen(engine);
 		int best = StageSplit.prefillWorkers(prefill.size(), decode.size(), load,
 				measured ? StageSplit.MEASURED_GAIN : StageSplit.ASSUMED_GAIN);
-		if (best != prefill.size()) {
-			Logger.info("[stage] upstream={} prefill={} decode={} wanted-prefill={} load={} samples={}", upstream,
-					prefill.size(), decode.size(), best, load, times.samples());
+		if (best == prefill.size()) {
+			this.wantedSince.remove(upstream);
+			return;
+		}
+		long since = this.wantedSince.computeIfAbsent(upstream, (u) -> now);
+		if (measured && now - since < LASTING_MS) {
+			return;
 		}
+		this.wantedSince.remove(upstream);
+		Logger.info("[stage] upstream={} prefill={} decode={} wanted-prefill={} load={} samples={}", upstream,
+				prefill.size(), decode.size(), best, load, times.samples());
+		int most = Math.max(1, (int) (MOST_LEAVING * (prefill.size() + decode.size())));
 		if (best < prefill.size()) {
 			change(prefill, decode, prefill.size() - best, WorkerStage.DECODE, now);
 		}
 		else {
-			int most = Math.max(1, (int) (MOST_LEAVING * (prefill.size() + decode.size())));
 			change(decode, prefill, Math.min(most, best - prefill.size()), WorkerStage.PREFILL, now);
 		}
 	}
