Callers and registrations forget a VM that is gone within seconds

Cause: addresses were kept for 3 s (by some callers three times as long), and a dead VM stayed in them for 6 s.

--- a/src/main/java/io/shallotspur/platform/PlatformSettings.java
+++ b/src/main/java/io/shallotspur/platform/PlatformSettings.java
@@ -32,8 +32,9 @@
 	private static final int MS_PER_S = 1_000;
 
 	// Callers ask again this often at least; the shorter, the sooner they leave a VM that
-	// has gone, and the more they ask. An answer costs below a millisecond.
-	private static final double MOST_TTL_S = 3;
+	// has gone, and the more they ask. An answer costs below a millisecond, and some
+	// callers keep it three times as long.
+	private static final double MOST_TTL_S = 1;
 
 	static PlatformSettings read(Path file) throws InputException, SettingsException {
 		Problems p = new Problems(file.toString());
--- a/src/main/java/io/shallotspur/registry/VmRegistration.java
+++ b/src/main/java/io/shallotspur/registry/VmRegistration.java
@@ -15,10 +15,10 @@
 public final class VmRegistration {
 
 	/** How long the registration outlives a VM that dies, in milliseconds. */
-	private static final long TTL_MS = 6_000;
+	private static final long TTL_MS = 3_000;
 
 	// Three renewals in a lease: one or two may be lost.
-	private static final long RENEW_MS = 2_000;
+	private static final long RENEW_MS = 1_000;
 
 	private static final long RETRY_MS = 700;
 
