A randomized soak of the entry VMs as processes

Runs the real program as processes before stand-ins of the platform's store and of workers (places, reservations, KV caches, orders, incarnations), behind loopback proxies that delay, reset, silence or cut one way; kills, pauses, stops and restarts by signals; a store that is away or forgets. What is checked comes from what callers and workers saw: run at most once, refused means not run, whole and ordered answers, no foreign cache, fences that rise, served again, left in time.

--- /dev/null
+++ b/src/test/java/io/shallotspur/platform/soak/Evidence.java
@@ -0,0 +1,134 @@
+package io.shallotspur.platform.soak;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+
+/**
+ * What callers and workers have seen, and what that proves. Thread-safe.
+ */
+final class Evidence {
+
+	private static final Set<Integer> NOT_RUN = Set.of(408, 421, 429, 503);
+
+	private final Map<String, Kind> sent = new ConcurrentHashMap<>();
+
+	private final Map<String, List<String>> runs = new ConcurrentHashMap<>();
+
+	private final Map<String, Integer> refused = new ConcurrentHashMap<>();
+
+	private final Map<String, Long> fences = new ConcurrentHashMap<>();
+
+	private final List<String> broken = new CopyOnWriteArrayList<>();
+
+	void sent(String id, Kind kind) {
+		this.sent.put(id, kind);
+	}
+
+	/**
+	 * A worker begins to work on a request.
+	 * @param id the request
+	 * @param worker the worker
+	 */
+	void run(String id, String worker) {
+		this.runs.computeIfAbsent(id, (i) -> new CopyOnWriteArrayList<>()).add(worker);
+		if (!this.sent.containsKey(id)) {
+			broken("UNASKED id=" + id + " worker=" + worker);
+		}
+	}
+
+	/**
+	 * A worker accepts an order.
+	 * @param worker the worker
+	 * @param fence the order's fencing number
+	 */
+	void ordered(String worker, long fence) {
+		Long before = this.fences.put(worker, fence);
+		if (before != null && before > fence) {
+			broken("ONE worker=" + worker + " fence=" + fence + " after=" + before);
+		}
+	}
+
+	/**
+	 * A caller gets a whole answer.
+	 * @param id its request
+	 * @param status the status
+	 * @param body the body
+	 */
+	void answered(String id, int status, String body) {
+		if (NOT_RUN.contains(status)) {
+			this.refused.put(id, status);
+		}
+		else if (status == 200) {
+			judge(id, body);
+		}
+	}
+
+	private void judge(String id, String body) {
+		List<String> by = this.runs.getOrDefault(id, List.of());
+		if (by.isEmpty()) {
+			broken("MIXED id=" + id + " answered without a run");
+		}
+		else if (this.sent.get(id).stream) {
+			if (!body.equals(SoakWorker.stream(id, 0))) {
+				broken("ORDER id=" + id + " body=\"" + body.replace('\n', '|') + "\"");
+			}
+		}
+		else if (by.stream().noneMatch((w) -> body.equals(SoakWorker.plain(id, w)))) {
+			broken("MIXED id=" + id + " by=" + by + " body=\"" + body + "\"");
+		}
+	}
+
+	void broken(String what) {
+		this.broken.add(what);
+	}
+
+	/**
+	 * Returns what was broken, once nothing runs any more.
+	 * @return the broken promises; empty if all were kept
+	 */
+	List<String> broken() {
+		List<String> l = new ArrayList<>(this.broken);
+		this.runs.forEach((id, by) -> {
+			if (by.size() > 1 && !this.sent.getOrDefault(id, Kind.UNSAFE).repeatable) {
+				l.add("TWICE id=" + id + " by=" + by);
+			}
+			if (this.refused.containsKey(id) && !this.sent.getOrDefault(id, Kind.UNSAFE).repeatable) {
+				l.add("REFUSED id=" + id + " status=" + this.refused.get(id) + " by=" + by);
+			}
+		});
+		return l;
+	}
+
+	String summary() {
+		long ran = this.runs.values().stream().mapToInt(List::size).sum();
+		return "sent=" + this.sent.size() + " runs=" + ran + " refused=" + this.refused.size() + " orders="
+				+ this.fences.size();
+	}
+
+	/**
+	 * What a request is.
+	 */
+	enum Kind {
+
+		SAFE("safe", true, false), UNSAFE("unsafe", false, false), ONCE("once", false, true),
+		RESUMABLE("resume", true, true);
+
+		final String path;
+
+		final boolean repeatable;
+
+		final boolean stream;
+
+		Kind(String path, boolean repeatable, boolean stream) {
+			this.path = path;
+			this.repeatable = repeatable;
+			this.stream = stream;
+		}
+
+	}
+
+}
--- /dev/null
+++ b/src/test/java/io/shallotspur/platform/soak/FaultInjector.java
@@ -0,0 +1,105 @@
+package io.shallotspur.platform.soak;
+
+import java.io.IOException;
+import java.util.List;
+
+import io.shallotspur.platform.StoreDouble;
+
+/**
+ * Makes faults happen, from outside the processes. One VM is struck by one fault of
+ * processes at a time; the others overlap. Used by the thread of one fault.
+ */
+final class FaultInjector {
+
+	private static final long RESTART_MS = 300;
+
+	private final List<VmProcess> vms;
+
+	private final List<SoakWorker> workers;
+
+	private final List<LoopbackProxy> storeProxies;
+
+	private final StoreDouble store;
+
+	private final Evidence evidence;
+
+	private final Runnable publish;
+
+	FaultInjector(List<VmProcess> vms, List<SoakWorker> workers, List<LoopbackProxy> storeProxies, StoreDouble store,
+			Evidence evidence, Runnable publish) {
+		this.vms = vms;
+		this.workers = workers;
+		this.storeProxies = storeProxies;
+		this.store = store;
+		this.evidence = evidence;
+		this.publish = publish;
+	}
+
+	void strike(Fault f) throws IOException, InterruptedException {
+		switch (f.kind()) {
+			case VM_KILL, VM_TERM, VM_PAUSE -> process(f, this.vms.get(f.target()));
+			case ALL_KILL -> killAll();
+			case WORKER_CRASH -> this.workers.get(f.target()).crash();
+			case WORKER_DRAIN -> this.workers.get(f.target()).drain();
+			case WORKER_RESET -> this.workers.get(f.target()).proxy().reset();
+			case WORKER_ONE_WAY -> during(f, this.workers.get(f.target()).proxy(), LoopbackProxy.Mode.ONE_WAY);
+			case WORKER_SILENT -> during(f, this.workers.get(f.target()).proxy(), LoopbackProxy.Mode.SILENT);
+			case WORKER_DELAY -> during(f, this.workers.get(f.target()).proxy(), LoopbackProxy.Mode.DELAY);
+			case STORE_RESET -> this.storeProxies.get(f.target()).reset();
+			case STORE_SILENT -> during(f, this.storeProxies.get(f.target()), LoopbackProxy.Mode.SILENT);
+			case STORE_AWAY -> storeAway(f);
+			case STORE_FORGETS -> this.store.dropHistory();
+			case CONFIGURATION -> this.publish.run();
+		}
+	}
+
+	private void process(Fault f, VmProcess vm) throws IOException, InterruptedException {
+		synchronized (vm) {
+			switch (f.kind()) {
+				case VM_PAUSE -> {
+					vm.pause();
+					Thread.sleep(f.forMs());
+					vm.resume();
+				}
+				case VM_TERM -> {
+					int code = vm.leave();
+					if (code != 0) {
+						this.evidence.broken("LEAVE vm=" + vm.callers() + " code=" + code);
+					}
+					again(vm);
+				}
+				default -> {
+					vm.kill();
+					again(vm);
+				}
+			}
+		}
+	}
+
+	private void killAll() throws IOException, InterruptedException {
+		for (VmProcess vm : this.vms) {
+			synchronized (vm) {
+				vm.kill();
+				again(vm);
+			}
+		}
+	}
+
+	private static void again(VmProcess vm) throws IOException, InterruptedException {
+		Thread.sleep(RESTART_MS);
+		vm.start();
+	}
+
+	private void storeAway(Fault f) throws InterruptedException {
+		this.store.away(true);
+		Thread.sleep(f.forMs());
+		this.store.away(false);
+	}
+
+	private static void during(Fault f, LoopbackProxy p, LoopbackProxy.Mode mode) throws InterruptedException {
+		p.mode(mode);
+		Thread.sleep(f.forMs());
+		p.mode(LoopbackProxy.Mode.PASS);
+	}
+
+}
--- /dev/null
+++ b/src/test/java/io/shallotspur/platform/soak/FaultPlan.java
@@ -0,0 +1,48 @@
+package io.shallotspur.platform.soak;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Random;
+
+/**
+ * The faults of one run, made from its seed. Stateless.
+ */
+final class FaultPlan {
+
+	private static final long LEAST_MS = 300;
+
+	private static final long MOST_MS = 4_000;
+
+	private FaultPlan() {
+	}
+
+	/**
+	 * Makes a plan. Faults overlap; some come in series at one target.
+	 * @param seed the seed
+	 * @param lengthMs the time in which faults begin, in milliseconds
+	 * @param vms how many VMs there are
+	 * @param workers how many workers there are
+	 * @return the faults in the order in which they begin
+	 */
+	static List<Fault> of(long seed, long lengthMs, int vms, int workers) {
+		Random r = new Random(seed);
+		List<Fault> l = new ArrayList<>();
+		Fault.Kind[] kinds = Fault.Kind.values();
+		int n = 3 + (int) (lengthMs / 1_500);
+		while (l.size() < n) {
+			Fault.Kind kind = kinds[r.nextInt(kinds.length)];
+			int most = kind.name().startsWith("WORKER") ? workers : vms;
+			int target = r.nextInt(most);
+			long at = (long) (r.nextDouble() * lengthMs);
+			int series = (r.nextInt(4) == 0) ? 3 : 1;
+			for (int i = 0; i < series; i++) {
+				long lasts = LEAST_MS + (long) (r.nextDouble() * r.nextDouble() * (MOST_MS - LEAST_MS));
+				l.add(new Fault(kind, Math.min(lengthMs, at + i * 900L), lasts, target));
+			}
+		}
+		l.sort(Comparator.comparingLong(Fault::atMs));
+		return l;
+	}
+
+}
