--- a/src/main/java/io/shallotspur/gateway/HoldQueue.java
+++ b/src/main/java/io/shallotspur/gateway/HoldQueue.java
@@ -37,6 +37,14 @@
 	// twice the time in which each of them asks again.
 	private static final long LATE_MS = 300;
 
+	// Between two questions while all workers turn out to be full, ms. With a hundred
+	// workers and as many VMs each VM would ask 270 times a second otherwise, and spend
+	// its processor and theirs on refusals.
+	private static final long PACE_MS = 25;
+
+	// Refusals in a row that show so; fewer workers than this are asked without a pause.
+	private static final int ALL_FULL = 6;
+
 	// Reservations asked for at a time: the way to a worker and back takes 2 ms.
 	private static final int CALLS_AT_ONCE = 4;
 
@@ -76,6 +84,10 @@
 
 	private int calls;
 
+	private int refusals;
+
+	private long nextAskAt;
+
 	private double leadMs = FIRST_LEAD_MS;
 
 	private double streamedMs = FIRST_STREAMED_MS;
@@ -156,18 +168,22 @@
 		if (this.fullUntil.remove(worker) != null) {
 			this.lateUntil.put(worker, now + LATE_MS);
 		}
+		this.nextAskAt = now;
 		pump(now);
 	}
 
 	private void pump(long now) {
 		settle(now);
-		while (this.calls < CALLS_AT_ONCE && !this.queue.isEmpty()) {
+		while (this.calls < CALLS_AT_ONCE && !this.queue.isEmpty() && now >= this.nextAskAt) {
 			Ticket t = this.queue.first();
 			Optional<WorkerState> w = choose(t, now);
 			if (w.isEmpty()) {
 				break;
 			}
 			this.queue.remove(t);
+			if (this.refusals >= ALL_FULL) {
+				this.nextAskAt = now + PACE_MS;
+			}
 			ask(t, w.get(), now);
 		}
 		wakeLater(now);
@@ -232,9 +248,11 @@
 		this.calls--;
 		w.ended(t.waiting.tokens());
 		if (hold != null) {
+			this.refusals = 0;
 			held(t, w, hold, now);
 		}
 		else {
+			this.refusals++;
 			full(w, failure, now);
 			if (!t.over) {
 				this.queue.add(t);
@@ -275,6 +293,9 @@
 		for (Ticket t : this.queue) {
 			at = Math.min(at, t.waiting.waitUntil());
 		}
+		if (this.nextAskAt > now && this.calls < CALLS_AT_ONCE) {
+			at = Math.min(at, this.nextAskAt);
+		}
 		this.cancelTimer = this.g.timer.after(Math.max(1, at - now), () -> pump(this.g.clock.getAsLong()));
 	}
 
--- a/src/main/java/io/shallotspur/registry/RegistryFollower.java
+++ b/src/main/java/io/shallotspur/registry/RegistryFollower.java
@@ -31,9 +31,9 @@
 	private static final long WATCH_MS = 3_000;
 
 	// Changes come in bursts (a release, many workers at a start). One call after a pause
-	// fetches what would take a call each, ms; a tenth of the time in which a
+	// fetches what would take a call each, ms; a quarter of the time in which a
 	// configuration has to be in force.
-	private static final long PAUSE_MS = 150;
+	private static final long PAUSE_MS = 500;
 
 	// Retries after a failure, ms. All VMs lose the store together; half of the pause is
 	// drawn at random, lest they all return in the same moment.
--- a/src/main/java/io/shallotspur/stage/StageSplit.java
+++ b/src/main/java/io/shallotspur/stage/StageSplit.java
@@ -18,7 +18,7 @@
 	/**
 	 * What a change has to bring before any request has come.
 	 */
-	static final double ASSUMED_GAIN = 0.2;
+	static final double ASSUMED_GAIN = 0.15;
 
 	// A worker that changes over is away for seconds and may be needed back; each one has
 	// to bring at least this part of what a worker bears on the average.
--- a/src/main/java/io/shallotspur/stage/StageSwitch.java
+++ b/src/main/java/io/shallotspur/stage/StageSwitch.java
@@ -23,8 +23,8 @@
 final class StageSwitch {
 
 	// All VMs have heard an announcement after this time, ms: they fetch changes within
-	// 150 ms, and a call to the store takes tens of ms when it is slow.
-	private static final long ANNOUNCE_MS = 600;
+	// 500 ms, and a call to the store takes tens of ms when it is slow.
+	private static final long ANNOUNCE_MS = 1_000;
 
 	// A worker is back some seconds after its last request; asking is billed, ms.
 	private static final long POLL_MS = 1_500;
--- a/src/test/java/io/shallotspur/gateway/HoldQueueTests.java
+++ b/src/test/java/io/shallotspur/gateway/HoldQueueTests.java
@@ -72,6 +72,44 @@
 		Assertions.assertThat(this.f.workers.holds).hasSize(2);
 	}
 
+	// A burst on a large fleet: every VM has a request that waits, and all workers are
+	// full. If each VM went through all workers again and again, tens of thousands of
+	// refusals a second would use up the processors of both.
+	@Test
+	void asksAFullFleetAtABoundedRate() {
+		for (int i = 0; i < 40; i++) {
+			this.f.worker("d" + i, "llm", WorkerStage.DECODE);
+		}
+		this.f.prompt("once", 100);
+		int answered = 0;
+		for (int ms = 0; ms < 1_000; ms++) {
+			while (answered < this.f.workers.holds.size()) {
+				hold(answered++).listener().onFull();
+			}
+			this.f.timer.advance(1);
+		}
+		Assertions.assertThat(answered).isBetween(20, 60);
+	}
+
+	// A place that becomes free is asked for at once all the same.
+	@Test
+	void asksAtOnceWhereItsOwnRequestHasEnded() {
+		for (int i = 0; i < 12; i++) {
+			this.f.worker("d" + i, "llm", WorkerStage.DECODE);
+		}
+		this.f.prompt("once", 100);
+		hold(0).listener().onHeld("h1");
+		this.f.prompt("once", 100);
+		for (int i = 1; i < this.f.workers.holds.size(); i++) {
+			hold(i).listener().onFull();
+		}
+		int n = this.f.workers.holds.size();
+		this.f.workers.last().head(200);
+		this.f.workers.last().events(GatewayFixture.EVENTS);
+		this.f.workers.last().listener.onEnd();
+		Assertions.assertThat(this.f.workers.holds.size()).isEqualTo(n + 1);
+	}
+
 	@Test
 	void refusesAsNotRunBeforeTheCallerWouldLeave() {
 		this.f.worker("d1", "llm", WorkerStage.DECODE);
