Small fleets ask and fetch as often as before

Change: the pace holds only for more than six workers; changes are gathered for 6 ms a VM, 150 to 500 ms.

--- a/src/main/java/io/shallotspur/gateway/HoldQueue.java
+++ b/src/main/java/io/shallotspur/gateway/HoldQueue.java
@@ -42,7 +42,8 @@
 	// its processor and theirs on refusals.
 	private static final long PACE_MS = 25;
 
-	// Refusals in a row that show so; fewer workers than this are asked without a pause.
+	// Refusals in a row that show so. No more workers than this are asked less often than
+	// the pace anyway.
 	private static final int ALL_FULL = 6;
 
 	// Reservations asked for at a time: the way to a worker and back takes 2 ms.
@@ -181,7 +182,7 @@
 				break;
 			}
 			this.queue.remove(t);
-			if (this.refusals >= ALL_FULL) {
+			if (this.refusals >= ALL_FULL && t.waiting.candidates(now).size() > ALL_FULL) {
 				this.nextAskAt = now + PACE_MS;
 			}
 			ask(t, w.get(), now);
--- a/src/main/java/io/shallotspur/registry/RegistryFollower.java
+++ b/src/main/java/io/shallotspur/registry/RegistryFollower.java
@@ -31,9 +31,17 @@
 	private static final long WATCH_MS = 3_000;
 
 	// Changes come in bursts (a release, many workers at a start). One call after a pause
-	// fetches what would take a call each, ms; a quarter of the time in which a
-	// configuration has to be in force.
-	private static final long PAUSE_MS = 500;
+	// fetches what would take a call each, ms. Every VM fetches every change, so the
+	// pause
+	// grows with the VMs: with eight, calls cost little and a worker's end should be
+	// known
+	// soon; with eighty-four the calls of each VM had cost 0.05 of all credit. The
+	// longest is a quarter of the time in which a configuration has to be in force.
+	private static final long LEAST_PAUSE_MS = 150;
+
+	private static final long MOST_PAUSE_MS = 500;
+
+	private static final long PAUSE_MS_A_VM = 6;
 
 	// Retries after a failure, ms. All VMs lose the store together; half of the pause is
 	// drawn at random, lest they all return in the same moment.
@@ -227,7 +235,8 @@
 			watch();
 		}
 		else {
-			this.timer.after(PAUSE_MS, this::watch);
+			long pause = PAUSE_MS_A_VM * this.gateway.vms().count(now);
+			this.timer.after(Math.max(LEAST_PAUSE_MS, Math.min(MOST_PAUSE_MS, pause)), this::watch);
 		}
 	}
 
