--- a/src/main/java/io/shallotspur/node/ledger/ShardWriter.java
+++ b/src/main/java/io/shallotspur/node/ledger/ShardWriter.java
@@ -15,9 +15,7 @@
 
 import org.jspecify.annotations.Nullable;
 import org.tinylog.Logger;
-import reactor.core.publisher.Mono;
 
-import io.shallotspur.exc.InputException;
 import io.shallotspur.exc.StoreConflictException;
 import io.shallotspur.exc.StoreUnavailableException;
 import io.shallotspur.ledger.Attempt;
@@ -32,8 +30,6 @@
 import io.shallotspur.ledger.ShardCodec;
 import io.shallotspur.ledger.Verdict;
 import io.shallotspur.outcome.RefusalCode;
-import io.shallotspur.port.KvStore;
-import io.shallotspur.port.StoreRecord;
 
 /**
  * Writes one shard in batches. Any number of nodes may do so at once: the
@@ -54,6 +50,8 @@
 
 	private final ShardLoader loader;
 
+	private final SegmentWriter segments;
+
 	private final Map<Attempt, Pending> intents = new LinkedHashMap<>();
 
 	private final Deque<PendingEnd> ends = new ArrayDeque<>();
@@ -85,6 +83,7 @@
 	ShardWriter(int shard, WriterContext ctx, LedgerLayout layout) {
 		this.ctx = ctx;
 		this.loader = new ShardLoader(shard, ctx, layout);
+		this.segments = new SegmentWriter(ctx);
 	}
 
 	void intend(Intent i, long deadlineAt, Consumer<Verdict> done) {
@@ -372,36 +371,7 @@
 		Segment segment = s.toSegment(this.version);
 		String key = this.loader.slotKey(s.slotOf(segment.ref()));
 		this.nextWriteAt = this.ctx.now() + limits().batchMs();
-		this.ctx.meter().read();
-		this.ctx.timed(this.ctx.store().get(key))
-			.flatMap((r) -> slotState(r, segment))
-			.defaultIfEmpty(new SlotState(true, KvStore.ABSENT))
-			.flatMap((slot) -> storeSegment(key, segment, slot))
-			.subscribe((v) -> sealed(s.withSealed(segment)), this::failed);
-	}
-
-	private static Mono<SlotState> slotState(StoreRecord r, Segment segment) {
-		try {
-			Segment old = ShardCodec.decodeSegment(r.value());
-			return Mono.just(old.ref().equals(segment.ref()) ? SlotState.DONE
-					: new SlotState(old.isOlderThan(segment.ref()), r.version()));
-		}
-		catch (InputException ex) {
-			return Mono.error(ex);
-		}
-	}
-
-	private Mono<Long> storeSegment(String key, Segment segment, SlotState slot) {
-		if (slot == SlotState.DONE) {
-			return Mono.just(0L);
-		}
-		if (!slot.writable()) {
-			// Another node sealed this head while this one was paused. Overwriting its
-			// segment would lose the keys it has more.
-			return Mono.error(new StoreConflictException("the slot holds a newer segment", key));
-		}
-		this.ctx.meter().write(0);
-		return this.ctx.timed(this.ctx.store().compareAndSwap(key, slot.version(), ShardCodec.encode(segment)));
+		this.segments.store(key, segment).subscribe((v) -> sealed(s.withSealed(segment)), this::failed);
 	}
 
 	private void sealed(Shard next) {
@@ -436,10 +406,4 @@
 
 	}
 
-	private record SlotState(boolean writable, long version) {
-
-		static final SlotState DONE = new SlotState(false, -1);
-
-	}
-
 }
--- a/src/test/java/io/shallotspur/platform/soak/SoakWorker.java
+++ b/src/test/java/io/shallotspur/platform/soak/SoakWorker.java
@@ -17,6 +17,7 @@
 import org.reactivestreams.Publisher;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
+import reactor.core.scheduler.Schedulers;
 import reactor.netty.DisposableServer;
 import reactor.netty.http.server.HttpServer;
 import reactor.netty.http.server.HttpServerRequest;
@@ -94,7 +95,8 @@
 		old.server.disposeNow();
 		this.proxy.reset();
 		revive(old);
-		Mono.delay(Duration.ofMillis(1_500)).subscribe((t) -> this.store.remove(old.key()));
+		Mono.delay(Duration.ofMillis(1_500), Schedulers.boundedElastic())
+			.subscribe((t) -> this.store.remove(old.key()));
 	}
 
 	/**
@@ -104,7 +106,7 @@
 	synchronized void drain() {
 		Life old = this.life;
 		register("draining");
-		Mono.delay(Duration.ofMillis(2_300)).subscribe((t) -> {
+		Mono.delay(Duration.ofMillis(2_300), Schedulers.boundedElastic()).subscribe((t) -> {
 			this.store.remove(old.key());
 			old.server.disposeNow();
 			revive(old);
--- a/src/test/java/io/shallotspur/platform/soak/VmProcess.java
+++ b/src/test/java/io/shallotspur/platform/soak/VmProcess.java
@@ -4,6 +4,8 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -17,6 +19,13 @@
 
 	private static final int ENDED_BY_TERM = 128 + 15;
 
+	// A harness that is ended itself leaves none of its processes behind.
+	private static final Set<Process> STARTED = ConcurrentHashMap.newKeySet();
+
+	static {
+		Runtime.getRuntime().addShutdownHook(new Thread(() -> STARTED.forEach(Process::destroyForcibly)));
+	}
+
 	private final int number;
 
 	private final Path dir;
@@ -57,6 +66,8 @@
 			.redirectErrorStream(true)
 			.redirectOutput(ProcessBuilder.Redirect.appendTo(log().toFile()))
 			.start();
+		STARTED.add(this.process);
+		this.process.onExit().thenAccept(STARTED::remove);
 	}
 
 	private String settings() {
