Count the prefill in the time that a place takes

The time from a place to the first event was measured from the send to the decode worker, after the prefill, though the queue takes it for the whole way; so a place went to requests for which it came just too late.

Change: measured from the reservation, with its mean deviation.

--- a/src/main/java/io/shallotspur/gateway/HoldQueue.java
+++ b/src/main/java/io/shallotspur/gateway/HoldQueue.java
@@ -91,6 +91,8 @@
 
 	private double leadMs = FIRST_LEAD_MS;
 
+	private double leadDeviationMs = FIRST_LEAD_MS / 4;
+
 	private double streamedMs = FIRST_STREAMED_MS;
 
 	private double streamedTokens = FIRST_STREAMED_TOKENS;
@@ -104,11 +106,13 @@
 	}
 
 	/**
-	 * Returns how long it takes from a place to the first event, prefill included.
-	 * @return a running mean, in milliseconds
+	 * Returns how long it takes from a place to the first event, prefill included, for
+	 * four requests in five. A request that is given a place with less time left is
+	 * likely answered late, and the place is lost to one that could be in time.
+	 * @return the running mean and its mean deviation, in milliseconds
 	 */
 	long leadMs() {
-		return (long) this.leadMs;
+		return (long) (this.leadMs + this.leadDeviationMs);
 	}
 
 	/**
@@ -126,6 +130,7 @@
 	}
 
 	void firstByte(long ms) {
+		this.leadDeviationMs += LEAD_WEIGHT * (Math.abs(ms - this.leadMs) - this.leadDeviationMs);
 		this.leadMs += LEAD_WEIGHT * (ms - this.leadMs);
 	}
 
--- a/src/main/java/io/shallotspur/gateway/RelayTask.java
+++ b/src/main/java/io/shallotspur/gateway/RelayTask.java
@@ -167,7 +167,7 @@
 		this.g.metrics.firstByte(this.route.name(), now - this.arrivedAt);
 		if (this.attempt != null) {
 			String id = this.attempt.worker().info().id();
-			this.g.firstByte(this.upstream, now - this.attemptAt);
+			this.g.firstByte(this.upstream, now - Math.max(this.arrivedAt, this.placing.heldAt()));
 			this.g.roster.detector(this.upstream).succeeded(id, now - this.attemptAt, now);
 			this.attempt.worker().outcome(false);
 		}
--- a/src/main/java/io/shallotspur/stage/StageKeeper.java
+++ b/src/main/java/io/shallotspur/stage/StageKeeper.java
@@ -36,9 +36,9 @@
 	// a change over and of a few answers.
 	private static final long SETTLE_MS = 10_000;
 
-	// A worker that crashes is back within some seconds, ms. Shared out again at once,
-	// the
-	// others would be one short in the other stage when it returns.
+	// Workers that crash are back within some seconds, ms. Shared out again at once, the
+	// others would be short in the other stage when those return. Before the first
+	// answers there is no time to lose.
 	private static final long LASTING_MS = 5_000;
 
 	// Decode workers that leave at a time, as a part of all workers: prompts can wait or
@@ -127,7 +127,12 @@
 		List<WorkerInfo> prefill = new ArrayList<>();
 		List<WorkerInfo> decode = new ArrayList<>();
 		for (WorkerInfo w : this.gateway.roster().staying(upstream, now)) {
-			((w.stage() != WorkerStage.PREFILL) ? decode : prefill).add(w);
+			if (w.stage() == WorkerStage.PREFILL) {
+				prefill.add(w);
+			}
+			else if (w.stage() == WorkerStage.DECODE) {
+				decode.add(w);
+			}
 		}
 		if (!prefill.isEmpty() && !decode.isEmpty()) {
 			share(upstream, engine, prefill, decode, now);
@@ -146,7 +151,7 @@
 			return;
 		}
 		long since = this.wantedSince.computeIfAbsent(upstream, (u) -> now);
-		if (measured && now - since < LASTING_MS) {
+		if (times.samples() > 0 && now - since < LASTING_MS) {
 			return;
 		}
 		this.wantedSince.remove(upstream);
--- a/src/test/java/io/shallotspur/gateway/HoldQueueTests.java
+++ b/src/test/java/io/shallotspur/gateway/HoldQueueTests.java
@@ -91,6 +91,26 @@
 		Assertions.assertThat(answered).isBetween(20, 60);
 	}
 
+	// Prefills take a quarter of the time to the first event. If a place were thought to
+	// lead to an answer at once, requests that wait would be given one when it is just
+	// too late for them, and all answers of a burst would be late by a little.
+	@Test
+	void countsThePrefillInTheTimeThatAPlaceTakes() {
+		this.f.worker("d1", "llm", WorkerStage.DECODE);
+		this.f.worker("f1", "llm", WorkerStage.PREFILL);
+		for (int i = 0; i < 100; i++) {
+			this.f.prompt("once", 3_000);
+			hold(i).listener().onHeld("h" + i);
+			this.f.timer.advance(250);
+			this.f.workers.prefills.get(i).listener.onReady("kv" + i);
+			this.f.timer.advance(30);
+			this.f.workers.last().head(200);
+			this.f.workers.last().events(GatewayFixture.EVENTS);
+			this.f.workers.last().listener.onEnd();
+		}
+		Assertions.assertThat(this.f.gateway.holdQueue("llm").leadMs()).isBetween(270L, 320L);
+	}
+
 	// A place that becomes free is asked for at once all the same.
 	@Test
 	void asksAtOnceWhereItsOwnRequestHasEnded() {
