--- /dev/null
+++ b/src/test/java/io/shallotspur/platform/soak/EvidenceTests.java
@@ -0,0 +1,96 @@
+package io.shallotspur.platform.soak;
+
+import java.util.List;
+
+import org.assertj.core.api.Assertions;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Tests of what the soak judges: each broken promise is found, and nothing else.
+ */
+class EvidenceTests {
+
+	private final Evidence evidence = new Evidence();
+
+	private List<String> broken() {
+		return this.evidence.broken().stream().map((b) -> b.substring(0, b.indexOf(' '))).toList();
+	}
+
+	@Test
+	void findsNothingInAGoodRun() {
+		this.evidence.sent("a", Evidence.Kind.UNSAFE);
+		this.evidence.run("a", "w1");
+		this.evidence.answered("a", 200, SoakWorker.plain("a", "w1"));
+		this.evidence.sent("b", Evidence.Kind.ONCE);
+		this.evidence.run("b", "w2");
+		this.evidence.answered("b", 200, SoakWorker.stream("b", 0));
+		this.evidence.sent("c", Evidence.Kind.UNSAFE);
+		this.evidence.answered("c", 503, "workers-full");
+		this.evidence.sent("d", Evidence.Kind.SAFE);
+		this.evidence.run("d", "w1");
+		this.evidence.run("d", "w2");
+		this.evidence.answered("d", 502, "worker-lost");
+		Assertions.assertThat(broken()).isEmpty();
+	}
+
+	@Test
+	void findsASecondRun() {
+		this.evidence.sent("a", Evidence.Kind.ONCE);
+		this.evidence.run("a", "w1");
+		this.evidence.run("a", "w2");
+		Assertions.assertThat(broken()).containsExactly("TWICE");
+	}
+
+	// The run can come long after the refusal.
+	@Test
+	void findsARunOfWhatWasRefused() {
+		this.evidence.sent("a", Evidence.Kind.UNSAFE);
+		this.evidence.answered("a", 503, "workers-full");
+		this.evidence.run("a", "w1");
+		Assertions.assertThat(broken()).containsExactly("REFUSED");
+	}
+
+	@Test
+	void findsAnswersThatAreNotTheWorkers() {
+		this.evidence.sent("a", Evidence.Kind.UNSAFE);
+		this.evidence.run("a", "w1");
+		this.evidence.answered("a", 200, SoakWorker.plain("b", "w1"));
+		this.evidence.sent("c", Evidence.Kind.UNSAFE);
+		this.evidence.answered("c", 200, SoakWorker.plain("c", "w1"));
+		Assertions.assertThat(broken()).containsExactly("MIXED", "MIXED");
+	}
+
+	@Test
+	void findsStreamsWithGapsDoublesAndEarlyEnds() {
+		for (String id : List.of("a", "b", "c")) {
+			this.evidence.sent(id, Evidence.Kind.RESUMABLE);
+			this.evidence.run(id, "w1");
+		}
+		this.evidence.answered("a", 200, SoakWorker.stream("a", 1));
+		this.evidence.answered("b", 200, SoakWorker.stream("b", 0) + "id: 12\ndata: b 12\n\n");
+		this.evidence.answered("c", 200, "id: 1\ndata: c 1\n\n");
+		Assertions.assertThat(broken()).containsExactly("ORDER", "ORDER", "ORDER");
+	}
+
+	@Test
+	void findsRunsThatNobodyAskedFor() {
+		this.evidence.run("x", "w1");
+		Assertions.assertThat(broken()).containsExactly("UNASKED");
+	}
+
+	@Test
+	void findsAnOrderOfAFormerHolder() {
+		this.evidence.ordered("w1", 9);
+		this.evidence.ordered("w2", 8);
+		this.evidence.ordered("w1", 8);
+		Assertions.assertThat(broken()).containsExactly("ONE");
+	}
+
+	// The same seed must give the same faults, or a failure could not be played again.
+	@Test
+	void plansTheSameFaultsForASeed() {
+		Assertions.assertThat(FaultPlan.of(7, 12_000, 4, 9)).isEqualTo(FaultPlan.of(7, 12_000, 4, 9));
+		Assertions.assertThat(FaultPlan.of(8, 12_000, 4, 9)).isNotEqualTo(FaultPlan.of(7, 12_000, 4, 9));
+	}
+
+}
