Remove members of the gateway that nothing reads

HoldQueue.size, WorkerState.running and tokens with the counts behind it, RelayMetrics.cachesHeld, StageSwitch.stage; the times of Gateway.leave are named for what they are. No behaviour changes.

--- a/src/main/java/io/shallotspur/gateway/Gateway.java
+++ b/src/main/java/io/shallotspur/gateway/Gateway.java
@@ -135,12 +135,13 @@
 	 * Says that this VM ends. Callers who still have its address would find nobody, and
 	 * some have but one try left, so it answers to the end: what cannot be answered in
 	 * time is refused as not run.
-	 * @param fromMs until when requests are taken whatever they need
-	 * @param endMs when the last answer has to be whole
+	 * @param late from when on requests are refused that would take too long, on the
+	 * clock of the gateway
+	 * @param end when the last answer has to be whole, on the same clock
 	 */
-	public void leave(long fromMs, long endMs) {
-		this.refusesFrom = fromMs;
-		this.endsAt = endMs;
+	public void leave(long late, long end) {
+		this.refusesFrom = late;
+		this.endsAt = end;
 	}
 
 	private boolean tooLate(Route route, RelayRequest r, long now) {
--- a/src/main/java/io/shallotspur/gateway/HoldQueue.java
+++ b/src/main/java/io/shallotspur/gateway/HoldQueue.java
@@ -134,10 +134,6 @@
 		this.leadMs += LEAD_WEIGHT * (ms - this.leadMs);
 	}
 
-	int size() {
-		return this.queue.size();
-	}
-
 	/**
 	 * Adds a request.
 	 * @param w the request
@@ -222,7 +218,7 @@
 
 	private void ask(Ticket t, WorkerState w, long now) {
 		this.calls++;
-		w.started(t.waiting.tokens());
+		w.started();
 		this.g.workers.hold(w.info(), t.waiting.tokens(), t.waiting.holdMs(), new HoldListener() {
 
 			@Override
@@ -252,7 +248,7 @@
 	private void answered(Ticket t, WorkerState w, @Nullable String hold, @Nullable ExchangeFailure failure) {
 		long now = this.g.clock.getAsLong();
 		this.calls--;
-		w.ended(t.waiting.tokens());
+		w.ended();
 		if (hold != null) {
 			this.refusals = 0;
 			held(t, w, hold, now);
--- a/src/main/java/io/shallotspur/gateway/PrefillStep.java
+++ b/src/main/java/io/shallotspur/gateway/PrefillStep.java
@@ -16,8 +16,6 @@
 
 	private final WorkerState worker;
 
-	private final int tokens;
-
 	private final Consumer<Result> then;
 
 	private @Nullable Exchange exchange;
@@ -33,19 +31,17 @@
 	 * Creates a step.
 	 * @param g the gateway
 	 * @param worker the prefill worker
-	 * @param tokens the tokens of the prompt
 	 * @param then told of the result, once, unless the step is cancelled
 	 */
-	PrefillStep(Gateway g, WorkerState worker, int tokens, Consumer<Result> then) {
+	PrefillStep(Gateway g, WorkerState worker, Consumer<Result> then) {
 		this.g = g;
 		this.worker = worker;
-		this.tokens = tokens;
 		this.then = then;
 	}
 
 	void start(WorkerCall call, long limitMs) {
 		this.startedAt = this.g.clock.getAsLong();
-		this.worker.started(this.tokens);
+		this.worker.started();
 		this.cancelTimer = this.g.timer.after(limitMs, () -> onFailure(new ExchangeFailure(true, "no answer")));
 		Exchange e = this.g.workers.prefill(call, this);
 		this.exchange = e;
@@ -110,7 +106,7 @@
 	private void end() {
 		this.over = true;
 		this.cancelTimer.run();
-		this.worker.ended(this.tokens);
+		this.worker.ended();
 	}
 
 	/**
--- a/src/main/java/io/shallotspur/gateway/RelayMetrics.java
+++ b/src/main/java/io/shallotspur/gateway/RelayMetrics.java
@@ -52,8 +52,4 @@
 		this.registry.counter("relay.broken-off").inc();
 	}
 
-	void cachesHeld(int change) {
-		this.registry.counter("relay.caches-held").inc(change);
-	}
-
 }
--- a/src/main/java/io/shallotspur/gateway/RelayTask.java
+++ b/src/main/java/io/shallotspur/gateway/RelayTask.java
@@ -87,7 +87,7 @@
 	@Override
 	public void ready(WorkerState w, WorkerCall call, long now) {
 		this.attemptAt = now;
-		w.started(tokens());
+		w.started();
 		this.g.roster.detector(this.upstream).started(w.info().id(), now);
 		Attempt a = new Attempt(this, w, this.route.kind() == RouteKind.STREAM, this.begun);
 		this.attempt = a;
@@ -117,10 +117,6 @@
 		log(now, what);
 	}
 
-	private int tokens() {
-		return (this.request.prompt() != null) ? this.request.prompt().reservedTokens() : 0;
-	}
-
 	@Override
 	public void load(AnswerHead head) {
 		long now = this.g.clock.getAsLong();
@@ -344,7 +340,7 @@
 	private void endAttempt() {
 		if (this.attempt != null) {
 			WorkerState w = this.attempt.worker();
-			w.ended(tokens());
+			w.ended();
 			prefillOver();
 			this.attempt = null;
 			this.g.freed(this.upstream, w.info().id());
--- a/src/main/java/io/shallotspur/gateway/WorkerState.java
+++ b/src/main/java/io/shallotspur/gateway/WorkerState.java
@@ -26,8 +26,6 @@
 
 	private int running;
 
-	private long tokens;
-
 	private int prefilling;
 
 	private @Nullable LoadReport report;
@@ -75,14 +73,12 @@
 		return now >= this.unreachableUntil;
 	}
 
-	void started(int requestTokens) {
+	void started() {
 		this.running++;
-		this.tokens += requestTokens;
 	}
 
-	void ended(int requestTokens) {
+	void ended() {
 		this.running--;
-		this.tokens -= requestTokens;
 	}
 
 	// The start or end of a prefill that this VM has a decode worker do itself.
@@ -94,14 +90,6 @@
 		return this.prefilling;
 	}
 
-	int running() {
-		return this.running;
-	}
-
-	long tokens() {
-		return this.tokens;
-	}
-
 	boolean cold(long now) {
 		return now < this.coldUntil;
 	}
--- a/src/main/java/io/shallotspur/stage/StageSwitch.java
+++ b/src/main/java/io/shallotspur/stage/StageSwitch.java
@@ -68,10 +68,6 @@
 		this.then = then;
 	}
 
-	WorkerStage stage() {
-		return this.stage;
-	}
-
 	WorkerInfo worker() {
 		return this.worker;
 	}
