--- a/src/main/java/io/shallotspur/gateway/Gateway.java
+++ b/src/main/java/io/shallotspur/gateway/Gateway.java
@@ -29,9 +29,6 @@
 	// The callers of a VM that leaves go to another one, which is there already, ms.
 	private static final long ELSEWHERE_MS = 50;
 
-	// Estimates of answers are right at the median only.
-	private static final double ANSWER_MARGIN = 1.5;
-
 	final GatewaySettings settings;
 
 	final WorkerPort workers;
@@ -152,7 +149,7 @@
 		PromptShape p = r.prompt();
 		if (p != null) {
 			long answer = holdQueue(route.chooseUpstream(0)).answerMs(p.likelyOutputTokens());
-			most = Math.min(most, route.targetMs() + (long) (ANSWER_MARGIN * answer));
+			most = Math.min(most, route.targetMs() + (long) (RetryAdvice.ANSWER_MARGIN * answer));
 		}
 		return now + most > this.endsAt;
 	}
--- a/src/main/java/io/shallotspur/gateway/RetryAdvice.java
+++ b/src/main/java/io/shallotspur/gateway/RetryAdvice.java
@@ -25,8 +25,8 @@
 	private static final double SPREAD = 0.4;
 
 	// Estimates of answers are right at the median only, and the caller may have to wait
-	// for a place when it is back.
-	private static final double ANSWER_MARGIN = 1.5;
+	// for a place.
+	static final double ANSWER_MARGIN = 1.5;
 
 	private RetryAdvice() {
 	}
--- a/src/main/java/io/shallotspur/platform/PlatformVm.java
+++ b/src/main/java/io/shallotspur/platform/PlatformVm.java
@@ -136,9 +136,8 @@
 		this.loop.execute(() -> leave(late, end));
 		pause(late - begin);
 		// Callers who still have this address would find nobody while the last streams go
-		// on here. Without the store they keep it, since no VM hears that this one
-		// leaves,
-		// and a VM that starts again knows no configuration; so it stays to the end.
+		// on here. Without the store they keep it, as no VM hears that this one leaves;
+		// and a VM that starts then knows no configuration. So it stays to the end.
 		while (this.clock.getAsLong() < end - LAST_REFUSAL_MS
 				&& (this.gateway.inProgress() > 0 || this.follower.away())) {
 			pause(DRAIN_POLL_MS);
