One place for what recent requests took at an upstream's engines

HoldQueue kept the time to the first event and the time of an answer, EngineTimes the time of prefills and answers and the memory set aside, and the gateway passed each figure on to both. EngineTimes keeps all; HoldQueue only waits and asks, and no queue is made for a plain upstream or for an estimate any more. For an upstream whose engines take no reservations the figures now begin with the first answer and not with the first refusal.

--- a/src/main/java/io/shallotspur/gateway/Gateway.java
+++ b/src/main/java/io/shallotspur/gateway/Gateway.java
@@ -148,7 +148,7 @@
 		long most = Math.min(r.waitMs(), route.timeoutMs());
 		PromptShape p = r.prompt();
 		if (p != null) {
-			long answer = holdQueue(route.chooseUpstream(0)).answerMs(p.likelyOutputTokens());
+			long answer = times(route.chooseUpstream(0)).answerMs(p.likelyOutputTokens());
 			most = Math.min(most, route.targetMs() + (long) (RetryAdvice.ANSWER_MARGIN * answer));
 		}
 		return now + most > this.endsAt;
@@ -217,19 +217,4 @@
 		}
 	}
 
-	void firstByte(String upstream, long ms) {
-		HoldQueue q = this.holdQueues.get(upstream);
-		if (q != null) {
-			q.firstByte(ms);
-		}
-	}
-
-	void streamed(String upstream, long ms, int likelyTokens, int reservedTokens) {
-		times(upstream).streamed(ms, reservedTokens);
-		HoldQueue q = this.holdQueues.get(upstream);
-		if (q != null) {
-			q.streamed(ms, likelyTokens);
-		}
-	}
-
 }
--- a/src/main/java/io/shallotspur/gateway/HoldQueue.java
+++ b/src/main/java/io/shallotspur/gateway/HoldQueue.java
@@ -52,20 +52,6 @@
 	// A queue beyond this is worth more than the longest wait allowed, requests.
 	private static final int MOST_WAITING = 64;
 
-	// Until the first answers have shown it, ms: a prefill of 3,000 tokens
-	// and a transfer.
-	private static final double FIRST_LEAD_MS = 200;
-
-	private static final double LEAD_WEIGHT = 0.05;
-
-	// The last fifty answers or so tell how long a token takes.
-	private static final double STREAMED_DECAY = 0.98;
-
-	// Until answers have shown it: 500 tokens in 3.5 s.
-	private static final double FIRST_STREAMED_MS = 3_500;
-
-	private static final double FIRST_STREAMED_TOKENS = 500;
-
 	private static final Comparator<Ticket> ORDER = Comparator.comparing((Ticket t) -> t.late)
 		.thenComparingInt((t) -> t.waiting.priority())
 		.thenComparingLong((t) -> t.waiting.latestStart())
@@ -89,14 +75,6 @@
 
 	private long nextAskAt;
 
-	private double leadMs = FIRST_LEAD_MS;
-
-	private double leadDeviationMs = FIRST_LEAD_MS / 4;
-
-	private double streamedMs = FIRST_STREAMED_MS;
-
-	private double streamedTokens = FIRST_STREAMED_TOKENS;
-
 	private Runnable cancelTimer = () -> {
 	};
 
@@ -105,35 +83,6 @@
 		this.upstream = upstream;
 	}
 
-	/**
-	 * Returns how long it takes from a place to the first event, prefill included, for
-	 * four requests in five. A request that is given a place with less time left is
-	 * likely answered late, and the place is lost to one that could be in time.
-	 * @return the running mean and its mean deviation, in milliseconds
-	 */
-	long leadMs() {
-		return (long) (this.leadMs + this.leadDeviationMs);
-	}
-
-	/**
-	 * Returns how long an answer takes from its first event to its last.
-	 * @param likelyTokens the caller's estimate of its tokens
-	 * @return milliseconds, as long as recent answers took for each estimated token
-	 */
-	long answerMs(int likelyTokens) {
-		return (long) (likelyTokens * this.streamedMs / this.streamedTokens);
-	}
-
-	void streamed(long ms, int likelyTokens) {
-		this.streamedMs = STREAMED_DECAY * this.streamedMs + ms;
-		this.streamedTokens = STREAMED_DECAY * this.streamedTokens + Math.max(1, likelyTokens);
-	}
-
-	void firstByte(long ms) {
-		this.leadDeviationMs += LEAD_WEIGHT * (Math.abs(ms - this.leadMs) - this.leadDeviationMs);
-		this.leadMs += LEAD_WEIGHT * (ms - this.leadMs);
-	}
-
 	/**
 	 * Adds a request.
 	 * @param w the request
--- a/src/main/java/io/shallotspur/gateway/Placing.java
+++ b/src/main/java/io/shallotspur/gateway/Placing.java
@@ -135,7 +135,7 @@
 
 	@Override
 	public long latestStart() {
-		return this.askedAt + this.route.targetMs() - this.g.holdQueue(this.upstream).leadMs();
+		return this.askedAt + this.route.targetMs() - this.g.times(this.upstream).leadMs();
 	}
 
 	@Override
@@ -152,7 +152,7 @@
 	 */
 	long answerMs() {
 		PromptShape p = this.request.prompt();
-		return (p != null) ? this.g.holdQueue(this.upstream).answerMs(p.likelyOutputTokens()) : 0;
+		return (p != null) ? this.g.times(this.upstream).answerMs(p.likelyOutputTokens()) : 0;
 	}
 
 	@Override
--- a/src/main/java/io/shallotspur/gateway/RelayTask.java
+++ b/src/main/java/io/shallotspur/gateway/RelayTask.java
@@ -163,7 +163,7 @@
 		this.g.metrics.firstByte(this.route.name(), now - this.arrivedAt);
 		if (this.attempt != null) {
 			String id = this.attempt.worker().info().id();
-			this.g.firstByte(this.upstream, now - Math.max(this.arrivedAt, this.placing.heldAt()));
+			this.g.times(this.upstream).firstByte(now - Math.max(this.arrivedAt, this.placing.heldAt()));
 			this.g.roster.detector(this.upstream).succeeded(id, now - this.attemptAt, now);
 			this.attempt.worker().outcome(false);
 		}
@@ -176,9 +176,9 @@
 			firstByte();
 		}
 		this.g.metrics.answered(this.route.name(), now - this.arrivedAt);
-		if (inParts && this.request.prompt() != null && this.request.lastEventId() == null) {
-			PromptShape p = this.request.prompt();
-			this.g.streamed(this.upstream, now - this.firstAt, p.likelyOutputTokens(), p.reservedTokens());
+		PromptShape p = this.request.prompt();
+		if (inParts && p != null && this.request.lastEventId() == null) {
+			this.g.times(this.upstream).streamed(now - this.firstAt, p);
 		}
 		log(now, "answered status=" + head.status() + times());
 		endAttempt();
--- a/src/test/java/io/shallotspur/gateway/HoldQueueTests.java
+++ b/src/test/java/io/shallotspur/gateway/HoldQueueTests.java
@@ -108,7 +108,7 @@
 			this.f.workers.last().events(GatewayFixture.EVENTS);
 			this.f.workers.last().listener.onEnd();
 		}
-		Assertions.assertThat(this.f.gateway.holdQueue("llm").leadMs()).isBetween(270L, 320L);
+		Assertions.assertThat(this.f.gateway.times("llm").leadMs()).isBetween(270L, 320L);
 	}
 
 	// A place that becomes free is asked for at once all the same.
