Header fields are chosen once for each message; prompt parts are not parsed

RequestDecoder and AnswerDecoder had the same loop, and it read and split the Connection field again for each header field of each message. Names.relayed does both in one pass. The parts of a prompt were parsed and copied for each request and read by nothing; the header itself is handed on as before.

--- a/src/main/java/io/shallotspur/gateway/PromptShape.java
+++ b/src/main/java/io/shallotspur/gateway/PromptShape.java
@@ -1,7 +1,5 @@
 package io.shallotspur.gateway;
 
-import java.util.List;
-
 /**
  * What a request says of its prompt. Immutable.
  *
@@ -9,22 +7,13 @@
  * @param maxOutputTokens most tokens of the answer
  * @param likelyOutputTokens the caller's estimate of the tokens of the answer; right at
  * the median and often far off
- * @param partIds the ids of the prompt's parts, in order; the last one belongs to the
- * request or its session alone
  */
-public record PromptShape(int promptTokens, int maxOutputTokens, int likelyOutputTokens, List<String> partIds) {
+public record PromptShape(int promptTokens, int maxOutputTokens, int likelyOutputTokens) {
 
 	// Tokens set aside beyond the likely answer. Without them 21 to 22 requests were
 	// dropped in a day of bursts, with them 4 to 11.
 	private static final int MARGIN = 256;
 
-	/**
-	 * Creates a shape; the list is copied.
-	 */
-	public PromptShape {
-		partIds = List.copyOf(partIds);
-	}
-
 	/**
 	 * Returns the memory to be set aside for the request: its prompt, the likely answer
 	 * and a margin. Requests at a worker are at different points of their answers, and
--- a/src/main/java/io/shallotspur/platform/AnswerDecoder.java
+++ b/src/main/java/io/shallotspur/platform/AnswerDecoder.java
@@ -1,16 +1,11 @@
 package io.shallotspur.platform;
 
-import java.util.ArrayList;
-import java.util.List;
-import java.util.Map;
-
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import org.jspecify.annotations.Nullable;
 
 import io.shallotspur.gateway.AnswerHead;
 import io.shallotspur.gateway.AnswerOrigin;
-import io.shallotspur.gateway.HeaderField;
 import io.shallotspur.gateway.LoadReport;
 
 /**
@@ -27,15 +22,9 @@
 	}
 
 	static AnswerHead head(String requestId, int status, HttpHeaders h) {
-		List<HeaderField> fields = new ArrayList<>();
-		for (Map.Entry<String, String> e : h) {
-			if (Names.relayed(e.getKey(), h)) {
-				fields.add(new HeaderField(e.getKey(), e.getValue()));
-			}
-		}
 		boolean other = status == MISDIRECTED;
 		boolean notRun = h.contains(Names.NOT_RUN) || other;
-		return new AnswerHead(status, fields, origin(requestId, h), notRun, other, load(h.get(Names.LOAD)));
+		return new AnswerHead(status, Names.relayed(h), origin(requestId, h), notRun, other, load(h.get(Names.LOAD)));
 	}
 
 	private static AnswerOrigin origin(String requestId, HttpHeaders h) {
--- a/src/main/java/io/shallotspur/platform/Names.java
+++ b/src/main/java/io/shallotspur/platform/Names.java
@@ -1,10 +1,16 @@
 package io.shallotspur.platform;
 
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
 import java.util.Locale;
+import java.util.Map;
 import java.util.Set;
 
 import io.netty.handler.codec.http.HttpHeaders;
 
+import io.shallotspur.gateway.HeaderField;
+
 /**
  * Names of the platform's header fields, calls and keys.
  */
@@ -33,9 +39,6 @@
 	/** The caller's estimate of the output tokens. */
 	static final String LENGTH_HINT = "X-Length-Hint";
 
-	/** The parts of the prompt, ID:TOKENS each, separated by commas. */
-	static final String PROMPT_PARTS = "X-Prompt-Prefix";
-
 	static final String LAST_EVENT = "Last-Event-Id";
 
 	/** The rank at the worker, 0 to 9; 0 is first. */
@@ -87,19 +90,33 @@
 	private Names() {
 	}
 
-	static boolean relayed(String name, HttpHeaders headers) {
-		String n = name.toLowerCase(Locale.ROOT);
-		if (NOT_RELAYED.contains(n)) {
-			return false;
+	/**
+	 * Returns the fields that are handed on: all but those of one connection and those
+	 * that only the system may set.
+	 * @param headers the fields that came
+	 * @return the fields in their order
+	 */
+	static List<HeaderField> relayed(HttpHeaders headers) {
+		Set<String> ofConnection = ofConnection(headers);
+		List<HeaderField> l = new ArrayList<>();
+		for (Map.Entry<String, String> e : headers) {
+			String n = e.getKey().toLowerCase(Locale.ROOT);
+			if (!NOT_RELAYED.contains(n) && !ofConnection.contains(n)) {
+				l.add(new HeaderField(e.getKey(), e.getValue()));
+			}
 		}
+		return l;
+	}
+
+	// What the sender itself names as fields of its connection.
+	private static Set<String> ofConnection(HttpHeaders headers) {
+		Set<String> names = new HashSet<>();
 		for (String listed : headers.getAll("Connection")) {
 			for (String one : listed.split(",")) {
-				if (one.strip().equalsIgnoreCase(n)) {
-					return false;
-				}
+				names.add(one.strip().toLowerCase(Locale.ROOT));
 			}
 		}
-		return true;
+		return names;
 	}
 
 }
--- a/src/main/java/io/shallotspur/platform/Rehearsal.java
+++ b/src/main/java/io/shallotspur/platform/Rehearsal.java
@@ -64,7 +64,7 @@
 		return HttpClient.create().headers((h) -> {
 			h.set(HttpHeaderNames.HOST, "h").set(Names.REQUEST_ID, "r").set(Names.TIME_LEFT, "800");
 			if (prompt) {
-				h.set(Names.TOKEN_COUNTS, "900,100").set(Names.LENGTH_HINT, "50").set(Names.PROMPT_PARTS, "a:9");
+				h.set(Names.TOKEN_COUNTS, "900,100").set(Names.LENGTH_HINT, "50");
 			}
 		})
 			.request(path.startsWith("/api/") ? HttpMethod.GET : HttpMethod.POST)
--- a/src/main/java/io/shallotspur/platform/RequestDecoder.java
+++ b/src/main/java/io/shallotspur/platform/RequestDecoder.java
@@ -1,15 +1,10 @@
 package io.shallotspur.platform;
 
-import java.util.ArrayList;
-import java.util.List;
-import java.util.Map;
-
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import org.jspecify.annotations.Nullable;
 
 import io.shallotspur.exc.InputException;
-import io.shallotspur.gateway.HeaderField;
 import io.shallotspur.gateway.PromptShape;
 import io.shallotspur.gateway.RelayRequest;
 
@@ -37,13 +32,8 @@
 		if (id == null || id.isEmpty() || host == null || !target.startsWith("/")) {
 			throw new InputException("The request names no id, host or path.", target);
 		}
-		List<HeaderField> fields = new ArrayList<>();
-		for (Map.Entry<String, String> e : h) {
-			if (Names.relayed(e.getKey(), h)) {
-				fields.add(new HeaderField(e.getKey(), e.getValue()));
-			}
-		}
-		return new RelayRequest(id, method, target, host, fields, body, waitMs(h), prompt(h), h.get(Names.LAST_EVENT));
+		return new RelayRequest(id, method, target, host, Names.relayed(h), body, waitMs(h), prompt(h),
+				h.get(Names.LAST_EVENT));
 	}
 
 	private static long waitMs(HttpHeaders h) throws InputException {
@@ -59,15 +49,9 @@
 		String[] c = counts.split(",");
 		int in = (int) number(c[0], Names.TOKEN_COUNTS);
 		int out = (c.length > 1) ? (int) number(c[1], Names.TOKEN_COUNTS) : 0;
-		List<String> parts = new ArrayList<>();
-		String p = h.get(Names.PROMPT_PARTS);
-		for (String s : (p != null) ? p.split(",") : new String[0]) {
-			int colon = s.indexOf(':');
-			parts.add(((colon > 0) ? s.substring(0, colon) : s).strip());
-		}
 		String hint = h.get(Names.LENGTH_HINT);
 		int likely = (hint != null) ? Math.min(out, (int) number(hint, Names.LENGTH_HINT)) : out;
-		return new PromptShape(in, out, likely, parts);
+		return new PromptShape(in, out, likely);
 	}
 
 	private static double number(String v, String field) throws InputException {
--- a/src/test/java/io/shallotspur/gateway/GatewayFixture.java
+++ b/src/test/java/io/shallotspur/gateway/GatewayFixture.java
@@ -73,7 +73,7 @@
 	}
 
 	Call prompt(String route, int tokens) {
-		return call(route, 14_000, new PromptShape(tokens, 1_190, 400, List.of("a", "b")));
+		return call(route, 14_000, new PromptShape(tokens, 1_190, 400));
 	}
 
 	Call call(String route, long waitMs, @Nullable PromptShape prompt) {
--- a/src/test/java/io/shallotspur/gateway/HoldQueueTests.java
+++ b/src/test/java/io/shallotspur/gateway/HoldQueueTests.java
@@ -1,7 +1,5 @@
 package io.shallotspur.gateway;
 
-import java.util.List;
-
 import org.assertj.core.api.Assertions;
 import org.junit.jupiter.api.Test;
 
@@ -168,7 +166,7 @@
 		this.f.worker("d1", "llm", WorkerStage.DECODE);
 		this.f.prompt("once", 3_333);
 		hold(0).listener().onFull();
-		PromptShape p = new PromptShape(1_111, 1_190, 400, List.of());
+		PromptShape p = new PromptShape(1_111, 1_190, 400);
 		this.f.call("once", 10_000, p);
 		this.f.timer.advance(250);
 		Assertions.assertThat(hold(1).tokens()).isGreaterThan(3_333);
@@ -196,7 +194,7 @@
 	@Test
 	void refusesAtOnceWhatCannotEndInTime() {
 		this.f.worker("d1", "llm", WorkerStage.DECODE);
-		PromptShape p = new PromptShape(3_000, 1_190, 1_190, List.of());
+		PromptShape p = new PromptShape(3_000, 1_190, 1_190);
 		Assertions.assertThat(this.f.call("once", 14_000, p).caller().answers).isZero();
 		Assertions.assertThat(this.f.call("once", 8_000, p).caller().status).isEqualTo(503);
 		Assertions.assertThat(this.f.workers.holds).hasSize(1);
