One client for the system's own calls to workers, one spelling of stages

Reservations, their return, reports and orders each put together the address, the expected worker and, with a body, its type and length. WorkerClient does it for all. The name of a stage on the wire is made in EntryDecoder, beside its decoding, and no longer in three places.

--- a/src/main/java/io/shallotspur/platform/EntryDecoder.java
+++ b/src/main/java/io/shallotspur/platform/EntryDecoder.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.Base64;
+import java.util.Locale;
 import java.util.Optional;
 
 import com.fasterxml.jackson.databind.JsonNode;
@@ -91,6 +92,10 @@
 		return new RegistryChange.VmSeen(key, v.path("address").asText(), v.path("hall").asText());
 	}
 
+	static String encode(WorkerStage stage) {
+		return stage.name().toLowerCase(Locale.ROOT);
+	}
+
 	static String encode(RegistryChange.VmSeen vm) {
 		return encode(JSON.createObjectNode().put("address", vm.address()).put("hall", vm.hall()));
 	}
--- a/src/main/java/io/shallotspur/platform/HttpStagePort.java
+++ b/src/main/java/io/shallotspur/platform/HttpStagePort.java
@@ -1,16 +1,12 @@
 package io.shallotspur.platform;
 
 import java.io.IOException;
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
-import java.util.Locale;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import io.netty.buffer.Unpooled;
-import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
 import reactor.core.publisher.Mono;
-import reactor.netty.http.client.HttpClient;
 
 import io.shallotspur.exc.EngineLostException;
 import io.shallotspur.gateway.WorkerInfo;
@@ -36,24 +32,23 @@
 	// off or loses answers, ms.
 	private static final long TIMEOUT_MS = 500;
 
-	private final HttpClient client;
+	private final WorkerClient workers;
 
 	private final Loop loop;
 
 	/**
 	 * Creates a port.
-	 * @param client the client of all calls to workers
+	 * @param workers the client
 	 * @param loop the event loop
 	 */
-	HttpStagePort(HttpClient client, Loop loop) {
-		this.client = client;
+	HttpStagePort(WorkerClient workers, Loop loop) {
+		this.workers = workers;
 		this.loop = loop;
 	}
 
 	@Override
 	public Mono<StageReport> report(WorkerInfo worker) {
-		return expecting(worker).get()
-			.uri("http://" + worker.address() + Names.REPORT_PATH)
+		return this.workers.call(HttpMethod.GET, worker, Names.REPORT_PATH)
 			.responseSingle((r, content) -> content.asByteArray()
 				.defaultIfEmpty(new byte[0])
 				.flatMap((b) -> report(worker, r.status().code(), b)))
@@ -80,18 +75,11 @@
 	public Mono<OrderResult> order(StageOrder o) {
 		ObjectNode n = EntryDecoder.JSON.createObjectNode()
 			.put("operation", "stage")
-			.put("stage", o.stage().name().toLowerCase(Locale.ROOT))
+			.put("stage", EntryDecoder.encode(o.stage()))
 			.put("holder", o.holder())
 			.put("fencing_token", o.fence())
 			.put("expected", o.expectedOrders());
-		byte[] body = n.toString().getBytes(StandardCharsets.UTF_8);
-		return expecting(o.worker()).headers((h) -> {
-			h.set(HttpHeaderNames.CONTENT_TYPE, "application/json");
-			h.set(HttpHeaderNames.CONTENT_LENGTH, body.length);
-		})
-			.post()
-			.uri("http://" + o.worker().address() + Names.ORDER_PATH)
-			.send(Mono.just(Unpooled.wrappedBuffer(body)))
+		return this.workers.post(o.worker(), Names.ORDER_PATH, n)
 			.response()
 			.map((r) -> result(r.status().code()))
 			.timeout(Duration.ofMillis(TIMEOUT_MS), this.loop.scheduler())
@@ -108,10 +96,6 @@
 		};
 	}
 
-	private HttpClient expecting(WorkerInfo worker) {
-		return this.client.headers((h) -> h.set(Names.EXPECTED_WORKER, worker.id()));
-	}
-
 	private static EngineLostException lost(WorkerInfo worker, Throwable ex) {
 		return new EngineLostException("The worker gave no answer: " + ex, worker.id(), ex);
 	}
--- a/src/main/java/io/shallotspur/platform/HttpWorkerPort.java
+++ b/src/main/java/io/shallotspur/platform/HttpWorkerPort.java
@@ -3,13 +3,13 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelOption;
@@ -19,7 +19,6 @@
 import org.tinylog.Logger;
 import reactor.core.Disposable;
 import reactor.core.publisher.Flux;
-import reactor.core.publisher.Mono;
 import reactor.netty.http.client.HttpClient;
 import reactor.netty.http.client.HttpClientResponse;
 import reactor.netty.resources.ConnectionProvider;
@@ -36,6 +35,7 @@
 import io.shallotspur.gateway.WorkerCall;
 import io.shallotspur.gateway.WorkerInfo;
 import io.shallotspur.gateway.WorkerPort;
+import io.shallotspur.gateway.WorkerStage;
 
 /**
  * Workers over the platform's HTTP. Confined to the event loop.
@@ -75,6 +75,8 @@
 
 	private final HttpClient client;
 
+	private final WorkerClient side;
+
 	private final Loop loop;
 
 	private final Map<InetSocketAddress, Long> idleMs = new HashMap<>();
@@ -96,10 +98,15 @@
 			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
 			.option(ChannelOption.TCP_NODELAY, true)
 			.headers((h) -> h.remove(HttpHeaderNames.USER_AGENT));
+		this.side = new WorkerClient(this.client);
 	}
 
-	HttpClient client() {
-		return this.client;
+	/**
+	 * Returns the client for calls that are not callers' requests.
+	 * @return the client
+	 */
+	WorkerClient side() {
+		return this.side;
 	}
 
 	private long mostIdle(SocketAddress a) {
@@ -130,7 +137,7 @@
 	@Override
 	public Exchange prefill(WorkerCall call, PrefillListener listener) {
 		Sent sent = new Sent();
-		Disposable d = send(call, "prefill", sent)
+		Disposable d = send(call, EntryDecoder.encode(WorkerStage.PREFILL), sent)
 			.responseSingle((r, content) -> content.asByteArray()
 				.defaultIfEmpty(new byte[0])
 				.map((b) -> prefilled(head(call.request(), r), b)))
@@ -177,9 +184,7 @@
 	}
 
 	private void delete(WorkerInfo worker, String path) {
-		this.client.headers((h) -> h.set(Names.EXPECTED_WORKER, worker.id()))
-			.delete()
-			.uri("http://" + worker.address() + path)
+		this.side.call(HttpMethod.DELETE, worker, path)
 			.response()
 			.timeout(Duration.ofMillis(SIDE_CALL_MS), this.loop.scheduler())
 			.subscribe((r) -> {
@@ -189,19 +194,8 @@
 
 	@Override
 	public void hold(WorkerInfo worker, int tokens, long ttlMs, HoldListener listener) {
-		byte[] body = EntryDecoder.JSON.createObjectNode()
-			.put("tokens", tokens)
-			.put("ttl_ms", ttlMs)
-			.toString()
-			.getBytes(StandardCharsets.UTF_8);
-		this.client.headers((h) -> {
-			h.set(Names.EXPECTED_WORKER, worker.id());
-			h.set(HttpHeaderNames.CONTENT_TYPE, "application/json");
-			h.set(HttpHeaderNames.CONTENT_LENGTH, body.length);
-		})
-			.post()
-			.uri("http://" + worker.address() + Names.HOLD_PATH)
-			.send(Mono.just(Unpooled.wrappedBuffer(body)))
+		ObjectNode body = EntryDecoder.JSON.createObjectNode().put("tokens", tokens).put("ttl_ms", ttlMs);
+		this.side.post(worker, Names.HOLD_PATH, body)
 			.responseSingle((r, content) -> content.asByteArray()
 				.defaultIfEmpty(new byte[0])
 				.map((b) -> new HoldAnswer(r.status().code(), held(r.status().code(), b))))
--- a/src/main/java/io/shallotspur/platform/PlatformVm.java
+++ b/src/main/java/io/shallotspur/platform/PlatformVm.java
@@ -84,7 +84,7 @@
 				this.clock);
 		this.follower.duty(duty);
 		this.stages = new StageKeeper(s.gateway().vm(), this.gateway, duty,
-				new HttpStagePort(workers.client(), this.loop), this.loop, this.clock);
+				new HttpStagePort(workers.side(), this.loop), this.loop, this.clock);
 		this.gateway.vms().seen(self.key(), self.address(), self.hall());
 		this.ingress = new CallerIngress(s.callers(), this.loop, this.gateway);
 	}
--- a/src/main/java/io/shallotspur/platform/StoreRegistry.java
+++ b/src/main/java/io/shallotspur/platform/StoreRegistry.java
@@ -5,7 +5,6 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Locale;
 import java.util.Optional;
 
 import com.fasterxml.jackson.databind.JsonNode;
@@ -147,14 +146,14 @@
 
 	@Override
 	public Mono<Boolean> register(RegistryChange.VmSeen vm, long lease) {
-		ObjectNode body = change();
+		ObjectNode body = emptyChange();
 		put(body, vm.key(), EntryDecoder.encode(vm), lease);
 		return change(body, "register");
 	}
 
 	@Override
 	public Mono<Boolean> claim(String vm, long lease) {
-		ObjectNode body = change();
+		ObjectNode body = emptyChange();
 		expect(body, Names.DUTY_KEY, 0);
 		put(body, Names.DUTY_KEY, EntryDecoder.encode(EntryDecoder.JSON.createObjectNode().put("vm", vm)), lease);
 		return change(body, "claim");
@@ -177,8 +176,8 @@
 
 	@Override
 	public Mono<Boolean> mark(String worker, WorkerStage stage, long fence, long lease) {
-		ObjectNode value = EntryDecoder.JSON.createObjectNode().put("stage", stage.name().toLowerCase(Locale.ROOT));
-		ObjectNode body = change();
+		ObjectNode value = EntryDecoder.JSON.createObjectNode().put("stage", EntryDecoder.encode(stage));
+		ObjectNode body = emptyChange();
 		expect(body, Names.DUTY_KEY, fence);
 		put(body, Names.STAGE_PREFIX + worker, EntryDecoder.encode(value), lease);
 		return change(body, "mark");
@@ -186,13 +185,13 @@
 
 	@Override
 	public Mono<Void> unmark(String worker) {
-		ObjectNode body = change();
+		ObjectNode body = emptyChange();
 		((ArrayNode) body.path("remove")).add(Names.STAGE_PREFIX + worker);
 		return change(body, "unmark").then();
 	}
 
 	// A change to several keys, all or none.
-	private static ObjectNode change() {
+	private static ObjectNode emptyChange() {
 		ObjectNode body = EntryDecoder.JSON.createObjectNode();
 		body.putArray("expected");
 		body.putArray("puts");
--- a/src/test/java/io/shallotspur/platform/HttpStagePortTests.java
+++ b/src/test/java/io/shallotspur/platform/HttpStagePortTests.java
@@ -22,7 +22,7 @@
 
 	private final Loop loop = new Loop();
 
-	private final HttpStagePort port = new HttpStagePort(new HttpWorkerPort(this.loop).client(), this.loop);
+	private final HttpStagePort port = new HttpStagePort(new HttpWorkerPort(this.loop).side(), this.loop);
 
 	@AfterEach
 	void stop() {
