Candidates are listed once; a change over ends in one of two ways

Placing.start and HoldQueue.pump listed the candidates of a request again just after they had. StageSwitch told apart how it ended by comparing its log text, and handed that text to a listener that did not want it.

--- a/src/main/java/io/shallotspur/gateway/HoldQueue.java
+++ b/src/main/java/io/shallotspur/gateway/HoldQueue.java
@@ -127,12 +127,13 @@
 		settle(now);
 		while (this.calls < CALLS_AT_ONCE && !this.queue.isEmpty() && now >= this.nextAskAt) {
 			Ticket t = this.queue.first();
-			Optional<WorkerState> w = choose(t, now);
+			List<WorkerState> candidates = t.waiting.candidates(now);
+			Optional<WorkerState> w = choose(t, candidates, now);
 			if (w.isEmpty()) {
 				break;
 			}
 			this.queue.remove(t);
-			if (this.refusals >= ALL_FULL && t.waiting.candidates(now).size() > ALL_FULL) {
+			if (this.refusals >= ALL_FULL && candidates.size() > ALL_FULL) {
 				this.nextAskAt = now + PACE_MS;
 			}
 			ask(t, w.get(), now);
@@ -155,8 +156,8 @@
 		}
 	}
 
-	private Optional<WorkerState> choose(Ticket t, long now) {
-		List<WorkerState> l = t.waiting.candidates(now).stream().filter((w) -> until(t, w.info().id()) <= now).toList();
+	private Optional<WorkerState> choose(Ticket t, List<WorkerState> candidates, long now) {
+		List<WorkerState> l = candidates.stream().filter((w) -> until(t, w.info().id()) <= now).toList();
 		return Placement.cheapest(l, this.g.settings.hall(), this.g.random, now);
 	}
 
--- a/src/main/java/io/shallotspur/gateway/Placing.java
+++ b/src/main/java/io/shallotspur/gateway/Placing.java
@@ -84,7 +84,8 @@
 
 	void start(long now) {
 		EngineSpec e = this.engine;
-		if (candidates(now).isEmpty()) {
+		List<WorkerState> l = candidates(now);
+		if (l.isEmpty()) {
 			this.sink.nowhere(RefusalReason.NO_WORKER, now);
 		}
 		else if (e != null && e.holdMs() > 0 && this.request.prompt() != null) {
@@ -92,8 +93,7 @@
 			this.ticket = t.isOver() ? null : t;
 		}
 		else {
-			WorkerState w = Placement.cheapest(candidates(now), this.g.settings.hall(), this.g.random, now)
-				.orElseThrow();
+			WorkerState w = Placement.cheapest(l, this.g.settings.hall(), this.g.random, now).orElseThrow();
 			prefillOrGo(w, now);
 		}
 	}
--- a/src/main/java/io/shallotspur/stage/StageKeeper.java
+++ b/src/main/java/io/shallotspur/stage/StageKeeper.java
@@ -186,7 +186,7 @@
 	}
 
 	private void begin(WorkerInfo w, WorkerStage stage, long now) {
-		StageSwitch s = new StageSwitch(this.duty, this.port, this.timer, this.clock, this.vm, w, stage, (outcome) -> {
+		StageSwitch s = new StageSwitch(this.duty, this.port, this.timer, this.clock, this.vm, w, stage, () -> {
 			this.running.remove(w.id());
 			this.settledAt.put(w.upstream(), this.clock.getAsLong());
 		});
--- a/src/main/java/io/shallotspur/stage/StageSwitch.java
+++ b/src/main/java/io/shallotspur/stage/StageSwitch.java
@@ -1,6 +1,5 @@
 package io.shallotspur.stage;
 
-import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 
 import org.tinylog.Logger;
@@ -18,7 +17,7 @@
  * answer was lost is given again only while the worker has still accepted as many as
  * before, so that it is accepted once, however late the first one arrives.
  * <p>
- * Invariant: {@link Consumer} is told once how it ended.
+ * Invariant: {@code then} is run once, when it has ended.
  */
 final class StageSwitch {
 
@@ -48,16 +47,14 @@
 
 	private final WorkerStage stage;
 
-	private final Consumer<String> then;
+	private final Runnable then;
 
 	private long begunAt;
 
 	private int orders;
 
-	private boolean over;
-
 	StageSwitch(Duty duty, StagePort port, GatewayTimer timer, LongSupplier clock, String vm, WorkerInfo worker,
-			WorkerStage stage, Consumer<String> then) {
+			WorkerStage stage, Runnable then) {
 		this.duty = duty;
 		this.port = port;
 		this.timer = timer;
@@ -75,7 +72,7 @@
 	void start(long now) {
 		this.begunAt = now;
 		this.duty.announce(this.worker.id(), this.stage)
-			.subscribe((ok) -> announced(ok), (ex) -> end("not announced: " + ex));
+			.subscribe((ok) -> announced(ok), (ex) -> fail("not announced: " + ex));
 	}
 
 	private void announced(boolean ok) {
@@ -83,13 +80,13 @@
 			this.timer.after(ANNOUNCE_MS, this::look);
 		}
 		else {
-			end("duty lost");
+			fail("duty lost");
 		}
 	}
 
 	private void look() {
 		if (this.clock.getAsLong() - this.begunAt > LIMIT_MS) {
-			end("not in force in time");
+			fail("not in force in time");
 			return;
 		}
 		this.port.report(this.worker).subscribe(this::judge, (ex) -> {
@@ -110,7 +107,7 @@
 			lookLater();
 		}
 		else if (this.orders >= MOST_ORDERS) {
-			end("orders without effect");
+			fail("orders without effect");
 		}
 		else {
 			confirm(r.orders());
@@ -123,7 +120,7 @@
 				order(accepted);
 			}
 			else {
-				end("duty lost");
+				fail("duty lost");
 			}
 		}, (ex) -> {
 			Logger.info("[stage] duty not confirmed worker={} seen=\"{}\"", this.worker.id(), ex.toString());
@@ -145,27 +142,23 @@
 	private void taken(OrderResult r) {
 		switch (r) {
 			case ACCEPTED, CONFLICT -> lookLater();
-			case FENCED, REPLACED, REFUSED -> end("order " + r);
+			case FENCED, REPLACED, REFUSED -> fail("order " + r);
 		}
 	}
 
+	// No VM uses a worker that is announced to change over and has not. One that stays as
+	// it is has to be used again. An order that comes into force late after all is seen
+	// in the registry.
+	private void fail(String why) {
+		this.duty.withdraw(this.worker.id()).subscribe((v) -> {
+		}, (ex) -> Logger.info("[stage] not withdrawn worker={} seen=\"{}\"", this.worker.id(), ex.toString()));
+		end(why);
+	}
+
 	private void end(String outcome) {
-		if (this.over) {
-			return;
-		}
-		this.over = true;
-		boolean done = outcome.equals("in force");
 		Logger.info("[stage] worker={} stage={} ended=\"{}\" orders={}", this.worker.id(), this.stage, outcome,
 				this.orders);
-		// No VM uses a worker that is announced to change over and has not. One that
-		// stays
-		// as it is has to be used again; an order that comes into force late after all is
-		// seen in the registry.
-		if (!done) {
-			this.duty.withdraw(this.worker.id()).subscribe((v) -> {
-			}, (ex) -> Logger.info("[stage] not withdrawn worker={} seen=\"{}\"", this.worker.id(), ex.toString()));
-		}
-		this.then.accept(outcome);
+		this.then.run();
 	}
 
 }
