--- a/src/main/java/io/shallotspur/cell/Job.java
+++ b/src/main/java/io/shallotspur/cell/Job.java
@@ -107,10 +107,10 @@
 		return (max > 0) ? Math.min(left, Math.max(1, max - this.generated)) : left;
 	}
 
-	// Returns when the next first token has to be there. A caller that already has tokens
-	// waits for the rest until the deadline. Only the shortest rest that is likely
-	// counts:
-	// a caller who reads an answer would lose it to a mere expectation otherwise.
+	// Returns when the next first token has to be there. A caller that already has
+	// tokens waits for the rest until the deadline. Only the shortest rest that is
+	// likely counts: a caller who reads an answer would lose it to a mere expectation
+	// otherwise.
 	long firstTokenBy(double stepMs, boolean useTarget) {
 		if (this.generated > 0) {
 			double rest = this.lengths.remainingAtLeast(this.generated, SHORT_PART);
--- a/src/main/java/io/shallotspur/cfg/SettingsReader.java
+++ b/src/main/java/io/shallotspur/cfg/SettingsReader.java
@@ -131,8 +131,8 @@
 	}
 
 	// Were the ledger's own bound above the budget, keyed requests would be refused for
-	// want
-	// of budget at a load the ledger was set up for, and only then would it be noticed.
+	// want of budget at a load the ledger was set up for, and only then would it be
+	// noticed.
 	private static void checkWrites(TomlTable t, LedgerSection l, PlatformSection p) {
 		double most = l.shards() * 1000.0 / l.batchMs();
 		if (most > p.writesPerS()) {
--- a/src/main/java/io/shallotspur/demo/DemoCaller.java
+++ b/src/main/java/io/shallotspur/demo/DemoCaller.java
@@ -82,8 +82,8 @@
 	}
 
 	// What a caller saw last is all that is left of a lost request: without it nobody
-	// could
-	// tell a VM that gave no answer from a caller that only asked VMs that were down.
+	// could tell a VM that gave no answer from a caller that only asked VMs that were
+	// down.
 	private static void lost(DemoClass c, int number, Throwable ex, DemoStats stats) {
 		Logger.warn("[caller] Request {} of {}/{} got no answer: {}", number, c.customer(), c.terms().name(),
 				ex.toString());
--- a/src/main/java/io/shallotspur/gateway/RefusalReason.java
+++ b/src/main/java/io/shallotspur/gateway/RefusalReason.java
@@ -22,18 +22,9 @@
 	/** Every worker that was asked turned the request away. */
 	WORKERS_FULL,
 
-	/** The upstream's retries are used up. */
-	RETRY_BUDGET,
-
-	/** Requests like this one crashed the workers that ran them. */
-	CRASHES_WORKERS,
-
 	/** The connection to the worker broke while it may have been at work. */
 	WORKER_LOST,
 
-	/** The answer was spoilt or cut. */
-	ANSWER_SPOILT,
-
 	/** The time for an answer is up. */
 	TIMED_OUT,
 
--- a/src/main/java/io/shallotspur/ledger/Shard.java
+++ b/src/main/java/io/shallotspur/ledger/Shard.java
@@ -238,8 +238,8 @@
 
 	private boolean hasRoomFor(AttemptEnd end) {
 		// A shard whose slots are all taken cannot be sealed. Ends of sealed entries
-		// would
-		// make its head grow beyond what the store holds; those entries stay as they are.
+		// would make its head grow beyond what the store holds; those entries stay as
+		// they are.
 		return this.headBytes < MAX_HEAD_BYTES || this.head.entries().containsKey(end.key());
 	}
 
--- a/src/main/java/io/shallotspur/locate/CellMap.java
+++ b/src/main/java/io/shallotspur/locate/CellMap.java
@@ -158,8 +158,7 @@
 	}
 
 	// Draws from the live VMs until there are enough that are not suspected. The cost
-	// must
-	// not grow with the fleet: every VM answers every caller.
+	// must not grow with the fleet: every VM answers every caller.
 	private void addOthers(Map<String, Member> found, Random random) {
 		List<Member> live = this.view.live();
 		int good = (int) found.values().stream().filter((m) -> m.status() != MemberStatus.SUSPECT).count();
--- a/src/main/java/io/shallotspur/node/ModelService.java
+++ b/src/main/java/io/shallotspur/node/ModelService.java
@@ -317,9 +317,8 @@
 	}
 
 	// When a worker dies, its streams and its reports break in any order. The scheduler
-	// has
-	// to learn of the death first: it would take the crash for the fault of one request,
-	// and send the request that caused it to the next worker.
+	// has to learn of the death first: it would take the crash for the fault of one
+	// request, and send the request that caused it to the next worker.
 	private void failed(Throwable ex, String worker, CellEvent event) {
 		Logger.debug("[node] {}: {} ({}).", this.cell, event, ex.getMessage());
 		if (!(ex instanceof EngineLostException)) {
--- a/src/main/java/io/shallotspur/node/ledger/ShardJudge.java
+++ b/src/main/java/io/shallotspur/node/ledger/ShardJudge.java
@@ -64,9 +64,8 @@
 
 	private void inFlight(ShardWriter w, IntentAsk ask, LedgerEntry e, Consumer<IntentReply> to) {
 		if (!this.liveness.isAlive(e.attempt().node(), e.attempt().incarnation())) {
-			// The node that dispatched is gone and may have run it: nobody will tell how
-			// it
-			// ended, and callers would wait for their deadlines.
+			// The node that dispatched is gone and may have run it: nobody will tell
+			// how it ended, and callers would wait for their deadlines.
 			w.end(new AttemptEnd(e.key(), e.attempt(), new EntryState.Unknown()), () -> {
 			});
 			to.accept(IntentReply.of(ReplyKind.UNKNOWN));
--- a/src/main/java/io/shallotspur/node/order/OrderService.java
+++ b/src/main/java/io/shallotspur/node/order/OrderService.java
@@ -93,8 +93,7 @@
 	private Mono<Void> send(Worker worker, EngineOrder o, OrderPermit.Give p) {
 		return Mono.defer(() -> {
 			// Read again at the last moment: a node that was paused since it was
-			// permitted
-			// must not send under a lease that has ended meanwhile.
+			// permitted must not send under a lease that has ended meanwhile.
 			long left = p.endBy() - now();
 			return (left > 0) ? this.engine.order(worker, o).timeout(Duration.ofMillis(left), this.scheduler)
 					: Mono.error(new OrderException(OrderFault.NOT_HOLDER, worker.id(), null));
--- a/src/main/java/io/shallotspur/platform/PlatformVm.java
+++ b/src/main/java/io/shallotspur/platform/PlatformVm.java
@@ -3,7 +3,6 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
@@ -187,7 +186,7 @@
 
 	private static void pause(long ms) {
 		try {
-			new CountDownLatch(1).await(ms, TimeUnit.MILLISECONDS);
+			TimeUnit.MILLISECONDS.sleep(ms);
 		}
 		catch (InterruptedException ex) {
 			Thread.currentThread().interrupt();
--- a/src/main/java/io/shallotspur/quarantine/CrashSuspects.java
+++ b/src/main/java/io/shallotspur/quarantine/CrashSuspects.java
@@ -216,9 +216,8 @@
 		Crash last = e.crashes().get(e.crashes().size() - 1);
 		long open = before(e, last, CrashState.OPEN);
 		long all = before(e, last, CrashState.CONVICTED);
-		// A request that ran on after its first crash is taken for a neighbour. If it is
-		// at
-		// a third one all the same, it is one that crashes late.
+		// A request that ran on after its first crash is taken for a neighbour. If it
+		// is at a third one all the same, it is one that crashes late.
 		if (last.state() == CrashState.CLEARED || (open == 0 && all < 2)) {
 			return false;
 		}
--- a/src/main/java/io/shallotspur/record/NodeMetrics.java
+++ b/src/main/java/io/shallotspur/record/NodeMetrics.java
@@ -138,8 +138,7 @@
 	}
 
 	// A newcomer must have twice the use of the one it replaces, or two customers of
-	// equal
-	// use would drive each other out at each request.
+	// equal use would drive each other out at each request.
 	private boolean replaceLeast(String customer) {
 		String least = null;
 		for (String c : this.byCustomer.keySet()) {
--- a/src/test/java/io/shallotspur/LayeringTests.java
+++ b/src/test/java/io/shallotspur/LayeringTests.java
@@ -31,8 +31,7 @@
 				"io.shallotspur.demo..", "io.shallotspur.platform..", "reactor.netty..", "io.netty..");
 
 	// The platform's names stay in one package, and that package only translates: it
-	// knows
-	// the ports and types of the gateway, not what decides.
+	// knows the ports and types of the gateway, not what decides.
 	@ArchTest
 	final ArchRule platformOnlyTranslates = ArchRuleDefinition.noClasses()
 		.that()
--- a/src/test/java/io/shallotspur/cell/CellFailureTests.java
+++ b/src/test/java/io/shallotspur/cell/CellFailureTests.java
@@ -249,8 +249,8 @@
 	@Test
 	void resendOfASuspectIsASuspectToo() {
 		// The caller of a request that crashed a worker gives up and sends it again.
-		// Taken
-		// for a fresh request it would share a worker with others and crash one more.
+		// Taken for a fresh request it would share a worker with others and crash one
+		// more.
 		CellDriver d = cell(2, 3);
 		d.poison.add("bad");
 		d.submit(d.request("bad", "a", 0, 5400), 60);
--- a/src/test/java/io/shallotspur/gateway/AttemptHistoryTests.java
+++ b/src/test/java/io/shallotspur/gateway/AttemptHistoryTests.java
@@ -23,10 +23,9 @@
 		Assertions.assertThat(h.next(end, mayRetry)).isEqualTo(next);
 	}
 
-	// A first worker dies with the request, a second one refuses it. Whoever looks at the
-	// second alone tells the caller that nothing ran, and the caller sends a renewal
-	// again
-	// that the first worker has issued.
+	// A first worker dies with the request, a second one refuses it. Whoever looks at
+	// the second alone tells the caller that nothing ran, and the caller sends a
+	// renewal again that the first worker has issued.
 	@Property(tries = 10_000, seed = "1")
 	void neverPromisesNotRunAfterAnAttemptThatMayHaveRun(@ForAll @Size(min = 1, max = 6) List<AttemptEnd> ends) {
 		AttemptHistory h = AttemptHistory.NONE;
--- a/src/test/java/io/shallotspur/gateway/RelayTests.java
+++ b/src/test/java/io/shallotspur/gateway/RelayTests.java
@@ -84,8 +84,7 @@
 	}
 
 	// No connection can be made to workers that are cut off. Nothing was sent, so that
-	// any
-	// number of others may be asked.
+	// any number of others may be asked.
 	@Test
 	void aConnectionThatWasNotMadeIsNoAttempt() {
 		Call c = this.f.call("unsafe");
@@ -184,9 +183,9 @@
 	}
 
 	// A worker crashed and another incarnation answers at its address, but the registry
-	// still has the old entry for seconds. Each request sent there comes back unrun, and
-	// a
-	// route with one attempt refuses its callers although the other workers are free.
+	// still has the old entry for seconds. Each request sent there comes back unrun,
+	// and a route with one attempt refuses its callers although the other workers are
+	// free.
 	@Test
 	void aReplacedWorkerGetsNothingMore() {
 		this.f.call("unsafe");
--- a/src/test/java/io/shallotspur/ledger/ShardTests.java
+++ b/src/test/java/io/shallotspur/ledger/ShardTests.java
@@ -30,8 +30,7 @@
 	@Test
 	void keyOlderThanTheWindowIsRefusedAndNotRunAgain() {
 		// A kiosk resends a key-encoding an hour later, when its entry is gone. Run
-		// again,
-		// it would issue a second live key.
+		// again, it would issue a second live key.
 		Shard s = Shard.empty(LIMITS, 128);
 		Verdict v = s.decide(intent(1, 1_000, 1), 1_000 + LIMITS.windowMs());
 		assertThat(v).isEqualTo(new Verdict.Denied(RefusalCode.KEY_EXPIRED));
--- a/src/test/java/io/shallotspur/node/ledger/LedgerServiceTests.java
+++ b/src/test/java/io/shallotspur/node/ledger/LedgerServiceTests.java
@@ -24,8 +24,8 @@
 	@Test
 	void resendInFlightGetsTheSameAnswerThroughAnyNode() {
 		// A clerk's console loses its connection while the renewal runs and sends it
-		// again
-		// to the same and to another entry VM. Run twice, the passenger would pay twice.
+		// again to the same and to another entry VM. Run twice, the passenger would pay
+		// twice.
 		Call first = begin(1, 10_000);
 		Call same = begin(1, 10_000);
 		Call other = begin(2, 10_000);
--- a/src/test/java/io/shallotspur/platform/PlatformPathTests.java
+++ b/src/test/java/io/shallotspur/platform/PlatformPathTests.java
@@ -154,8 +154,7 @@
 	}
 
 	// A stream breaks off in the middle of an event. The caller's client must see that
-	// the
-	// answer is not whole.
+	// the answer is not whole.
 	@Test
 	void aTornStreamDoesNotLookComplete() {
 		this.d1.next.add(WorkerDouble::tornStream);
@@ -199,8 +198,7 @@
 	}
 
 	// The caller hangs up while a worker is silent. Unless the worker hears so, it goes
-	// on
-	// with work that nobody waits for.
+	// on with work that nobody waits for.
 	@Test
 	void hangsUpOnTheWorkerWhenTheCallerHangsUp() {
 		this.p1.next.add(this.p1::silent);
@@ -289,8 +287,7 @@
 	}
 
 	// The VM is told to leave while a stream runs. It must leave the answers to callers
-	// at
-	// once and finish what it has begun.
+	// at once and finish what it has begun.
 	@Test
 	void finishesWhatIsInProgressBeforeItLeaves() {
 		await(() -> this.store.has("vms/"));
--- a/src/test/java/io/shallotspur/registry/RegistryFollowerTests.java
+++ b/src/test/java/io/shallotspur/registry/RegistryFollowerTests.java
@@ -108,8 +108,7 @@
 	}
 
 	// The store is away and the entries of living workers lapse. Taken as gone, no
-	// request
-	// could be served until the workers have written their entries again.
+	// request could be served until the workers have written their entries again.
 	@Test
 	void entriesThatLapsedWhileTheStoreWasAwayAreWaitedFor() {
 		follow(worker("w1"));
@@ -171,9 +170,8 @@
 	}
 
 	// The store goes silent and returns. A call that was to wait for seconds was lost
-	// with
-	// it: a route that the operator had added meanwhile was refused as unknown until that
-	// call's time was up.
+	// with it: a route that the operator had added meanwhile was refused as unknown
+	// until that call's time was up.
 	@Test
 	void asksWithoutWaitingUntilTheStoreIsBack() {
 		follow(config(3));
