Soak: all VMs are killed at once, as the fault says

They were killed and started one after the other. All are held from the first kill to the last start, so that no other fault meets a VM that is down.

--- a/src/test/java/io/shallotspur/platform/soak/FaultInjector.java
+++ b/src/test/java/io/shallotspur/platform/soak/FaultInjector.java
@@ -7,7 +7,7 @@
 
 /**
  * Makes faults happen, from outside the processes. One VM is struck by one fault of
- * processes at a time; the others overlap. Used by the thread of one fault.
+ * processes at a time; the others overlap. Thread-safe: each fault has a thread.
  */
 final class FaultInjector {
 
@@ -38,7 +38,7 @@
 	void strike(Fault f) throws IOException, InterruptedException {
 		switch (f.kind()) {
 			case VM_KILL, VM_TERM, VM_PAUSE -> process(f, this.vms.get(f.target()));
-			case ALL_KILL -> killAll();
+			case ALL_KILL -> killAll(0);
 			case WORKER_CRASH -> this.workers.get(f.target()).crash();
 			case WORKER_DRAIN -> this.workers.get(f.target()).drain();
 			case WORKER_RESET -> this.workers.get(f.target()).proxy().reset();
@@ -76,12 +76,21 @@
 		}
 	}
 
-	private void killAll() throws IOException, InterruptedException {
-		for (VmProcess vm : this.vms) {
-			synchronized (vm) {
-				vm.kill();
-				again(vm);
+	// No VM may be struck by another fault between its end and its start, so all are held
+	// until all have been started; in their order, so that two such faults cannot wait
+	// for each other.
+	private void killAll(int from) throws IOException, InterruptedException {
+		if (from == this.vms.size()) {
+			Thread.sleep(RESTART_MS);
+			for (VmProcess vm : this.vms) {
+				vm.start();
 			}
+			return;
+		}
+		VmProcess vm = this.vms.get(from);
+		synchronized (vm) {
+			vm.kill();
+			killAll(from + 1);
 		}
 	}
 
--- a/src/test/java/io/shallotspur/platform/soak/SoakRun.java
+++ b/src/test/java/io/shallotspur/platform/soak/SoakRun.java
@@ -48,6 +48,9 @@
 
 	private final ExecutorService faults = Executors.newCachedThreadPool();
 
+	private final FaultInjector injector = new FaultInjector(this.vms, this.workers, this.storeProxies, this.store,
+			this.evidence, this::publish);
+
 	private int version = 7;
 
 	SoakRun(long seed, int vms, long lengthMs, Path dir) throws IOException {
@@ -170,8 +173,7 @@
 
 	private void strike(Fault f) {
 		try {
-			new FaultInjector(this.vms, this.workers, this.storeProxies, this.store, this.evidence, this::publish)
-				.strike(f);
+			this.injector.strike(f);
 		}
 		catch (IOException | InterruptedException ex) {
 			this.evidence.broken("soak: " + f + " could not be made: " + ex);
