--- a/src/main/java/io/shallotspur/node/ledger/ShardWriter.java
+++ b/src/main/java/io/shallotspur/node/ledger/ShardWriter.java
@@ -6,12 +6,13 @@
 import java.util.Deque;
 import java.util.HashSet;
 import java.util.IdentityHashMap;
-import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.Function;
+import java.util.function.Predicate;
 
 import org.jspecify.annotations.Nullable;
 import org.tinylog.Logger;
@@ -201,11 +202,9 @@
 	}
 
 	private void dropExpired(long now) {
-		List<Pending> late = new ArrayList<>();
-		collectExpired(this.intents, now, late);
+		List<Pending> late = expired(this.intents, now);
 		late.forEach((p) -> p.done().accept(new Verdict.Denied(RefusalCode.STORE_UNAVAILABLE)));
-		late.clear();
-		collectExpired(this.watchers, now, late);
+		late = expired(this.watchers, now);
 		late.forEach((p) -> p.done().accept(verdictNow(p.intent(), now)));
 	}
 
@@ -214,15 +213,10 @@
 		return (s != null) ? s.decide(i, now) : new Verdict.Denied(RefusalCode.STORE_UNAVAILABLE);
 	}
 
-	private static void collectExpired(Map<Attempt, Pending> from, long now, List<Pending> to) {
-		Iterator<Pending> it = from.values().iterator();
-		while (it.hasNext()) {
-			Pending p = it.next();
-			if (p.until() <= now) {
-				it.remove();
-				to.add(p);
-			}
-		}
+	private static List<Pending> expired(Map<Attempt, Pending> from, long now) {
+		List<Pending> late = from.values().stream().filter((p) -> p.until() <= now).toList();
+		from.values().removeIf((p) -> p.until() <= now);
+		return late;
 	}
 
 	private void decideKnown(Shard s, long now) {
@@ -232,17 +226,7 @@
 			this.ends.clear();
 			done.forEach((e) -> e.done().run());
 		}
-		List<Runnable> told = new ArrayList<>();
-		Iterator<Pending> it = this.intents.values().iterator();
-		while (it.hasNext()) {
-			Pending p = it.next();
-			Verdict v = base.decide(p.intent(), now);
-			if (!(v instanceof Verdict.Free)) {
-				it.remove();
-				told.add(() -> p.done().accept(v));
-			}
-		}
-		told.forEach(Runnable::run);
+		tell(this.intents, (p) -> base.decide(p.intent(), now), (v) -> !(v instanceof Verdict.Free));
 	}
 
 	private void tellWatchers() {
@@ -251,16 +235,21 @@
 			return;
 		}
 		long now = this.ctx.now();
+		tell(this.watchers, (p) -> s.decide(p.intent(), now),
+				(v) -> !(v instanceof Verdict.Taken t) || !(t.entry().state() instanceof EntryState.InFlight));
+	}
+
+	// Whoever is told may ask again at once, so all are told after the map has changed.
+	private static void tell(Map<Attempt, Pending> from, Function<Pending, Verdict> judge, Predicate<Verdict> settled) {
 		List<Runnable> told = new ArrayList<>();
-		Iterator<Pending> it = this.watchers.values().iterator();
-		while (it.hasNext()) {
-			Pending p = it.next();
-			Verdict v = s.decide(p.intent(), now);
-			if (!(v instanceof Verdict.Taken t) || !(t.entry().state() instanceof EntryState.InFlight)) {
-				it.remove();
-				told.add(() -> p.done().accept(v));
+		from.values().removeIf((p) -> {
+			Verdict v = judge.apply(p);
+			if (!settled.test(v)) {
+				return false;
 			}
-		}
+			told.add(() -> p.done().accept(v));
+			return true;
+		});
 		told.forEach(Runnable::run);
 	}
 
