--- a/src/main/java/io/shallotspur/node/ModelService.java
+++ b/src/main/java/io/shallotspur/node/ModelService.java
@@ -5,7 +5,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 
 import org.tinylog.Logger;
@@ -27,7 +26,6 @@
 import io.shallotspur.outcome.RefusalCode;
 import io.shallotspur.port.PrefillResult;
 import io.shallotspur.resume.ResumeClaim;
-import io.shallotspur.resume.StreamId;
 
 /**
  * Carries out what the scheduler of one cell decides. Thread-safe: the state is confined
@@ -54,19 +52,15 @@
 
 	private final NodePorts ports;
 
-	private final long streamBase;
-
 	private final CellLoop<CellEvent, CellAction> loop;
 
 	private final TokenReports reports;
 
 	private final WorkerWatch watch;
 
-	private final StreamCanceller canceller;
-
 	private final Map<String, ModelSession> sessions = new HashMap<>();
 
-	private final Map<Long, ModelAttempt> attempts = new ConcurrentHashMap<>();
+	private final AttemptStreams attempts;
 
 	private final AtomicInteger open = new AtomicInteger();
 
@@ -82,8 +76,7 @@
 	ModelService(String cell, NodePorts ports, CellScheduler machine, Scheduler thread, long streamBase) {
 		this.cell = cell;
 		this.ports = ports;
-		this.streamBase = streamBase;
-		this.canceller = new StreamCanceller(ports);
+		this.attempts = new AttemptStreams(ports, streamBase);
 		this.loop = new CellLoop<>(cell, thread, ports.clock(), machine::handle, machine::nextWake,
 				new CellEvent.Tick(), this::act);
 		this.reports = new TokenReports(this.loop);
@@ -145,7 +138,7 @@
 	 * @return whether one does
 	 */
 	boolean runs(long number) {
-		return this.attempts.containsKey(number - this.streamBase);
+		return this.attempts.runs(number);
 	}
 
 	/**
@@ -175,16 +168,16 @@
 			startDecode(a);
 		}
 		else if (action instanceof CellAction.CancelPrefill a) {
-			stop(a.attempt(), a.worker());
+			this.attempts.stop(a.attempt(), a.worker());
 		}
 		else if (action instanceof CellAction.CancelTransfer a) {
-			stop(a.attempt(), a.decodeWorker());
+			this.attempts.stop(a.attempt(), a.decodeWorker());
 		}
 		else if (action instanceof CellAction.CancelDecode a) {
-			stop(a.attempt(), a.worker());
+			this.attempts.stop(a.attempt(), a.worker());
 		}
 		else if (action instanceof CellAction.ReleaseKv a) {
-			drop(a.attempt(), a.worker());
+			this.attempts.drop(a.attempt(), a.worker());
 		}
 		else if (action instanceof CellAction.Refuse a) {
 			refuse(a.requestId(), a.refusal());
@@ -196,10 +189,8 @@
 		if (s == null) {
 			return;
 		}
-		s.attempts().forEach(this::giveUp);
-		ModelAttempt a = new ModelAttempt(s, p.attempt(), streamId(p.attempt()), p.decodeWorker());
-		this.attempts.put(a.number(), a);
-		s.attempts().add(a);
+		s.attempts().forEach(this.attempts::giveUp);
+		ModelAttempt a = this.attempts.open(s, p.attempt(), p.decodeWorker());
 		if (s.needsIntent()) {
 			recordIntent(a, p.prefillWorker());
 		}
@@ -208,14 +199,6 @@
 		}
 	}
 
-	// A worker whose reports broke off may live on, and generate for an attempt that the
-	// scheduler has written off. Its tokens must not reach the caller twice.
-	private void giveUp(ModelAttempt a) {
-		if (this.attempts.remove(a.number()) != null) {
-			stop(a, a.decodeWorker());
-		}
-	}
-
 	private void recordIntent(ModelAttempt a, String worker) {
 		ModelSession s = a.session();
 		long deadline = s.call().request().deadlineAt();
@@ -230,7 +213,7 @@
 		if (decision instanceof IntentDecision.Run) {
 			// The caller may have left, or the deadline passed, while the intent was
 			// written. Dispatching now would run a request that nobody waits for.
-			if (s.ended() || !this.attempts.containsKey(a.number())) {
+			if (s.ended() || !this.attempts.has(a)) {
 				this.ports.ledger().notRun(s.intentKey(), now()).subscribe();
 				return;
 			}
@@ -303,7 +286,7 @@
 
 	private void finished(ModelAttempt a) {
 		ModelSession s = a.session();
-		if (s.ended() || !this.attempts.containsKey(a.number())) {
+		if (s.ended() || !this.attempts.has(a)) {
 			return;
 		}
 		this.reports.flush(a);
@@ -379,30 +362,7 @@
 		this.open.decrementAndGet();
 		// The scheduler may yet name the attempts to free what they hold, within the same
 		// event.
-		this.loop.run(() -> s.attempts().forEach((a) -> this.attempts.remove(a.number())));
-	}
-
-	private void stop(long attempt, String worker) {
-		ModelAttempt a = this.attempts.get(attempt);
-		if (a != null) {
-			stop(a, worker);
-		}
-		else {
-			drop(attempt, worker);
-		}
-	}
-
-	private void stop(ModelAttempt a, String worker) {
-		a.stop();
-		drop(a.number(), worker);
-	}
-
-	private void drop(long attempt, String worker) {
-		this.canceller.cancel(worker, streamId(attempt));
-	}
-
-	private String streamId(long attempt) {
-		return new StreamId(this.ports.vm(), this.ports.incarnation(), this.streamBase + attempt).toString();
+		this.loop.run(() -> this.attempts.forget(s));
 	}
 
 	private long now() {
