--- a/src/main/java/io/shallotspur/cell/StdCellScheduler.java
+++ b/src/main/java/io/shallotspur/cell/StdCellScheduler.java
@@ -1,13 +1,9 @@
 package io.shallotspur.cell;
 
-import java.util.HashSet;
 import java.util.List;
-import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.ToDoubleFunction;
 
-import org.jspecify.annotations.Nullable;
-
 import io.shallotspur.admission.FairQueue;
 import io.shallotspur.admission.TimerQueue;
 import io.shallotspur.contract.Contract;
@@ -30,18 +26,6 @@
 
 	private static final double UNKNOWN_SHARE = 0.01;
 
-	private static final long RECHECK_MS = 20;
-
-	/**
-	 * What a millisecond of avoidable prefill weighs against one of waiting.
-	 */
-	private static final double WASTE_WEIGHT = 0.3;
-
-	/**
-	 * A request that is late anyway gets none of this last part of the slots.
-	 */
-	private static final double SPARE_PART = 0.15;
-
 	private final CellSettings settings;
 
 	private final CellFleet fleet;
@@ -62,6 +46,8 @@
 
 	private final CellSuspects suspects;
 
+	private final CellDispatch dispatch;
+
 	private ContractSet contracts;
 
 	private ToDoubleFunction<String> shareFactor = (c) -> 1;
@@ -95,6 +81,7 @@
 		this.flow = new JobFlow(settings, this.jobs, this.queue, this.timers, seed);
 		this.observer = new CellObserver(this.fleet, this.jobs, this.flow, crashes);
 		this.suspects = new CellSuspects(settings, crashes, this.flow);
+		this.dispatch = new CellDispatch(settings, this.fleet, this.jobs, this.queue, this.flow);
 	}
 
 	@Override
@@ -109,7 +96,7 @@
 		this.fleet.expireLimit(now);
 		runTimers(now);
 		startTransfers(now);
-		dispatch(now);
+		this.recheckAt = this.dispatch.run(now);
 	}
 
 	@Override
@@ -318,13 +305,13 @@
 			return;
 		}
 		Placer p = new Placer(this.fleet, this.settings, 0, now);
-		double latest = firstTokenBy(j) - p.leastMs(j);
+		double latest = this.dispatch.firstTokenBy(j) - p.leastMs(j);
 		if (now <= latest) {
 			this.timers.add(j, (long) latest + 1);
 			return;
 		}
-		Placement late = warms(j) ? p.placeLate(j) : null;
-		if (late != null && forecast(now).freeIn(late.readyAt() - now) >= SPARE_PART * this.fleet.slots()) {
+		Placement late = this.dispatch.placeLate(j, p);
+		if (late != null && this.dispatch.sparesRoom(late, this.dispatch.forecast(now), now)) {
 			this.flow.startPrefill(j, late, now);
 		}
 		else {
@@ -333,11 +320,6 @@
 		}
 	}
 
-	private SlotForecast forecast(long now) {
-		return new SlotForecast(this.fleet.decode(), this.jobs.inFlight(), this.jobs.tightestGapMs(),
-				this.settings.slotConfidence(), now);
-	}
-
 	private void startTransfers(long now) {
 		for (Job j : this.jobs.kvReady()) {
 			boolean urgent = now >= j.kvUntil - JobFlow.KV_URGENT_MS;
@@ -348,70 +330,9 @@
 		}
 	}
 
-	private void dispatch(long now) {
-		this.recheckAt = Long.MAX_VALUE;
-		if (this.queue.size() == 0 || !this.fleet.anyIdlePrefill()) {
-			return;
-		}
-		SlotForecast slots = forecast(now);
-		Placer placer = new Placer(this.fleet, this.settings, WASTE_WEIGHT, now);
-		Set<Job> passed = new HashSet<>();
-		boolean started = true;
-		while (started && this.fleet.anyIdlePrefill()) {
-			started = startOne(placer, slots, passed, now);
-		}
-		if (this.queue.size() > 0) {
-			this.recheckAt = now + RECHECK_MS;
-		}
-	}
-
-	private boolean startOne(Placer placer, SlotForecast slots, Set<Job> passed, long now) {
-		Choice choice = new Choice();
-		Job job = this.queue.firstInOrder(this.settings.lookahead(), (j) -> {
-			if (passed.contains(j) || j.notBefore > now) {
-				return false;
-			}
-			Placement p = placer.place(j, firstTokenBy(j));
-			if (p == null) {
-				Placement late = warms(j) ? placer.placeLate(j) : null;
-				choice.placement = late;
-				return late != null && slots.freeIn(late.readyAt() - now) >= SPARE_PART * this.fleet.slots();
-			}
-			boolean slot = !this.settings.enabled(CellFeature.RESERVATION) || slots.freeIn(p.readyAt() - now) >= 1;
-			if (slot && p.worker().idle() && p.startAt() <= now) {
-				choice.placement = p;
-				return true;
-			}
-			passed.add(j);
-			placer.passOver(p);
-			return false;
-		});
-		Placement p = choice.placement;
-		if (job == null || p == null) {
-			return false;
-		}
-		slots.take();
-		this.flow.startPrefill(job, p, now);
-		return true;
-	}
-
-	private boolean warms(Job j) {
-		return this.settings.enabled(CellFeature.WARM_UP) && j.generated == 0 && !j.suspect;
-	}
-
-	private double firstTokenBy(Job j) {
-		return j.firstTokenBy(40, this.settings.enabled(CellFeature.EARLY_REFUSAL));
-	}
-
 	private double share(String customer) {
 		double share = this.contracts.find(customer).map(Contract::share).orElse(UNKNOWN_SHARE);
 		return share * this.shareFactor.applyAsDouble(customer);
 	}
 
-	private static final class Choice {
-
-		private @Nullable Placement placement;
-
-	}
-
 }
