Times of engines are unknown until seen, and events show them

Cause: a VM that had seen no answer assumed 7 ms a token. Where an answer is thousands of tokens at 0.6 to 0.8 ms each, it thought that none could end before its caller's deadline, and refused streams at once beside idle workers ("workers-full"). Only an answer that had ended taught it better, so it stayed so for seconds; after each kill again. Change: EngineTimes assumes nothing; an unknown time is 0 and refuses nobody. The pace is learned from the first events of running answers (time between events by the tokens of an event, which the configuration names), then from answers that have ended. The lead begins with its first observation. The test that a long answer is refused now shows the VM a pace first (it had held the guess to be right); two new tests: nothing seen refuses nobody, two events teach.

--- /dev/null
+++ b/src/main/java/io/shallotspur/gateway/EngineFigures.java
@@ -0,0 +1,67 @@
+package io.shallotspur.gateway;
+
+import org.jspecify.annotations.Nullable;
+
+/**
+ * What is known of the requests for the engines of one upstream and of the pace at which
+ * they are worked on. Immutable.
+ *
+ * @param samples requests that the figures rest on; at least 1
+ * @param promptTokens tokens of a prompt, mean
+ * @param answerTokens tokens that callers expect of an answer, mean
+ * @param reservedTokens memory that is set aside for a request, in tokens, mean
+ * @param prefillTokenMs time of a prefill worker for each token, in milliseconds; more
+ * than 0
+ * @param answerTokenMs time between two tokens of an answer, in milliseconds; more than 0
+ */
+public record EngineFigures(int samples, double promptTokens, double answerTokens, double reservedTokens,
+		double prefillTokenMs, double answerTokenMs) {
+
+	/**
+	 * Returns how long a prefill worker works on a prompt.
+	 * @return the mean in milliseconds
+	 */
+	public double prefillMs() {
+		return this.promptTokens * this.prefillTokenMs;
+	}
+
+	/**
+	 * Returns how long an answer takes from its first event to its last.
+	 * @return the mean in milliseconds
+	 */
+	public double answerMs() {
+		return this.answerTokens * this.answerTokenMs;
+	}
+
+	/**
+	 * Joins what two have seen, each by the number of requests it rests on.
+	 * @param one some figures, or {@code null}
+	 * @param other other figures
+	 * @return figures that rest on the requests of both
+	 */
+	public static EngineFigures join(@Nullable EngineFigures one, EngineFigures other) {
+		if (one == null) {
+			return other;
+		}
+		double w = (double) one.samples / (one.samples + other.samples);
+		return new EngineFigures(one.samples + other.samples, mean(w, one.promptTokens, other.promptTokens),
+				mean(w, one.answerTokens, other.answerTokens), mean(w, one.reservedTokens, other.reservedTokens),
+				mean(w, one.prefillTokenMs, other.prefillTokenMs), mean(w, one.answerTokenMs, other.answerTokenMs));
+	}
+
+	private static double mean(double weight, double one, double other) {
+		return weight * one + (1 - weight) * other;
+	}
+
+	/**
+	 * Returns these figures as if they rested on no more than so many requests, so that
+	 * newer ones can outweigh them.
+	 * @param most the most requests
+	 * @return figures that differ in that only
+	 */
+	public EngineFigures atMost(int most) {
+		return (this.samples <= most) ? this : new EngineFigures(most, this.promptTokens, this.answerTokens,
+				this.reservedTokens, this.prefillTokenMs, this.answerTokenMs);
+	}
+
+}
--- a/src/main/java/io/shallotspur/gateway/EngineTimes.java
+++ b/src/main/java/io/shallotspur/gateway/EngineTimes.java
@@ -6,22 +6,21 @@
 /**
  * What the latest requests of this VM took at the engines of one upstream. Not
  * thread-safe; confined to the gateway's thread.
+ * <p>
+ * Invariant: nothing is assumed. A time that no request has shown is 0, which refuses
+ * nobody. With an assumed time for a token, a VM that had just started took long answers
+ * of quick engines for ones that cannot end in time, and refused them beside idle
+ * workers.
  */
 public final class EngineTimes {
 
-	// Until the first answers have shown it, ms: a prefill of 3,000 tokens
-	// and a transfer.
-	private static final double FIRST_LEAD_MS = 200;
-
 	private static final double LEAD_WEIGHT = 0.05;
 
 	// The last fifty answers or so tell how long a token takes.
 	private static final double STREAMED_DECAY = 0.98;
 
-	// Until answers have shown it: 500 tokens in 3.5 s.
-	private static final double FIRST_STREAMED_MS = 3_500;
-
-	private static final double FIRST_STREAMED_TOKENS = 500;
+	// A few hundred events: those of a handful of answers.
+	private static final double EVENT_DECAY = 0.997;
 
 	// Enough for a steady mean, few enough to follow a change of the traffic.
 	private static final int KEPT = 64;
@@ -33,13 +32,15 @@
 
 	private final Deque<Decoded> decoded = new ArrayDeque<>();
 
-	private double leadMs = FIRST_LEAD_MS;
+	private final DecayedRatio answers = new DecayedRatio(STREAMED_DECAY);
+
+	private final DecayedRatio events = new DecayedRatio(EVENT_DECAY);
 
-	private double leadDeviationMs = FIRST_LEAD_MS / 4;
+	private boolean leadKnown;
 
-	private double streamedMs = FIRST_STREAMED_MS;
+	private double leadMs;
 
-	private double streamedTokens = FIRST_STREAMED_TOKENS;
+	private double leadDeviationMs;
 
 	void prefilled(long ms) {
 		this.prefills.addLast(ms);
@@ -48,14 +49,32 @@
 		}
 	}
 
+	// The first one stands for itself, with half of it as its deviation, as the estimate
+	// of a round trip does.
 	void firstByte(long ms) {
+		if (!this.leadKnown) {
+			this.leadKnown = true;
+			this.leadMs = ms;
+			this.leadDeviationMs = ms / 2.0;
+			return;
+		}
 		this.leadDeviationMs += LEAD_WEIGHT * (Math.abs(ms - this.leadMs) - this.leadDeviationMs);
 		this.leadMs += LEAD_WEIGHT * (ms - this.leadMs);
 	}
 
+	/**
+	 * Takes that an answer went on. Its pace is known long before it ends.
+	 * @param ms time since its event before, in milliseconds
+	 * @param tokens the tokens of an event; 0 if the operator does not say
+	 */
+	void event(long ms, int tokens) {
+		if (tokens > 0) {
+			this.events.add(ms, tokens);
+		}
+	}
+
 	void streamed(long ms, PromptShape prompt) {
-		this.streamedMs = STREAMED_DECAY * this.streamedMs + ms;
-		this.streamedTokens = STREAMED_DECAY * this.streamedTokens + Math.max(1, prompt.likelyOutputTokens());
+		this.answers.add(ms, Math.max(1, prompt.likelyOutputTokens()));
 		this.decoded.addLast(new Decoded(ms, prompt.reservedTokens()));
 		if (this.decoded.size() > KEPT) {
 			this.decoded.removeFirst();
@@ -66,7 +85,8 @@
 	 * Returns how long it takes from a place to the first event, prefill included, for
 	 * four requests in five. A request that is given a place with less time left is
 	 * likely answered late, and the place is lost to one that could be in time.
-	 * @return the running mean and its mean deviation, in milliseconds
+	 * @return the running mean and its mean deviation, in milliseconds; 0 before the
+	 * first event
 	 */
 	long leadMs() {
 		return (long) (this.leadMs + this.leadDeviationMs);
@@ -75,10 +95,12 @@
 	/**
 	 * Returns how long an answer takes from its first event to its last.
 	 * @param likelyTokens the caller's estimate of its tokens
-	 * @return milliseconds, as long as recent answers took for each estimated token
+	 * @return milliseconds, as long as recent answers took for each estimated token, and
+	 * before one has ended as long as those that go on take; 0 if nothing was seen
 	 */
 	long answerMs(int likelyTokens) {
-		return (long) (likelyTokens * this.streamedMs / this.streamedTokens);
+		DecayedRatio tokenMs = this.answers.isKnown() ? this.answers : this.events;
+		return (long) (likelyTokens * tokenMs.value());
 	}
 
 	/**
--- a/src/main/java/io/shallotspur/gateway/RelayTask.java
+++ b/src/main/java/io/shallotspur/gateway/RelayTask.java
@@ -43,6 +43,8 @@
 
 	private final Placing placing;
 
+	private final int eventTokens;
+
 	private AttemptHistory history = AttemptHistory.NONE;
 
 	private @Nullable Attempt attempt;
@@ -58,6 +60,8 @@
 
 	private long firstAt;
 
+	private long eventAt;
+
 	private boolean begun;
 
 	private boolean finished;
@@ -73,6 +77,7 @@
 		this.upstream = route.chooseUpstream(g.random.next());
 		this.lastEventId = request.lastEventId();
 		EngineSpec engine = table.upstream(this.upstream).map(UpstreamSpec::engine).orElse(null);
+		this.eventTokens = (engine != null) ? engine.eventTokens() : 0;
 		this.placing = new Placing(g, route, request, this.upstream, engine, this, now, this.answerBy);
 	}
 
@@ -141,6 +146,7 @@
 		if (!id.isEmpty()) {
 			this.lastEventId = id;
 		}
+		paced();
 		this.answer.write(event);
 	}
 
@@ -149,6 +155,15 @@
 		this.answer.write(bytes);
 	}
 
+	// A pause in which the worker was lost and another one found is not the engine's.
+	private void paced() {
+		long now = this.g.clock.getAsLong();
+		if (this.eventAt > this.attemptAt) {
+			this.g.times(this.upstream).event(now - this.eventAt, this.eventTokens);
+		}
+		this.eventAt = now;
+	}
+
 	private void prefillOver() {
 		if (this.prefillsThere && this.attempt != null) {
 			this.attempt.worker().prefilling(-1);
--- a/src/main/java/io/shallotspur/platform/ConfigDecoder.java
+++ b/src/main/java/io/shallotspur/platform/ConfigDecoder.java
@@ -93,7 +93,8 @@
 		}
 		return new EngineSpec(e.path("slots").asInt(1), e.path("kv_cache_tokens").asLong(Long.MAX_VALUE),
 				e.path("kv_token_bytes").asDouble(), e.path("link_mbps").asDouble(),
-				(long) (e.path("kv_handle_s").asDouble() * MS_PER_S), e.path("hold_ms").asLong(0));
+				(long) (e.path("kv_handle_s").asDouble() * MS_PER_S), e.path("hold_ms").asLong(0),
+				e.path("stride").asInt(0));
 	}
 
 	private static IngressLimits limits(JsonNode l) {
--- a/src/main/java/io/shallotspur/route/EngineSpec.java
+++ b/src/main/java/io/shallotspur/route/EngineSpec.java
@@ -11,8 +11,9 @@
  * milliseconds
  * @param holdMs the longest time for which a place can be reserved, in milliseconds; 0 if
  * none can
+ * @param eventTokens tokens in each event of an answer; 0 if the operator does not say
  */
-public record EngineSpec(int slots, long cacheTokens, double tokenBytes, double linkMbps, long handleTtlMs,
-		long holdMs) {
+public record EngineSpec(int slots, long cacheTokens, double tokenBytes, double linkMbps, long handleTtlMs, long holdMs,
+		int eventTokens) {
 
 }
--- a/src/test/java/io/shallotspur/gateway/HoldQueueTests.java
+++ b/src/test/java/io/shallotspur/gateway/HoldQueueTests.java
@@ -195,11 +195,43 @@
 	void refusesAtOnceWhatCannotEndInTime() {
 		this.f.worker("d1", "llm", WorkerStage.DECODE);
 		PromptShape p = new PromptShape(3_000, 1_190, 1_190);
+		answerGoesOn(70);
 		Assertions.assertThat(this.f.call("once", 14_000, p).caller().answers).isZero();
 		Assertions.assertThat(this.f.call("once", 8_000, p).caller().status).isEqualTo(503);
+		Assertions.assertThat(this.f.workers.holds).hasSize(2);
+	}
+
+	// A VM has just started, and answers are thousands of tokens. As long as none has
+	// shown how long a token takes, the longest may well end in time; refused, its caller
+	// would be turned away beside idle workers.
+	@Test
+	void refusesNobodyBeforeAnyAnswerHasShownItsPace() {
+		this.f.worker("d1", "llm", WorkerStage.DECODE);
+		PromptShape p = new PromptShape(5_000, 9_000, 9_000);
+		Assertions.assertThat(this.f.call("once", 6_000, p).caller().answers).isZero();
 		Assertions.assertThat(this.f.workers.holds).hasSize(1);
 	}
 
+	// Engines that make a token in less than a millisecond, and the first answer has only
+	// just begun. Its events show the pace, seconds before it ends.
+	@Test
+	void learnsThePaceFromAnAnswerThatGoesOn() {
+		this.f.worker("d1", "llm", WorkerStage.DECODE);
+		answerGoesOn(7);
+		Assertions.assertThat(this.f.gateway.times("llm").answerMs(5_000)).isBetween(3_400L, 3_600L);
+	}
+
+	private void answerGoesOn(long eventMs) {
+		this.f.prompt("once", 100);
+		hold(0).listener().onHeld("h1");
+		this.f.timer.advance(10);
+		this.f.workers.last().head(200);
+		for (int i = 1; i <= 5; i++) {
+			this.f.workers.last().events("id: " + i + "\ndata: a\n\n");
+			this.f.timer.advance(eventMs);
+		}
+	}
+
 	@Test
 	void callsALongAnswerBackWhileItCanStillEndInTime() {
 		Assertions.assertThat(RetryAdvice.afterLateMs(11_000, 6_000, 0)).isEqualTo(2_000);
