Workers that start again under their id, and entries of other writers

Cause: the store may hold entries of other writers, and a worker may start again under its id. A missing state was read as ready, a missing slots as 1, an unknown stage as plain, and a worker whose entry had become unreadable was kept. A restart under the same id went unnoticed: requests waited on silent connections, a KV handle of before could be offered, and orders were counted on. Change: EntryFields reads each field as what it has to be; an unreadable entry names no worker (RegistryChange.Unreadable), one log line for each key and cause. WorkerInfo says when the worker started; a newer start ends the former state, its attempts and prefills, and what was reserved there is reserved anew; an older one changes nothing. A change over ends when the worker started again meanwhile, or gave no report twice.

--- a/src/main/java/io/shallotspur/gateway/Attempt.java
+++ b/src/main/java/io/shallotspur/gateway/Attempt.java
@@ -31,6 +31,8 @@
 
 	private final EventSplitter events = new EventSplitter();
 
+	private final Runnable onWorkerEnd = () -> onFailure(new ExchangeFailure(true, "worker started again"));
+
 	private @Nullable AnswerHead head;
 
 	private @Nullable Exchange exchange;
@@ -55,6 +57,7 @@
 	}
 
 	void send(WorkerPort port, WorkerCall call) {
+		this.worker.whenEnded(this.onWorkerEnd);
 		Exchange e = port.run(call, this);
 		this.exchange = e;
 		if (this.over) {
@@ -70,7 +73,7 @@
 	 * Gives the attempt up; the worker is to stop.
 	 */
 	void cancel() {
-		this.over = true;
+		end();
 		if (this.exchange != null) {
 			this.exchange.cancel();
 		}
@@ -151,11 +154,11 @@
 			fail(AttemptEnd.UNKNOWN, "status " + h.status());
 		}
 		else if (!h.success()) {
-			this.over = true;
+			end();
 			this.sink.failed(AttemptEnd.FAILED, "status " + h.status(), h, this.held.toByteArray());
 		}
 		else {
-			this.over = true;
+			end();
 			this.sink.succeeded(h, this.held.toByteArray(), this.begun);
 		}
 	}
@@ -167,6 +170,11 @@
 		}
 	}
 
+	private void end() {
+		this.over = true;
+		this.worker.forget(this.onWorkerEnd);
+	}
+
 	private void fail(AttemptEnd end, String reason) {
 		cancel();
 		this.sink.failed(end, reason, null, new byte[0]);
--- a/src/main/java/io/shallotspur/gateway/Placing.java
+++ b/src/main/java/io/shallotspur/gateway/Placing.java
@@ -215,6 +215,13 @@
 		if (w == null) {
 			return;
 		}
+		if (this.source != null && !this.g.roster.lives(this.source.worker())) {
+			this.source = null;
+		}
+		if (this.hold != null && !this.g.roster.lives(w.info())) {
+			placeAgain(now);
+			return;
+		}
 		this.tried.add(w.info().id());
 		WorkerCall call = new WorkerCall(this.request, w.info(), Math.max(1, this.answerBy - now), priority(), null,
 				this.source, this.hold);
@@ -224,6 +231,14 @@
 		this.sink.ready(w, call, now);
 	}
 
+	// The worker has started again while the prompt was read elsewhere, and the place
+	// went
+	// with its memory.
+	private void placeAgain(long now) {
+		cancel();
+		start(now);
+	}
+
 	/**
 	 * Gives up what is under way and gives back what was got.
 	 */
--- a/src/main/java/io/shallotspur/gateway/PrefillStep.java
+++ b/src/main/java/io/shallotspur/gateway/PrefillStep.java
@@ -20,6 +20,8 @@
 
 	private final Consumer<Result> then;
 
+	private final Runnable onWorkerEnd = () -> onFailure(new ExchangeFailure(true, "worker started again"));
+
 	private @Nullable Exchange exchange;
 
 	private Runnable cancelTimer = () -> {
@@ -46,6 +48,7 @@
 	void start(WorkerCall call, long limitMs) {
 		this.startedAt = this.g.clock.getAsLong();
 		this.worker.started();
+		this.worker.whenEnded(this.onWorkerEnd);
 		this.cancelTimer = this.g.timer.after(limitMs, () -> onFailure(new ExchangeFailure(true, "no answer")));
 		Exchange e = this.g.workers.prefill(call, this);
 		this.exchange = e;
@@ -110,6 +113,7 @@
 	private void end() {
 		this.over = true;
 		this.cancelTimer.run();
+		this.worker.forget(this.onWorkerEnd);
 		this.worker.ended();
 	}
 
--- a/src/main/java/io/shallotspur/gateway/Roster.java
+++ b/src/main/java/io/shallotspur/gateway/Roster.java
@@ -27,20 +27,41 @@
 	private final Map<String, WorkerStage> marks = new HashMap<>();
 
 	/**
-	 * Takes a worker's entry in the registry.
+	 * Takes a worker's entry in the registry. A worker that has started again under its
+	 * id knows nothing of before: all that was known of it ends, and requests under way
+	 * there end as a crash ends them. An entry from before its start, which came late or
+	 * from a stale read, changes nothing.
 	 * @param info the entry
 	 * @param now the present time in milliseconds
 	 */
 	public void seen(WorkerInfo info, long now) {
 		WorkerState s = this.byId.get(info.id());
-		if (s != null) {
+		if (s != null && s.info().isRestartOf(info)) {
+			return;
+		}
+		if (s != null && !info.isRestartOf(s.info())) {
 			s.update(info, now);
 			return;
 		}
 		this.byId.put(info.id(), new WorkerState(info, now));
+		if (s != null) {
+			s.end();
+			detector(s.info().upstream()).removed(info.id());
+		}
 		detector(info.upstream()).added(info.id());
 	}
 
+	/**
+	 * Tells whether a worker is still in the life in which it was last seen. What it held
+	 * for a request, a place or a KV cache, ended with that.
+	 * @param info the worker as it was seen
+	 * @return {@code false} if it has started again since
+	 */
+	boolean lives(WorkerInfo info) {
+		WorkerState s = this.byId.get(info.id());
+		return s == null || !s.info().isRestartOf(info);
+	}
+
 	/**
 	 * Takes the removal of a worker's entry.
 	 * @param id the worker
--- a/src/main/java/io/shallotspur/gateway/WorkerInfo.java
+++ b/src/main/java/io/shallotspur/gateway/WorkerInfo.java
@@ -3,7 +3,7 @@
 /**
  * A worker as the registry describes it. Immutable.
  *
- * @param id unique for each start of a worker
+ * @param id its name; a worker that starts again may keep it
  * @param upstream the upstream it belongs to
  * @param host its IP address
  * @param port its port
@@ -12,9 +12,10 @@
  * @param stage what it does
  * @param leaving whether it wants no new requests
  * @param coldMs how much longer it is slow after its start, in milliseconds
+ * @param startedAt when it started, in Unix milliseconds; 0 if it does not say
  */
 public record WorkerInfo(String id, String upstream, String host, int port, String hall, int slots, WorkerStage stage,
-		boolean leaving, long coldMs) {
+		boolean leaving, long coldMs, long startedAt) {
 
 	/**
 	 * Returns this worker as one that does something else.
@@ -23,7 +24,16 @@
 	 */
 	public WorkerInfo withStage(WorkerStage other) {
 		return new WorkerInfo(this.id, this.upstream, this.host, this.port, this.hall, this.slots, other, this.leaving,
-				this.coldMs);
+				this.coldMs, this.startedAt);
+	}
+
+	/**
+	 * Tells whether another description is of an earlier start of this worker.
+	 * @param other a description of a worker with the same id
+	 * @return {@code false} also if either does not say when it started
+	 */
+	public boolean isRestartOf(WorkerInfo other) {
+		return other.startedAt > 0 && this.startedAt > other.startedAt;
 	}
 
 	/**
--- a/src/main/java/io/shallotspur/gateway/WorkerState.java
+++ b/src/main/java/io/shallotspur/gateway/WorkerState.java
@@ -1,5 +1,9 @@
 package io.shallotspur.gateway;
 
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -42,6 +46,8 @@
 
 	private long unreachableUntil;
 
+	private final Set<Runnable> onEnd = new LinkedHashSet<>();
+
 	WorkerState(WorkerInfo info, long now) {
 		this.info = info;
 		this.coldUntil = now + info.coldMs();
@@ -65,6 +71,23 @@
 		return now >= this.vanishAt;
 	}
 
+	/**
+	 * Asks to be told when this life of the worker has ended. A connection to a worker
+	 * that crashed behind a cut is silent, and its request would wait for its deadline.
+	 * @param task run once, unless it is forgotten before
+	 */
+	void whenEnded(Runnable task) {
+		this.onEnd.add(task);
+	}
+
+	void forget(Runnable task) {
+		this.onEnd.remove(task);
+	}
+
+	void end() {
+		List.copyOf(this.onEnd).forEach(Runnable::run);
+	}
+
 	void unreachable(long now) {
 		this.unreachableUntil = now + UNREACHABLE_MS;
 	}
--- a/src/main/java/io/shallotspur/platform/EntryDecoder.java
+++ b/src/main/java/io/shallotspur/platform/EntryDecoder.java
@@ -9,7 +9,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import org.tinylog.Logger;
+import org.jspecify.annotations.Nullable;
 
 import io.shallotspur.cfg.Endpoint;
 import io.shallotspur.exc.InputException;
@@ -19,8 +19,9 @@
 import io.shallotspur.registry.RegistryChange;
 
 /**
- * Decodes items and events of the platform's store. Stateless. An entry that cannot be
- * read is left aside with a line in the log: what was known before stays in force.
+ * Decodes items and events of the platform's store. Stateless. Other writers may leave
+ * entries there that cannot be read: a worker's names no worker to use, of any other what
+ * was known before stays in force.
  */
 final class EntryDecoder {
 
@@ -29,19 +30,27 @@
 	private EntryDecoder() {
 	}
 
+	/**
+	 * Decodes an item or an event.
+	 * @param item the item or event
+	 * @return what it says, {@link RegistryChange.Unreadable} if it cannot be read, or
+	 * empty if it is of no concern here
+	 */
 	static Optional<RegistryChange> decode(JsonNode item) {
 		String key = item.path("key").asText();
 		try {
 			return decode(key, item);
 		}
-		catch (InputException | IOException | IllegalArgumentException ex) {
-			Logger.warn("[platform] entry left aside key={} revision={} seen=\"{}\"", key,
-					item.path("revision").asLong(), ex.toString());
-			return Optional.empty();
+		catch (InputException ex) {
+			return Optional.of(new RegistryChange.Unreadable(key, workerId(key), ex.getMessage()));
 		}
 	}
 
-	private static Optional<RegistryChange> decode(String key, JsonNode item) throws InputException, IOException {
+	private static @Nullable String workerId(String key) {
+		return key.startsWith(Names.WORKER_PREFIX) ? key.substring(Names.WORKER_PREFIX.length()) : null;
+	}
+
+	private static Optional<RegistryChange> decode(String key, JsonNode item) throws InputException {
 		boolean gone = item.path("tombstone").asBoolean(false);
 		if (key.startsWith(Names.WORKER_PREFIX)) {
 			String id = key.substring(Names.WORKER_PREFIX.length());
@@ -56,12 +65,12 @@
 		if (key.startsWith(Names.STAGE_PREFIX)) {
 			String id = key.substring(Names.STAGE_PREFIX.length());
 			return Optional.of(gone ? new RegistryChange.StageUnmarked(id)
-					: new RegistryChange.StageMarked(id, stage(value(item).path("stage").asText())));
+					: new RegistryChange.StageMarked(id, marked(key, value(item))));
 		}
 		if (key.startsWith(Names.FIGURES_PREFIX) && !gone) {
 			String upstream = key.substring(Names.FIGURES_PREFIX.length());
-			return Optional
-				.of(new RegistryChange.FiguresSeen(upstream, figures(value(item)), item.path("revision").asLong()));
+			return Optional.of(new RegistryChange.FiguresSeen(upstream, figures(key, value(item)),
+					item.path("revision").asLong()));
 		}
 		if (key.equals(Names.CONFIG_KEY) && !gone) {
 			return Optional.of(new RegistryChange.Configured(ConfigDecoder.decode(value(item))));
@@ -69,33 +78,46 @@
 		return Optional.empty();
 	}
 
-	private static JsonNode value(JsonNode item) throws IOException {
-		return JSON.readTree(Base64.getDecoder().decode(item.path("value").asText()));
+	private static JsonNode value(JsonNode item) throws InputException {
+		try {
+			return JSON.readTree(Base64.getDecoder().decode(item.path("value").asText()));
+		}
+		catch (IOException | IllegalArgumentException ex) {
+			throw new InputException("The value is not JSON.", item.path("key").asText(), ex);
+		}
+	}
+
+	private static WorkerStage marked(String key, JsonNode v) throws InputException {
+		EntryFields f = new EntryFields(v, key);
+		return stage(f.text("stage")).orElseThrow(() -> f.unusable("stage"));
 	}
 
 	private static RegistryChange worker(String id, JsonNode v) throws InputException {
-		Endpoint e = Endpoint.parse(v.path("address").asText())
-			.orElseThrow(() -> new InputException("A worker has no address.", Names.WORKER_PREFIX + id));
-		boolean leaving = !v.path("state").asText("ready").equals("ready");
-		return new RegistryChange.WorkerSeen(new WorkerInfo(id, v.path("service").asText(), e.host(), e.port(),
-				v.path("zone").asText(), v.path("slots").asInt(1), stage(v.path("stage").asText()), leaving,
-				v.path("cold_remaining_ms").asLong()));
+		EntryFields f = new EntryFields(v, Names.WORKER_PREFIX + id);
+		Endpoint e = f.endpoint("address");
+		f.text("version");
+		f.count("sequence_number");
+		boolean leaving = switch (f.text("state")) {
+			case "ready" -> false;
+			case "draining" -> true;
+			default -> throw f.unusable("state");
+		};
+		WorkerStage stage = f.has("stage") ? stage(f.text("stage")).orElseThrow(() -> f.unusable("stage"))
+				: WorkerStage.PLAIN;
+		long startedAt = f.has(Names.STARTED_AT) ? f.count(Names.STARTED_AT) : 0;
+		return new RegistryChange.WorkerSeen(new WorkerInfo(id, f.text("service"), e.host(), e.port(), f.text("zone"),
+				f.positive("slots"), stage, leaving, f.count("cold_remaining_ms"), startedAt));
 	}
 
-	static RegistryChange.DutyHeld duty(JsonNode item) throws IOException {
-		return new RegistryChange.DutyHeld(value(item).path("vm").asText(), item.path("revision").asLong());
+	static RegistryChange.DutyHeld duty(JsonNode item) throws InputException {
+		EntryFields f = new EntryFields(value(item), Names.DUTY_KEY);
+		return new RegistryChange.DutyHeld(f.text("vm"), item.path("revision").asLong());
 	}
 
-	private static EngineFigures figures(JsonNode v) throws InputException {
-		EngineFigures f = new EngineFigures(v.path("samples").asInt(), v.path("prompt_tokens").asDouble(),
-				v.path("answer_tokens").asDouble(), v.path("reserved_tokens").asDouble(),
-				v.path("prefill_token_ms").asDouble(), v.path("answer_token_ms").asDouble());
-		boolean usable = f.samples() > 0 && f.promptTokens() > 0 && f.answerTokens() > 0 && f.reservedTokens() > 0
-				&& f.prefillTokenMs() > 0 && f.answerTokenMs() > 0;
-		if (!usable) {
-			throw new InputException("Figures are missing or not positive.", Names.FIGURES_PREFIX);
-		}
-		return f;
+	private static EngineFigures figures(String key, JsonNode v) throws InputException {
+		EntryFields f = new EntryFields(v, key);
+		return new EngineFigures(f.positive("samples"), f.amount("prompt_tokens"), f.amount("answer_tokens"),
+				f.amount("reserved_tokens"), f.amount("prefill_token_ms"), f.amount("answer_token_ms"));
 	}
 
 	static String encode(EngineFigures f) {
@@ -108,16 +130,17 @@
 			.put("answer_token_ms", f.answerTokenMs()));
 	}
 
-	static WorkerStage stage(String s) {
+	static Optional<WorkerStage> stage(String s) {
 		return switch (s) {
-			case "prefill" -> WorkerStage.PREFILL;
-			case "decode" -> WorkerStage.DECODE;
-			default -> WorkerStage.PLAIN;
+			case "prefill" -> Optional.of(WorkerStage.PREFILL);
+			case "decode" -> Optional.of(WorkerStage.DECODE);
+			default -> Optional.empty();
 		};
 	}
 
-	private static RegistryChange vm(String key, JsonNode v) {
-		return new RegistryChange.VmSeen(key, v.path("address").asText(), v.path("hall").asText());
+	private static RegistryChange vm(String key, JsonNode v) throws InputException {
+		EntryFields f = new EntryFields(v, key);
+		return new RegistryChange.VmSeen(key, f.endpoint("address").toString(), f.text("hall"));
 	}
 
 	static String encode(WorkerStage stage) {
--- a/src/main/java/io/shallotspur/platform/HttpStagePort.java
+++ b/src/main/java/io/shallotspur/platform/HttpStagePort.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.time.Duration;
+import java.util.Optional;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
@@ -10,6 +11,7 @@
 
 import io.shallotspur.exc.EngineLostException;
 import io.shallotspur.gateway.WorkerInfo;
+import io.shallotspur.gateway.WorkerStage;
 import io.shallotspur.stage.OrderResult;
 import io.shallotspur.stage.StageOrder;
 import io.shallotspur.stage.StagePort;
@@ -59,12 +61,13 @@
 	private static Mono<StageReport> report(WorkerInfo worker, int status, byte[] body) {
 		try {
 			JsonNode n = (status == OK) ? EntryDecoder.JSON.readTree(body) : null;
-			if (n == null || !n.path("stage").isTextual() || !n.path("sequence_number").isIntegralNumber()) {
+			Optional<WorkerStage> stage = (n != null) ? EntryDecoder.stage(n.path("stage").asText()) : Optional.empty();
+			if (stage.isEmpty() || !n.path("sequence_number").isIntegralNumber()) {
 				return Mono.error(new IOException("status " + status));
 			}
 			// The number in a report counts orders; in the registry it counts heartbeats.
-			return Mono.just(new StageReport(EntryDecoder.stage(n.path("stage").asText()), n.path("busy").asBoolean(),
-					n.path("sequence_number").asLong()));
+			return Mono.just(new StageReport(stage.get(), n.path("busy").asBoolean(),
+					n.path("sequence_number").asLong(), n.path(Names.STARTED_AT).asLong()));
 		}
 		catch (IOException ex) {
 			return Mono.error(ex);
--- a/src/main/java/io/shallotspur/platform/Names.java
+++ b/src/main/java/io/shallotspur/platform/Names.java
@@ -57,6 +57,9 @@
 
 	static final String DROP_PATH = "/api/hold-drop/";
 
+	/** Beside all that a worker says of itself: its start, in Unix milliseconds. */
+	static final String STARTED_AT = "born";
+
 	static final String REPORT_PATH = "/api/report";
 
 	static final String ORDER_PATH = "/api/order";
--- a/src/main/java/io/shallotspur/platform/RehearsalStandins.java
+++ b/src/main/java/io/shallotspur/platform/RehearsalStandins.java
@@ -99,9 +99,10 @@
 	}
 
 	private void worker(ArrayNode items, String upstream, String id, String stage) {
+		String does = stage.isEmpty() ? "" : ",\"stage\":\"" + stage + "\"";
 		item(items, Names.WORKER_PREFIX + id, """
-				{"service":"%s","address":"%s","zone":"here","slots":6,"state":"ready","cold_remaining_ms":0,
-				"stage":"%s"}""".formatted(upstream, address(), stage));
+				{"service":"%s","address":"%s","zone":"here","version":"v1","slots":6,"state":"ready",
+				"cold_remaining_ms":0,"sequence_number":1%s}""".formatted(upstream, address(), does));
 	}
 
 	private String event() {
--- a/src/main/java/io/shallotspur/registry/RegistryChange.java
+++ b/src/main/java/io/shallotspur/registry/RegistryChange.java
@@ -1,5 +1,7 @@
 package io.shallotspur.registry;
 
+import org.jspecify.annotations.Nullable;
+
 import io.shallotspur.gateway.EngineFigures;
 import io.shallotspur.gateway.WorkerInfo;
 import io.shallotspur.gateway.WorkerStage;
@@ -67,6 +69,18 @@
 
 	}
 
+	/**
+	 * An entry that cannot be read.
+	 *
+	 * @param key its key
+	 * @param worker the worker whose entry it would be, or {@code null} if it is another
+	 * one's
+	 * @param cause what is wrong with it
+	 */
+	record Unreadable(String key, @Nullable String worker, String cause) implements RegistryChange {
+
+	}
+
 	/**
 	 * VMs told what they have seen of the engines of an upstream.
 	 *
--- a/src/main/java/io/shallotspur/registry/RegistryFollower.java
+++ b/src/main/java/io/shallotspur/registry/RegistryFollower.java
@@ -1,6 +1,8 @@
 package io.shallotspur.registry;
 
+import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.DoubleSupplier;
@@ -56,6 +58,10 @@
 	// meanwhile, ms: the time for its return, and for this VM to notice.
 	private static final long AWAY_WINDOW_MS = RETURN_MS + WATCH_MS;
 
+	// Entries of other writers whose causes are remembered; beyond it they are logged
+	// again.
+	private static final int MOST_CAUSES = 1_000;
+
 	// A leaving worker gets nothing for so long before it must not get anything, ms: for
 	// requests that are on their way when the time is up.
 	private static final long LEAVE_MARGIN_MS = 300;
@@ -72,6 +78,9 @@
 
 	private final long workerGraceMs;
 
+	// Why entries could not be read, by key.
+	private final Map<String, String> causes = new HashMap<>();
+
 	private Disposable call = Disposables.disposed();
 
 	private long calls;
@@ -259,6 +268,9 @@
 			Logger.info("[registry] worker={} upstream={} stage={} leaving={} revision={}", e.worker().id(),
 					e.worker().upstream(), e.worker().stage(), e.worker().leaving(), this.revision);
 		}
+		else if (c instanceof RegistryChange.Unreadable e) {
+			unreadable(e, now);
+		}
 		else if (c instanceof RegistryChange.WorkerGone e) {
 			long grace = workerGrace(now);
 			this.gateway.roster().vanished(e.id(), now, grace);
@@ -287,6 +299,21 @@
 		}
 	}
 
+	// Whatever stood there before, the entry names no worker to use now. Each listing
+	// brings it again; one line for each cause is enough.
+	private void unreadable(RegistryChange.Unreadable e, long now) {
+		if (e.worker() != null) {
+			this.gateway.roster().vanished(e.worker(), now, 0);
+		}
+		if (this.causes.size() >= MOST_CAUSES) {
+			this.causes.clear();
+		}
+		if (!e.cause().equals(this.causes.put(e.key(), e.cause()))) {
+			Logger.warn("[registry] entry left aside key={} revision={} seen=\"{}\"", e.key(), this.revision,
+					e.cause());
+		}
+	}
+
 	private void dutySeen(RegistryChange.@Nullable DutyHeld holder, long now) {
 		if (this.duty != null) {
 			this.duty.seen(holder, now);
--- a/src/main/java/io/shallotspur/stage/StageSwitch.java
+++ b/src/main/java/io/shallotspur/stage/StageSwitch.java
@@ -34,6 +34,10 @@
 
 	private static final int MOST_ORDERS = 3;
 
+	// Reports in a row that do not come. A worker that crashed keeps nothing of an order,
+	// and while it is waited for no other one changes over.
+	private static final int MOST_SILENT = 2;
+
 	private final Duty duty;
 
 	private final StagePort port;
@@ -54,6 +58,10 @@
 
 	private int orders;
 
+	private int silent;
+
+	private long startedAt;
+
 	StageSwitch(Duty duty, StagePort port, GatewayTimer timer, LongSupplier clock, String vm, WorkerInfo worker,
 			WorkerStage stage, Consumer<Boolean> then) {
 		this.duty = duty;
@@ -62,6 +70,7 @@
 		this.clock = clock;
 		this.vm = vm;
 		this.worker = worker;
+		this.startedAt = worker.startedAt();
 		this.stage = stage;
 		this.then = then;
 	}
@@ -94,9 +103,17 @@
 			fail("not in force in time");
 			return;
 		}
-		this.port.report(this.worker).subscribe(this::judge, (ex) -> {
+		this.port.report(this.worker).subscribe((r) -> {
+			this.silent = 0;
+			judge(r);
+		}, (ex) -> {
 			Logger.info("[stage] no report worker={} seen=\"{}\"", this.worker.id(), ex.toString());
-			lookLater();
+			if (++this.silent >= MOST_SILENT) {
+				fail("worker lost");
+			}
+			else {
+				lookLater();
+			}
 		});
 	}
 
@@ -104,8 +121,19 @@
 		this.timer.after(POLL_MS, this::look);
 	}
 
+	// The count of orders begins anew with a worker's start, so that an order for its
+	// former life could be taken for one of this life.
+	private boolean startedAgain(StageReport r) {
+		long before = this.startedAt;
+		this.startedAt = Math.max(before, r.startedAt());
+		return before > 0 && r.startedAt() > before;
+	}
+
 	private void judge(StageReport r) {
-		if (r.stage() == this.stage && !r.busy()) {
+		if (startedAgain(r)) {
+			fail("worker started again");
+		}
+		else if (r.stage() == this.stage && !r.busy()) {
 			end("in force", true);
 		}
 		else if (r.busy()) {
--- a/src/test/java/io/shallotspur/gateway/GatewayFixture.java
+++ b/src/test/java/io/shallotspur/gateway/GatewayFixture.java
@@ -63,11 +63,17 @@
 	}
 
 	WorkerInfo worker(String id, String upstream, WorkerStage stage) {
-		WorkerInfo w = new WorkerInfo(id, upstream, "10.0.0." + (++this.ids), 80, "hall-a", 6, stage, false, 0);
+		WorkerInfo w = new WorkerInfo(id, upstream, "10.0.0." + (++this.ids), 80, "hall-a", 6, stage, false, 0, 1);
 		this.gateway.roster().seen(w, this.timer.now());
 		return w;
 	}
 
+	void startsAgain(WorkerInfo w) {
+		this.gateway.roster()
+			.seen(new WorkerInfo(w.id(), w.upstream(), w.host(), w.port(), w.hall(), w.slots(), w.stage(), false, 0,
+					w.startedAt() + 1), this.timer.now());
+	}
+
 	Call call(String route) {
 		return call(route, 1_500, null);
 	}
--- a/src/test/java/io/shallotspur/gateway/RelayTests.java
+++ b/src/test/java/io/shallotspur/gateway/RelayTests.java
@@ -168,7 +168,7 @@
 	void leavesAWorkerThatIsLeavingAlone() {
 		for (String id : List.of("p1", "p2")) {
 			this.f.gateway.roster()
-				.seen(new WorkerInfo(id, "plain", "10.0.0.9", 80, "hall-a", 6, WorkerStage.PLAIN, true, 0),
+				.seen(new WorkerInfo(id, "plain", "10.0.0.9", 80, "hall-a", 6, WorkerStage.PLAIN, true, 0, 0),
 						this.f.timer.now());
 		}
 		this.f.call("safe");
--- a/src/test/java/io/shallotspur/gateway/RosterTests.java
+++ b/src/test/java/io/shallotspur/gateway/RosterTests.java
@@ -16,7 +16,7 @@
 	private final Roster roster = new Roster();
 
 	private static WorkerInfo worker(WorkerStage stage) {
-		return new WorkerInfo("w1", "llm", "10.0.0.1", 80, "hall-a", 8, stage, false, 0);
+		return new WorkerInfo("w1", "llm", "10.0.0.1", 80, "hall-a", 8, stage, false, 0, 0);
 	}
 
 	private List<WorkerState> candidates(WorkerStage stage) {
@@ -73,4 +73,35 @@
 		Assertions.assertThat(candidates(WorkerStage.DECODE)).isEmpty();
 	}
 
+	// A worker crashed and started again under its id. Its slots are free, its failures
+	// are those of the life before, and its connections lead nowhere.
+	@Test
+	void beginsAnewWithAWorkerThatHasStartedAgain() {
+		this.roster.seen(started(100), NOW);
+		WorkerState before = candidates(WorkerStage.DECODE).get(0);
+		before.started();
+		before.outcome(true);
+		this.roster.seen(started(200), NOW);
+		WorkerState after = candidates(WorkerStage.DECODE).get(0);
+		Assertions.assertThat(after.load(NOW)).isZero();
+		Assertions.assertThat(after.failureRate()).isZero();
+		Assertions.assertThat(this.roster.lives(before.info())).isFalse();
+		Assertions.assertThat(this.roster.lives(after.info())).isTrue();
+	}
+
+	// An entry of the former life comes late, or from a stale read. Taken for a restart,
+	// it would end what runs at the worker.
+	@Test
+	void anOlderEntryChangesNothing() {
+		this.roster.seen(started(200), NOW);
+		WorkerState s = candidates(WorkerStage.DECODE).get(0);
+		this.roster.seen(started(100).withStage(WorkerStage.PREFILL), NOW);
+		Assertions.assertThat(candidates(WorkerStage.DECODE)).containsExactly(s);
+		Assertions.assertThat(s.info().startedAt()).isEqualTo(200);
+	}
+
+	private static WorkerInfo started(long at) {
+		return new WorkerInfo("w1", "llm", "10.0.0.1", 80, "hall-a", 8, WorkerStage.DECODE, false, 0, at);
+	}
+
 }
--- a/src/test/java/io/shallotspur/gateway/StreamRelayTests.java
+++ b/src/test/java/io/shallotspur/gateway/StreamRelayTests.java
@@ -148,4 +148,57 @@
 		Assertions.assertThat(this.f.workers.runs).isEmpty();
 	}
 
+	// A worker crashes behind a cut and starts again under its id. The connection to it
+	// stays silent, so without the news from the registry the caller would wait for its
+	// deadline.
+	@Test
+	void goesOnElsewhereWhenTheWorkerHasStartedAgain() {
+		Call c = running("resume");
+		FakeWorkers.Run first = this.f.workers.last();
+		first.head(200);
+		first.events(GatewayFixture.EVENTS);
+		this.f.startsAgain(first.call.worker());
+		Assertions.assertThat(first.cancelled).isTrue();
+		this.f.workers.holds.get(1).listener().onHeld("h2");
+		Assertions.assertThat(this.f.workers.last().call.lastEventId()).isEqualTo("2");
+		Assertions.assertThat(c.caller().brokenOff).isFalse();
+	}
+
+	// The same for a stream that must not run twice: its caller is told at once that the
+	// outcome is not known.
+	@Test
+	void endsWhatMayHaveRunWhenTheWorkerHasStartedAgain() {
+		Call c = running("once");
+		this.f.startsAgain(this.f.workers.last().call.worker());
+		Assertions.assertThat(c.caller().status).isEqualTo(502);
+		Assertions.assertThat(this.f.workers.runs).hasSize(1);
+	}
+
+	// A KV cache waits at a prefill worker that starts again while its decode worker is
+	// being asked. The handle may name another prompt by now: it must not be offered.
+	@Test
+	void neverOffersAHandleFromBeforeARestart() {
+		WorkerInfo f1 = this.f.worker("f1", "llm", WorkerStage.PREFILL);
+		this.f.prompt("once", 3_000);
+		this.f.workers.holds.get(0).listener().onHeld("h");
+		this.f.startsAgain(f1);
+		Assertions.assertThat(this.f.workers.prefills.get(0).cancelled).isTrue();
+		this.f.workers.prefills.get(0).listener.onReady("kv-old");
+		Assertions.assertThat(this.f.workers.last().call.kvSource()).isNull();
+		Assertions.assertThat(this.f.workers.released).containsExactly("kv-old");
+	}
+
+	// The decode worker starts again while the prompt is read elsewhere. The place that
+	// was reserved there went with its memory; another one is reserved.
+	@Test
+	void reservesAgainWhenTheDecodeWorkerHasStartedAgain() {
+		this.f.worker("f1", "llm", WorkerStage.PREFILL);
+		this.f.prompt("once", 3_000);
+		this.f.workers.holds.get(0).listener().onHeld("h");
+		this.f.startsAgain(this.f.workers.holds.get(0).worker());
+		this.f.workers.prefills.get(0).listener.onReady("kv");
+		Assertions.assertThat(this.f.workers.runs).isEmpty();
+		Assertions.assertThat(this.f.workers.holds).hasSize(2);
+	}
+
 }
--- a/src/test/java/io/shallotspur/platform/HttpStagePortTests.java
+++ b/src/test/java/io/shallotspur/platform/HttpStagePortTests.java
@@ -37,7 +37,7 @@
 	@Test
 	void readsAReport() {
 		Assertions.assertThat(this.port.report(info()).block())
-			.isEqualTo(new StageReport(WorkerStage.DECODE, false, 4));
+			.isEqualTo(new StageReport(WorkerStage.DECODE, false, 4, 0));
 	}
 
 	@ParameterizedTest
--- a/src/test/java/io/shallotspur/platform/StoreRegistryTests.java
+++ b/src/test/java/io/shallotspur/platform/StoreRegistryTests.java
@@ -6,6 +6,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
+import io.shallotspur.gateway.EngineFigures;
 import io.shallotspur.gateway.WorkerStage;
 import io.shallotspur.registry.RegistryChange;
 import io.shallotspur.registry.RegistryNews;
@@ -68,4 +69,16 @@
 					new RegistryChange.DutyFree());
 	}
 
+	// Two VMs tell of what they saw in the same moment; the second would overwrite what
+	// the first has told.
+	@Test
+	void tellsFiguresOnTopOfThoseThatAreKnown() {
+		EngineFigures f = new EngineFigures(4, 3_000, 500, 3_800, 0.03, 7);
+		Assertions.assertThat(this.registry.tell("llm", f, 0).block()).isTrue();
+		Assertions.assertThat(this.registry.tell("llm", f, 0).block()).isFalse();
+		RegistryChange.FiguresSeen seen = (RegistryChange.FiguresSeen) this.registry.list().block().changes().get(0);
+		Assertions.assertThat(seen.figures()).isEqualTo(f);
+		Assertions.assertThat(this.registry.tell("llm", f, seen.revision()).block()).isTrue();
+	}
+
 }
--- a/src/test/java/io/shallotspur/platform/WorkerDouble.java
+++ b/src/test/java/io/shallotspur/platform/WorkerDouble.java
@@ -52,12 +52,12 @@
 	String entry(String upstream, String state) {
 		return """
 				{"service":"%s","address":"127.0.0.1:%d","zone":"hall-a","version":"v1","slots":6,"state":"%s",
-				"cold_remaining_ms":0,"stage":"%s","models":[],"sequence_number":1}""".formatted(upstream,
-				this.server.port(), state, this.stage);
+				"cold_remaining_ms":0,%s"models":[],"sequence_number":1}""".formatted(upstream, this.server.port(),
+				state, this.stage.isEmpty() ? "" : "\"stage\":\"" + this.stage + "\",");
 	}
 
 	WorkerInfo info(WorkerStage does) {
-		return new WorkerInfo(this.id, "llm", "127.0.0.1", this.server.port(), "hall-a", 6, does, false, 0);
+		return new WorkerInfo(this.id, "llm", "127.0.0.1", this.server.port(), "hall-a", 6, does, false, 0, 0);
 	}
 
 	void stop() {
--- a/src/test/java/io/shallotspur/platform/soak/SoakWorker.java
+++ b/src/test/java/io/shallotspur/platform/soak/SoakWorker.java
@@ -122,10 +122,12 @@
 	}
 
 	synchronized void register(String state) {
-		this.store.put(this.life.key(), """
-				{"service":"%s","address":"127.0.0.1:%d","zone":"hall-%d","version":"v1","slots":%d,"state":"%s",
-				"cold_remaining_ms":0,"stage":"%s","models":[],"sequence_number":1}""".formatted(this.upstream,
-				this.proxy.port(), this.number % 2, SLOTS, state, this.life.stage));
+		this.store.put(this.life.key(),
+				"""
+						{"service":"%s","address":"127.0.0.1:%d","zone":"hall-%d","version":"v1","slots":%d,"state":"%s",
+						"cold_remaining_ms":0,%s"models":[],"sequence_number":1}"""
+					.formatted(this.upstream, this.proxy.port(), this.number % 2, SLOTS, state,
+							this.life.stage.isEmpty() ? "" : "\"stage\":\"" + this.life.stage + "\","));
 	}
 
 	void stop() {
--- a/src/test/java/io/shallotspur/registry/RegistryFollowerTests.java
+++ b/src/test/java/io/shallotspur/registry/RegistryFollowerTests.java
@@ -41,7 +41,7 @@
 
 	private static RegistryChange worker(String id) {
 		return new RegistryChange.WorkerSeen(
-				new WorkerInfo(id, "up", "10.0.0.1", 80, "hall-a", 6, WorkerStage.PLAIN, false, 0));
+				new WorkerInfo(id, "up", "10.0.0.1", 80, "hall-a", 6, WorkerStage.PLAIN, false, 0, 0));
 	}
 
 	private static RegistryChange config(long version) {
@@ -183,4 +183,25 @@
 		Assertions.assertThat(this.registry.lastWaitMs).isPositive();
 	}
 
+	// Another program writes over a worker's entry, or leaves one beside it. Whatever
+	// stood
+	// there names no worker now, and the others are not touched by it.
+	@Test
+	void anEntryThatCannotBeReadNamesNoWorker() {
+		follow(config(3), worker("w1"), worker("w2"));
+		tell(11, new RegistryChange.Unreadable("servers/w1", "w1", "The entry is not an object."));
+		Assertions.assertThat(workers()).isEqualTo(1);
+		this.timer.advance(1_000);
+		tell(12, worker("w1"));
+		Assertions.assertThat(workers()).isEqualTo(2);
+	}
+
+	@Test
+	void aListingWithAnEntryThatCannotBeReadStaysWhole() {
+		follow(config(3), new RegistryChange.Unreadable("servers/w0", "w0", "The value is not JSON."), worker("w1"),
+				new RegistryChange.Unreadable("op/config", null, "The value is not JSON."));
+		Assertions.assertThat(workers()).isEqualTo(1);
+		Assertions.assertThat(this.gateway.table()).isPresent();
+	}
+
 }
--- a/src/test/java/io/shallotspur/stage/FakeStagePort.java
+++ b/src/test/java/io/shallotspur/stage/FakeStagePort.java
@@ -2,8 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 import reactor.core.publisher.Mono;
 
@@ -22,6 +24,11 @@
 
 	OrderResult result = OrderResult.ACCEPTED;
 
+	// Workers that give no report.
+	final Set<String> silent = new HashSet<>();
+
+	long startedAt;
+
 	// Orders are accepted and their answers lost.
 	boolean losesAnswers;
 
@@ -30,7 +37,11 @@
 
 	@Override
 	public Mono<StageReport> report(WorkerInfo worker) {
-		return Mono.just(this.reports.getOrDefault(worker.id(), new StageReport(worker.stage(), false, 0)));
+		if (this.silent.contains(worker.id())) {
+			return Mono.error(new EngineLostException("silent", worker.id()));
+		}
+		return Mono
+			.just(this.reports.getOrDefault(worker.id(), new StageReport(worker.stage(), false, 0, this.startedAt)));
 	}
 
 	@Override
@@ -40,14 +51,14 @@
 			return Mono.error(new EngineLostException("lost", order.worker().id()));
 		}
 		if (this.result == OrderResult.ACCEPTED) {
-			this.reports.put(order.worker().id(), new StageReport(order.stage(), true, order.expectedOrders() + 1));
+			this.reports.put(order.worker().id(), new StageReport(order.stage(), true, order.expectedOrders() + 1, 0));
 		}
 		return this.losesAnswers ? Mono.error(new EngineLostException("lost", order.worker().id()))
 				: Mono.just(this.result);
 	}
 
 	void done(String worker, WorkerStage stage) {
-		this.reports.put(worker, new StageReport(stage, false, 1));
+		this.reports.put(worker, new StageReport(stage, false, 1, 0));
 	}
 
 }
