A lost worker does not keep others from changing over; figures are told again after a pause

Change: a failed change is followed by another after 3 s, by a worker that has not failed lately; told figures wait 2 s after a failed or overtaken call.

--- a/src/main/java/io/shallotspur/registry/SharedFigures.java
+++ b/src/main/java/io/shallotspur/registry/SharedFigures.java
@@ -39,6 +39,10 @@
 
 	private static final int LEAST_PART = 2;
 
+	// After a call that failed or was overtaken, ms. A store that is away refuses each
+	// call, and a VM that is cut off from its news knows an old revision.
+	private static final long RETRY_MS = 2_000;
+
 	// The part of the known requests that a VM must have seen anew to tell of them.
 	private static final int PART = 4;
 
@@ -56,7 +60,8 @@
 
 	private final Map<String, RegistryChange.FiguresSeen> known = new HashMap<>();
 
-	private final Set<String> telling = new HashSet<>();
+	// Upstreams that are not told of at present.
+	private final Set<String> waiting = new HashSet<>();
 
 	private boolean stopped;
 
@@ -119,7 +124,7 @@
 		EngineFigures all = (k != null) ? k.figures() : null;
 		EngineTimes times = this.gateway.times(upstream);
 		Optional<EngineFigures> part = times.unshared().filter((p) -> worthTelling(all, p));
-		if (part.isPresent() && this.telling.add(upstream)) {
+		if (part.isPresent() && this.waiting.add(upstream)) {
 			tell(upstream, times, k, part.get());
 		}
 	}
@@ -128,17 +133,24 @@
 		EngineFigures old = (k != null) ? k.figures().atMost(MOST_SAMPLES) : null;
 		EngineFigures sum = EngineFigures.join(old, part);
 		this.registry.tell(upstream, sum, (k != null) ? k.revision() : 0).subscribe((done) -> {
-			this.telling.remove(upstream);
 			if (done) {
 				times.told(part);
+				this.waiting.remove(upstream);
+			}
+			else {
+				waitFor(upstream);
 			}
 			Logger.info("[figures] upstream={} told={} done={}", upstream, sum, done);
 		}, (ex) -> {
-			this.telling.remove(upstream);
+			waitFor(upstream);
 			Logger.info("[figures] upstream={} not told seen=\"{}\"", upstream, ex.toString());
 		});
 	}
 
+	private void waitFor(String upstream) {
+		this.timer.after(RETRY_MS, () -> this.waiting.remove(upstream));
+	}
+
 	static boolean worthTelling(@Nullable EngineFigures all, EngineFigures part) {
 		int n = (all != null) ? Math.min(MOST_SAMPLES, all.samples()) : 0;
 		if (part.samples() < Math.max(LEAST_PART, n / PART)) {
--- a/src/main/java/io/shallotspur/stage/StageKeeper.java
+++ b/src/main/java/io/shallotspur/stage/StageKeeper.java
@@ -33,10 +33,15 @@
 	private static final int LEAST_SAMPLES = 3;
 
 	// After a change the load is watched for so long before one that goes the other way,
-	// or after one that failed, ms: the time of a change over and of a few answers.
-	// Otherwise two workers could change places again and again.
+	// ms: the time of a change over and of a few answers. Otherwise two workers could
+	// change places again and again.
 	private static final long SETTLE_MS = 10_000;
 
+	// After a change that failed, ms: another worker may do it, and one that refuses is
+	// not
+	// asked all the time.
+	private static final long RETRY_MS = 3_000;
+
 	// Workers that crash are back within some seconds, ms. Shared out again at once, the
 	// others would be short in the other stage when those return.
 	private static final long LASTING_MS = 5_000;
@@ -61,6 +66,9 @@
 
 	private final Map<String, Shares> shares = new HashMap<>();
 
+	// Workers that did not change over, and when that was known.
+	private final Map<String, Long> failedAt = new HashMap<>();
+
 	private boolean stopped;
 
 	/**
@@ -171,8 +179,8 @@
 	private void change(List<WorkerInfo> from, List<WorkerInfo> to, int n, WorkerStage stage, long now) {
 		List<WorkerInfo> left = new ArrayList<>(from);
 		for (int i = 0; i < n; i++) {
-			Comparator<WorkerInfo> order = Comparator
-				.comparingLong((WorkerInfo w) -> inHall(to, w.hall()) - inHall(left, w.hall()))
+			Comparator<WorkerInfo> order = Comparator.comparing((WorkerInfo w) -> failedLately(w, now))
+				.thenComparingLong((WorkerInfo w) -> inHall(to, w.hall()) - inHall(left, w.hall()))
 				.thenComparing(WorkerInfo::id);
 			WorkerInfo w = left.stream().min(order).orElseThrow();
 			left.remove(w);
@@ -181,6 +189,10 @@
 		}
 	}
 
+	private boolean failedLately(WorkerInfo w, long now) {
+		return now - this.failedAt.getOrDefault(w.id(), Long.MIN_VALUE / 2) < SETTLE_MS;
+	}
+
 	private static long inHall(List<WorkerInfo> l, String hall) {
 		return l.stream().filter((w) -> w.hall().equals(hall)).count();
 	}
@@ -188,6 +200,10 @@
 	private void begin(WorkerInfo w, WorkerStage stage, long now) {
 		StageSwitch s = new StageSwitch(this.duty, this.port, this.timer, this.clock, this.vm, w, stage, (inForce) -> {
 			this.running.remove(w.id());
+			this.failedAt.values().removeIf((at) -> this.clock.getAsLong() - at >= SETTLE_MS);
+			if (!inForce) {
+				this.failedAt.put(w.id(), this.clock.getAsLong());
+			}
 			this.shares.get(w.upstream()).ended(inForce, this.clock.getAsLong());
 		});
 		this.running.put(w.id(), s);
@@ -221,8 +237,10 @@
 		}
 
 		boolean maySendTo(WorkerStage stage, long now) {
-			boolean same = !this.failed && this.sentTo == stage;
-			return this.sentTo == null || same || now - this.sentAt >= SETTLE_MS;
+			if (this.sentTo == null || this.sentTo == stage) {
+				return !this.failed || now - this.sentAt >= RETRY_MS;
+			}
+			return now - this.sentAt >= SETTLE_MS;
 		}
 
 		void sent(WorkerStage stage, long now) {
--- a/src/test/java/io/shallotspur/stage/StageKeeperTests.java
+++ b/src/test/java/io/shallotspur/stage/StageKeeperTests.java
@@ -88,7 +88,7 @@
 	}
 
 	private static WorkerInfo worker(String id, String hall, WorkerStage stage) {
-		return new WorkerInfo(id, "llm", "10.0.1.1", 80, hall, 48, stage, false, 0);
+		return new WorkerInfo(id, "llm", "10.0.1.1", 80, hall, 48, stage, false, 0, 0);
 	}
 
 	// Six workers of which three prefill and are a quarter busy, while callers wait for
@@ -130,6 +130,36 @@
 		Assertions.assertThat(this.port.orders).isNotEmpty();
 	}
 
+	// An order got no answer, and the worker has started again since. It counts its
+	// orders
+	// anew, so the next order for the same count could be taken beside the first one,
+	// which may still come.
+	@Test
+	void givesNoOrderAgainToAWorkerThatHasStartedAgain() {
+		this.port.losesOrders = true;
+		this.port.startedAt = 100;
+		this.timer.advance(7_200);
+		Assertions.assertThat(this.port.orders).hasSize(1);
+		this.port.startedAt = 200;
+		this.timer.advance(2_000);
+		Assertions.assertThat(this.port.orders).hasSize(1);
+		Assertions.assertThat(this.registry.marks).isEmpty();
+		this.timer.advance(5_000);
+		Assertions.assertThat(this.port.orders.subList(1, this.port.orders.size()))
+			.extracting((o) -> o.worker().id())
+			.doesNotContain("p-a");
+	}
+
+	// The worker that was to change over crashes. While it was waited for, prefill
+	// workers
+	// stood idle beside full decode workers for the rest of the burst.
+	@Test
+	void hasAnotherWorkerChangeOverWhenOneIsLost() {
+		this.port.silent.add("p-a");
+		this.timer.advance(20_000);
+		Assertions.assertThat(this.port.orders).extracting((o) -> o.worker().id()).containsExactly("p-b");
+	}
+
 	// The former holder may have sent an order just before it died.
 	@Test
 	void waitsForItsTurn() {
