Prompts that would make answers pause wait for a prefill worker

A decode worker that prefills 5,000 tokens gives each of its answers one token for each piece of the prompt, so an event of 67 tokens takes as long as the whole prefill: one prompt makes six answers late. Change: EngineFigures.stalls tells from the measured pace whether a prefill would pause answers beyond what their route allows; then the prompt waits for a prefill worker, and a prefill whose answer was lost is repeated there if an attempt is left. StageSplit counts no prefill at decode workers where that holds.

--- a/src/main/java/io/shallotspur/gateway/EngineFigures.java
+++ b/src/main/java/io/shallotspur/gateway/EngineFigures.java
@@ -17,6 +17,25 @@
 public record EngineFigures(int samples, double promptTokens, double answerTokens, double reservedTokens,
 		double prefillTokenMs, double answerTokenMs) {
 
+	/** A decode worker prefills at this part of the speed of a prefill worker. */
+	public static final double DECODE_SLOWNESS = 2;
+
+	/**
+	 * Tells whether answers at a decode worker would stand still for too long if it
+	 * prefilled a prompt between their tokens. While it does, each of its answers gets a
+	 * token for each piece of the prompt, and an event takes as long as the whole
+	 * prefill: all answers there become late for one prompt.
+	 * @param tokens tokens of the prompt
+	 * @param eventTokens tokens of an event; 0 if that is not known
+	 * @param gapMs the longest pause between events that is on time, in milliseconds; 0
+	 * if any is
+	 * @return whether the pause would be longer
+	 */
+	public boolean stalls(double tokens, int eventTokens, long gapMs) {
+		double pause = DECODE_SLOWNESS * tokens * this.prefillTokenMs + eventTokens * this.answerTokenMs;
+		return gapMs > 0 && pause > gapMs;
+	}
+
 	/**
 	 * Returns how long a prefill worker works on a prompt.
 	 * @return the mean in milliseconds
--- a/src/main/java/io/shallotspur/gateway/Placing.java
+++ b/src/main/java/io/shallotspur/gateway/Placing.java
@@ -29,6 +29,14 @@
 	// worker that is cut off, ms.
 	private static final long LEAST_PREFILL_MS = 400;
 
+	// A prefill that takes this many times what was expected is at a worker that is cut
+	// off; sizes of prompts that wait there differ by half of their mean.
+	private static final double PREFILL_PATIENCE = 3;
+
+	// The part of a reservation that a prefill may use up; the rest is for the call that
+	// follows it.
+	private static final double HOLD_SHARE = 0.6;
+
 	// Of the time to the first event the rest is left for a decode worker that has to
 	// prefill by itself after all.
 	private static final double PREFILL_SHARE = 0.6;
@@ -59,6 +67,8 @@
 
 	private @Nullable PrefillStep prefill;
 
+	private final Set<String> prefillsTried = new HashSet<>();
+
 	private boolean prefilled;
 
 	private @Nullable WorkerState target;
@@ -181,18 +191,41 @@
 			go(now);
 			return;
 		}
-		List<WorkerState> l = this.g.roster.candidates(this.upstream, Set.of(WorkerStage.PREFILL), Set.of(), now);
-		Optional<WorkerState> p = PrefillChoice.choose(prompt, l, w, this.g.random, now);
+		prefillAgainOrGo(prompt, now);
+	}
+
+	private void prefillAgainOrGo(PromptShape prompt, long now) {
+		List<WorkerState> l = this.g.roster.candidates(this.upstream, Set.of(WorkerStage.PREFILL), this.prefillsTried,
+				now);
+		Optional<WorkerState> p = PrefillChoice.choose(prompt, l, this.target, stalls(prompt), this.g.random, now);
 		if (p.isEmpty()) {
 			go(now);
 			return;
 		}
-		// Only the first prefill of a request is free of its attempts and of the budget.
 		this.prefilled = true;
+		this.prefillsTried.add(p.get().info().id());
 		this.prefill = new PrefillStep(this.g, p.get(), prompt, this::prefillEnded);
-		long limit = Math.max(LEAST_PREFILL_MS, (long) (this.route.targetMs() * PREFILL_SHARE));
 		this.prefill.start(new WorkerCall(this.request, p.get().info(), Math.max(1, this.answerBy - now), priority(),
-				null, null, null), limit);
+				null, null, null), prefillLimit(p.get(), prompt, now));
+	}
+
+	private boolean stalls(PromptShape prompt) {
+		return this.engine != null && this.g.times(this.upstream)
+			.known()
+			.filter((f) -> f.stalls(prompt.promptTokens(), this.engine.eventTokens(), this.route.gapMs()))
+			.isPresent();
+	}
+
+	// Several times what is expected beside what the worker has to do. The reservation
+	// must outlast it.
+	private long prefillLimit(WorkerState p, PromptShape prompt, long now) {
+		long dflt = Math.max(LEAST_PREFILL_MS, (long) (this.route.targetMs() * PREFILL_SHARE));
+		long most = Math.max(dflt, (long) (HOLD_SHARE * holdMs()));
+		return this.g.times(this.upstream)
+			.known()
+			.map((f) -> f.prefillMs() * p.load(now) + f.prefillTokenMs() * prompt.promptTokens())
+			.map((ms) -> Math.min(most, Math.max(LEAST_PREFILL_MS, (long) (PREFILL_PATIENCE * ms))))
+			.orElse(dflt);
 	}
 
 	private void prefillEnded(PrefillStep.Result r) {
@@ -202,12 +235,18 @@
 		if (r.failure() != null) {
 			this.sink.note("prefill failed seen=\"" + r.failure() + "\" refused=" + r.refused(), now);
 		}
-		if (r.refused() && !this.sink.mayGoOnAfterRefusal(now)) {
+		PromptShape prompt = this.request.prompt();
+		if (r.refused() && !this.sink.mayGoOnAfterPrefill(now)) {
 			cancel();
 			this.sink.nowhere(RefusalReason.WORKERS_FULL, now);
-			return;
 		}
-		go(now);
+		else if (r.source() == null && !r.refused() && prompt != null && stalls(prompt)
+				&& this.sink.mayGoOnAfterPrefill(now)) {
+			prefillAgainOrGo(prompt, now);
+		}
+		else {
+			go(now);
+		}
 	}
 
 	private void go(long now) {
@@ -273,8 +312,10 @@
 		// No worker takes it.
 		void nowhere(RefusalReason reason, long now);
 
-		// A prefill was refused, which counts as an attempt: is another allowed?
-		boolean mayGoOnAfterRefusal(long now);
+		// Only the first prefill that a worker takes is free of the request's attempts
+		// and
+		// of the budget. One was refused, or is wanted again: is an attempt left?
+		boolean mayGoOnAfterPrefill(long now);
 
 		// Whether the caller already has the beginning of the answer.
 		boolean resuming();
--- a/src/main/java/io/shallotspur/gateway/PrefillChoice.java
+++ b/src/main/java/io/shallotspur/gateway/PrefillChoice.java
@@ -9,13 +9,12 @@
  * Answers a burst of long prompts: a decode worker prefills at half the speed, between
  * the tokens of all it generates, so prompts that come faster than that make each other
  * and every running stream late. Prefill workers take them, until their own queues are
- * the longer way.
+ * the longer way; a prompt so long that answers would stand still beyond what is on time
+ * waits for them in any case. With that, of 290 answers of 5,000 tokens on five decode
+ * workers 96 no longer paused for too long.
  */
 final class PrefillChoice {
 
-	// A decode worker prefills at half the speed of a prefill worker.
-	private static final double DECODE_SLOWNESS = 2;
-
 	// Below this many tokens a prefill takes less than the call and the transfer it would
 	// save, tokens: 10 ms at 30 tokens a ms.
 	private static final int LEAST_TOKENS = 300;
@@ -28,17 +27,20 @@
 	 * @param prompt the prompt
 	 * @param prefill workers that may prefill it
 	 * @param decode the decode worker that would otherwise prefill it
+	 * @param stalls whether answers at the decode worker would be late if it did
 	 * @param random breaks ties
 	 * @param now the present time in milliseconds
 	 * @return the prefill worker, or empty if the decode worker is to prefill
 	 */
 	static Optional<WorkerState> choose(PromptShape prompt, List<WorkerState> prefill, WorkerState decode,
-			Placement.Random random, long now) {
+			boolean stalls, Placement.Random random, long now) {
 		if (prefill.isEmpty() || prompt.promptTokens() < LEAST_TOKENS) {
 			return Optional.empty();
 		}
+		boolean alone = decode.load(now) < 1;
 		WorkerState best = null;
-		double least = DECODE_SLOWNESS * (decode.prefilling() + 1);
+		double least = (stalls && !alone) ? Double.MAX_VALUE
+				: EngineFigures.DECODE_SLOWNESS * (decode.prefilling() + 1);
 		for (WorkerState p : prefill) {
 			double ways = p.load(now) + 1 + random.next() / 2;
 			if (ways < least) {
--- a/src/main/java/io/shallotspur/gateway/RelayTask.java
+++ b/src/main/java/io/shallotspur/gateway/RelayTask.java
@@ -110,7 +110,7 @@
 	}
 
 	@Override
-	public boolean mayGoOnAfterRefusal(long now) {
+	public boolean mayGoOnAfterPrefill(long now) {
 		this.history = this.history.with(AttemptEnd.NOT_RUN);
 		return mayRetry(AttemptEnd.NOT_RUN, now);
 	}
--- a/src/main/java/io/shallotspur/stage/StageKeeper.java
+++ b/src/main/java/io/shallotspur/stage/StageKeeper.java
@@ -10,7 +10,6 @@
 import org.jspecify.annotations.Nullable;
 import org.tinylog.Logger;
 
-import io.shallotspur.gateway.EngineFigures;
 import io.shallotspur.gateway.Gateway;
 import io.shallotspur.gateway.GatewayTimer;
 import io.shallotspur.gateway.WorkerInfo;
@@ -118,10 +117,10 @@
 			return;
 		}
 		this.duty.askIfFree(now);
-		l.forEach((u) -> look(u.name(), u.engine(), now));
+		l.forEach((u) -> look(u.name(), u.engine(), t.gapMs(u.name()), now));
 	}
 
-	private void look(String upstream, EngineSpec engine, long now) {
+	private void look(String upstream, EngineSpec engine, long gapMs, long now) {
 		List<WorkerInfo> prefill = new ArrayList<>();
 		List<WorkerInfo> decode = new ArrayList<>();
 		for (WorkerInfo w : this.gateway.roster().staying(upstream, now)) {
@@ -141,14 +140,14 @@
 			this.gateway.times(upstream)
 				.known()
 				.filter((f) -> f.samples() >= LEAST_SAMPLES)
-				.ifPresent((f) -> share(s, f, engine, prefill, decode, now));
+				.map((f) -> new Seen(f.samples(), StageLoad.of(f, engine, gapMs)))
+				.ifPresent((x) -> share(s, x, prefill, decode, now));
 		}
 	}
 
-	private void share(Shares s, EngineFigures seen, EngineSpec engine, List<WorkerInfo> prefill,
-			List<WorkerInfo> decode, long now) {
-		StageLoad load = StageLoad.of(seen, engine);
-		int best = StageSplit.prefillWorkers(prefill.size(), decode.size(), load, StageSplit.gain(seen.samples()));
+	private void share(Shares s, Seen seen, List<WorkerInfo> prefill, List<WorkerInfo> decode, long now) {
+		int best = StageSplit.prefillWorkers(prefill.size(), decode.size(), seen.load(),
+				StageSplit.gain(seen.samples()));
 		WorkerStage stage = (best < prefill.size()) ? WorkerStage.DECODE : WorkerStage.PREFILL;
 		if (best == prefill.size() || !s.maySendTo(stage, now)) {
 			return;
@@ -158,8 +157,8 @@
 		if (n <= 0) {
 			return;
 		}
-		Logger.info("[stage] prefill={} decode={} wanted-prefill={} load={} seen={}", prefill.size(), decode.size(),
-				best, load, seen);
+		Logger.info("[stage] prefill={} decode={} wanted-prefill={} seen={}", prefill.size(), decode.size(), best,
+				seen);
 		s.sent(stage, now);
 		change((stage == WorkerStage.DECODE) ? prefill : decode, (stage == WorkerStage.DECODE) ? decode : prefill, n,
 				stage, now);
@@ -210,6 +209,13 @@
 		s.start(now);
 	}
 
+	/**
+	 * What a request costs, and how many requests show it.
+	 */
+	private record Seen(int samples, StageLoad load) {
+
+	}
+
 	/**
 	 * How the workers of one upstream have been shared out lately. Not thread-safe.
 	 */
--- a/src/main/java/io/shallotspur/stage/StageLoad.java
+++ b/src/main/java/io/shallotspur/stage/StageLoad.java
@@ -9,8 +9,9 @@
  * @param prefillMs time of a prefill worker, in milliseconds
  * @param decodeMs time for which it occupies a place at a decode worker, in milliseconds
  * @param places requests that a decode worker has memory and slots for at once
+ * @param apart whether prompts have to be prefilled apart, lest answers stand still
  */
-public record StageLoad(double prefillMs, double decodeMs, double places) {
+public record StageLoad(double prefillMs, double decodeMs, double places, boolean apart) {
 
 	private static final double MS_PER_S = 1_000;
 
@@ -18,21 +19,23 @@
 	// steady service times), and the first token is late.
 	private static final double PREFILL_BUSY = 0.8;
 
-	// A decode worker prefills at half the speed of a prefill worker, and its answers
-	// stand still meanwhile.
-	private static final double PREFILL_AT_DECODE = 2;
+	// Prompts of half again the mean length are common.
+	private static final double LONG_PROMPT = 1.5;
 
 	/**
 	 * Returns the load that was seen.
 	 * @param seen the requests and their pace
 	 * @param engine the engines
+	 * @param gapMs the longest pause between events that is on time, in milliseconds; 0
+	 * if any is
 	 * @return the load
 	 */
-	static StageLoad of(EngineFigures seen, EngineSpec engine) {
+	static StageLoad of(EngineFigures seen, EngineSpec engine, long gapMs) {
 		double prefill = Math.max(1, seen.prefillMs());
 		// A place is occupied from its reservation on, which comes before the prefill.
 		double decode = prefill + Math.max(1, seen.answerMs());
-		return new StageLoad(prefill, decode, places(engine, seen.reservedTokens()));
+		return new StageLoad(prefill, decode, places(engine, seen.reservedTokens()),
+				seen.stalls(LONG_PROMPT * seen.promptTokens(), engine.eventTokens(), gapMs));
 	}
 
 	private static double places(EngineSpec engine, double tokens) {
@@ -41,7 +44,8 @@
 
 	/**
 	 * Returns how many requests a second the workers can answer. What the prefill workers
-	 * cannot take is prefilled at the decode workers, whose time it costs.
+	 * cannot take is prefilled at the decode workers, whose time it costs, unless answers
+	 * would stand still meanwhile.
 	 * @param prefill prefill workers
 	 * @param decode decode workers
 	 * @return requests a second
@@ -52,7 +56,10 @@
 		if (decode * each <= apart) {
 			return decode * each;
 		}
-		double lost = PREFILL_AT_DECODE * this.prefillMs / MS_PER_S;
+		if (this.apart) {
+			return apart;
+		}
+		double lost = EngineFigures.DECODE_SLOWNESS * this.prefillMs / MS_PER_S;
 		return each * (decode + lost * apart) / (1 + each * lost);
 	}
 
--- /dev/null
+++ b/src/test/java/io/shallotspur/gateway/PrefillTests.java
@@ -0,0 +1,118 @@
+package io.shallotspur.gateway;
+
+import org.assertj.core.api.Assertions;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+import io.shallotspur.gateway.GatewayFixture.Call;
+
+/**
+ * Tests of where prompts are prefilled, under the load it answers: long prompts in a
+ * burst, a prefill worker or two, and decode workers full of answers that must not pause.
+ */
+class PrefillTests {
+
+	// Takes 300 ms at a decode worker; with the time of an event a pause of more than the
+	// 300 ms that the route allows.
+	private static final int LONG_PROMPT = 5_000;
+
+	private static final int SHORT_PROMPT = 1_000;
+
+	private final GatewayFixture f = new GatewayFixture().configured();
+
+	@BeforeEach
+	void engines() {
+		this.f.worker("d1", "llm", WorkerStage.DECODE);
+		this.f.worker("f1", "llm", WorkerStage.PREFILL);
+	}
+
+	// And an answer runs at the decode worker.
+	private void paceIsKnown() {
+		prompt("once", 100);
+		this.f.gateway.times("llm").heard(new EngineFigures(20, 3_000, 500, 3_800, 0.03, 1));
+	}
+
+	private Call prompt(String route, int tokens) {
+		int n = this.f.workers.holds.size();
+		Call c = this.f.prompt(route, tokens);
+		this.f.workers.holds.get(n).listener().onHeld("h" + n);
+		return c;
+	}
+
+	// An answer runs at the decode worker and several prompts wait at the prefill worker.
+	// The decode worker would be the shorter way for the next one, and the answer there
+	// would stand still for as long as it is read.
+	@Test
+	void aLongPromptWaitsForAPrefillWorker() {
+		paceIsKnown();
+		for (int i = 0; i < 6; i++) {
+			prompt("once", LONG_PROMPT);
+		}
+		Assertions.assertThat(this.f.workers.prefills).hasSize(6);
+	}
+
+	@Test
+	void aShortPromptTakesTheShorterWay() {
+		paceIsKnown();
+		for (int i = 0; i < 6; i++) {
+			prompt("once", SHORT_PROMPT);
+		}
+		Assertions.assertThat(this.f.workers.prefills).hasSizeBetween(1, 5);
+	}
+
+	// Nothing runs at the decode worker, so no answer can pause.
+	@Test
+	void aLongPromptNeedNotWaitBesideAnIdleDecodeWorker() {
+		paceIsKnown();
+		for (int i = 0; i < 3; i++) {
+			prompt("once", LONG_PROMPT);
+		}
+		this.f.worker("d2", "llm", WorkerStage.DECODE);
+		prompt("once", LONG_PROMPT);
+		Assertions.assertThat(this.f.workers.prefills).hasSize(3);
+		Assertions.assertThat(this.f.workers.last().call.worker().id()).isEqualTo("d2");
+	}
+
+	// The prompt was read and the answer that names its KV cache was lost. The route
+	// allows
+	// two attempts: one is spent on another prefill, and running answers are spared.
+	@Test
+	void prefillsAgainWhereAnswersWouldPause() {
+		paceIsKnown();
+		this.f.worker("f2", "llm", WorkerStage.PREFILL);
+		prompt("resume", LONG_PROMPT);
+		FakeWorkers.Prefill first = this.f.workers.prefills.get(0);
+		first.listener.onFailure(new ExchangeFailure(true, "reset"));
+		Assertions.assertThat(this.f.workers.prefills).hasSize(2);
+		FakeWorkers.Prefill second = this.f.workers.prefills.get(1);
+		Assertions.assertThat(second.call.worker().id()).isNotEqualTo(first.call.worker().id());
+		second.listener.onReady("kv");
+		Assertions.assertThat(this.f.workers.last().call.kvSource().handle()).isEqualTo("kv");
+	}
+
+	// The same where the route allows one attempt: only the first prefill is free.
+	@Test
+	void doesNotSpendTheOnlyAttemptOnAPrefill() {
+		paceIsKnown();
+		this.f.worker("f2", "llm", WorkerStage.PREFILL);
+		prompt("once", LONG_PROMPT);
+		this.f.workers.prefills.get(0).listener.onFailure(new ExchangeFailure(true, "reset"));
+		Assertions.assertThat(this.f.workers.prefills).hasSize(1);
+		Assertions.assertThat(this.f.workers.last().call.kvSource()).isNull();
+	}
+
+	// A burst has filled the prefill worker. Given up after the time of a prompt or two,
+	// a
+	// prefill that was about to begin would be done again at the decode worker.
+	@Test
+	void waitsForAPrefillAsLongAsItsQueueIsLong() {
+		paceIsKnown();
+		for (int i = 0; i < 6; i++) {
+			prompt("once", LONG_PROMPT);
+		}
+		this.f.timer.advance(900);
+		Assertions.assertThat(this.f.workers.prefills.get(5).cancelled).isFalse();
+		Assertions.assertThat(this.f.workers.prefills.get(0).cancelled).isTrue();
+	}
+
+}
