An answer that breaks off is waited for as long as its first event

Cause: a request's patience was counted from its arrival. An answer of more than three seconds whose worker died was over it at once, so it broke off although another worker could have gone on with it. Change: patience counts from the moment at which a place is sought; the time that the rest of an answer takes counts only what the caller has not yet. Conclusion: kept; test in StreamRelayTests.

--- a/src/main/java/io/shallotspur/gateway/Placing.java
+++ b/src/main/java/io/shallotspur/gateway/Placing.java
@@ -79,6 +79,8 @@
 
 	private long heldAt;
 
+	private long waitsSince;
+
 	Placing(Gateway g, Route route, RelayRequest request, String upstream, @Nullable EngineSpec engine, Sink sink,
 			long arrivedAt, long answerBy) {
 		this.g = g;
@@ -93,6 +95,11 @@
 	}
 
 	void start(long now) {
+		// A caller whose answer broke off after some seconds waits for its next event
+		// from
+		// then on. Counted from its arrival its patience would be over by then, and an
+		// answer that could go on elsewhere would end.
+		this.waitsSince = now;
 		EngineSpec e = this.engine;
 		List<WorkerState> l = candidates(now);
 		if (l.isEmpty()) {
@@ -150,19 +157,20 @@
 
 	@Override
 	public long waitUntil() {
-		long patience = this.arrivedAt + (long) (WAIT_OBJECTIVES * this.route.targetMs());
+		long patience = this.waitsSince + (long) (WAIT_OBJECTIVES * this.route.targetMs());
 		return Math.min(this.answerBy - answerMs(), patience);
 	}
 
 	/**
-	 * Returns how long the answer will likely take once it has begun. A request that is
-	 * placed with less time than that left holds memory for seconds, and its caller's
-	 * deadline passes in the middle of its answer.
+	 * Returns how long the rest of the answer will likely take once it goes on. A request
+	 * that is placed with less time than that left holds memory for seconds, and its
+	 * caller's deadline passes in the middle of its answer.
 	 * @return milliseconds; 0 if the request does not say how long it is
 	 */
 	long answerMs() {
 		PromptShape p = this.request.prompt();
-		return (p != null) ? this.g.times(this.upstream).answerMs(p.likelyOutputTokens()) : 0;
+		return (p != null)
+				? this.g.times(this.upstream).answerMs(Math.max(0, p.likelyOutputTokens() - this.sink.received())) : 0;
 	}
 
 	@Override
@@ -317,6 +325,9 @@
 		// of the budget. One was refused, or is wanted again: is an attempt left?
 		boolean mayGoOnAfterPrefill(long now);
 
+		// Tokens of the answer that the caller has, as far as that is known.
+		int received();
+
 		// Whether the caller already has the beginning of the answer.
 		boolean resuming();
 
--- a/src/main/java/io/shallotspur/gateway/RelayTask.java
+++ b/src/main/java/io/shallotspur/gateway/RelayTask.java
@@ -62,6 +62,8 @@
 
 	private long eventAt;
 
+	private int events;
+
 	private boolean begun;
 
 	private boolean finished;
@@ -115,6 +117,11 @@
 		return mayRetry(AttemptEnd.NOT_RUN, now);
 	}
 
+	@Override
+	public int received() {
+		return this.events * this.eventTokens;
+	}
+
 	@Override
 	public boolean resuming() {
 		return this.lastEventId != null;
@@ -149,6 +156,7 @@
 		if (!id.isEmpty()) {
 			this.lastEventId = id;
 		}
+		this.events++;
 		paced();
 		this.answer.write(event);
 	}
--- a/src/test/java/io/shallotspur/gateway/StreamRelayTests.java
+++ b/src/test/java/io/shallotspur/gateway/StreamRelayTests.java
@@ -73,6 +73,23 @@
 		Assertions.assertThat(c.caller().answers).isEqualTo(1);
 	}
 
+	// The worker of a long answer dies some seconds after its caller came, and the others
+	// are full for a moment. The caller waits for the next event as long as it would have
+	// waited for the first; given up at once, it would be left with half an answer.
+	@Test
+	void waitsForAPlaceToGoOnAsLongAsForTheFirst() {
+		Call c = running("resume");
+		this.f.workers.last().head(200);
+		this.f.workers.last().events(GatewayFixture.EVENTS);
+		this.f.timer.advance(5_000);
+		this.f.workers.last().lost();
+		this.f.workers.holds.get(1).listener().onFull();
+		this.f.timer.advance(1_000);
+		Assertions.assertThat(c.caller().brokenOff).isFalse();
+		this.f.workers.holds.get(2).listener().onHeld("h2");
+		Assertions.assertThat(this.f.workers.last().call.lastEventId()).isEqualTo("2");
+	}
+
 	// An answer without a length ends in the middle of an event with a clean close. It
 	// must not pass for a whole one.
 	@Test
