The log tells the longest pause of an answer

Cause: half of the late answers had their first event in time, and nothing told why they were late. Change: pause-ms beside held-ms, sent-ms and first-ms in the line of an answer.

--- a/src/main/java/io/shallotspur/gateway/RelayTask.java
+++ b/src/main/java/io/shallotspur/gateway/RelayTask.java
@@ -64,6 +64,8 @@
 
 	private int events;
 
+	private long longestPauseMs;
+
 	private boolean begun;
 
 	private boolean finished;
@@ -169,6 +171,9 @@
 	// A pause in which the worker was lost and another one found is not the engine's.
 	private void paced() {
 		long now = this.g.clock.getAsLong();
+		if (this.eventAt > 0) {
+			this.longestPauseMs = Math.max(this.longestPauseMs, now - this.eventAt);
+		}
 		if (this.eventAt > this.attemptAt) {
 			this.g.times(this.upstream).event(now - this.eventAt, this.eventTokens);
 		}
@@ -280,7 +285,7 @@
 	private String times() {
 		long held = Math.max(this.arrivedAt, this.placing.heldAt());
 		return " held-ms=" + (held - this.arrivedAt) + " sent-ms=" + (this.attemptAt - this.arrivedAt) + " first-ms="
-				+ (this.firstAt - this.arrivedAt);
+				+ (this.firstAt - this.arrivedAt) + " pause-ms=" + this.longestPauseMs;
 	}
 
 	private void relayFailure(@Nullable AnswerHead head, byte[] body, long now) {
