Memory is set aside by the lengths that answers turn out to have

Cause: a request that a worker drops for want of memory is read again, and all answers there pause meanwhile. A fixed margin of 256 tokens means nothing where answers have 4,700, and estimates are far off: short ones too short, long ones too long. Change: AnswerLengths, a regression of the logarithms of length and estimate over the answers that have ended; one deviation more is set aside. Before any has ended an estimate stands for itself.

--- a/src/main/java/io/shallotspur/gateway/EngineTimes.java
+++ b/src/main/java/io/shallotspur/gateway/EngineTimes.java
@@ -37,6 +37,12 @@
 	// token that was expected. Until this many have ended the pace of events goes first.
 	private static final int LEAST_ANSWERS = 8;
 
+	// Five answers in six are no longer than that, and what one takes beyond its place
+	// others leave.
+	private static final double RESERVED_DEVIATIONS = 1;
+
+	private final AnswerLengths lengths = new AnswerLengths();
+
 	private final Deque<PromptShape> asked = new ArrayDeque<>();
 
 	private final Deque<Double> prefillTokenMs = new ArrayDeque<>();
@@ -101,9 +107,33 @@
 		}
 	}
 
-	void streamed(long ms, PromptShape prompt) {
+	/**
+	 * Takes an answer that has ended.
+	 * @param ms time from its first event to its last, in milliseconds
+	 * @param prompt what its request said of itself
+	 * @param tokens its length; 0 if that is not known
+	 */
+	void streamed(long ms, PromptShape prompt, int tokens) {
 		this.answered++;
 		this.answers.add(ms, Math.max(1, prompt.likelyOutputTokens()));
+		if (tokens > 0) {
+			this.lengths.ended(prompt.likelyOutputTokens(), tokens);
+		}
+	}
+
+	/**
+	 * Returns the memory to be set aside for a request: its prompt and its answer, longer
+	 * than likely by a deviation. Too little makes the worker drop a running request,
+	 * whose answer stands still and whose prompt is read again, and each drop costs more
+	 * than the place that a larger reservation takes from others; the longest possible
+	 * answer for each would leave a good part of the memory unused.
+	 * @param prompt what the request says of itself
+	 * @param received tokens of the answer that the caller has already
+	 * @return tokens
+	 */
+	int reservedTokens(PromptShape prompt, int received) {
+		double answer = Math.max(received, this.lengths.tokens(prompt.likelyOutputTokens(), RESERVED_DEVIATIONS));
+		return prompt.promptTokens() + (int) Math.min(prompt.maxOutputTokens(), answer);
 	}
 
 	/**
@@ -166,7 +196,7 @@
 		}
 		List<PromptShape> l = this.asked.stream().skip(this.asked.size() - this.unshared).toList();
 		return Optional.of(new EngineFigures(l.size(), mean(l, PromptShape::promptTokens),
-				mean(l, PromptShape::likelyOutputTokens), mean(l, PromptShape::reservedTokens), quickPrefill(),
+				mean(l, PromptShape::likelyOutputTokens), mean(l, (p) -> reservedTokens(p, 0)), quickPrefill(),
 				answer));
 	}
 
--- a/src/main/java/io/shallotspur/gateway/Placing.java
+++ b/src/main/java/io/shallotspur/gateway/Placing.java
@@ -142,7 +142,8 @@
 
 	@Override
 	public int tokens() {
-		return (this.request.prompt() != null) ? this.request.prompt().reservedTokens() : 0;
+		PromptShape p = this.request.prompt();
+		return (p != null) ? this.g.times(this.upstream).reservedTokens(p, this.sink.received()) : 0;
 	}
 
 	@Override
--- a/src/main/java/io/shallotspur/gateway/RelayTask.java
+++ b/src/main/java/io/shallotspur/gateway/RelayTask.java
@@ -209,7 +209,7 @@
 		this.g.metrics.answered(this.route.name(), now - this.arrivedAt);
 		PromptShape p = this.request.prompt();
 		if (inParts && p != null && this.request.lastEventId() == null) {
-			this.g.times(this.upstream).streamed(now - this.firstAt, p);
+			this.g.times(this.upstream).streamed(now - this.firstAt, p, received());
 		}
 		log(now, "answered status=" + head.status() + times());
 		endAttempt();
