A decode worker of unknown load is not taken for idle

Cause: a VM that has just started has seen no request at a worker and took it for idle, so prompts of returning callers were read there. Change: the exception for idle decode workers is gone.

--- a/src/main/java/io/shallotspur/gateway/PrefillChoice.java
+++ b/src/main/java/io/shallotspur/gateway/PrefillChoice.java
@@ -37,10 +37,11 @@
 		if (prefill.isEmpty() || prompt.promptTokens() < LEAST_TOKENS) {
 			return Optional.empty();
 		}
-		boolean alone = decode.load(now) < 1;
 		WorkerState best = null;
-		double least = (stalls && !alone) ? Double.MAX_VALUE
-				: EngineFigures.DECODE_SLOWNESS * (decode.prefilling() + 1);
+		// Whether any answer runs there is known to the worker only: this VM may have
+		// just
+		// started.
+		double least = stalls ? Double.MAX_VALUE : EngineFigures.DECODE_SLOWNESS * (decode.prefilling() + 1);
 		for (WorkerState p : prefill) {
 			double ways = p.load(now) + 1 + random.next() / 2;
 			if (ways < least) {
