VMs tell each other how long answers are; an answer goes on where it broke off

Cause: after all VMs were killed the new ones set aside by raw estimates; and a reset connection says nothing against its worker. Change: the line of AnswerLengths is a part of the shared figures (LengthModel); a resumed request prefers its former worker, which might still keep the prompt.

--- a/src/main/java/io/shallotspur/gateway/AnswerLengths.java
+++ b/src/main/java/io/shallotspur/gateway/AnswerLengths.java
@@ -6,20 +6,21 @@
  * <p>
  * A caller's estimate is right at the median only and often far off; short estimates are
  * mostly too short and long ones too long. So the length is estimated by a regression of
- * the logarithms of both, over the answers that have ended lately. Before any has, an
- * estimate stands for itself.
+ * the logarithms of both, over the answers that have ended lately, which begins with what
+ * other VMs have seen, or with the estimates as they are.
  */
 final class AnswerLengths {
 
 	// The last fifty answers or so.
 	private static final double DECAY = 0.98;
 
-	// What is believed before the first answers, as if so many had been seen: a longer
-	// estimate means an answer longer by as much, and half of the answers are longer than
-	// estimated by no more than this factor.
+	// What was believed before counts as much as so many answers.
 	private static final double BELIEVED = 4;
 
-	private static final double BELIEVED_DEVIATION = 0.3;
+	// The variance that the logarithms of the believed estimates are given.
+	private static final double BELIEVED_VARIANCE = 0.1;
+
+	private LengthModel believed = LengthModel.BELIEVED;
 
 	private double n;
 
@@ -33,6 +34,14 @@
 
 	private double yy;
 
+	/**
+	 * Takes what other VMs have seen.
+	 * @param model their line
+	 */
+	void heard(LengthModel model) {
+		this.believed = model;
+	}
+
 	/**
 	 * Takes an answer that has ended.
 	 * @param expected what its caller expected, in tokens
@@ -50,29 +59,26 @@
 	}
 
 	/**
-	 * Estimates the length of an answer.
-	 * @param expected what its caller expects, in tokens
-	 * @param deviations by how many deviations of answers from their estimate it may be
-	 * longer
-	 * @return tokens
+	 * Returns the line as it is known now.
+	 * @return the line
 	 */
-	double tokens(int expected, double deviations) {
-		double lx = Math.log(Math.max(1, expected));
+	LengthModel model() {
 		if (this.n == 0) {
-			return Math.exp(lx + deviations * BELIEVED_DEVIATION);
+			return this.believed;
 		}
 		double meanX = this.x / this.n;
 		double meanY = this.y / this.n;
 		double varX = Math.max(0, this.xx / this.n - meanX * meanX);
 		double cov = this.xy / this.n - meanX * meanY;
 		double varY = Math.max(0, this.yy / this.n - meanY * meanY);
-		double believedVar = BELIEVED_DEVIATION * BELIEVED_DEVIATION;
+		LengthModel b = this.believed;
 		double w = this.n / (this.n + BELIEVED);
-		double slope = (this.n * cov + BELIEVED * believedVar) / (this.n * varX + BELIEVED * believedVar);
-		double offset = w * (meanY - meanX);
+		double slope = (this.n * cov + BELIEVED * BELIEVED_VARIANCE * b.slope())
+				/ (this.n * varX + BELIEVED * BELIEVED_VARIANCE);
+		double middle = w * meanY + (1 - w) * b.logTokens(meanX);
 		double rest = Math.max(0, varY - 2 * slope * cov + slope * slope * varX);
-		double deviation = Math.sqrt(w * rest + (1 - w) * believedVar);
-		return Math.exp(meanX + offset + slope * (lx - meanX) + deviations * deviation);
+		double deviation = Math.sqrt(w * rest + (1 - w) * b.deviation() * b.deviation());
+		return new LengthModel(middle - slope * meanX, slope, deviation);
 	}
 
 }
--- a/src/main/java/io/shallotspur/gateway/EngineFigures.java
+++ b/src/main/java/io/shallotspur/gateway/EngineFigures.java
@@ -13,9 +13,10 @@
  * @param prefillTokenMs time of a prefill worker for each token, in milliseconds; more
  * than 0
  * @param answerTokenMs time between two tokens of an answer, in milliseconds; more than 0
+ * @param lengths how long answers are against what callers expect
  */
 public record EngineFigures(int samples, double promptTokens, double answerTokens, double reservedTokens,
-		double prefillTokenMs, double answerTokenMs) {
+		double prefillTokenMs, double answerTokenMs, LengthModel lengths) {
 
 	/** A decode worker prefills at this part of the speed of a prefill worker. */
 	public static final double DECODE_SLOWNESS = 2;
@@ -65,7 +66,8 @@
 		double w = (double) one.samples / (one.samples + other.samples);
 		return new EngineFigures(one.samples + other.samples, mean(w, one.promptTokens, other.promptTokens),
 				mean(w, one.answerTokens, other.answerTokens), mean(w, one.reservedTokens, other.reservedTokens),
-				mean(w, one.prefillTokenMs, other.prefillTokenMs), mean(w, one.answerTokenMs, other.answerTokenMs));
+				mean(w, one.prefillTokenMs, other.prefillTokenMs), mean(w, one.answerTokenMs, other.answerTokenMs),
+				one.lengths.mean(w, other.lengths));
 	}
 
 	private static double mean(double weight, double one, double other) {
@@ -80,7 +82,7 @@
 	 */
 	public EngineFigures atMost(int most) {
 		return (this.samples <= most) ? this : new EngineFigures(most, this.promptTokens, this.answerTokens,
-				this.reservedTokens, this.prefillTokenMs, this.answerTokenMs);
+				this.reservedTokens, this.prefillTokenMs, this.answerTokenMs, this.lengths);
 	}
 
 }
--- a/src/main/java/io/shallotspur/gateway/EngineTimes.java
+++ b/src/main/java/io/shallotspur/gateway/EngineTimes.java
@@ -132,7 +132,8 @@
 	 * @return tokens
 	 */
 	int reservedTokens(PromptShape prompt, int received) {
-		double answer = Math.max(received, this.lengths.tokens(prompt.likelyOutputTokens(), RESERVED_DEVIATIONS));
+		double answer = Math.max(received,
+				this.lengths.model().tokens(prompt.likelyOutputTokens(), RESERVED_DEVIATIONS));
 		return prompt.promptTokens() + (int) Math.min(prompt.maxOutputTokens(), answer);
 	}
 
@@ -142,6 +143,7 @@
 	 */
 	public void heard(EngineFigures figures) {
 		this.heard = figures;
+		this.lengths.heard(figures.lengths());
 	}
 
 	/**
@@ -196,8 +198,8 @@
 		}
 		List<PromptShape> l = this.asked.stream().skip(this.asked.size() - this.unshared).toList();
 		return Optional.of(new EngineFigures(l.size(), mean(l, PromptShape::promptTokens),
-				mean(l, PromptShape::likelyOutputTokens), mean(l, (p) -> reservedTokens(p, 0)), quickPrefill(),
-				answer));
+				mean(l, PromptShape::likelyOutputTokens), mean(l, (p) -> reservedTokens(p, 0)), quickPrefill(), answer,
+				this.lengths.model()));
 	}
 
 	/**
--- a/src/main/java/io/shallotspur/gateway/Placing.java
+++ b/src/main/java/io/shallotspur/gateway/Placing.java
@@ -77,6 +77,8 @@
 
 	private @Nullable KvSource source;
 
+	private @Nullable String kept;
+
 	private long heldAt;
 
 	private long waitsSince;
@@ -132,6 +134,23 @@
 		return this.g.roster.candidates(this.upstream, Set.of(stage()), this.tried, now);
 	}
 
+	// A connection that was reset says nothing against its worker, which keeps the prompt
+	// for a while. Elsewhere it would be read again between the tokens of all answers
+	// there, which would pause for as long.
+	@Override
+	public @Nullable String preferred() {
+		return this.kept;
+	}
+
+	/**
+	 * Takes that an attempt broke off whose answer is to go on.
+	 * @param worker its worker
+	 */
+	void brokeOff(String worker) {
+		this.tried.remove(worker);
+		this.kept = worker;
+	}
+
 	/**
 	 * Returns what a worker has to do to run the request.
 	 * @return the stage
--- a/src/main/java/io/shallotspur/platform/EntryDecoder.java
+++ b/src/main/java/io/shallotspur/platform/EntryDecoder.java
@@ -14,6 +14,7 @@
 import io.shallotspur.cfg.Endpoint;
 import io.shallotspur.exc.InputException;
 import io.shallotspur.gateway.EngineFigures;
+import io.shallotspur.gateway.LengthModel;
 import io.shallotspur.gateway.WorkerInfo;
 import io.shallotspur.gateway.WorkerStage;
 import io.shallotspur.registry.RegistryChange;
@@ -117,7 +118,8 @@
 	private static EngineFigures figures(String key, JsonNode v) throws InputException {
 		EntryFields f = new EntryFields(v, key);
 		return new EngineFigures(f.positive("samples"), f.amount("prompt_tokens"), f.amount("answer_tokens"),
-				f.amount("reserved_tokens"), f.amount("prefill_token_ms"), f.amount("answer_token_ms"));
+				f.amount("reserved_tokens"), f.amount("prefill_token_ms"), f.amount("answer_token_ms"),
+				new LengthModel(f.number("length_intercept"), f.number("length_slope"), f.amount("length_deviation")));
 	}
 
 	static String encode(EngineFigures f) {
@@ -127,7 +129,10 @@
 			.put("answer_tokens", f.answerTokens())
 			.put("reserved_tokens", f.reservedTokens())
 			.put("prefill_token_ms", f.prefillTokenMs())
-			.put("answer_token_ms", f.answerTokenMs()));
+			.put("answer_token_ms", f.answerTokenMs())
+			.put("length_intercept", f.lengths().intercept())
+			.put("length_slope", f.lengths().slope())
+			.put("length_deviation", f.lengths().deviation()));
 	}
 
 	static Optional<WorkerStage> stage(String s) {
--- a/src/main/java/io/shallotspur/platform/EntryFields.java
+++ b/src/main/java/io/shallotspur/platform/EntryFields.java
@@ -83,8 +83,16 @@
 	 * than 0
 	 */
 	double amount(String field) throws InputException {
+		double d = number(field);
+		if (d <= 0) {
+			throw unusable(field);
+		}
+		return d;
+	}
+
+	double number(String field) throws InputException {
 		JsonNode n = this.entry.path(field);
-		if (!n.isNumber() || !Double.isFinite(n.asDouble()) || n.asDouble() <= 0) {
+		if (!n.isNumber() || !Double.isFinite(n.asDouble())) {
 			throw unusable(field);
 		}
 		return n.asDouble();
--- a/src/test/java/io/shallotspur/gateway/AnswerLengthsTests.java
+++ b/src/test/java/io/shallotspur/gateway/AnswerLengthsTests.java
@@ -30,15 +30,15 @@
 
 	@Test
 	void anEstimateStandsForItselfBeforeTheFirstAnswer() {
-		Assertions.assertThat(this.lengths.tokens(500, 0)).isCloseTo(500, Percentage.withPercentage(1));
-		Assertions.assertThat(this.lengths.tokens(500, 1)).isBetween(600.0, 800.0);
+		Assertions.assertThat(this.lengths.model().tokens(500, 0)).isCloseTo(500, Percentage.withPercentage(1));
+		Assertions.assertThat(this.lengths.model().tokens(500, 1)).isBetween(600.0, 800.0);
 	}
 
 	@Test
 	void followsEstimatesThatAreRight() {
 		AnswerLengths l = seen(500, 0.5, 0.02, 60);
-		Assertions.assertThat(l.tokens(1_500, 0)).isBetween(1_350.0, 1_650.0);
-		Assertions.assertThat(l.tokens(1_500, 1)).isLessThan(1.25 * 1_500);
+		Assertions.assertThat(l.model().tokens(1_500, 0)).isBetween(1_350.0, 1_650.0);
+		Assertions.assertThat(l.model().tokens(1_500, 1)).isLessThan(1.25 * 1_500);
 	}
 
 	// Estimates say nothing. Followed, the low ones would set too little memory aside and
@@ -46,8 +46,20 @@
 	@Test
 	void drawsEstimatesThatSayNothingToTheMean() {
 		AnswerLengths l = seen(4_700, 0.1, 1, 60);
-		Assertions.assertThat(l.tokens(1_000, 0)).isGreaterThan(3_000);
-		Assertions.assertThat(l.tokens(20_000, 0)).isLessThan(8_000);
+		Assertions.assertThat(l.model().tokens(1_000, 0)).isGreaterThan(3_000);
+		Assertions.assertThat(l.model().tokens(20_000, 0)).isLessThan(8_000);
+	}
+
+	// A VM starts in the middle of a burst. The others have seen that short estimates are
+	// too short; until it had seen it too, running answers would be dropped for want of
+	// memory.
+	@Test
+	void beginsWithWhatOtherVmsHaveSeen() {
+		LengthModel known = seen(4_700, 0.1, 1, 60).model();
+		this.lengths.heard(known);
+		Assertions.assertThat(this.lengths.model()).isEqualTo(known);
+		this.lengths.ended(1_000, 4_700);
+		Assertions.assertThat(this.lengths.model().tokens(1_000, 0)).isGreaterThan(3_000);
 	}
 
 	@Property(tries = 1_000, seed = "31")
@@ -56,8 +68,8 @@
 			@ForAll @DoubleRange(min = 0, max = 1.5) double error, @ForAll @IntRange(min = 0, max = 100) int n,
 			@ForAll @IntRange(min = 0, max = 100_000) int expected) {
 		AnswerLengths l = seen(median, spread, error, n);
-		Assertions.assertThat(l.tokens(expected, 0)).isFinite().isPositive();
-		Assertions.assertThat(l.tokens(expected, 1)).isGreaterThanOrEqualTo(l.tokens(expected, 0));
+		Assertions.assertThat(l.model().tokens(expected, 0)).isFinite().isPositive();
+		Assertions.assertThat(l.model().tokens(expected, 1)).isGreaterThanOrEqualTo(l.model().tokens(expected, 0));
 	}
 
 	// Most of those that end later are no longer than was set aside, and what is set
@@ -75,9 +87,9 @@
 		for (int i = 0; i < 400; i++) {
 			double actual = median * Math.exp(spread * r.nextGaussian());
 			int expected = (int) Math.ceil(actual * Math.exp(error * r.nextGaussian()));
-			covered += (actual <= l.tokens(expected, 1)) ? 1 : 0;
+			covered += (actual <= l.model().tokens(expected, 1)) ? 1 : 0;
 			needed += actual;
-			setAside += l.tokens(expected, 1);
+			setAside += l.model().tokens(expected, 1);
 		}
 		Assertions.assertThat(covered).isGreaterThan(240);
 		Assertions.assertThat(setAside).isLessThan(2.5 * needed);
--- a/src/test/java/io/shallotspur/platform/StoreRegistryTests.java
+++ b/src/test/java/io/shallotspur/platform/StoreRegistryTests.java
@@ -7,6 +7,7 @@
 import org.junit.jupiter.api.Test;
 
 import io.shallotspur.gateway.EngineFigures;
+import io.shallotspur.gateway.LengthModel;
 import io.shallotspur.gateway.WorkerStage;
 import io.shallotspur.registry.RegistryChange;
 import io.shallotspur.registry.RegistryNews;
@@ -73,7 +74,7 @@
 	// the first has told.
 	@Test
 	void tellsFiguresOnTopOfThoseThatAreKnown() {
-		EngineFigures f = new EngineFigures(4, 3_000, 500, 3_800, 0.03, 7);
+		EngineFigures f = new EngineFigures(4, 3_000, 500, 3_800, 0.03, 7, LengthModel.BELIEVED);
 		Assertions.assertThat(this.registry.tell("llm", f, 0).block()).isTrue();
 		Assertions.assertThat(this.registry.tell("llm", f, 0).block()).isFalse();
 		RegistryChange.FiguresSeen seen = (RegistryChange.FiguresSeen) this.registry.list().block().changes().get(0);
--- a/src/test/java/io/shallotspur/registry/SharedFiguresTests.java
+++ b/src/test/java/io/shallotspur/registry/SharedFiguresTests.java
@@ -12,6 +12,7 @@
 import io.shallotspur.gateway.Gateway;
 import io.shallotspur.gateway.GatewayPorts;
 import io.shallotspur.gateway.GatewaySettings;
+import io.shallotspur.gateway.LengthModel;
 import io.shallotspur.gateway.ManualTimer;
 import io.shallotspur.gateway.NopWorkers;
 import io.shallotspur.gateway.RelayMetrics;
@@ -26,7 +27,7 @@
  */
 class SharedFiguresTests {
 
-	private static final EngineFigures MANY = new EngineFigures(64, 3_000, 500, 3_800, 0.03, 7);
+	private static final EngineFigures MANY = new EngineFigures(64, 3_000, 500, 3_800, 0.03, 7, LengthModel.BELIEVED);
 
 	private final ManualTimer timer = new ManualTimer();
 
@@ -76,9 +77,13 @@
 	// with the traffic times the VMs.
 	@Test
 	void isSilentOnceTheLoadIsKnown() {
-		Assertions.assertThat(SharedFigures.worthTelling(MANY, new EngineFigures(20, 3_200, 450, 3_900, 0.031, 7.5)))
+		Assertions
+			.assertThat(SharedFigures.worthTelling(MANY,
+					new EngineFigures(20, 3_200, 450, 3_900, 0.031, 7.5, LengthModel.BELIEVED)))
 			.isFalse();
-		Assertions.assertThat(SharedFigures.worthTelling(MANY, new EngineFigures(3, 9_000, 500, 9_800, 0.03, 7)))
+		Assertions
+			.assertThat(SharedFigures.worthTelling(MANY,
+					new EngineFigures(3, 9_000, 500, 9_800, 0.03, 7, LengthModel.BELIEVED)))
 			.isFalse();
 	}
 
@@ -114,7 +119,8 @@
 	@Test
 	void isNotMisledByOlderNews() {
 		this.one.figures.seen(new RegistryChange.FiguresSeen("llm", MANY, 50));
-		this.one.figures.seen(new RegistryChange.FiguresSeen("llm", new EngineFigures(1, 1, 1, 1, 1, 1), 49));
+		this.one.figures
+			.seen(new RegistryChange.FiguresSeen("llm", new EngineFigures(1, 1, 1, 1, 1, 1, LengthModel.BELIEVED), 49));
 		Assertions.assertThat(this.one.times().known()).contains(MANY);
 	}
 
--- a/src/test/java/io/shallotspur/stage/StageKeeperTests.java
+++ b/src/test/java/io/shallotspur/stage/StageKeeperTests.java
@@ -14,6 +14,7 @@
 import io.shallotspur.gateway.Gateway;
 import io.shallotspur.gateway.GatewayPorts;
 import io.shallotspur.gateway.GatewaySettings;
+import io.shallotspur.gateway.LengthModel;
 import io.shallotspur.gateway.ManualTimer;
 import io.shallotspur.gateway.NopWorkers;
 import io.shallotspur.gateway.RelayMetrics;
@@ -71,7 +72,7 @@
 	}
 
 	private void heard(int samples) {
-		this.gateway.times("llm").heard(new EngineFigures(samples, 3_200, 500, 4_000, 0.0323, 7));
+		this.gateway.times("llm").heard(new EngineFigures(samples, 3_200, 500, 4_000, 0.0323, 7, LengthModel.BELIEVED));
 	}
 
 	private List<RegistryChange> listing() {
