--- a/src/main/java/io/shallotspur/gateway/EngineTimes.java
+++ b/src/main/java/io/shallotspur/gateway/EngineTimes.java
@@ -37,9 +37,10 @@
 	// token that was expected. Until this many have ended the pace of events goes first.
 	private static final int LEAST_ANSWERS = 8;
 
-	// Five answers in six are no longer than that, and what one takes beyond its place
+	// Fourteen answers in fifteen are no longer than that, and what one takes beyond its
+	// place
 	// others leave.
-	private static final double RESERVED_DEVIATIONS = 1;
+	private static final double RESERVED_DEVIATIONS = 1.5;
 
 	private final AnswerLengths lengths = new AnswerLengths();
 
