No call is sent after its reservation has ended

Cause: a prefill, and one after a lost answer, can outlast the two seconds of a reservation. The call was sent all the same and let in without memory of its own. Change: a place is reserved again, and what was read is used there while it is fresh.

--- a/src/main/java/io/shallotspur/gateway/Placing.java
+++ b/src/main/java/io/shallotspur/gateway/Placing.java
@@ -33,6 +33,9 @@
 	// off; sizes of prompts that wait there differ by half of their mean.
 	private static final double PREFILL_PATIENCE = 3;
 
+	// A call that is sent this long before its reservation ends arrives in time, ms.
+	private static final long HOLD_MARGIN_MS = 50;
+
 	// The part of a reservation that a prefill may use up; the rest is for the call that
 	// follows it.
 	private static final double HOLD_SHARE = 0.6;
@@ -77,6 +80,8 @@
 
 	private @Nullable KvSource source;
 
+	private long readAt;
+
 	private @Nullable String kept;
 
 	private long heldAt;
@@ -260,6 +265,7 @@
 		long now = this.g.clock.getAsLong();
 		this.prefill = null;
 		this.source = r.source();
+		this.readAt = now;
 		if (r.failure() != null) {
 			this.sink.note("prefill failed seen=\"" + r.failure() + "\" refused=" + r.refused(), now);
 		}
@@ -282,10 +288,11 @@
 		if (w == null) {
 			return;
 		}
-		if (this.source != null && !this.g.roster.lives(this.source.worker())) {
+		if (this.source != null && !fresh(this.source, now)) {
+			this.g.workers.release(this.source);
 			this.source = null;
 		}
-		if (this.hold != null && !this.g.roster.lives(w.info())) {
+		if (this.hold != null && !holds(w, now)) {
 			placeAgain(now);
 			return;
 		}
@@ -298,11 +305,24 @@
 		this.sink.ready(w, call, now);
 	}
 
-	// The worker has started again while the prompt was read elsewhere, and the place
-	// went
-	// with its memory.
+	// A place is lost when its worker starts again while the prompt is read elsewhere, or
+	// when that takes too long. Sent all the same, the request would be let in without
+	// memory of its own, and a running one be dropped for it.
+	private boolean holds(WorkerState w, long now) {
+		return this.g.roster.lives(w.info()) && now < this.heldAt + holdMs() - HOLD_MARGIN_MS;
+	}
+
+	private boolean fresh(KvSource s, long now) {
+		long ttl = (this.engine != null) ? this.engine.handleTtlMs() : 0;
+		return this.g.roster.lives(s.worker()) && (ttl <= 0 || now - this.readAt < ttl);
+	}
+
+	// What was read stays of use for a fraction of a second.
 	private void placeAgain(long now) {
+		KvSource read = this.source;
+		this.source = null;
 		cancel();
+		this.source = read;
 		start(now);
 	}
 
--- a/src/test/java/io/shallotspur/gateway/PrefillTests.java
+++ b/src/test/java/io/shallotspur/gateway/PrefillTests.java
@@ -117,4 +117,46 @@
 		Assertions.assertThat(this.f.workers.prefills.get(0).cancelled).isTrue();
 	}
 
+	@Test
+	void usesThePlaceWhileItsReservationLasts() {
+		paceIsKnown();
+		this.f.worker("f2", "llm", WorkerStage.PREFILL);
+		for (int i = 0; i < 12; i++) {
+			prompt("once", LONG_PROMPT);
+		}
+		prompt("resume", LONG_PROMPT);
+		this.f.workers.prefills.get(12).listener.onFailure(new ExchangeFailure(true, "reset"));
+		Assertions.assertThat(this.f.workers.prefills).hasSize(14);
+		this.f.timer.advance(1_000);
+		int holds = this.f.workers.holds.size();
+		int runs = this.f.workers.runs.size();
+		this.f.workers.prefills.get(13).listener.onReady("kv");
+		Assertions.assertThat(this.f.workers.runs).hasSize(runs + 1);
+		Assertions.assertThat(this.f.workers.holds).hasSize(holds);
+	}
+
+	// Prefill workers are slow, and a reservation ends while the prompt is read. Sent
+	// without it, the request would take memory that running answers grow into, and one
+	// of
+	// them would be dropped. Another place is reserved, and what was read is used there.
+	@Test
+	void usesWhatWasReadAtAnotherPlace() {
+		paceIsKnown();
+		this.f.worker("f2", "llm", WorkerStage.PREFILL);
+		for (int i = 0; i < 12; i++) {
+			prompt("once", LONG_PROMPT);
+		}
+		prompt("resume", LONG_PROMPT);
+		this.f.timer.advance(1_150);
+		this.f.workers.prefills.get(12).listener.onFailure(new ExchangeFailure(true, "reset"));
+		FakeWorkers.Prefill second = this.f.workers.prefills.get(this.f.workers.prefills.size() - 1);
+		this.f.timer.advance(850);
+		int holds = this.f.workers.holds.size();
+		second.listener.onReady("kv");
+		Assertions.assertThat(this.f.workers.holds).hasSize(holds + 1);
+		this.f.workers.holds.get(holds).listener().onHeld("h-new");
+		Assertions.assertThat(this.f.workers.last().call.hold()).isEqualTo("h-new");
+		Assertions.assertThat(this.f.workers.last().call.kvSource().handle()).isEqualTo("kv");
+	}
+
 }
