--- a/src/main/java/io/shallotspur/gateway/Placing.java
+++ b/src/main/java/io/shallotspur/gateway/Placing.java
@@ -33,13 +33,6 @@
 	// off; sizes of prompts that wait there differ by half of their mean.
 	private static final double PREFILL_PATIENCE = 3;
 
-	// A reservation lasts for this many times what it takes lately from a place to the
-	// first event, so that a slow prefill does not outlast it.
-	private static final long HOLD_LEADS = 3;
-
-	// A prefill and the calls around it, also where they are quick, ms.
-	private static final long LEAST_HOLD_MS = 500;
-
 	// A call that is sent this long before its reservation ends arrives in time, ms.
 	private static final long HOLD_MARGIN_MS = 50;
 
@@ -87,8 +80,6 @@
 
 	private @Nullable KvSource source;
 
-	private long holdMs;
-
 	private long readAt;
 
 	private @Nullable String kept;
@@ -207,14 +198,9 @@
 				? this.g.times(this.upstream).answerMs(Math.max(0, p.likelyOutputTokens() - this.sink.received())) : 0;
 	}
 
-	// Memory that is set aside for longer than it takes to begin is lost to others: a
-	// request takes what it needs as it grows, while others end.
 	@Override
 	public long holdMs() {
-		long most = (this.engine != null) ? this.engine.holdMs() : 0;
-		long lead = this.g.times(this.upstream).leadMs();
-		this.holdMs = (lead > 0) ? Math.min(most, Math.max(LEAST_HOLD_MS, HOLD_LEADS * lead)) : most;
-		return this.holdMs;
+		return (this.engine != null) ? this.engine.holdMs() : 0;
 	}
 
 	@Override
@@ -267,7 +253,7 @@
 	// must outlast it.
 	private long prefillLimit(WorkerState p, PromptShape prompt, long now) {
 		long dflt = Math.max(LEAST_PREFILL_MS, (long) (this.route.targetMs() * PREFILL_SHARE));
-		long most = Math.max(dflt, (long) (HOLD_SHARE * this.holdMs));
+		long most = Math.max(dflt, (long) (HOLD_SHARE * holdMs()));
 		return this.g.times(this.upstream)
 			.known()
 			.map((f) -> f.prefillMs() * p.load(now) + f.prefillTokenMs() * prompt.promptTokens())
@@ -323,7 +309,7 @@
 	// when that takes too long. Sent all the same, the request would be let in without
 	// memory of its own, and a running one be dropped for it.
 	private boolean holds(WorkerState w, long now) {
-		return this.g.roster.lives(w.info()) && now < this.heldAt + this.holdMs - HOLD_MARGIN_MS;
+		return this.g.roster.lives(w.info()) && now < this.heldAt + holdMs() - HOLD_MARGIN_MS;
 	}
 
 	private boolean fresh(KvSource s, long now) {
