A load report is good for half of the time that requests last

Cause: reports lost half of their weight in 300 ms; answers last 3.5 s. The workers' reports showed six answers at one decode worker and two at another. Change: the half-life follows what this VM's requests at the worker lasted.

--- a/src/main/java/io/shallotspur/gateway/RelayTask.java
+++ b/src/main/java/io/shallotspur/gateway/RelayTask.java
@@ -375,6 +375,7 @@
 		if (this.attempt != null) {
 			WorkerState w = this.attempt.worker();
 			w.ended();
+			w.lasted(this.g.clock.getAsLong() - this.attemptAt);
 			prefillOver();
 			this.attempt = null;
 			this.g.freed(this.upstream, w.info().id());
--- a/src/main/java/io/shallotspur/gateway/WorkerState.java
+++ b/src/main/java/io/shallotspur/gateway/WorkerState.java
@@ -15,9 +15,15 @@
  */
 final class WorkerState {
 
-	// A report tells of requests that last some tens to hundreds of milliseconds; after
-	// this time most of them have ended, ms.
-	private static final double REPORT_HALF_LIFE_MS = 300;
+	// A report is good for half of the time that requests last here, and at least for so
+	// long, ms. With a fixed 300 ms, answers of 3.5 s were forgotten while they ran, and
+	// one decode worker had six of them where another had two.
+	private static final double LEAST_HALF_LIFE_MS = 300;
+
+	private static final double HALF_LIFE_SHARE = 0.5;
+
+	// Weight of the newest request in the time that requests last.
+	private static final double LASTED_WEIGHT = 0.1;
 
 	// Weight of the newest outcome in the failure rate: the last ten or so count.
 	private static final double FAILURE_WEIGHT = 0.1;
@@ -38,6 +44,8 @@
 
 	private long reportedAt;
 
+	private double lastedMs;
+
 	private double failureRate;
 
 	private long coldUntil;
@@ -123,6 +131,18 @@
 		this.reportedAt = now;
 	}
 
+	/**
+	 * Takes how long a request was at the worker.
+	 * @param ms its time there, in milliseconds
+	 */
+	void lasted(long ms) {
+		this.lastedMs = (this.lastedMs > 0) ? this.lastedMs + LASTED_WEIGHT * (ms - this.lastedMs) : ms;
+	}
+
+	private double halfLifeMs() {
+		return Math.max(LEAST_HALF_LIFE_MS, HALF_LIFE_SHARE * this.lastedMs);
+	}
+
 	// How many requests are at the worker by estimate, those of other VMs included.
 	double load(long now) {
 		LoadReport r = this.report;
@@ -130,7 +150,7 @@
 			return this.running;
 		}
 		double others = Math.max(0, r.running() + r.waiting() - this.runningAtReport);
-		return this.running + others * Math.pow(0.5, (now - this.reportedAt) / REPORT_HALF_LIFE_MS);
+		return this.running + others * Math.pow(0.5, (now - this.reportedAt) / halfLifeMs());
 	}
 
 	double occupancy(long now) {
