--- a/src/main/java/io/shallotspur/gateway/Placing.java
+++ b/src/main/java/io/shallotspur/gateway/Placing.java
@@ -197,7 +197,7 @@
 	private void prefillOrGo(WorkerState w, long now) {
 		this.target = w;
 		PromptShape prompt = this.request.prompt();
-		if (this.engine == null || prompt == null || this.prefilled || this.sink.resuming()) {
+		if (this.engine == null || prompt == null || this.prefilled) {
 			go(now);
 			return;
 		}
@@ -216,7 +216,7 @@
 		this.prefillsTried.add(p.get().info().id());
 		this.prefill = new PrefillStep(this.g, p.get(), prompt, this::prefillEnded);
 		this.prefill.start(new WorkerCall(this.request, p.get().info(), Math.max(1, this.answerBy - now), priority(),
-				null, null, null), prefillLimit());
+				this.sink.lastEventId(), null, null), prefillLimit());
 	}
 
 	private boolean stalls(PromptShape prompt) {
@@ -341,8 +341,8 @@
 		// Tokens of the answer that the caller has, as far as that is known.
 		int received();
 
-		// Whether the caller already has the beginning of the answer.
-		boolean resuming();
+		// The event after which the answer is to go on, if the caller has its beginning.
+		@Nullable String lastEventId();
 
 		// Something for the log.
 		void note(String what, long now);
--- a/src/main/java/io/shallotspur/gateway/RelayTask.java
+++ b/src/main/java/io/shallotspur/gateway/RelayTask.java
@@ -125,8 +125,8 @@
 	}
 
 	@Override
-	public boolean resuming() {
-		return this.lastEventId != null;
+	public @Nullable String lastEventId() {
+		return this.lastEventId;
 	}
 
 	@Override
--- a/src/test/java/io/shallotspur/gateway/GatewayFixture.java
+++ b/src/test/java/io/shallotspur/gateway/GatewayFixture.java
@@ -82,9 +82,17 @@
 		return call(route, 14_000, new PromptShape(tokens, 1_190, 400));
 	}
 
+	Call resumed(String route, int tokens, String lastEventId) {
+		return call(route, 14_000, new PromptShape(tokens, 1_190, 400), lastEventId);
+	}
+
 	Call call(String route, long waitMs, @Nullable PromptShape prompt) {
+		return call(route, waitMs, prompt, null);
+	}
+
+	private Call call(String route, long waitMs, @Nullable PromptShape prompt, @Nullable String lastEventId) {
 		RelayRequest r = new RelayRequest("r" + (++this.ids), "POST", "/" + route + "/x", "shop.example", List.of(),
-				new byte[0], waitMs, prompt, null);
+				new byte[0], waitMs, prompt, lastEventId);
 		FakeCaller c = new FakeCaller();
 		return new Call(c, this.gateway.handle(r, c));
 	}
--- a/src/test/java/io/shallotspur/gateway/PrefillTests.java
+++ b/src/test/java/io/shallotspur/gateway/PrefillTests.java
@@ -81,6 +81,23 @@
 		Assertions.assertThat(this.f.workers.prefills).hasSize(4);
 	}
 
+	// An entry VM has died, and its callers come back to go on with their answers. Read
+	// at
+	// the decode workers, their prompts would make all answers there pause; the first
+	// prefill of the new request is free.
+	@Test
+	void prefillsApartForACallerWhoComesBackToGoOn() {
+		paceIsKnown();
+		int n = this.f.workers.holds.size();
+		this.f.resumed("resume", LONG_PROMPT, "7");
+		this.f.workers.holds.get(n).listener().onHeld("h");
+		Assertions.assertThat(this.f.workers.prefills).hasSize(1);
+		Assertions.assertThat(this.f.workers.prefills.get(0).call.lastEventId()).isEqualTo("7");
+		this.f.workers.prefills.get(0).listener.onReady("kv");
+		Assertions.assertThat(this.f.workers.last().call.lastEventId()).isEqualTo("7");
+		Assertions.assertThat(this.f.workers.last().call.kvSource().handle()).isEqualTo("kv");
+	}
+
 	// The prompt was read and the answer that names its KV cache was lost. The route
 	// allows
 	// two attempts: one is spent on another prefill, and running answers are spared.
