Prefill workers keep room for bursts where all prompts are prefilled apart

Change: 0.6 instead of 0.8 of a prefill worker's time is counted on where prompts cannot be read at decode workers.

--- a/src/main/java/io/shallotspur/stage/StageLoad.java
+++ b/src/main/java/io/shallotspur/stage/StageLoad.java
@@ -19,6 +19,12 @@
 	// steady service times), and the first token is late.
 	private static final double PREFILL_BUSY = 0.8;
 
+	// The same where all prompts are prefilled apart. A prompt that waits there already
+	// holds a place at a decode worker, where a request that waits for a place holds
+	// none,
+	// so a burst of half again the load has to find room.
+	private static final double PREFILL_BUSY_APART = 0.6;
+
 	// Prompts of half again the mean length are common.
 	private static final double LONG_PROMPT = 1.5;
 
@@ -52,7 +58,8 @@
 	 */
 	public double perSecond(int prefill, int decode) {
 		double each = this.places * MS_PER_S / this.decodeMs;
-		double apart = prefill * PREFILL_BUSY * MS_PER_S / this.prefillMs;
+		double busy = this.apart ? PREFILL_BUSY_APART : PREFILL_BUSY;
+		double apart = prefill * busy * MS_PER_S / this.prefillMs;
 		if (decode * each <= apart) {
 			return decode * each;
 		}
--- a/src/test/java/io/shallotspur/stage/StageSplitTests.java
+++ b/src/test/java/io/shallotspur/stage/StageSplitTests.java
@@ -62,6 +62,13 @@
 		Assertions.assertThat(split(3, 3, new StageLoad(103, 3_500, 7, true))).isEqualTo(2);
 	}
 
+	// Long answers leave room for six at a worker, so one prefill worker would nearly do.
+	// In a burst prompts would wait there, each of them with a place at a decode worker.
+	@Test
+	void leavesRoomForABurstOfPrompts() {
+		Assertions.assertThat(split(3, 3, new StageLoad(118, 3_900, 5.9, true))).isEqualTo(2);
+	}
+
 	// Three requests say roughly what the load is. Where three of six workers prefill and
 	// hardly any has work, that is enough; where a change would bring a third, it may as
 	// well bring nothing.
