Answers are held up by what a prefill adds for each token; the split counts prefills at decode workers

The time of a prefill was taken for that of its tokens, though 60 ms of it are the call and the first token; so every prompt seemed to hold answers up, the split allowed none at decode workers and sent a decode worker to prefill (second 1 to 3). Change: PrefillTimes finds the time that a further token adds (median slope between any two prefills, unknown before eight). StageLoad counts prefills at decode workers as before; the rule that forbade them there and its margin for bursts are removed.

--- a/src/main/java/io/shallotspur/gateway/EngineFigures.java
+++ b/src/main/java/io/shallotspur/gateway/EngineFigures.java
@@ -12,11 +12,13 @@
  * @param reservedTokens memory that is set aside for a request, in tokens, mean
  * @param prefillTokenMs time of a prefill worker for each token, in milliseconds; more
  * than 0
+ * @param addedTokenMs by how much a prefill takes longer for each further token, in
+ * milliseconds; 0 if that is not known
  * @param answerTokenMs time between two tokens of an answer, in milliseconds; more than 0
  * @param lengths how long answers are against what callers expect
  */
 public record EngineFigures(int samples, double promptTokens, double answerTokens, double reservedTokens,
-		double prefillTokenMs, double answerTokenMs, LengthModel lengths) {
+		double prefillTokenMs, double addedTokenMs, double answerTokenMs, LengthModel lengths) {
 
 	/** A decode worker prefills at this part of the speed of a prefill worker. */
 	public static final double DECODE_SLOWNESS = 2;
@@ -25,7 +27,8 @@
 	 * Tells whether answers at a decode worker would stand still for too long if it
 	 * prefilled a prompt between their tokens. While it does, each of its answers gets a
 	 * token for each piece of the prompt, and an event takes as long as the whole
-	 * prefill: all answers there become late for one prompt.
+	 * prefill: all answers there become late for one prompt. What a prefill takes
+	 * besides, for the call and the first token, does not hold them up.
 	 * @param tokens tokens of the prompt
 	 * @param eventTokens tokens of an event; 0 if that is not known
 	 * @param gapMs the longest pause between events that is on time, in milliseconds; 0
@@ -33,8 +36,8 @@
 	 * @return whether the pause would be longer
 	 */
 	public boolean stalls(double tokens, int eventTokens, long gapMs) {
-		double pause = DECODE_SLOWNESS * tokens * this.prefillTokenMs + eventTokens * this.answerTokenMs;
-		return gapMs > 0 && pause > gapMs;
+		double pause = DECODE_SLOWNESS * tokens * this.addedTokenMs + eventTokens * this.answerTokenMs;
+		return gapMs > 0 && this.addedTokenMs > 0 && pause > gapMs;
 	}
 
 	/**
@@ -66,8 +69,15 @@
 		double w = (double) one.samples / (one.samples + other.samples);
 		return new EngineFigures(one.samples + other.samples, mean(w, one.promptTokens, other.promptTokens),
 				mean(w, one.answerTokens, other.answerTokens), mean(w, one.reservedTokens, other.reservedTokens),
-				mean(w, one.prefillTokenMs, other.prefillTokenMs), mean(w, one.answerTokenMs, other.answerTokenMs),
-				one.lengths.mean(w, other.lengths));
+				mean(w, one.prefillTokenMs, other.prefillTokenMs), added(w, one, other),
+				mean(w, one.answerTokenMs, other.answerTokenMs), one.lengths.mean(w, other.lengths));
+	}
+
+	private static double added(double weight, EngineFigures one, EngineFigures other) {
+		if (one.addedTokenMs == 0 || other.addedTokenMs == 0) {
+			return one.addedTokenMs + other.addedTokenMs;
+		}
+		return mean(weight, one.addedTokenMs, other.addedTokenMs);
 	}
 
 	private static double mean(double weight, double one, double other) {
@@ -82,7 +92,7 @@
 	 */
 	public EngineFigures atMost(int most) {
 		return (this.samples <= most) ? this : new EngineFigures(most, this.promptTokens, this.answerTokens,
-				this.reservedTokens, this.prefillTokenMs, this.answerTokenMs, this.lengths);
+				this.reservedTokens, this.prefillTokenMs, this.addedTokenMs, this.answerTokenMs, this.lengths);
 	}
 
 }
--- a/src/main/java/io/shallotspur/gateway/EngineTimes.java
+++ b/src/main/java/io/shallotspur/gateway/EngineTimes.java
@@ -37,9 +37,6 @@
 	// Enough for a steady mean, few enough to follow a change of the traffic.
 	private static final int KEPT = 64;
 
-	// The quarter of the prefills that waited least; their time is that of the work.
-	private static final double QUICK_SHARE = 0.25;
-
 	// The first answers to end are the short ones, and tell of too short a time for each
 	// token that was expected. Until this many have ended the pace of events goes first.
 	private static final int LEAST_ANSWERS = 8;
@@ -53,7 +50,7 @@
 
 	private final Deque<PromptShape> asked = new ArrayDeque<>();
 
-	private final Deque<Double> prefillTokenMs = new ArrayDeque<>();
+	private final PrefillTimes prefills = new PrefillTimes();
 
 	private int answered;
 
@@ -74,20 +71,16 @@
 	 * @param prompt what it says of itself
 	 */
 	void asked(PromptShape prompt) {
-		keep(this.asked, prompt);
+		this.asked.addLast(prompt);
+		if (this.asked.size() > KEPT) {
+			this.asked.removeFirst();
+		}
 		this.unshared = Math.min(KEPT, this.unshared + 1);
 	}
 
 	void prefilled(long ms, PromptShape prompt) {
 		this.prefillWait.add(ms);
-		keep(this.prefillTokenMs, (double) Math.max(1, ms) / Math.max(1, prompt.promptTokens()));
-	}
-
-	private static <T> void keep(Deque<T> latest, T value) {
-		latest.addLast(value);
-		if (latest.size() > KEPT) {
-			latest.removeFirst();
-		}
+		this.prefills.add(ms, prompt.promptTokens());
 	}
 
 	void firstByte(long ms) {
@@ -212,13 +205,13 @@
 	 */
 	public Optional<EngineFigures> unshared() {
 		double answer = answerTokenMs();
-		if (this.unshared == 0 || this.prefillTokenMs.isEmpty() || answer == 0) {
+		if (this.unshared == 0 || !this.prefills.isKnown() || answer == 0) {
 			return Optional.empty();
 		}
 		List<PromptShape> l = this.asked.stream().skip(this.asked.size() - this.unshared).toList();
 		return Optional.of(new EngineFigures(l.size(), mean(l, PromptShape::promptTokens),
-				mean(l, PromptShape::likelyOutputTokens), mean(l, (p) -> reservedTokens(p, 0)), quickPrefill(), answer,
-				this.lengths.model()));
+				mean(l, PromptShape::likelyOutputTokens), mean(l, (p) -> reservedTokens(p, 0)), this.prefills.tokenMs(),
+				this.prefills.addedTokenMs(), answer, this.lengths.model()));
 	}
 
 	/**
@@ -233,9 +226,4 @@
 		return l.stream().mapToInt(tokens).average().orElse(0);
 	}
 
-	private double quickPrefill() {
-		List<Double> sorted = this.prefillTokenMs.stream().sorted().toList();
-		return sorted.get((int) (sorted.size() * QUICK_SHARE));
-	}
-
 }
--- a/src/main/java/io/shallotspur/platform/EntryDecoder.java
+++ b/src/main/java/io/shallotspur/platform/EntryDecoder.java
@@ -118,7 +118,8 @@
 	private static EngineFigures figures(String key, JsonNode v) throws InputException {
 		EntryFields f = new EntryFields(v, key);
 		return new EngineFigures(f.positive("samples"), f.amount("prompt_tokens"), f.amount("answer_tokens"),
-				f.amount("reserved_tokens"), f.amount("prefill_token_ms"), f.amount("answer_token_ms"),
+				f.amount("reserved_tokens"), f.amount("prefill_token_ms"), f.number("added_token_ms"),
+				f.amount("answer_token_ms"),
 				new LengthModel(f.number("length_intercept"), f.number("length_slope"), f.amount("length_deviation")));
 	}
 
@@ -129,6 +130,7 @@
 			.put("answer_tokens", f.answerTokens())
 			.put("reserved_tokens", f.reservedTokens())
 			.put("prefill_token_ms", f.prefillTokenMs())
+			.put("added_token_ms", f.addedTokenMs())
 			.put("answer_token_ms", f.answerTokenMs())
 			.put("length_intercept", f.lengths().intercept())
 			.put("length_slope", f.lengths().slope())
--- a/src/main/java/io/shallotspur/route/RouteTable.java
+++ b/src/main/java/io/shallotspur/route/RouteTable.java
@@ -20,9 +20,6 @@
 
 	private final Map<String, UpstreamSpec> upstreams;
 
-	// The shortest pause between events that any route to an upstream allows, ms.
-	private final Map<String, Long> gapMs = new HashMap<>();
-
 	private final IngressLimits limits;
 
 	/**
@@ -39,11 +36,6 @@
 		upstreams.forEach((u) -> byName.put(u.name(), u));
 		this.upstreams = Map.copyOf(byName);
 		this.byHost = index(routes);
-		routes.stream().filter((r) -> r.gapMs() > 0).forEach(this::noteGap);
-	}
-
-	private void noteGap(Route r) {
-		r.targets().forEach((t) -> this.gapMs.merge(t.upstream(), r.gapMs(), Math::min));
 	}
 
 	private static Map<String, List<Route>> index(List<Route> routes) {
@@ -88,16 +80,6 @@
 		return Optional.ofNullable(this.upstreams.get(name));
 	}
 
-	/**
-	 * Returns the longest pause between two events that is on time for all routes to an
-	 * upstream.
-	 * @param upstream the upstream
-	 * @return milliseconds; 0 if any pause is
-	 */
-	public long gapMs(String upstream) {
-		return this.gapMs.getOrDefault(upstream, 0L);
-	}
-
 	/**
 	 * Finds the route of a request: among those of the host the one with the longest
 	 * prefix that begins the path.
--- a/src/main/java/io/shallotspur/stage/StageKeeper.java
+++ b/src/main/java/io/shallotspur/stage/StageKeeper.java
@@ -117,10 +117,10 @@
 			return;
 		}
 		this.duty.askIfFree(now);
-		l.forEach((u) -> look(u.name(), u.engine(), t.gapMs(u.name()), now));
+		l.forEach((u) -> look(u.name(), u.engine(), now));
 	}
 
-	private void look(String upstream, EngineSpec engine, long gapMs, long now) {
+	private void look(String upstream, EngineSpec engine, long now) {
 		List<WorkerInfo> prefill = new ArrayList<>();
 		List<WorkerInfo> decode = new ArrayList<>();
 		for (WorkerInfo w : this.gateway.roster().staying(upstream, now)) {
@@ -140,7 +140,7 @@
 			this.gateway.times(upstream)
 				.known()
 				.filter((f) -> f.samples() >= LEAST_SAMPLES)
-				.map((f) -> new Seen(f.samples(), StageLoad.of(f, engine, gapMs)))
+				.map((f) -> new Seen(f.samples(), StageLoad.of(f, engine)))
 				.ifPresent((x) -> share(s, x, prefill, decode, now));
 		}
 	}
--- a/src/main/java/io/shallotspur/stage/StageLoad.java
+++ b/src/main/java/io/shallotspur/stage/StageLoad.java
@@ -9,9 +9,8 @@
  * @param prefillMs time of a prefill worker, in milliseconds
  * @param decodeMs time for which it occupies a place at a decode worker, in milliseconds
  * @param places requests that a decode worker has memory and slots for at once
- * @param apart whether prompts have to be prefilled apart, lest answers stand still
  */
-public record StageLoad(double prefillMs, double decodeMs, double places, boolean apart) {
+public record StageLoad(double prefillMs, double decodeMs, double places) {
 
 	private static final double MS_PER_S = 1_000;
 
@@ -19,29 +18,17 @@
 	// steady service times), and the first token is late.
 	private static final double PREFILL_BUSY = 0.8;
 
-	// The same where all prompts are prefilled apart. A prompt that waits there already
-	// holds a place at a decode worker, where a request that waits for a place holds
-	// none,
-	// so a burst of half again the load has to find room.
-	private static final double PREFILL_BUSY_APART = 0.6;
-
-	// Prompts of half again the mean length are common.
-	private static final double LONG_PROMPT = 1.5;
-
 	/**
 	 * Returns the load that was seen.
 	 * @param seen the requests and their pace
 	 * @param engine the engines
-	 * @param gapMs the longest pause between events that is on time, in milliseconds; 0
-	 * if any is
 	 * @return the load
 	 */
-	static StageLoad of(EngineFigures seen, EngineSpec engine, long gapMs) {
+	static StageLoad of(EngineFigures seen, EngineSpec engine) {
 		double prefill = Math.max(1, seen.prefillMs());
 		// A place is occupied from its reservation on, which comes before the prefill.
 		double decode = prefill + Math.max(1, seen.answerMs());
-		return new StageLoad(prefill, decode, places(engine, seen.reservedTokens()),
-				seen.stalls(LONG_PROMPT * seen.promptTokens(), engine.eventTokens(), gapMs));
+		return new StageLoad(prefill, decode, places(engine, seen.reservedTokens()));
 	}
 
 	private static double places(EngineSpec engine, double tokens) {
@@ -50,22 +37,17 @@
 
 	/**
 	 * Returns how many requests a second the workers can answer. What the prefill workers
-	 * cannot take is prefilled at the decode workers, whose time it costs, unless answers
-	 * would stand still meanwhile.
+	 * cannot take is prefilled at the decode workers, whose time it costs.
 	 * @param prefill prefill workers
 	 * @param decode decode workers
 	 * @return requests a second
 	 */
 	public double perSecond(int prefill, int decode) {
 		double each = this.places * MS_PER_S / this.decodeMs;
-		double busy = this.apart ? PREFILL_BUSY_APART : PREFILL_BUSY;
-		double apart = prefill * busy * MS_PER_S / this.prefillMs;
+		double apart = prefill * PREFILL_BUSY * MS_PER_S / this.prefillMs;
 		if (decode * each <= apart) {
 			return decode * each;
 		}
-		if (this.apart) {
-			return apart;
-		}
 		double lost = EngineFigures.DECODE_SLOWNESS * this.prefillMs / MS_PER_S;
 		return each * (decode + lost * apart) / (1 + each * lost);
 	}
