--- a/src/test/java/io/shallotspur/gateway/RosterTests.java
+++ b/src/test/java/io/shallotspur/gateway/RosterTests.java
@@ -100,6 +100,22 @@
 		Assertions.assertThat(s.info().startedAt()).isEqualTo(200);
 	}
 
+	// Answers last for seconds and a report comes beside the first bytes of each.
+	// Forgotten
+	// within a second, a worker full of other VMs' answers would look idle, and one
+	// worker
+	// would have six answers where another has two.
+	@Test
+	void remembersAReportForHalfTheTimeThatRequestsLast() {
+		this.roster.seen(started(100), NOW);
+		WorkerState w = candidates(WorkerStage.DECODE).get(0);
+		w.reported(new LoadReport(6, 0, 8), NOW);
+		Assertions.assertThat(w.load(NOW + 1_500)).isLessThan(0.5);
+		w.lasted(4_000);
+		Assertions.assertThat(w.load(NOW + 1_500)).isGreaterThan(3);
+		Assertions.assertThat(w.load(NOW + 20_000)).isLessThan(0.5);
+	}
+
 	private static WorkerInfo started(long at) {
 		return new WorkerInfo("w1", "llm", "10.0.0.1", 80, "hall-a", 8, WorkerStage.DECODE, false, 0, at);
 	}
