--- a/src/main/java/io/shallotspur/gateway/EngineTimes.java
+++ b/src/main/java/io/shallotspur/gateway/EngineTimes.java
@@ -21,9 +21,8 @@
 
 	private static final double LEAD_WEIGHT = 0.05;
 
-	// As a transport connection weighs its round trips for its retransmission timeout:
-	// the
-	// last eight count, and four deviations are hardly ever passed.
+	// As a transport connection weighs its round trips for its timeouts. The last eight
+	// count, and four deviations are hardly ever passed.
 	private static final double PREFILL_WEIGHT = 0.125;
 
 	private static final double LIMIT_DEVIATIONS = 4;
@@ -41,9 +40,8 @@
 	// token that was expected. Until this many have ended the pace of events goes first.
 	private static final int LEAST_ANSWERS = 8;
 
-	// Fourteen answers in fifteen are no longer than that, and what one takes beyond its
-	// place
-	// others leave.
+	// Fourteen answers in fifteen are no longer than that. What one takes beyond its
+	// place is mostly left by others.
 	private static final double RESERVED_DEVIATIONS = 1.5;
 
 	private final AnswerLengths lengths = new AnswerLengths();
--- a/src/main/java/io/shallotspur/gateway/Placing.java
+++ b/src/main/java/io/shallotspur/gateway/Placing.java
@@ -97,9 +97,8 @@
 
 	void start(long now) {
 		// A caller whose answer broke off after some seconds waits for its next event
-		// from
-		// then on. Counted from its arrival its patience would be over by then, and an
-		// answer that could go on elsewhere would end.
+		// as long as for its first. Counted from its arrival its patience would be over,
+		// and an answer that could go on elsewhere would end.
 		this.waitsSince = now;
 		EngineSpec e = this.engine;
 		List<WorkerState> l = candidates(now);
--- a/src/main/java/io/shallotspur/gateway/PrefillChoice.java
+++ b/src/main/java/io/shallotspur/gateway/PrefillChoice.java
@@ -39,8 +39,7 @@
 		}
 		WorkerState best = null;
 		// Whether any answer runs there is known to the worker only: this VM may have
-		// just
-		// started.
+		// started a moment ago.
 		double least = stalls ? Double.MAX_VALUE : EngineFigures.DECODE_SLOWNESS * (decode.prefilling() + 1);
 		for (WorkerState p : prefill) {
 			double ways = p.load(now) + 1 + random.next() / 2;
--- a/src/main/java/io/shallotspur/stage/StageKeeper.java
+++ b/src/main/java/io/shallotspur/stage/StageKeeper.java
@@ -37,8 +37,7 @@
 	private static final long SETTLE_MS = 10_000;
 
 	// After a change that failed, ms: another worker may do it, and one that refuses is
-	// not
-	// asked all the time.
+	// not asked all the time.
 	private static final long RETRY_MS = 3_000;
 
 	// Workers that crash are back within some seconds, ms. Shared out again at once, the
