A VM that dies some seconds after the store was away is forgotten at once

Registrations that vanish within five seconds of an outage were kept for five more seconds from then on. Change: they are kept until five seconds after the outage. Test: a VM that dies four seconds after a reset connection (failed before).

--- a/src/main/java/io/shallotspur/registry/RegistryFollower.java
+++ b/src/main/java/io/shallotspur/registry/RegistryFollower.java
@@ -336,8 +336,11 @@
 		return wasAway(now) ? this.workerGraceMs : 0;
 	}
 
+	// Counted from the time when the store was away: a VM that dies some seconds after
+	// that
+	// must not be handed to callers for as long again.
 	private long vmGrace(long now) {
-		return wasAway(now) ? AWAY_WINDOW_MS : 0;
+		return Math.max(0, this.awayAt + AWAY_WINDOW_MS - now);
 	}
 
 	private boolean wasAway(long now) {
--- a/src/test/java/io/shallotspur/registry/RegistryFollowerTests.java
+++ b/src/test/java/io/shallotspur/registry/RegistryFollowerTests.java
@@ -204,4 +204,22 @@
 		Assertions.assertThat(this.gateway.table()).isPresent();
 	}
 
+	// A connection to the store was reset and made again at once. Four seconds later
+	// another
+	// VM loses power. Were it kept for as long as one whose registration lapsed while the
+	// store was away, callers would be sent to it for five seconds more.
+	@Test
+	void aVmThatDiesSomeTimeAfterTheStoreWasBackIsSoonForgotten() {
+		this.follower.own("vms/me", () -> {
+		});
+		follow(config(3), new RegistryChange.VmSeen("vms/other", "10.0.0.9:80", "hall-a"));
+		lose();
+		this.timer.advance(400);
+		tell(20);
+		this.timer.advance(4_000);
+		tell(21, new RegistryChange.VmGone("vms/other"));
+		this.timer.advance(1_000);
+		Assertions.assertThat(this.gateway.vms().count(this.timer.now())).isZero();
+	}
+
 }
