A split that brings a tenth is worth ordering; prefill time without the wait in the queue

Change: a prefill's time is what every prefill takes besides, by the quarter that waited least, plus what its tokens add; a change has to bring 0.05 + 0.5/sqrt(n) instead of 0.1 + 0.5/sqrt(n), since the worker comes from the stage that has work to spare.

--- a/src/main/java/io/shallotspur/gateway/EngineTimes.java
+++ b/src/main/java/io/shallotspur/gateway/EngineTimes.java
@@ -207,9 +207,10 @@
 			return Optional.empty();
 		}
 		List<PromptShape> l = this.asked.stream().skip(this.asked.size() - this.unshared).toList();
-		return Optional.of(new EngineFigures(l.size(), mean(l, PromptShape::promptTokens),
-				mean(l, PromptShape::likelyOutputTokens), mean(l, (p) -> reservedTokens(p, 0)), this.prefills.tokenMs(),
-				this.prefills.addedTokenMs(), answer, this.lengths.model()));
+		double prompt = Math.max(1, mean(l, PromptShape::promptTokens));
+		return Optional.of(new EngineFigures(l.size(), prompt, mean(l, PromptShape::likelyOutputTokens),
+				mean(l, (p) -> reservedTokens(p, 0)), this.prefills.ms(prompt) / prompt, this.prefills.addedTokenMs(),
+				answer, this.lengths.model()));
 	}
 
 	/**
--- a/src/main/java/io/shallotspur/gateway/PrefillTimes.java
+++ b/src/main/java/io/shallotspur/gateway/PrefillTimes.java
@@ -33,11 +33,22 @@
 	}
 
 	/**
-	 * Returns the time for each token, with all that a prefill takes.
+	 * Returns how long a worker works on a prompt: what each token adds, and what every
+	 * prefill takes besides. Waits in the queue are left out; counted as work, they make
+	 * prefill workers look busy right when decode workers need them.
+	 * @param tokens tokens of the prompt
 	 * @return milliseconds
 	 */
-	double tokenMs() {
-		List<Double> sorted = this.latest.stream().map((p) -> p.ms() / p.tokens()).sorted().toList();
+	double ms(double tokens) {
+		double added = addedTokenMs();
+		if (added == 0) {
+			return tokens * quick(this.latest.stream().map((p) -> p.ms() / p.tokens()).sorted().toList());
+		}
+		double besides = quick(this.latest.stream().map((p) -> p.ms() - added * p.tokens()).sorted().toList());
+		return Math.max(1, besides + added * tokens);
+	}
+
+	private static double quick(List<Double> sorted) {
 		return sorted.get((int) (sorted.size() * QUICK_SHARE));
 	}
 
--- a/src/main/java/io/shallotspur/stage/StageSplit.java
+++ b/src/main/java/io/shallotspur/stage/StageSplit.java
@@ -9,8 +9,10 @@
  */
 final class StageSplit {
 
-	// What a change has to bring beside its cost, as a part of what the workers bear.
-	private static final double LEAST_GAIN = 0.1;
+	// What a change has to bring beside its cost, as a part of what the workers bear. A
+	// worker is away for seconds while it changes over; it comes from the stage that has
+	// work to spare, so little is lost meanwhile.
+	private static final double LEAST_GAIN = 0.05;
 
 	// Lengths of prompts and answers differ from request to request by about half of
 	// their mean, so the mean of n requests is wrong by half / sqrt(n).
