The newest goes first while places free up too slowly, and the late only while nobody else waits

Cause: the log of one VM that serves all shows requests answered in the order of their latest start: each gets its place when it is all but too late, and a prefill of 200 to 400 ms makes it late. A worker that refused a long prompt was left alone by short ones too, and short late ones took memory from long ones in time. Change: newest first once the oldest has waited for half of what it could, and always among the late; the late ask only while nobody in time waits; a refusal counts for requests of that size; late callers leave a free place to the part of callers who are at other VMs.

--- a/src/main/java/io/shallotspur/gateway/HoldQueue.java
+++ b/src/main/java/io/shallotspur/gateway/HoldQueue.java
@@ -1,6 +1,7 @@
 package io.shallotspur.gateway;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
@@ -21,10 +22,20 @@
  * exactly. Requests that find none wait here and not inside a worker, where one that is
  * urgent could not pass the others.
  * <p>
- * Those who can still be answered in time go before those who cannot; within both the
- * more urgent goes first, then the one that has to start first. When a request of this VM
- * ends its worker is asked at once, since a place has just become free there; otherwise a
- * full worker is left alone for a while, so that many VMs do not spend their time asking.
+ * Those who can still be answered in time go before those who cannot, who get a place
+ * only while nobody else waits; within both the more urgent goes first, then the one that
+ * has to start first. While places free up more slowly than callers come, the newest goes
+ * first instead: served in the order of their latest start, all would get their place
+ * when it is all but too late, and every delay after that makes the answer late. The one
+ * that has waited longest is the one that is late in any case. The same holds among the
+ * late: what a place takes to lead to an answer is an estimate that grows in a burst, and
+ * with the oldest first all who come after it would be late as well, long after the
+ * burst.
+ * <p>
+ * When a request of this VM ends its worker is asked at once, since a place has just
+ * become free there; otherwise a worker that has refused is left alone for a while by
+ * requests of that size, so that many VMs do not spend their time asking. What needs
+ * clearly less may still fit.
  */
 final class HoldQueue {
 
@@ -34,7 +45,8 @@
 
 	// A place that has become free is left this long to other VMs whose callers can
 	// still be answered in time, before it goes to a caller who is late in any case, ms:
-	// twice the time in which each of them asks again.
+	// twice the time in which each of them asks again. A VM that serves all callers has
+	// nobody to leave it to.
 	private static final long LATE_MS = 300;
 
 	// Between two questions while all workers turn out to be full, ms. With a hundred
@@ -49,6 +61,14 @@
 	// Reservations asked for at a time: the way to a worker and back takes 2 ms.
 	private static final int CALLS_AT_ONCE = 4;
 
+	// A worker that has refused a request may have memory for one that needs this part of
+	// it: requests differ by half of their mean, and each step of asking costs a call.
+	private static final double CLEARLY_LESS = 0.75;
+
+	// Those who have waited for this part of the time that they could wait show that
+	// places free up more slowly than callers come.
+	private static final double LONG_WAIT = 0.5;
+
 	// A queue beyond this is worth more than the longest wait allowed, requests.
 	private static final int MOST_WAITING = 64;
 
@@ -63,14 +83,14 @@
 
 	private final TreeSet<Ticket> queue = new TreeSet<>(ORDER);
 
-	private final Map<String, Long> fullUntil = new HashMap<>();
-
-	private final Map<String, Long> lateUntil = new HashMap<>();
+	private final Map<String, Refusal> refused = new HashMap<>();
 
 	private long number;
 
 	private int calls;
 
+	private int callsInTime;
+
 	private int refusals;
 
 	private long nextAskAt;
@@ -90,7 +110,7 @@
 	 * @return its ticket
 	 */
 	Ticket enter(Waiting w, long now) {
-		Ticket t = new Ticket(w, ++this.number);
+		Ticket t = new Ticket(w, ++this.number, now);
 		if (this.queue.size() >= MOST_WAITING) {
 			t.over = true;
 			w.turnedAway(now);
@@ -116,31 +136,59 @@
 	 * @param now the present time in milliseconds
 	 */
 	void freed(String worker, long now) {
-		if (this.fullUntil.remove(worker) != null) {
-			this.lateUntil.put(worker, now + LATE_MS);
-		}
+		this.refused.computeIfPresent(worker, (id, r) -> new Refusal(Integer.MAX_VALUE, now, now + latePauseMs(now)));
 		this.nextAskAt = now;
 		pump(now);
 	}
 
 	private void pump(long now) {
 		settle(now);
-		while (this.calls < CALLS_AT_ONCE && !this.queue.isEmpty() && now >= this.nextAskAt) {
-			Ticket t = this.queue.first();
-			List<WorkerState> candidates = t.waiting.candidates(now);
-			Optional<WorkerState> w = choose(t, candidates, now);
-			if (w.isEmpty()) {
+		while (this.calls < CALLS_AT_ONCE && now >= this.nextAskAt) {
+			Optional<Question> q = next(now);
+			if (q.isEmpty()) {
 				break;
 			}
-			this.queue.remove(t);
-			if (this.refusals >= ALL_FULL && candidates.size() > ALL_FULL) {
+			this.queue.remove(q.get().ticket());
+			if (this.refusals >= ALL_FULL && q.get().candidates() > ALL_FULL) {
 				this.nextAskAt = now + PACE_MS;
 			}
-			ask(t, w.get(), now);
+			ask(q.get().ticket(), q.get().worker(), now);
 		}
 		wakeLater(now);
 	}
 
+	private Optional<Question> next(long now) {
+		List<Ticket> l = inOrder(now);
+		boolean inTimeWaits = this.callsInTime > 0 || (!l.isEmpty() && !l.get(0).late);
+		for (Ticket t : l) {
+			if (t.late && inTimeWaits) {
+				break;
+			}
+			List<WorkerState> candidates = t.waiting.candidates(now);
+			Optional<WorkerState> w = choose(t, candidates, now);
+			if (w.isPresent()) {
+				return Optional.of(new Question(t, w.get(), candidates.size()));
+			}
+		}
+		return Optional.empty();
+	}
+
+	private List<Ticket> inOrder(long now) {
+		List<Ticket> l = new ArrayList<>(this.queue);
+		int from = 0;
+		while (from < l.size()) {
+			int to = from + 1;
+			while (to < l.size() && l.get(to).isLike(l.get(from))) {
+				to++;
+			}
+			if (l.get(from).late || l.get(from).hasWaitedLong(now)) {
+				Collections.reverse(l.subList(from, to));
+			}
+			from = to;
+		}
+		return l;
+	}
+
 	// Turns away those whose time is up and moves those that have become late.
 	private void settle(long now) {
 		for (Ticket t : new ArrayList<>(this.queue)) {
@@ -157,45 +205,58 @@
 	}
 
 	private Optional<WorkerState> choose(Ticket t, List<WorkerState> candidates, long now) {
-		List<WorkerState> l = candidates.stream().filter((w) -> until(t, w.info().id()) <= now).toList();
+		int tokens = t.waiting.tokens();
+		List<WorkerState> l = candidates.stream().filter((w) -> mayFit(t, tokens, w.info().id(), now)).toList();
 		return Placement.cheapest(l, this.g.settings.hall(), this.g.random, now);
 	}
 
-	private long until(Ticket t, String worker) {
-		long full = this.fullUntil.getOrDefault(worker, 0L);
-		return t.late ? Math.max(full, this.lateUntil.getOrDefault(worker, 0L)) : full;
+	private boolean mayFit(Ticket t, int tokens, String worker, long now) {
+		Refusal r = this.refused.get(worker);
+		if (r == null) {
+			return true;
+		}
+		return t.late ? now >= r.lateUntil() : now >= r.until() || tokens < CLEARLY_LESS * r.tokens();
 	}
 
 	private void ask(Ticket t, WorkerState w, long now) {
+		int tokens = t.waiting.tokens();
+		boolean inTime = !t.late;
 		this.calls++;
+		this.callsInTime += inTime ? 1 : 0;
 		w.started();
-		this.g.workers.hold(w.info(), t.waiting.tokens(), t.waiting.holdMs(), new HoldListener() {
+		this.g.workers.hold(w.info(), tokens, t.waiting.holdMs(), new HoldListener() {
+
+			private void answered(@Nullable String hold, @Nullable ExchangeFailure failure) {
+				HoldQueue.this.callsInTime -= inTime ? 1 : 0;
+				HoldQueue.this.answered(t, w, tokens, hold, failure);
+			}
 
 			@Override
 			public void onHeld(String hold) {
-				answered(t, w, hold, null);
+				answered(hold, null);
 			}
 
 			@Override
 			public void onFull() {
-				answered(t, w, null, null);
+				answered(null, null);
 			}
 
 			@Override
 			public void onReplaced() {
 				HoldQueue.this.g.roster.replaced(w.info().id(), WorkerStage.DECODE, HoldQueue.this.g.clock.getAsLong());
-				answered(t, w, null, null);
+				answered(null, null);
 			}
 
 			@Override
 			public void onFailure(ExchangeFailure failure) {
-				answered(t, w, null, failure);
+				answered(null, failure);
 			}
 
 		});
 	}
 
-	private void answered(Ticket t, WorkerState w, @Nullable String hold, @Nullable ExchangeFailure failure) {
+	private void answered(Ticket t, WorkerState w, int tokens, @Nullable String hold,
+			@Nullable ExchangeFailure failure) {
 		long now = this.g.clock.getAsLong();
 		this.calls--;
 		w.ended();
@@ -205,7 +266,7 @@
 		}
 		else {
 			this.refusals++;
-			full(w, failure, now);
+			full(w, tokens, failure, now);
 			if (!t.over) {
 				this.queue.add(t);
 			}
@@ -222,10 +283,10 @@
 		t.waiting.admitted(w, hold, now);
 	}
 
-	private void full(WorkerState w, @Nullable ExchangeFailure failure, long now) {
+	private void full(WorkerState w, int tokens, @Nullable ExchangeFailure failure, long now) {
 		long pause = (long) (FULL_MS * (0.75 + this.g.random.next() / 2));
-		this.fullUntil.put(w.info().id(), now + pause);
-		this.lateUntil.put(w.info().id(), now + pause + LATE_MS);
+		this.refused.merge(w.info().id(), new Refusal(tokens, now + pause, now + pause + latePauseMs(now)),
+				(old, r) -> r.joined(old, now));
 		if (failure != null) {
 			this.g.roster.detector(this.upstream).failed(w.info().id(), now);
 			w.outcome(true);
@@ -233,14 +294,19 @@
 		}
 	}
 
+	// The part of the callers who are at other VMs.
+	private long latePauseMs(long now) {
+		return LATE_MS - LATE_MS / this.g.vms.servingCount(now);
+	}
+
 	private void wakeLater(long now) {
 		this.cancelTimer.run();
 		if (this.queue.isEmpty()) {
 			return;
 		}
 		long at = now + FULL_MS;
-		for (long until : this.fullUntil.values()) {
-			at = (until > now) ? Math.min(at, until) : at;
+		for (Refusal r : this.refused.values()) {
+			at = (r.until() > now) ? Math.min(at, r.until()) : at;
 		}
 		for (Ticket t : this.queue) {
 			at = Math.min(at, t.waiting.waitUntil());
@@ -291,6 +357,8 @@
 
 		private final long number;
 
+		private final long enteredAt;
+
 		private boolean late;
 
 		private boolean over;
@@ -299,9 +367,41 @@
 			return this.over;
 		}
 
-		private Ticket(Waiting waiting, long number) {
+		private Ticket(Waiting waiting, long number, long enteredAt) {
 			this.waiting = waiting;
 			this.number = number;
+			this.enteredAt = enteredAt;
+		}
+
+		private boolean isLike(Ticket t) {
+			return this.late == t.late && this.waiting.priority() == t.waiting.priority();
+		}
+
+		private boolean hasWaitedLong(long now) {
+			return now - this.enteredAt > LONG_WAIT * (this.waiting.latestStart() - this.enteredAt);
+		}
+
+	}
+
+	/**
+	 * Whom to ask for what next.
+	 */
+	private record Question(Ticket ticket, WorkerState worker, int candidates) {
+
+	}
+
+	/**
+	 * What a worker refused last. Immutable.
+	 *
+	 * @param tokens the least memory that it refused
+	 * @param until until when it is left alone by requests of that size
+	 * @param lateUntil until when it is left alone by those who are late
+	 */
+	private record Refusal(int tokens, long until, long lateUntil) {
+
+		Refusal joined(Refusal old, long now) {
+			boolean both = now < old.until();
+			return new Refusal(both ? Math.min(this.tokens, old.tokens) : this.tokens, this.until, this.lateUntil);
 		}
 
 	}
--- a/src/test/java/io/shallotspur/gateway/HoldQueueTests.java
+++ b/src/test/java/io/shallotspur/gateway/HoldQueueTests.java
@@ -172,6 +172,85 @@
 		Assertions.assertThat(hold(1).tokens()).isGreaterThan(3_333);
 	}
 
+	private void refuseFor(long ms, int from) {
+		int unanswered = from;
+		for (int i = 0; i < ms; i++) {
+			while (unanswered < this.f.workers.holds.size()) {
+				hold(unanswered++).listener().onFull();
+			}
+			this.f.timer.advance(1);
+		}
+	}
+
+	// A burst of twice what the workers bear. Served in the order of their arrival, all
+	// callers would get their place when it is all but too late, and a prefill that takes
+	// a little longer than others makes each of them late.
+	@Test
+	void theNewestGoesFirstWhilePlacesFreeUpTooSlowly() {
+		this.f.worker("d1", "llm", WorkerStage.DECODE);
+		this.f.prompt("once", 3_000);
+		refuseFor(600, 0);
+		int n = this.f.workers.holds.size();
+		this.f.prompt("once", 3_500);
+		this.f.timer.advance(250);
+		Assertions.assertThat(hold(n).tokens()).isGreaterThan(3_500);
+	}
+
+	// Callers have waited for a moment only and all can be in time: who came first goes
+	// first.
+	@Test
+	void theOldestGoesFirstWhileAllCanBeInTime() {
+		this.f.worker("d1", "llm", WorkerStage.DECODE);
+		this.f.prompt("once", 3_000);
+		refuseFor(100, 0);
+		int n = this.f.workers.holds.size();
+		this.f.prompt("once", 3_500);
+		this.f.timer.advance(250);
+		Assertions.assertThat(hold(n).tokens()).isLessThan(3_500 + 500);
+	}
+
+	// The burst is over, and callers whose answers will be late still wait. With the
+	// oldest
+	// of them first, those who come after would wait behind all of them and be late too.
+	@Test
+	void theNewestGoesFirstAmongTheLate() {
+		this.f.worker("d1", "llm", WorkerStage.DECODE);
+		this.f.prompt("once", 100);
+		hold(0).listener().onFull();
+		this.f.call("once", 9_000, new PromptShape(3_000, 1_190, 400));
+		this.f.call("once", 10_000, new PromptShape(3_500, 1_190, 400));
+		this.f.timer.advance(250);
+		hold(1).listener().onHeld("h1");
+		Assertions.assertThat(hold(2).tokens()).isGreaterThan(3_500);
+	}
+
+	// A worker has memory for a short prompt, but not for the long one that asked last.
+	// Left alone by all, it would stand half empty while callers wait.
+	@Test
+	void aWorkerThatRefusedALongPromptIsAskedForAShortOne() {
+		this.f.worker("d1", "llm", WorkerStage.DECODE);
+		this.f.prompt("once", 6_000);
+		hold(0).listener().onFull();
+		this.f.prompt("once", 5_800);
+		Assertions.assertThat(this.f.workers.holds).hasSize(1);
+		this.f.prompt("once", 1_000);
+		Assertions.assertThat(this.f.workers.holds).hasSize(2);
+		Assertions.assertThat(hold(1).tokens()).isLessThan(2_000);
+	}
+
+	// One caller can still be in time but finds no memory for its long prompt. If short
+	// ones that are late took each piece of memory that becomes free, it would be late
+	// too.
+	@Test
+	void theLateGetNothingWhileOthersCanStillBeInTime() {
+		this.f.worker("d1", "llm", WorkerStage.DECODE);
+		this.f.prompt("once", 6_000);
+		hold(0).listener().onFull();
+		this.f.call("once", 10_000, new PromptShape(500, 1_190, 400));
+		refuseFor(500, 1);
+		Assertions.assertThat(this.f.workers.holds).allMatch((h) -> h.tokens() > 6_000);
+	}
+
 	@Test
 	void refusesAtOnceWithoutAnyDecodeWorker() {
 		Assertions.assertThat(this.f.prompt("once", 100).caller().status).isEqualTo(503);
