A VM waits for an address that is taken for a moment

A VM that starts on a port that is taken ends at once with code 1; telling a process that is gone to leave then gives that code. Change: PatientBind tries again for five seconds, with a line in the log each time. A test takes the port first: without the change it fails with ChannelBindException.

--- a/src/main/java/io/shallotspur/platform/PlatformSettings.java
+++ b/src/main/java/io/shallotspur/platform/PlatformSettings.java
@@ -76,7 +76,7 @@
 
 	private static GatewaySettings gateway(TomlTable vm, TomlTable bounds) {
 		String name = vm.text("name");
-		String region = vm.text("region", "");
+		String region = vm.text("region", "default");
 		String hall = vm.text("hall");
 		double cores = vm.number("cpu_share", 1, 0.01, 10_000) * vm.number("cpu_speed", 1, 0.01, 10_000);
 		vm.finish();
--- a/src/main/java/io/shallotspur/platform/PlatformVm.java
+++ b/src/main/java/io/shallotspur/platform/PlatformVm.java
@@ -113,9 +113,11 @@
 
 	private Flux<DisposableServer> sockets() {
 		ControlServers c = new ControlServers(this.loop, this.gateway.vms(), this.clock, this.settings.locateTtlMs());
-		return Flux.concat(this.ingress.bind(), c.ready(this.settings.ready(), this::ready),
-				c.locate(this.settings.locate(), () -> this.follower.listed() && !this.leaving),
-				c.metrics(this.settings.metrics(), this.metrics::scrape));
+		return Flux
+			.just(this.ingress.bind(), c.ready(this.settings.ready(), this::ready),
+					c.locate(this.settings.locate(), () -> this.follower.listed() && !this.leaving),
+					c.metrics(this.settings.metrics(), this.metrics::scrape))
+			.concatMap((bind) -> PatientBind.of(bind, this.loop.scheduler()));
 	}
 
 	private void started() {
