A watch waits for 15 s; probes and renewals tell when its store is silent

They were that short because a silent connection looks like one without changes. Change: connections to the store are probed each second by TCP keep-alive; a renewal that is not answered puts the watch in doubt, and the store is asked without a wait until it answers.

--- a/src/main/java/io/shallotspur/platform/PlatformVm.java
+++ b/src/main/java/io/shallotspur/platform/PlatformVm.java
@@ -85,6 +85,7 @@
 		this.follower = new RegistryFollower(registry, this.gateway, this.loop, this.clock,
 				() -> ThreadLocalRandom.current().nextDouble(), s.changes());
 		this.follower.own(self.key(), this.registration::start);
+		this.registration.whenNotAnswered(this.follower::doubt);
 		Duty duty = new Duty(registry, this.registration, this.gateway.vms(), self.key(), s.orders().turnMs(),
 				this.clock);
 		this.follower.duty(duty);
--- a/src/main/java/io/shallotspur/platform/StoreRegistry.java
+++ b/src/main/java/io/shallotspur/platform/StoreRegistry.java
@@ -13,9 +13,11 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.QueryStringEncoder;
+import jdk.net.ExtendedSocketOptions;
 import org.jspecify.annotations.Nullable;
 import reactor.core.publisher.Mono;
 import reactor.netty.http.client.HttpClient;
@@ -58,6 +60,14 @@
 	// One watch, one renewal, and one to spare when either has gone silent.
 	private static final int CONNECTIONS = 3;
 
+	// A watch waits for seconds without a byte. Probes of its connection, s and their
+	// number: a path that has gone silent is noticed after three seconds.
+	private static final int PROBE_AFTER_S = 1;
+
+	private static final int PROBE_EACH_S = 1;
+
+	private static final int MOST_PROBES = 2;
+
 	private static final String ALL = "";
 
 	// What VMs have seen outlasts them: after all were killed the next ones know it.
@@ -78,7 +88,11 @@
 			.baseUrl("http://" + store)
 			.disableRetry(true)
 			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
-			.option(ChannelOption.TCP_NODELAY, true);
+			.option(ChannelOption.TCP_NODELAY, true)
+			.option(ChannelOption.SO_KEEPALIVE, true)
+			.option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), PROBE_AFTER_S)
+			.option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), PROBE_EACH_S)
+			.option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), MOST_PROBES);
 	}
 
 	@Override
--- a/src/main/java/io/shallotspur/registry/RegistryFollower.java
+++ b/src/main/java/io/shallotspur/registry/RegistryFollower.java
@@ -15,6 +15,7 @@
 import reactor.core.publisher.Mono;
 
 import io.shallotspur.exc.StoreHistoryGoneException;
+import io.shallotspur.exc.StoreUnavailableException;
 import io.shallotspur.gateway.Gateway;
 import io.shallotspur.gateway.GatewayTimer;
 
@@ -27,10 +28,14 @@
  */
 public final class RegistryFollower {
 
-	// A watch on a connection that went silent looks like one without changes. This is
-	// how long such a loss can stay unnoticed, ms; a configuration has to be in force
-	// within two seconds once the VM is in touch again, and calls are billed.
-	private static final long WATCH_MS = 3_000;
+	// Calls are billed, and one that waits longer brings the same changes, ms; half of
+	// the longest wait that a store grants.
+	private static final long WATCH_MS = 15_000;
+
+	// A watch that a silent store or connection has lost looks like one without changes.
+	// So long it can stay unnoticed, ms: the connection is probed each second, and
+	// renewals that are not answered put the watch in doubt.
+	private static final long NOTICE_MS = 3_000;
 
 	// Changes come in bursts (a release, many workers at a start). One call after a
 	// pause fetches what would take a call each, ms. Every VM fetches every change, so
@@ -56,7 +61,7 @@
 
 	// For so long after the store was last away a missing entry may be one that lapsed
 	// meanwhile, ms: the time for its return, and for this VM to notice.
-	private static final long AWAY_WINDOW_MS = RETURN_MS + WATCH_MS;
+	private static final long AWAY_WINDOW_MS = RETURN_MS + NOTICE_MS;
 
 	// Entries of other writers whose causes are remembered; beyond it they are logged
 	// again.
@@ -92,6 +97,8 @@
 
 	private long calls;
 
+	private boolean underWay;
+
 	private Runnable onVmGone = () -> {
 	};
 
@@ -191,6 +198,19 @@
 		return this.listed;
 	}
 
+	/**
+	 * Takes that the store has not answered another call. A watch that waits there may be
+	 * lost; it is given up, and the store is asked without a wait until it answers.
+	 * Otherwise a configuration could be unknown here for seconds after the store's
+	 * return.
+	 */
+	public void doubt() {
+		if (this.underWay && !this.away) {
+			this.call.dispose();
+			onFailure(new StoreUnavailableException("The store did not answer another call.", "watch"));
+		}
+	}
+
 	private void list() {
 		run(this.registry.list(), this::onListing);
 	}
@@ -208,7 +228,8 @@
 			return;
 		}
 		long n = ++this.calls;
-		Disposable d = news.subscribe(then, this::onFailure);
+		this.underWay = true;
+		Disposable d = news.doOnTerminate(() -> this.underWay = false).subscribe(then, this::onFailure);
 		// A call that was answered at once has made the next one already.
 		if (n == this.calls) {
 			this.call = d;
@@ -371,6 +392,7 @@
 		if (this.stopped) {
 			return;
 		}
+		this.underWay = false;
 		if (ex instanceof StoreHistoryGoneException) {
 			Logger.info("[registry] history gone revision={}", this.revision);
 			list();
--- a/src/main/java/io/shallotspur/registry/VmRegistration.java
+++ b/src/main/java/io/shallotspur/registry/VmRegistration.java
@@ -35,6 +35,9 @@
 
 	private boolean ended;
 
+	private Runnable onNoAnswer = () -> {
+	};
+
 	// At most one timer is pending; a second chain of renewals would double the calls.
 	private Runnable cancelTimer = () -> {
 	};
@@ -51,6 +54,14 @@
 		this.timer = timer;
 	}
 
+	/**
+	 * Says who is to hear that the store did not answer.
+	 * @param then called each time
+	 */
+	public void whenNotAnswered(Runnable then) {
+		this.onNoAnswer = then;
+	}
+
 	/**
 	 * Registers, or registers again. Does nothing while a registration is being made.
 	 */
@@ -131,6 +142,7 @@
 
 	private void notRenewed(Throwable ex) {
 		Logger.warn("[registry] lease not renewed vm={} seen=\"{}\"", this.vm.key(), ex.toString());
+		this.onNoAnswer.run();
 		if (!this.registering) {
 			later(RETRY_MS, this::renew);
 		}
--- a/src/test/java/io/shallotspur/registry/RegistryFollowerTests.java
+++ b/src/test/java/io/shallotspur/registry/RegistryFollowerTests.java
@@ -163,6 +163,35 @@
 		Assertions.assertThat(this.registry.watchedAfter).endsWith(30L);
 	}
 
+	// The store falls silent while a watch waits there, and comes back without it. The
+	// watch would wait on for its whole time, and a configuration that is published
+	// meanwhile would be unknown here.
+	@Test
+	void asksAgainWhenAnotherCallIsNotAnswered() {
+		follow(config(3));
+		Assertions.assertThat(this.registry.watchedAfter).hasSize(1);
+		this.follower.doubt();
+		Assertions.assertThat(this.follower.away()).isTrue();
+		this.timer.advance(300);
+		Assertions.assertThat(this.registry.watchedAfter).hasSize(2);
+		Assertions.assertThat(this.registry.lastWaitMs).isZero();
+		tell(12, config(4));
+		Assertions.assertThat(this.gateway.table().orElseThrow().version()).isEqualTo(4);
+	}
+
+	// Each of many renewals that fail while nothing waits would begin a chain of calls of
+	// its own.
+	@Test
+	void asksOnceHoweverOftenTheStoreIsDoubted() {
+		follow(config(3));
+		this.follower.doubt();
+		this.follower.doubt();
+		this.timer.advance(300);
+		this.follower.doubt();
+		this.timer.advance(1_000);
+		Assertions.assertThat(this.registry.watchedAfter).hasSize(2);
+	}
+
 	@Test
 	void keepsWhatItKnowsWhileTheStoreIsAway() {
 		follow(config(3), worker("w1"));
