--- a/src/main/java/io/shallotspur/gateway/Placing.java
+++ b/src/main/java/io/shallotspur/gateway/Placing.java
@@ -21,9 +21,10 @@
  */
 final class Placing implements HoldQueue.Waiting {
 
-	// A late answer is still worth something to the caller, but one who has heard
-	// nothing for four objectives leaves. Before that it is told to come back.
-	private static final double WAIT_OBJECTIVES = 3.3;
+	// A late answer is still worth something to the caller, but one who has waited for
+	// twice its objective while others go first is told at once to come back after the
+	// burst, and not when it is about to leave: callers leave after four objectives.
+	private static final double WAIT_OBJECTIVES = 2;
 
 	// A prefill takes some 100 ms; one without an answer in several times that is at a
 	// worker that is cut off, ms.
--- a/src/test/java/io/shallotspur/gateway/HoldQueueTests.java
+++ b/src/test/java/io/shallotspur/gateway/HoldQueueTests.java
@@ -251,6 +251,17 @@
 		Assertions.assertThat(this.f.workers.holds).allMatch((h) -> h.tokens() > 6_000);
 	}
 
+	// A burst lasts longer than callers wait. Kept until they are about to leave, they
+	// would come back so late that the next try is their last one, and it may be in vain.
+	@Test
+	void turnsALateCallerAwayWellBeforeItWouldLeave() {
+		this.f.worker("d1", "llm", WorkerStage.DECODE);
+		Call c = this.f.prompt("once", 3_000);
+		refuseFor(2 * GatewayFixture.TARGET_MS + 10, 0);
+		Assertions.assertThat(c.caller().status).isEqualTo(503);
+		Assertions.assertThat(c.caller().refusal.retryAfterMs()).isGreaterThan(2_000);
+	}
+
 	@Test
 	void refusesAtOnceWithoutAnyDecodeWorker() {
 		Assertions.assertThat(this.f.prompt("once", 100).caller().status).isEqualTo(503);
