A full queue turns away who would wait longest; bounds that follow the workers; the serving set is chosen once a change

A queue of 64 turned away whoever came, also those it would have served first; it now holds as many as the workers have places, at least 64, and turns away the last in its order. 64 connections to a worker would have bounded a worker of 300 requests to 128 before two VMs; 512 now. The serving set was sorted anew for each refusal and retry, which grows with the fleet.

--- a/src/main/java/io/shallotspur/gateway/EntryVms.java
+++ b/src/main/java/io/shallotspur/gateway/EntryVms.java
@@ -1,5 +1,6 @@
 package io.shallotspur.gateway;
 
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -21,6 +22,12 @@
 
 	private final Map<String, Entry> byKey = new LinkedHashMap<>();
 
+	// Asked for with each request; with hundreds of VMs it is chosen again only when they
+	// change.
+	private final Map<String, List<EntryVm>> servingByRegion = new HashMap<>();
+
+	private long chosenUntil;
+
 	private @Nullable EntryVm own;
 
 	/**
@@ -38,6 +45,7 @@
 	 */
 	public void seen(EntryVm vm) {
 		this.byKey.put(vm.key(), new Entry(vm, Long.MAX_VALUE));
+		this.servingByRegion.clear();
 	}
 
 	/**
@@ -48,6 +56,7 @@
 	 */
 	public void vanished(String key, long now, long graceMs) {
 		this.byKey.computeIfPresent(key, (k, e) -> new Entry(e.vm(), Math.min(e.until(), now + graceMs)));
+		this.servingByRegion.clear();
 	}
 
 	/**
@@ -109,6 +118,19 @@
 	}
 
 	private List<EntryVm> serving(String region, long now) {
+		if (this.servingByRegion.isEmpty() || now >= this.chosenUntil) {
+			this.servingByRegion.clear();
+			this.chosenUntil = this.byKey.values().stream().mapToLong(Entry::until).min().orElse(Long.MAX_VALUE);
+		}
+		List<EntryVm> l = this.servingByRegion.get(region);
+		if (l == null) {
+			l = choose(region, now);
+			this.servingByRegion.put(region, l);
+		}
+		return l;
+	}
+
+	private List<EntryVm> choose(String region, long now) {
 		List<EntryVm> near = present(now, (v) -> v.region().equals(region));
 		return ServingSet.of((near.size() >= FEWEST_NEAR) ? near : present(now, (v) -> true));
 	}
--- a/src/main/java/io/shallotspur/gateway/HoldQueue.java
+++ b/src/main/java/io/shallotspur/gateway/HoldQueue.java
@@ -69,8 +69,11 @@
 	// places free up more slowly than callers come.
 	private static final double LONG_WAIT = 0.5;
 
-	// A queue beyond this is worth more than the longest wait allowed, requests.
-	private static final int MOST_WAITING = 64;
+	// A queue of this length is allowed before any number of workers, requests; beyond
+	// it,
+	// as many may wait as the workers have places: in the time of an answer each place
+	// becomes free once, and nobody waits for longer than that.
+	private static final int LEAST_LIMIT = 64;
 
 	private static final Comparator<Ticket> ORDER = Comparator.comparing((Ticket t) -> t.late)
 		.thenComparingInt((t) -> t.waiting.priority())
@@ -111,16 +114,26 @@
 	 */
 	Ticket enter(Waiting w, long now) {
 		Ticket t = new Ticket(w, ++this.number, now);
-		if (this.queue.size() >= MOST_WAITING) {
-			t.over = true;
-			w.turnedAway(now);
-			return t;
-		}
 		this.queue.add(t);
+		if (this.queue.size() > limit(w.candidates(now))) {
+			turnLastAway(now);
+		}
 		pump(now);
 		return t;
 	}
 
+	private static int limit(List<WorkerState> candidates) {
+		return Math.max(LEAST_LIMIT, candidates.stream().mapToInt((w) -> w.info().slots()).sum());
+	}
+
+	// The one who would wait longest, and not the one who comes: the newest may be first.
+	private void turnLastAway(long now) {
+		List<Ticket> l = inOrder(now);
+		Ticket last = l.get(l.size() - 1);
+		leave(last);
+		last.waiting.turnedAway(now);
+	}
+
 	/**
 	 * Takes a request out again; its reservation, if one is on its way, is given back.
 	 * @param t its ticket
--- a/src/main/java/io/shallotspur/platform/HttpWorkerPort.java
+++ b/src/main/java/io/shallotspur/platform/HttpWorkerPort.java
@@ -55,9 +55,10 @@
 	// not answer in many times that is cut off, ms.
 	private static final long SIDE_CALL_MS = 300;
 
-	// Requests of one VM at one worker at a time are a few; the limit only keeps a dark
-	// worker from taking all descriptors.
-	private static final int CONNECTIONS_PER_WORKER = 64;
+	// Two VMs may serve all callers, and a worker run hundreds of requests at a time; the
+	// limit only keeps a dark worker from taking all descriptors, of which a process has
+	// some thousands.
+	private static final int CONNECTIONS_PER_WORKER = 512;
 
 	// An idle connection is given up this long before the worker would close it, ms.
 	// Otherwise a request can meet the worker's close on the way, and nobody could tell
--- a/src/test/java/io/shallotspur/gateway/EntryVmsTests.java
+++ b/src/test/java/io/shallotspur/gateway/EntryVmsTests.java
@@ -48,6 +48,18 @@
 		Assertions.assertThat(this.vms.rank("b", 0)).isEqualTo(3);
 	}
 
+	// A VM that serves has died. Callers must not be told its address for longer than its
+	// grace, also if nothing else changes in the fleet.
+	@Test
+	void namesAnotherVmWhenTheGraceOfOneIsOver() {
+		this.vms.seen(vm("a", "region-1", "hall-a", 2));
+		this.vms.seen(vm("b", "region-1", "hall-b", 2));
+		this.vms.seen(vm("c", "region-1", "hall-c", 1));
+		this.vms.vanished("a", 1_000, 500);
+		Assertions.assertThat(this.vms.forCaller("region-1", 64, 1_499)).contains("a:80");
+		Assertions.assertThat(this.vms.forCaller("region-1", 64, 1_500)).containsExactly("b:80", "c:80");
+	}
+
 	@Test
 	void knowsWhetherItStandsBy() {
 		this.vms.own(vm("c", "region-1", "hall-a", 1));
--- a/src/test/java/io/shallotspur/gateway/HoldQueueTests.java
+++ b/src/test/java/io/shallotspur/gateway/HoldQueueTests.java
@@ -251,6 +251,25 @@
 		Assertions.assertThat(this.f.workers.holds).allMatch((h) -> h.tokens() > 6_000);
 	}
 
+	// Two VMs serve all callers of a fleet, and in a burst more wait than the queue
+	// holds.
+	// Turned away on arrival, those who could be in time would make room for those who
+	// are late in any case.
+	@Test
+	void aFullQueueTurnsAwayWhoWouldWaitLongestAndNotWhoComes() {
+		this.f.worker("d1", "llm", WorkerStage.DECODE);
+		Call first = this.f.prompt("once", 3_000);
+		hold(0).listener().onFull();
+		Call late = this.f.call("once", 9_000, new PromptShape(3_000, 1_190, 400));
+		Call[] more = new Call[63];
+		for (int i = 0; i < more.length; i++) {
+			more[i] = this.f.prompt("once", 3_000);
+		}
+		Assertions.assertThat(late.caller().status).isEqualTo(503);
+		Assertions.assertThat(first.caller().answers).isZero();
+		Assertions.assertThat(more).allMatch((c) -> c.caller().answers == 0);
+	}
+
 	// A burst lasts longer than callers wait. Kept until they are about to leave, they
 	// would come back so late that the next try is their last one, and it may be in vain.
 	@Test
