A test of the serving set asks for what it claims: two VMs, one of another hall

It had named one of two equal VMs of a hall; which of them comes first follows from the hash of their keys.

--- a/src/test/java/io/shallotspur/gateway/EntryVmsTests.java
+++ b/src/test/java/io/shallotspur/gateway/EntryVmsTests.java
@@ -30,7 +30,7 @@
 		this.vms.seen(vm("a", "region-1", "hall-a", 2));
 		this.vms.seen(vm("b", "region-1", "hall-a", 2));
 		this.vms.seen(vm("c", "region-1", "hall-b", 1));
-		Assertions.assertThat(this.vms.forCaller("region-1", 64, 0)).containsExactly("a:80", "c:80");
+		Assertions.assertThat(this.vms.forCaller("region-1", 64, 0)).hasSize(2).contains("c:80");
 	}
 
 	// The VM that gives orders to workers is often one that a fault strikes first: it
