--- a/src/main/java/io/shallotspur/gateway/HoldQueue.java
+++ b/src/main/java/io/shallotspur/gateway/HoldQueue.java
@@ -3,9 +3,7 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.Comparator;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.TreeSet;
 
@@ -33,9 +31,8 @@
  * burst.
  * <p>
  * When a request of this VM ends its worker is asked at once, since a place has just
- * become free there; otherwise a worker that has refused is left alone for a while by
- * requests of that size, so that many VMs do not spend their time asking. What needs
- * clearly less may still fit.
+ * become free there; otherwise a worker that has refused is left alone for a while
+ * ({@link RecentRefusals}).
  */
 final class HoldQueue {
 
@@ -61,10 +58,6 @@
 	// Reservations asked for at a time: the way to a worker and back takes 2 ms.
 	private static final int CALLS_AT_ONCE = 4;
 
-	// A worker that has refused a request may have memory for one that needs this part of
-	// it: requests differ by half of their mean, and each step of asking costs a call.
-	private static final double CLEARLY_LESS = 0.75;
-
 	// Those who have waited for this part of the time that they could wait show that
 	// places free up more slowly than callers come.
 	private static final double LONG_WAIT = 0.5;
@@ -86,7 +79,7 @@
 
 	private final TreeSet<Ticket> queue = new TreeSet<>(ORDER);
 
-	private final Map<String, Refusal> refused = new HashMap<>();
+	private final RecentRefusals refused = new RecentRefusals();
 
 	private long number;
 
@@ -149,7 +142,7 @@
 	 * @param now the present time in milliseconds
 	 */
 	void freed(String worker, long now) {
-		this.refused.computeIfPresent(worker, (id, r) -> new Refusal(Integer.MAX_VALUE, now, now + latePauseMs(now)));
+		this.refused.freed(worker, now + latePauseMs(now), now);
 		this.nextAskAt = now;
 		pump(now);
 	}
@@ -219,18 +212,12 @@
 
 	private Optional<WorkerState> choose(Ticket t, List<WorkerState> candidates, long now) {
 		int tokens = t.waiting.tokens();
-		List<WorkerState> l = candidates.stream().filter((w) -> mayFit(t, tokens, w.info().id(), now)).toList();
+		List<WorkerState> l = candidates.stream()
+			.filter((w) -> this.refused.mayFit(w.info().id(), tokens, t.late, now))
+			.toList();
 		return Placement.cheapest(l, this.g.settings.hall(), this.g.random, now);
 	}
 
-	private boolean mayFit(Ticket t, int tokens, String worker, long now) {
-		Refusal r = this.refused.get(worker);
-		if (r == null) {
-			return true;
-		}
-		return t.late ? now >= r.lateUntil() : now >= r.until() || tokens < CLEARLY_LESS * r.tokens();
-	}
-
 	private void ask(Ticket t, WorkerState w, long now) {
 		int tokens = t.waiting.tokens();
 		boolean inTime = !t.late;
@@ -298,8 +285,7 @@
 
 	private void full(WorkerState w, int tokens, @Nullable ExchangeFailure failure, long now) {
 		long pause = (long) (FULL_MS * (0.75 + this.g.random.next() / 2));
-		this.refused.merge(w.info().id(), new Refusal(tokens, now + pause, now + pause + latePauseMs(now)),
-				(old, r) -> r.joined(old, now));
+		this.refused.refused(w.info().id(), tokens, now + pause, now + pause + latePauseMs(now), now);
 		if (failure != null) {
 			this.g.roster.detector(this.upstream).failed(w.info().id(), now);
 			w.outcome(true);
@@ -317,10 +303,7 @@
 		if (this.queue.isEmpty()) {
 			return;
 		}
-		long at = now + FULL_MS;
-		for (Refusal r : this.refused.values()) {
-			at = (r.until() > now) ? Math.min(at, r.until()) : at;
-		}
+		long at = this.refused.nextEnd(now, now + FULL_MS);
 		for (Ticket t : this.queue) {
 			at = Math.min(at, t.waiting.waitUntil());
 		}
@@ -403,20 +386,4 @@
 
 	}
 
-	/**
-	 * What a worker refused last. Immutable.
-	 *
-	 * @param tokens the least memory that it refused
-	 * @param until until when it is left alone by requests of that size
-	 * @param lateUntil until when it is left alone by those who are late
-	 */
-	private record Refusal(int tokens, long until, long lateUntil) {
-
-		Refusal joined(Refusal old, long now) {
-			boolean both = now < old.until();
-			return new Refusal(both ? Math.min(this.tokens, old.tokens) : this.tokens, this.until, this.lateUntil);
-		}
-
-	}
-
 }
