Two tests of the waiting order see what they claim; set-ups that stood twice

Cause: read with the order switched off, theNewestGoesFirstWhilePlacesFreeUpTooSlowly and theNewestGoesFirstAmongTheLate could pass: they ask for more than 3,500 tokens, and the reservation of the other caller (3,000 and its answer) is more too. Change: the second caller has 6,000 tokens and the bound is 6,000; the first is refused for 620 ms, so that its last question is answered. What two tests did alike to set out is one method each, in HoldQueueTests and PrefillTests. Comments that broke after a word wrap again.

--- a/src/test/java/io/shallotspur/gateway/AnswerLengthsTests.java
+++ b/src/test/java/io/shallotspur/gateway/AnswerLengthsTests.java
@@ -73,8 +73,7 @@
 	}
 
 	// Most of those that end later are no longer than was set aside, and what is set
-	// aside
-	// is no multiple of what is needed.
+	// aside is no multiple of what is needed.
 	@Property(tries = 100, seed = "32")
 	void coversMostAnswers(@ForAll @IntRange(min = 20, max = 5_000) int median,
 			@ForAll @DoubleRange(min = 0.1, max = 0.8) double spread,
--- a/src/test/java/io/shallotspur/gateway/EngineTimesTests.java
+++ b/src/test/java/io/shallotspur/gateway/EngineTimesTests.java
@@ -19,8 +19,7 @@
 	}
 
 	// Requests have come and none has shown a pace yet: their lengths alone say nothing
-	// of
-	// what a worker bears.
+	// of what a worker bears.
 	@Test
 	void tellsNothingOfRequestsWithoutAPace() {
 		this.times.asked(new PromptShape(3_000, 1_000, 500));
@@ -53,8 +52,7 @@
 	}
 
 	// A prefill worker has gone dark. Each prefill that was given up lengthens the next
-	// one's
-	// time, so that a queue in a burst is not taken for a loss again and again.
+	// one's time, so that a queue in a burst is not taken for a loss again and again.
 	@Test
 	void givesMoreTimeAfterAPrefillThatWasGivenUp() {
 		this.times.prefilled(100, new PromptShape(3_000, 1_000, 500));
--- a/src/test/java/io/shallotspur/gateway/HoldQueueTests.java
+++ b/src/test/java/io/shallotspur/gateway/HoldQueueTests.java
@@ -187,41 +187,40 @@
 	// a little longer than others makes each of them late.
 	@Test
 	void theNewestGoesFirstWhilePlacesFreeUpTooSlowly() {
-		this.f.worker("d1", "llm", WorkerStage.DECODE);
-		this.f.prompt("once", 3_000);
-		refuseFor(600, 0);
-		int n = this.f.workers.holds.size();
-		this.f.prompt("once", 3_500);
-		this.f.timer.advance(250);
-		Assertions.assertThat(hold(n).tokens()).isGreaterThan(3_500);
+		Assertions.assertThat(askedFirstAfterRefusalsFor(620)).isGreaterThan(6_000);
 	}
 
 	// Callers have waited for a moment only and all can be in time: who came first goes
 	// first.
 	@Test
 	void theOldestGoesFirstWhileAllCanBeInTime() {
+		Assertions.assertThat(askedFirstAfterRefusalsFor(100)).isLessThan(3_500 + 500);
+	}
+
+	// One caller has been refused for a while when another comes, with twice its prompt.
+	private int askedFirstAfterRefusalsFor(long ms) {
 		this.f.worker("d1", "llm", WorkerStage.DECODE);
 		this.f.prompt("once", 3_000);
-		refuseFor(100, 0);
+		refuseFor(ms, 0);
 		int n = this.f.workers.holds.size();
-		this.f.prompt("once", 3_500);
+		this.f.prompt("once", 6_000);
 		this.f.timer.advance(250);
-		Assertions.assertThat(hold(n).tokens()).isLessThan(3_500 + 500);
+		return hold(n).tokens();
 	}
 
 	// The burst is over, and callers whose answers will be late still wait. With the
-	// oldest
-	// of them first, those who come after would wait behind all of them and be late too.
+	// oldest of them first, those who come after would wait behind all of them and be
+	// late too.
 	@Test
 	void theNewestGoesFirstAmongTheLate() {
 		this.f.worker("d1", "llm", WorkerStage.DECODE);
 		this.f.prompt("once", 100);
 		hold(0).listener().onFull();
 		this.f.call("once", 9_000, new PromptShape(3_000, 1_190, 400));
-		this.f.call("once", 10_000, new PromptShape(3_500, 1_190, 400));
+		this.f.call("once", 10_000, new PromptShape(6_000, 1_190, 400));
 		this.f.timer.advance(250);
 		hold(1).listener().onHeld("h1");
-		Assertions.assertThat(hold(2).tokens()).isGreaterThan(3_500);
+		Assertions.assertThat(hold(2).tokens()).isGreaterThan(6_000);
 	}
 
 	// A worker has memory for a short prompt, but not for the long one that asked last.
@@ -252,9 +251,8 @@
 	}
 
 	// Two VMs serve all callers of a fleet, and in a burst more wait than the queue
-	// holds.
-	// Turned away on arrival, those who could be in time would make room for those who
-	// are late in any case.
+	// holds. Turned away on arrival, those who could be in time would make room for those
+	// who are late in any case.
 	@Test
 	void aFullQueueTurnsAwayWhoWouldWaitLongestAndNotWhoComes() {
 		this.f.worker("d1", "llm", WorkerStage.DECODE);
--- a/src/test/java/io/shallotspur/gateway/PrefillTests.java
+++ b/src/test/java/io/shallotspur/gateway/PrefillTests.java
@@ -68,10 +68,8 @@
 	}
 
 	// All VMs were killed and have started again. None of them knows what runs at a
-	// decode
-	// worker; taken for idle, each would get the prompts of the returning callers, and
-	// all
-	// answers there would stand still.
+	// decode worker; taken for idle, each would get the prompts of the returning callers,
+	// and all answers there would stand still.
 	@Test
 	void aLongPromptWaitsAlsoWhenNothingIsKnownOfTheDecodeWorker() {
 		paceIsKnown();
@@ -83,8 +81,7 @@
 	}
 
 	// An entry VM has died, and its callers come back to go on with their answers. Read
-	// at
-	// the decode workers, their prompts would make all answers there pause; the first
+	// at the decode workers, their prompts would make all answers there pause; the first
 	// prefill of the new request is free.
 	@Test
 	void prefillsApartForACallerWhoComesBackToGoOn() {
@@ -100,8 +97,8 @@
 	}
 
 	// The prompt was read and the answer that names its KV cache was lost. The route
-	// allows
-	// two attempts: one is spent on another prefill, and running answers are spared.
+	// allows two attempts: one is spent on another prefill, and running answers are
+	// spared.
 	@Test
 	void prefillsAgainWhereAnswersWouldPause() {
 		paceIsKnown();
@@ -128,17 +125,12 @@
 	}
 
 	// A burst fills the queue of the prefill worker. A prefill that is given up just
-	// before
-	// its turn is done again at the decode worker, so the time it is given follows what
-	// prefills take.
+	// before its turn is done again at the decode worker, so the time it is given follows
+	// what prefills take.
 	@Test
 	void waitsForAPrefillAsLongAsTheyTakeLately() {
 		paceIsKnown();
-		for (int i = 0; i < 8; i++) {
-			prompt("once", LONG_PROMPT);
-			this.f.timer.advance(500);
-			this.f.workers.prefills.get(i).listener.onReady("kv" + i);
-		}
+		eightPrefillsTake(500);
 		prompt("once", LONG_PROMPT);
 		this.f.timer.advance(700);
 		Assertions.assertThat(this.f.workers.prefills.get(8).cancelled).isFalse();
@@ -147,16 +139,11 @@
 	}
 
 	// A prefill worker has gone dark, and prefills took little before. Its prompts are
-	// read
-	// elsewhere in time.
+	// read elsewhere in time.
 	@Test
 	void givesAPrefillUpSoonWherePrefillsAreQuick() {
 		paceIsKnown();
-		for (int i = 0; i < 8; i++) {
-			prompt("once", LONG_PROMPT);
-			this.f.timer.advance(90);
-			this.f.workers.prefills.get(i).listener.onReady("kv" + i);
-		}
+		eightPrefillsTake(90);
 		prompt("once", LONG_PROMPT);
 		this.f.timer.advance(450);
 		Assertions.assertThat(this.f.workers.prefills.get(8).cancelled).isTrue();
@@ -164,13 +151,7 @@
 
 	@Test
 	void usesThePlaceWhileItsReservationLasts() {
-		paceIsKnown();
-		prefillsAreSlow();
-		this.f.worker("f2", "llm", WorkerStage.PREFILL);
-		for (int i = 0; i < 12; i++) {
-			prompt("once", LONG_PROMPT);
-		}
-		prompt("resume", LONG_PROMPT);
+		slowPrefillsAreUnderWay();
 		this.f.workers.prefills.get(12).listener.onFailure(new ExchangeFailure(true, "reset"));
 		Assertions.assertThat(this.f.workers.prefills).hasSize(14);
 		this.f.timer.advance(1_000);
@@ -183,17 +164,11 @@
 
 	// Prefill workers are slow, and a reservation ends while the prompt is read. Sent
 	// without it, the request would take memory that running answers grow into, and one
-	// of
-	// them would be dropped. Another place is reserved, and what was read is used there.
+	// of them would be dropped. Another place is reserved, and what was read is used
+	// there.
 	@Test
 	void usesWhatWasReadAtAnotherPlace() {
-		paceIsKnown();
-		prefillsAreSlow();
-		this.f.worker("f2", "llm", WorkerStage.PREFILL);
-		for (int i = 0; i < 12; i++) {
-			prompt("once", LONG_PROMPT);
-		}
-		prompt("resume", LONG_PROMPT);
+		slowPrefillsAreUnderWay();
 		this.f.timer.advance(1_150);
 		this.f.workers.prefills.get(12).listener.onFailure(new ExchangeFailure(true, "reset"));
 		FakeWorkers.Prefill second = this.f.workers.prefills.get(this.f.workers.prefills.size() - 1);
@@ -206,4 +181,23 @@
 		Assertions.assertThat(this.f.workers.last().call.kvSource().handle()).isEqualTo("kv");
 	}
 
+	private void eightPrefillsTake(long ms) {
+		for (int i = 0; i < 8; i++) {
+			prompt("once", LONG_PROMPT);
+			this.f.timer.advance(ms);
+			this.f.workers.prefills.get(i).listener.onReady("kv" + i);
+		}
+	}
+
+	// The last one, with index 12, is of a caller who may resume.
+	private void slowPrefillsAreUnderWay() {
+		paceIsKnown();
+		prefillsAreSlow();
+		this.f.worker("f2", "llm", WorkerStage.PREFILL);
+		for (int i = 0; i < 12; i++) {
+			prompt("once", LONG_PROMPT);
+		}
+		prompt("resume", LONG_PROMPT);
+	}
+
 }
--- a/src/test/java/io/shallotspur/gateway/RosterTests.java
+++ b/src/test/java/io/shallotspur/gateway/RosterTests.java
@@ -101,10 +101,8 @@
 	}
 
 	// Answers last for seconds and a report comes beside the first bytes of each.
-	// Forgotten
-	// within a second, a worker full of other VMs' answers would look idle, and one
-	// worker
-	// would have six answers where another has two.
+	// Forgotten within a second, a worker full of other VMs' answers would look idle, and
+	// one worker would have six answers where another has two.
 	@Test
 	void remembersAReportForHalfTheTimeThatRequestsLast() {
 		this.roster.seen(started(100), NOW);
--- a/src/test/java/io/shallotspur/platform/PatientBindTests.java
+++ b/src/test/java/io/shallotspur/platform/PatientBindTests.java
@@ -34,8 +34,7 @@
 	}
 
 	// A VM was killed, and while it was down another connection was given its port. The
-	// VM
-	// that starts there ended at once with code 1 and was missing.
+	// VM that starts there ended at once with code 1 and was missing.
 	@Test
 	void waitsForAPortThatIsTakenForAMoment() throws IOException {
 		ServerSocket other = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"));
--- a/src/test/java/io/shallotspur/stage/StageSplitTests.java
+++ b/src/test/java/io/shallotspur/stage/StageSplitTests.java
@@ -52,8 +52,7 @@
 	}
 
 	// A fleet has a third of its workers prefill where a quarter would do. Callers wait
-	// for
-	// decode workers for as long as the change is thought to bring too little.
+	// for decode workers for as long as the change is thought to bring too little.
 	@Test
 	void aLoadThatIsKnownWellIsEnoughForAChangeThatBringsATenth() {
 		StageLoad load = new StageLoad(157, 3_400, 6.5);
