The serving VMs of all regions are chosen together, and for no region that a caller makes up

Cause: the choice was kept for each region that was asked for, and the region of a caller's question is whatever the caller writes; each new word was an entry more until a VM came or went. Emptiness of a map stood for "not chosen". Change: one immutable Choice for all regions that have VMs, and one for any other, made again when the VMs change or a grace ends. Measured: EntryVmsTests, unchanged, pass; nothing else observes the map, so no test shows the growth.

--- a/src/main/java/io/shallotspur/gateway/EntryVms.java
+++ b/src/main/java/io/shallotspur/gateway/EntryVms.java
@@ -1,12 +1,11 @@
 package io.shallotspur.gateway;
 
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.function.Predicate;
+import java.util.stream.Collectors;
 
 import org.jspecify.annotations.Nullable;
 
@@ -24,9 +23,7 @@
 
 	// Asked for with each request; with hundreds of VMs it is chosen again only when they
 	// change.
-	private final Map<String, List<EntryVm>> servingByRegion = new HashMap<>();
-
-	private long chosenUntil;
+	private @Nullable Choice choice;
 
 	private @Nullable EntryVm own;
 
@@ -45,7 +42,7 @@
 	 */
 	public void seen(EntryVm vm) {
 		this.byKey.put(vm.key(), new Entry(vm, Long.MAX_VALUE));
-		this.servingByRegion.clear();
+		this.choice = null;
 	}
 
 	/**
@@ -56,7 +53,7 @@
 	 */
 	public void vanished(String key, long now, long graceMs) {
 		this.byKey.computeIfPresent(key, (k, e) -> new Entry(e.vm(), Math.min(e.until(), now + graceMs)));
-		this.servingByRegion.clear();
+		this.choice = null;
 	}
 
 	/**
@@ -83,12 +80,9 @@
 	 * @return its rank; 0 is first
 	 */
 	public int rank(String key, long now) {
-		List<EntryVm> present = present(now, (v) -> true);
+		List<EntryVm> present = present(now);
 		Set<String> serving = new HashSet<>();
-		present.stream()
-			.map(EntryVm::region)
-			.distinct()
-			.forEach((r) -> serving(r, now).forEach((v) -> serving.add(v.key())));
+		present.forEach((v) -> serving(v.region(), now).forEach((w) -> serving.add(w.key())));
 		return (int) present.stream()
 			.map(EntryVm::key)
 			.filter((k) -> (serving.contains(k) != serving.contains(key)) ? serving.contains(key)
@@ -102,7 +96,7 @@
 	 * @return the number, without doubles of one address
 	 */
 	public int count(long now) {
-		return present(now, (v) -> true).size();
+		return present(now).size();
 	}
 
 	/**
@@ -118,21 +112,21 @@
 	}
 
 	private List<EntryVm> serving(String region, long now) {
-		if (this.servingByRegion.isEmpty() || now >= this.chosenUntil) {
-			this.servingByRegion.clear();
-			this.chosenUntil = this.byKey.values().stream().mapToLong(Entry::until).min().orElse(Long.MAX_VALUE);
-		}
-		List<EntryVm> l = this.servingByRegion.get(region);
-		if (l == null) {
-			l = choose(region, now);
-			this.servingByRegion.put(region, l);
-		}
-		return l;
+		return choice(now).of(region);
 	}
 
-	private List<EntryVm> choose(String region, long now) {
-		List<EntryVm> near = present(now, (v) -> v.region().equals(region));
-		return ServingSet.of((near.size() >= FEWEST_NEAR) ? near : present(now, (v) -> true));
+	private Choice choice(long now) {
+		Choice c = this.choice;
+		if (c == null || now >= c.until()) {
+			List<EntryVm> all = present(now);
+			Map<String, List<EntryVm>> byRegion = all.stream().collect(Collectors.groupingBy(EntryVm::region));
+			byRegion.values().removeIf((l) -> l.size() < FEWEST_NEAR);
+			byRegion.replaceAll((region, l) -> ServingSet.of(l));
+			long until = this.byKey.values().stream().mapToLong(Entry::until).min().orElse(Long.MAX_VALUE);
+			c = new Choice(byRegion, ServingSet.of(all), until);
+			this.choice = c;
+		}
+		return c;
 	}
 
 	/**
@@ -157,14 +151,10 @@
 
 	// Of two registrations with one address the later one counts: a process that starts
 	// again has the address of the one before, whose registration lapses later.
-	private List<EntryVm> present(long now, Predicate<EntryVm> wanted) {
+	private List<EntryVm> present(long now) {
 		this.byKey.values().removeIf((e) -> now >= e.until());
 		Map<String, EntryVm> byAddress = new LinkedHashMap<>();
-		for (Entry e : this.byKey.values()) {
-			if (wanted.test(e.vm())) {
-				byAddress.put(e.vm().address(), e.vm());
-			}
-		}
+		this.byKey.values().forEach((e) -> byAddress.put(e.vm().address(), e.vm()));
 		return List.copyOf(byAddress.values());
 	}
 
@@ -172,4 +162,19 @@
 
 	}
 
+	/**
+	 * The VMs that serve. Immutable.
+	 *
+	 * @param byRegion those of each region that has enough
+	 * @param ofAll those for callers of any other region
+	 * @param until when a VM among all ends, in milliseconds
+	 */
+	private record Choice(Map<String, List<EntryVm>> byRegion, List<EntryVm> ofAll, long until) {
+
+		List<EntryVm> of(String region) {
+			return this.byRegion.getOrDefault(region, this.ofAll);
+		}
+
+	}
+
 }
