HoldQueue keeps those it asks for, not two counts of them

Cause: calls and callsInTime were counted apart, with a wrapper in the listener only for the second; every arrival walked all workers for a limit that matters beyond 64. Change: the set of tickets that are being asked for; both counts follow from it. The places are counted only when more than 64 wait. Measured: HoldQueueTests pass as before; behaviour is the same.

--- a/src/main/java/io/shallotspur/gateway/HoldQueue.java
+++ b/src/main/java/io/shallotspur/gateway/HoldQueue.java
@@ -3,9 +3,12 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.Comparator;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeSet;
+import java.util.stream.Stream;
 
 import org.jspecify.annotations.Nullable;
 
@@ -62,10 +65,8 @@
 	// places free up more slowly than callers come.
 	private static final double LONG_WAIT = 0.5;
 
-	// A queue of this length is allowed before any number of workers, requests; beyond
-	// it,
-	// as many may wait as the workers have places: in the time of an answer each place
-	// becomes free once, and nobody waits for longer than that.
+	// Before few places so many may wait, requests. Otherwise as many as the workers have
+	// places: in the time of an answer each becomes free once, and nobody waits longer.
 	private static final int LEAST_LIMIT = 64;
 
 	private static final Comparator<Ticket> ORDER = Comparator.comparing((Ticket t) -> t.late)
@@ -83,9 +84,8 @@
 
 	private long number;
 
-	private int calls;
-
-	private int callsInTime;
+	// Those for whom a worker is being asked.
+	private final Set<Ticket> asked = new HashSet<>();
 
 	private int refusals;
 
@@ -108,15 +108,15 @@
 	Ticket enter(Waiting w, long now) {
 		Ticket t = new Ticket(w, ++this.number, now);
 		this.queue.add(t);
-		if (this.queue.size() > limit(w.candidates(now))) {
+		if (this.queue.size() > LEAST_LIMIT && this.queue.size() > places(w.candidates(now))) {
 			turnLastAway(now);
 		}
 		pump(now);
 		return t;
 	}
 
-	private static int limit(List<WorkerState> candidates) {
-		return Math.max(LEAST_LIMIT, candidates.stream().mapToInt((w) -> w.info().slots()).sum());
+	private static int places(List<WorkerState> workers) {
+		return workers.stream().mapToInt((w) -> w.info().slots()).sum();
 	}
 
 	// The one who would wait longest, and not the one who comes: the newest may be first.
@@ -149,7 +149,7 @@
 
 	private void pump(long now) {
 		settle(now);
-		while (this.calls < CALLS_AT_ONCE && now >= this.nextAskAt) {
+		while (this.asked.size() < CALLS_AT_ONCE && now >= this.nextAskAt) {
 			Optional<Question> q = next(now);
 			if (q.isEmpty()) {
 				break;
@@ -165,7 +165,7 @@
 
 	private Optional<Question> next(long now) {
 		List<Ticket> l = inOrder(now);
-		boolean inTimeWaits = this.callsInTime > 0 || (!l.isEmpty() && !l.get(0).late);
+		boolean inTimeWaits = Stream.concat(l.stream(), this.asked.stream()).anyMatch((t) -> !t.late);
 		for (Ticket t : l) {
 			if (t.late && inTimeWaits) {
 				break;
@@ -220,36 +220,29 @@
 
 	private void ask(Ticket t, WorkerState w, long now) {
 		int tokens = t.waiting.tokens();
-		boolean inTime = !t.late;
-		this.calls++;
-		this.callsInTime += inTime ? 1 : 0;
+		this.asked.add(t);
 		w.started();
 		this.g.workers.hold(w.info(), tokens, t.waiting.holdMs(), new HoldListener() {
 
-			private void answered(@Nullable String hold, @Nullable ExchangeFailure failure) {
-				HoldQueue.this.callsInTime -= inTime ? 1 : 0;
-				HoldQueue.this.answered(t, w, tokens, hold, failure);
-			}
-
 			@Override
 			public void onHeld(String hold) {
-				answered(hold, null);
+				answered(t, w, tokens, hold, null);
 			}
 
 			@Override
 			public void onFull() {
-				answered(null, null);
+				answered(t, w, tokens, null, null);
 			}
 
 			@Override
 			public void onReplaced() {
 				HoldQueue.this.g.roster.replaced(w.info().id(), WorkerStage.DECODE, HoldQueue.this.g.clock.getAsLong());
-				answered(null, null);
+				answered(t, w, tokens, null, null);
 			}
 
 			@Override
 			public void onFailure(ExchangeFailure failure) {
-				answered(null, failure);
+				answered(t, w, tokens, null, failure);
 			}
 
 		});
@@ -258,7 +251,7 @@
 	private void answered(Ticket t, WorkerState w, int tokens, @Nullable String hold,
 			@Nullable ExchangeFailure failure) {
 		long now = this.g.clock.getAsLong();
-		this.calls--;
+		this.asked.remove(t);
 		w.ended();
 		if (hold != null) {
 			this.refusals = 0;
@@ -307,7 +300,7 @@
 		for (Ticket t : this.queue) {
 			at = Math.min(at, t.waiting.waitUntil());
 		}
-		if (this.nextAskAt > now && this.calls < CALLS_AT_ONCE) {
+		if (this.nextAskAt > now && this.asked.size() < CALLS_AT_ONCE) {
 			at = Math.min(at, this.nextAskAt);
 		}
 		this.cancelTimer = this.g.timer.after(Math.max(1, at - now), () -> pump(this.g.clock.getAsLong()));
