Region and cores are settings of the VM, not of the relaying

Cause: GatewaySettings had two fields that the gateway never reads; they only pass to the registration. Change: they are fields of PlatformSettings.

--- a/src/main/java/io/shallotspur/platform/PlatformSettings.java
+++ b/src/main/java/io/shallotspur/platform/PlatformSettings.java
@@ -14,6 +14,8 @@
  * Settings of an entry VM on the platform. Immutable.
  *
  * @param gateway the settings of the relaying
+ * @param region the region of the VM's hall
+ * @param cores processor cores that the VM may use; a part of one is a fraction
  * @param callers where callers connect
  * @param ready where the platform asks whether the VM is ready
  * @param locate where callers ask for addresses
@@ -25,8 +27,9 @@
  * @param orders how workers are given orders
  * @param log level and volume of the log
  */
-record PlatformSettings(GatewaySettings gateway, Endpoint callers, Endpoint ready, Endpoint locate, Endpoint metrics,
-		Endpoint store, long locateTtlMs, long graceMs, ChangeBounds changes, OrderSettings orders, LogVolume log) {
+record PlatformSettings(GatewaySettings gateway, String region, double cores, Endpoint callers, Endpoint ready,
+		Endpoint locate, Endpoint metrics, Endpoint store, long locateTtlMs, long graceMs, ChangeBounds changes,
+		OrderSettings orders, LogVolume log) {
 
 	private static final long HOUR_MS = 3_600_000;
 
@@ -58,7 +61,11 @@
 		Endpoint address = Endpoint.read(store, "address");
 		store.finish();
 		TomlTable bounds = root.table("bounds");
-		GatewaySettings g = gateway(root.table("vm"), bounds);
+		TomlTable vm = root.table("vm");
+		GatewaySettings g = gateway(vm, bounds);
+		String region = vm.text("region", "default");
+		double cores = vm.number("cpu_share", 1, 0.01, 10_000) * vm.number("cpu_speed", 1, 0.01, 10_000);
+		vm.finish();
 		double ttl = Math.min(MOST_TTL_S, bounds.number("locate_ttl_max_s", MOST_TTL_S, 0.1, 3_600));
 		long grace = (long) (bounds.number("grace_s", 8, 0, 3_600) * MS_PER_S);
 		ChangeBounds changes = new ChangeBounds(bounds.whole("worker_drain_ms", 2_000, 0, HOUR_MS),
@@ -70,17 +77,14 @@
 		LogVolume volume = new LogVolume(log.text("level", "info"), (int) log.whole("lines_per_s", 100, 0, 1_000_000));
 		log.finish();
 		root.finish();
-		return new PlatformSettings(g, callers, ready, locate, metrics, address, (long) (ttl * MS_PER_S), grace,
-				changes, orders, volume);
+		return new PlatformSettings(g, region, cores, callers, ready, locate, metrics, address, (long) (ttl * MS_PER_S),
+				grace, changes, orders, volume);
 	}
 
 	private static GatewaySettings gateway(TomlTable vm, TomlTable bounds) {
 		String name = vm.text("name");
-		String region = vm.text("region", "default");
 		String hall = vm.text("hall");
-		double cores = vm.number("cpu_share", 1, 0.01, 10_000) * vm.number("cpu_speed", 1, 0.01, 10_000);
-		vm.finish();
-		return new GatewaySettings(name, region, hall, cores, bounds.number("retry_ratio", 0.1, 0, 10),
+		return new GatewaySettings(name, hall, bounds.number("retry_ratio", 0.1, 0, 10),
 				bounds.number("retry_slack", 10, 0, 1_000_000),
 				(long) (bounds.number("retry_window_s", 10, 0.1, 3_600) * MS_PER_S));
 	}
--- a/src/main/java/io/shallotspur/platform/PlatformVm.java
+++ b/src/main/java/io/shallotspur/platform/PlatformVm.java
@@ -80,7 +80,7 @@
 		StoreRegistry registry = new StoreRegistry(s.store(), this.loop);
 		String incarnation = Long.toHexString(ThreadLocalRandom.current().nextLong());
 		EntryVm self = new EntryVm(Names.VM_PREFIX + s.callers() + "/" + incarnation, s.callers().toString(),
-				s.gateway().region(), s.gateway().hall(), s.gateway().cores(), false);
+				s.region(), s.gateway().hall(), s.cores(), false);
 		this.registration = new VmRegistration(registry, self, this.loop);
 		this.follower = new RegistryFollower(registry, this.gateway, this.loop, this.clock,
 				() -> ThreadLocalRandom.current().nextDouble(), s.changes());
--- a/src/main/java/io/shallotspur/platform/Rehearsal.java
+++ b/src/main/java/io/shallotspur/platform/Rehearsal.java
@@ -36,10 +36,9 @@
 	static void run() {
 		RehearsalStandins standins = new RehearsalStandins();
 		Endpoint any = new Endpoint("127.0.0.1", 0);
-		PlatformVm vm = new PlatformVm(
-				new PlatformSettings(new GatewaySettings("rehearsal", "here", "here", 1, 0.2, 10, 1_000), any, any, any,
-						any, standins.address(), 1_000, 500, new ChangeBounds(500, 500),
-						new PlatformSettings.OrderSettings(true, 0), new PlatformSettings.LogVolume("info", 10)));
+		PlatformVm vm = new PlatformVm(new PlatformSettings(new GatewaySettings("rehearsal", "here", 0.2, 10, 1_000),
+				"here", 1, any, any, any, any, standins.address(), 1_000, 500, new ChangeBounds(500, 500),
+				new PlatformSettings.OrderSettings(true, 0), new PlatformSettings.LogVolume("info", 10)));
 		vm.start();
 		awaitReady(vm);
 		for (int i = 0; i < REQUESTS; i++) {
--- a/src/test/java/io/shallotspur/gateway/GatewayFixture.java
+++ b/src/test/java/io/shallotspur/gateway/GatewayFixture.java
@@ -30,9 +30,8 @@
 
 	final MetricRegistry metrics = new MetricRegistry();
 
-	final Gateway gateway = new Gateway(new GatewaySettings("vm-1", "region-1", "hall-a", 1, 0.2, 50, 10_000),
-			new GatewayPorts(this.workers, this.timer, this.timer::now, () -> 0.5, new DecisionLog(0),
-					new RelayMetrics(this.metrics)));
+	final Gateway gateway = new Gateway(new GatewaySettings("vm-1", "hall-a", 0.2, 50, 10_000), new GatewayPorts(
+			this.workers, this.timer, this.timer::now, () -> 0.5, new DecisionLog(0), new RelayMetrics(this.metrics)));
 
 	private int ids;
 
--- a/src/test/java/io/shallotspur/registry/RegistryFollowerTests.java
+++ b/src/test/java/io/shallotspur/registry/RegistryFollowerTests.java
@@ -33,7 +33,7 @@
 
 	private final FakeRegistry registry = new FakeRegistry();
 
-	private final Gateway gateway = new Gateway(new GatewaySettings("vm", "region-1", "hall-a", 1, 0.2, 50, 10_000),
+	private final Gateway gateway = new Gateway(new GatewaySettings("vm", "hall-a", 0.2, 50, 10_000),
 			new GatewayPorts(new NopWorkers(), this.timer, this.timer::now, () -> 0.5, new DecisionLog(0),
 					new RelayMetrics(new MetricRegistry())));
 
@@ -233,8 +233,7 @@
 	}
 
 	// Another program writes over a worker's entry, or leaves one beside it. Whatever
-	// stood
-	// there names no worker now, and the others are not touched by it.
+	// stood there names no worker now, and the others are not touched by it.
 	@Test
 	void anEntryThatCannotBeReadNamesNoWorker() {
 		follow(config(3), worker("w1"), worker("w2"));
@@ -254,9 +253,8 @@
 	}
 
 	// A connection to the store was reset and made again at once. Four seconds later
-	// another
-	// VM loses power. Were it kept for as long as one whose registration lapsed while the
-	// store was away, callers would be sent to it for five seconds more.
+	// another VM loses power. Were it kept for as long as one whose registration lapsed
+	// while the store was away, callers would be sent to it for five seconds more.
 	@Test
 	void aVmThatDiesSomeTimeAfterTheStoreWasBackIsSoonForgotten() {
 		this.follower.own("vms/me", () -> {
--- a/src/test/java/io/shallotspur/registry/SharedFiguresTests.java
+++ b/src/test/java/io/shallotspur/registry/SharedFiguresTests.java
@@ -127,7 +127,7 @@
 
 	private final class Vm {
 
-		private final Gateway gateway = new Gateway(new GatewaySettings("vm", "region-1", "hall-a", 1, 0.2, 50, 10_000),
+		private final Gateway gateway = new Gateway(new GatewaySettings("vm", "hall-a", 0.2, 50, 10_000),
 				new GatewayPorts(new NopWorkers(), SharedFiguresTests.this.timer, SharedFiguresTests.this.timer::now,
 						() -> 0.5, new DecisionLog(0), new RelayMetrics(new MetricRegistry())));
 
--- a/src/test/java/io/shallotspur/stage/StageKeeperTests.java
+++ b/src/test/java/io/shallotspur/stage/StageKeeperTests.java
@@ -49,7 +49,7 @@
 
 	private final FakeStagePort port = new FakeStagePort();
 
-	private final Gateway gateway = new Gateway(new GatewaySettings("vm-1", "region-1", "hall-a", 1, 0.2, 50, 10_000),
+	private final Gateway gateway = new Gateway(new GatewaySettings("vm-1", "hall-a", 0.2, 50, 10_000),
 			new GatewayPorts(new NopWorkers(), this.timer, this.timer::now, () -> 0.5, new DecisionLog(0),
 					new RelayMetrics(new MetricRegistry())));
 
@@ -135,9 +135,8 @@
 	}
 
 	// An order got no answer, and the worker has started again since. It counts its
-	// orders
-	// anew, so the next order for the same count could be taken beside the first one,
-	// which may still come.
+	// orders anew, so the next order for the same count could be taken beside the first
+	// one, which may still come.
 	@Test
 	void givesNoOrderAgainToAWorkerThatHasStartedAgain() {
 		this.port.losesOrders = true;
@@ -155,8 +154,7 @@
 	}
 
 	// The worker that was to change over crashes. While it was waited for, prefill
-	// workers
-	// stood idle beside full decode workers for the rest of the burst.
+	// workers stood idle beside full decode workers for the rest of the burst.
 	@Test
 	void hasAnotherWorkerChangeOverWhenOneIsLost() {
 		this.port.silent.add("p-a");
