ChangeApplier out of RegistryFollower

Cause: RegistryFollower had grown to 411 lines with two concerns: calls to the registry with their pauses and retries, and what their news mean. Change: ChangeApplier brings changes and listings into force; the follower keeps the calls and says how long what is gone is still used. Conclusion: kept; behaviour is the same but that a lost registration of one's own is noticed a step earlier within the same listing.

--- /dev/null
+++ b/src/main/java/io/shallotspur/registry/ChangeApplier.java
@@ -0,0 +1,189 @@
+package io.shallotspur.registry;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+
+import org.jspecify.annotations.Nullable;
+import org.tinylog.Logger;
+
+import io.shallotspur.gateway.Gateway;
+
+/**
+ * Brings what the registry tells into force: configuration, workers, entry VMs, the duty,
+ * what other VMs have seen. Not thread-safe; confined to the gateway's thread.
+ */
+final class ChangeApplier {
+
+	// Entries of other writers whose causes are remembered; beyond it they are logged
+	// again.
+	private static final int MOST_CAUSES = 1_000;
+
+	private final Gateway gateway;
+
+	// Why entries could not be read, by key.
+	private final Map<String, String> causes = new HashMap<>();
+
+	private String ownKey = "";
+
+	private Runnable onOwnGone = () -> {
+	};
+
+	private @Nullable Duty duty;
+
+	private Consumer<RegistryChange.FiguresSeen> figures = (f) -> {
+	};
+
+	ChangeApplier(Gateway gateway) {
+		this.gateway = gateway;
+	}
+
+	void own(String key, Runnable onGone) {
+		this.ownKey = key;
+		this.onOwnGone = onGone;
+	}
+
+	void duty(Duty d) {
+		this.duty = d;
+	}
+
+	void figures(Consumer<RegistryChange.FiguresSeen> then) {
+		this.figures = then;
+	}
+
+	boolean holdsDuty() {
+		return this.duty != null && this.duty.isHeld();
+	}
+
+	/**
+	 * Takes changes in their order.
+	 * @param news the changes
+	 * @param known the revision that was known before
+	 * @param graces how long what is gone is still used
+	 * @param now the present time in milliseconds
+	 */
+	void changes(RegistryNews news, long known, Graces graces, long now) {
+		news.changes().forEach((c) -> apply(c, known, graces, now));
+	}
+
+	/**
+	 * Takes a whole listing: what it lacks is gone.
+	 * @param news all entries
+	 * @param known the revision that was known before; negative at the first listing
+	 * @param graces how long what is gone is still used
+	 * @param now the present time in milliseconds
+	 */
+	void listing(RegistryNews news, long known, Graces graces, long now) {
+		Set<String> workers = new HashSet<>();
+		Set<String> vms = new HashSet<>();
+		Set<String> marked = new HashSet<>();
+		RegistryChange.DutyHeld holder = null;
+		changes(news, known, graces, now);
+		for (RegistryChange c : news.changes()) {
+			if (c instanceof RegistryChange.WorkerSeen w) {
+				workers.add(w.worker().id());
+			}
+			else if (c instanceof RegistryChange.VmSeen v) {
+				vms.add(v.vm().key());
+			}
+			else if (c instanceof RegistryChange.StageMarked m) {
+				marked.add(m.worker());
+			}
+			else if (c instanceof RegistryChange.DutyHeld d) {
+				holder = d;
+			}
+		}
+		dutySeen(holder, now);
+		this.gateway.roster().retainMarks(marked);
+		boolean ownGone = !vms.contains(this.ownKey);
+		vms.add(this.ownKey);
+		this.gateway.roster().retain(workers, now, graces.workerMs());
+		this.gateway.vms().retain(vms, now, graces.vmMs());
+		Logger.info("[registry] listed revision={} workers={} vms={}", news.revision(), workers.size(), vms.size());
+		if (known >= 0 && ownGone) {
+			this.onOwnGone.run();
+		}
+	}
+
+	private void apply(RegistryChange c, long known, Graces graces, long now) {
+		if (c instanceof RegistryChange.Configured e) {
+			this.gateway.configure(e.table());
+		}
+		else if (c instanceof RegistryChange.WorkerSeen e) {
+			this.gateway.roster().seen(e.worker(), now);
+			Logger.info("[registry] worker={} upstream={} stage={} leaving={} revision={}", e.worker().id(),
+					e.worker().upstream(), e.worker().stage(), e.worker().leaving(), known);
+		}
+		else if (c instanceof RegistryChange.Unreadable e) {
+			unreadable(e, known, now);
+		}
+		else if (c instanceof RegistryChange.WorkerGone e) {
+			this.gateway.roster().vanished(e.id(), now, graces.workerMs());
+			Logger.info("[registry] worker={} gone grace-ms={} revision={}", e.id(), graces.workerMs(), known);
+		}
+		else if (c instanceof RegistryChange.VmSeen e) {
+			this.gateway.vms().seen(e.vm());
+		}
+		else if (c instanceof RegistryChange.VmGone e) {
+			vmGone(e, known, graces, now);
+		}
+		else if (c instanceof RegistryChange.StageMarked e) {
+			this.gateway.roster().marked(e.worker(), e.stage());
+		}
+		else if (c instanceof RegistryChange.StageUnmarked e) {
+			this.gateway.roster().unmarked(e.worker());
+		}
+		else if (c instanceof RegistryChange.DutyHeld e) {
+			dutySeen(e, now);
+		}
+		else if (c instanceof RegistryChange.FiguresSeen e) {
+			this.figures.accept(e);
+		}
+		else if (c instanceof RegistryChange.DutyFree) {
+			dutySeen(null, now);
+		}
+	}
+
+	// Whatever stood there before, the entry names no worker to use now. Each listing
+	// brings it again; one line for each cause is enough.
+	private void unreadable(RegistryChange.Unreadable e, long known, long now) {
+		if (e.worker() != null) {
+			this.gateway.roster().vanished(e.worker(), now, 0);
+		}
+		if (this.causes.size() >= MOST_CAUSES) {
+			this.causes.clear();
+		}
+		if (!e.cause().equals(this.causes.put(e.key(), e.cause()))) {
+			Logger.warn("[registry] entry left aside key={} revision={} seen=\"{}\"", e.key(), known, e.cause());
+		}
+	}
+
+	private void dutySeen(RegistryChange.@Nullable DutyHeld holder, long now) {
+		if (this.duty != null) {
+			this.duty.seen(holder, now);
+		}
+	}
+
+	private void vmGone(RegistryChange.VmGone e, long known, Graces graces, long now) {
+		Logger.info("[registry] vm={} gone revision={}", e.key(), known);
+		if (e.key().equals(this.ownKey)) {
+			this.onOwnGone.run();
+		}
+		else {
+			this.gateway.vms().vanished(e.key(), now, graces.vmMs());
+		}
+	}
+
+	/**
+	 * How long what is gone from the registry is still used. Immutable.
+	 *
+	 * @param workerMs for a worker, in milliseconds
+	 * @param vmMs for an entry VM, in milliseconds
+	 */
+	record Graces(long workerMs, long vmMs) {
+
+	}
+
+}
--- a/src/main/java/io/shallotspur/registry/RegistryFollower.java
+++ b/src/main/java/io/shallotspur/registry/RegistryFollower.java
@@ -1,14 +1,9 @@
 package io.shallotspur.registry;
 
-import java.util.HashMap;
-import java.util.HashSet;
-import java.util.Map;
-import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.DoubleSupplier;
 import java.util.function.LongSupplier;
 
-import org.jspecify.annotations.Nullable;
 import org.tinylog.Logger;
 import reactor.core.Disposable;
 import reactor.core.Disposables;
@@ -63,10 +58,6 @@
 	// meanwhile, ms: the time for its return, and for this VM to notice.
 	private static final long AWAY_WINDOW_MS = RETURN_MS + NOTICE_MS;
 
-	// Entries of other writers whose causes are remembered; beyond it they are logged
-	// again.
-	private static final int MOST_CAUSES = 1_000;
-
 	// A VM that stands by hears of changes within this part of the time in which it must
 	// act on them; the rest is for the store's answer. Nine tenths of a large fleet stand
 	// by, and each change costs a call of each VM that hears of it alone.
@@ -80,6 +71,8 @@
 
 	private final Gateway gateway;
 
+	private final ChangeApplier applier;
+
 	private final GatewayTimer timer;
 
 	private final LongSupplier clock;
@@ -90,25 +83,12 @@
 
 	private final long standbyPauseMs;
 
-	// Why entries could not be read, by key.
-	private final Map<String, String> causes = new HashMap<>();
-
 	private Disposable call = Disposables.disposed();
 
 	private long calls;
 
 	private boolean underWay;
 
-	private Runnable onVmGone = () -> {
-	};
-
-	private String ownKey = "";
-
-	private @Nullable Duty duty;
-
-	private Consumer<RegistryChange.FiguresSeen> figures = (f) -> {
-	};
-
 	private long revision = -1;
 
 	private long awayAt = Long.MIN_VALUE / 2;
@@ -134,6 +114,7 @@
 			DoubleSupplier random, ChangeBounds bounds) {
 		this.registry = registry;
 		this.gateway = gateway;
+		this.applier = new ChangeApplier(gateway);
 		this.timer = timer;
 		this.clock = clock;
 		this.random = random;
@@ -147,8 +128,7 @@
 	 * @param onGone called when the store no longer has it
 	 */
 	public void own(String key, Runnable onGone) {
-		this.ownKey = key;
-		this.onVmGone = onGone;
+		this.applier.own(key, onGone);
 	}
 
 	/**
@@ -156,7 +136,7 @@
 	 * @param duty the duty
 	 */
 	public void duty(Duty duty) {
-		this.duty = duty;
+		this.applier.duty(duty);
 	}
 
 	/**
@@ -164,7 +144,7 @@
 	 * @param shared the figures
 	 */
 	public void figures(SharedFigures shared) {
-		this.figures = shared::seen;
+		this.applier.figures(shared::seen);
 	}
 
 	/**
@@ -239,44 +219,16 @@
 	private void onListing(RegistryNews news) {
 		reached();
 		long now = this.clock.getAsLong();
-		Set<String> workers = new HashSet<>();
-		Set<String> vms = new HashSet<>();
-		Set<String> marked = new HashSet<>();
-		RegistryChange.DutyHeld holder = null;
-		for (RegistryChange c : news.changes()) {
-			apply(c, now);
-			if (c instanceof RegistryChange.WorkerSeen w) {
-				workers.add(w.worker().id());
-			}
-			else if (c instanceof RegistryChange.VmSeen v) {
-				vms.add(v.vm().key());
-			}
-			else if (c instanceof RegistryChange.StageMarked m) {
-				marked.add(m.worker());
-			}
-			else if (c instanceof RegistryChange.DutyHeld d) {
-				holder = d;
-			}
-		}
-		dutySeen(holder, now);
-		this.gateway.roster().retainMarks(marked);
-		boolean lostOwn = this.listed && !vms.contains(this.ownKey);
-		vms.add(this.ownKey);
-		this.gateway.roster().retain(workers, now, workerGrace(now));
-		this.gateway.vms().retain(vms, now, vmGrace(now));
-		Logger.info("[registry] listed revision={} workers={} vms={}", news.revision(), workers.size(), vms.size());
+		this.applier.listing(news, this.revision, graces(now), now);
 		this.revision = news.revision();
 		this.listed = true;
-		if (lostOwn) {
-			this.onVmGone.run();
-		}
 		watch();
 	}
 
 	private void onChanges(RegistryNews news) {
 		reached();
 		long now = this.clock.getAsLong();
-		news.changes().forEach((c) -> apply(c, now));
+		this.applier.changes(news, this.revision, graces(now), now);
 		this.revision = Math.max(this.revision, news.revision());
 		if (news.changes().isEmpty()) {
 			watch();
@@ -288,96 +240,17 @@
 
 	private long pause(long now) {
 		long pause = Math.max(LEAST_PAUSE_MS, Math.min(MOST_PAUSE_MS, PAUSE_MS_A_VM * this.gateway.vms().count(now)));
-		boolean mayWait = this.gateway.vms().standsBy(now) && (this.duty == null || !this.duty.isHeld());
+		boolean mayWait = this.gateway.vms().standsBy(now) && !this.applier.holdsDuty();
 		return mayWait ? Math.max(pause, this.standbyPauseMs) : pause;
 	}
 
-	private void apply(RegistryChange c, long now) {
-		if (c instanceof RegistryChange.Configured e) {
-			this.gateway.configure(e.table());
-		}
-		else if (c instanceof RegistryChange.WorkerSeen e) {
-			this.gateway.roster().seen(e.worker(), now);
-			Logger.info("[registry] worker={} upstream={} stage={} leaving={} revision={}", e.worker().id(),
-					e.worker().upstream(), e.worker().stage(), e.worker().leaving(), this.revision);
-		}
-		else if (c instanceof RegistryChange.Unreadable e) {
-			unreadable(e, now);
-		}
-		else if (c instanceof RegistryChange.WorkerGone e) {
-			long grace = workerGrace(now);
-			this.gateway.roster().vanished(e.id(), now, grace);
-			Logger.info("[registry] worker={} gone grace-ms={} revision={}", e.id(), grace, this.revision);
-		}
-		else if (c instanceof RegistryChange.VmSeen e) {
-			this.gateway.vms().seen(e.vm());
-		}
-		else if (c instanceof RegistryChange.VmGone e) {
-			vmGone(e, now);
-		}
-		else if (c instanceof RegistryChange.StageMarked e) {
-			this.gateway.roster().marked(e.worker(), e.stage());
-		}
-		else if (c instanceof RegistryChange.StageUnmarked e) {
-			this.gateway.roster().unmarked(e.worker());
-		}
-		else if (c instanceof RegistryChange.DutyHeld e) {
-			dutySeen(e, now);
-		}
-		else if (c instanceof RegistryChange.FiguresSeen e) {
-			this.figures.accept(e);
-		}
-		else if (c instanceof RegistryChange.DutyFree) {
-			dutySeen(null, now);
-		}
-	}
-
-	// Whatever stood there before, the entry names no worker to use now. Each listing
-	// brings it again; one line for each cause is enough.
-	private void unreadable(RegistryChange.Unreadable e, long now) {
-		if (e.worker() != null) {
-			this.gateway.roster().vanished(e.worker(), now, 0);
-		}
-		if (this.causes.size() >= MOST_CAUSES) {
-			this.causes.clear();
-		}
-		if (!e.cause().equals(this.causes.put(e.key(), e.cause()))) {
-			Logger.warn("[registry] entry left aside key={} revision={} seen=\"{}\"", e.key(), this.revision,
-					e.cause());
-		}
-	}
-
-	private void dutySeen(RegistryChange.@Nullable DutyHeld holder, long now) {
-		if (this.duty != null) {
-			this.duty.seen(holder, now);
-		}
-	}
-
-	private void vmGone(RegistryChange.VmGone e, long now) {
-		Logger.info("[registry] vm={} gone revision={}", e.key(), this.revision);
-		if (e.key().equals(this.ownKey)) {
-			this.onVmGone.run();
-		}
-		else {
-			this.gateway.vms().vanished(e.key(), now, vmGrace(now));
-		}
-	}
-
 	// A store that was away may have let entries of living workers lapse. Were they taken
-	// as gone at once, every VM would be without workers for two seconds.
-	private long workerGrace(long now) {
-		return wasAway(now) ? this.workerGraceMs : 0;
-	}
-
-	// Counted from the time when the store was away: a VM that dies some seconds after
-	// that
-	// must not be handed to callers for as long again.
-	private long vmGrace(long now) {
-		return Math.max(0, this.awayAt + AWAY_WINDOW_MS - now);
-	}
-
-	private boolean wasAway(long now) {
-		return now - this.awayAt < AWAY_WINDOW_MS;
+	// as gone at once, every VM would be without workers for two seconds. The grace of an
+	// entry VM is counted from the time when the store was away: one that dies some
+	// seconds after that must not be handed to callers for as long again.
+	private ChangeApplier.Graces graces(long now) {
+		long left = Math.max(0, this.awayAt + AWAY_WINDOW_MS - now);
+		return new ChangeApplier.Graces((left > 0) ? this.workerGraceMs : 0, left);
 	}
 
 	private void reached() {
