--- /dev/null
+++ b/src/main/java/io/shallotspur/gateway/ConfigSource.java
@@ -0,0 +1,17 @@
+package io.shallotspur.gateway;
+
+/**
+ * Asks the operator's store for the newest configuration. Called on the gateway's thread,
+ * and calls back on it.
+ */
+@FunctionalInterface
+public interface ConfigSource {
+
+	/**
+	 * Asks. An answer is given to {@link Gateway#configure} and
+	 * {@link Gateway#proved(Moment)} before the task runs.
+	 * @param then run once, when the store has answered or cannot be reached
+	 */
+	void ask(Runnable then);
+
+}
--- a/src/main/java/io/shallotspur/gateway/EntryVms.java
+++ b/src/main/java/io/shallotspur/gateway/EntryVms.java
@@ -138,6 +138,17 @@
 		return (this.own != null) ? Math.max(1, serving(this.own.region(), now).size()) : 1;
 	}
 
+	/**
+	 * Returns how many VMs the callers of all regions are told to use.
+	 * @param now the present time in milliseconds
+	 * @return the number of VMs, at least 1
+	 */
+	int servingEverywhere(long now) {
+		Choice c = choice(now);
+		int n = c.byRegion().isEmpty() ? c.ofAll().size() : c.byRegion().values().stream().mapToInt(List::size).sum();
+		return Math.max(1, n);
+	}
+
 	/**
 	 * Tells whether the callers of this VM's region are told to use others.
 	 * @param now the present time in milliseconds
--- a/src/main/java/io/shallotspur/gateway/Gateway.java
+++ b/src/main/java/io/shallotspur/gateway/Gateway.java
@@ -20,15 +20,6 @@
  */
 public final class Gateway {
 
-	// Until the first configuration has come, which takes a second or so
-	// after a start, ms.
-	private static final long STARTING_RETRY_MS = 500;
-
-	private static final int NOT_FOUND = 404;
-
-	// The callers of a VM that leaves go to another one, which is there already, ms.
-	private static final long ELSEWHERE_MS = 50;
-
 	final GatewaySettings settings;
 
 	final WorkerPort workers;
@@ -37,6 +28,8 @@
 
 	final LongSupplier clock;
 
+	private final LongSupplier wallClock;
+
 	final Placement.Random random;
 
 	final DecisionLog log;
@@ -51,6 +44,12 @@
 
 	final RetryAllowance retries;
 
+	final QuotaBook quotas;
+
+	private final ConfigProof proof;
+
+	private ConfigSource configSource = Runnable::run;
+
 	private final Map<String, HoldQueue> holdQueues = new HashMap<>();
 
 	private final Map<String, EngineTimes> times = new HashMap<>();
@@ -74,10 +73,13 @@
 		this.workers = ports.workers();
 		this.timer = ports.timer();
 		this.clock = ports.clock();
+		this.wallClock = ports.wallClock();
 		this.random = ports.random()::getAsDouble;
 		this.log = ports.log();
 		this.metrics = ports.metrics();
 		this.retries = new RetryAllowance(settings);
+		this.quotas = new QuotaBook(this.clock.getAsLong());
+		this.proof = new ConfigProof(settings.revokedKeyMs());
 	}
 
 	/**
@@ -141,7 +143,7 @@
 		this.endsAt = end;
 	}
 
-	private boolean tooLate(Route route, RelayRequest r, long now) {
+	boolean tooLate(Route route, RelayRequest r, long now) {
 		if (now < this.refusesFrom) {
 			return false;
 		}
@@ -169,41 +171,54 @@
 	 * @return to be run when the caller has left
 	 */
 	public Runnable handle(RelayRequest request, CallerAnswer answer) {
-		long now = this.clock.getAsLong();
-		RouteTable t = this.table;
-		if (t == null) {
-			refuse(request, answer, RelayRefusal.notRun(RefusalReason.NO_CONFIGURATION, STARTING_RETRY_MS), now);
-			return () -> {
-			};
-		}
-		Optional<Route> r = t.find(request.host(), request.path());
-		if (r.isEmpty()) {
-			refuse(request, answer, new RelayRefusal(NOT_FOUND, RefusalReason.NO_ROUTE, 0), now);
-			return () -> {
-			};
-		}
-		if (tooLate(r.get(), request, now)) {
-			refuse(request, answer, RelayRefusal.notRun(RefusalReason.LEAVING, ELSEWHERE_MS), now);
-			return () -> {
-			};
-		}
-		this.metrics.arrived(r.get().name());
 		this.inProgress++;
-		RelayTask task = new RelayTask(this, t, r.get(), request, answer, now);
-		task.start(now);
-		return task::callerGone;
+		Arrival a = new Arrival(this, request, answer);
+		a.start(this.clock.getAsLong());
+		return a::callerGone;
 	}
 
 	void ended() {
 		this.inProgress--;
 	}
 
-	private void refuse(RelayRequest r, CallerAnswer a, RelayRefusal refusal, long now) {
-		long version = (this.table != null) ? this.table.version() : 0;
-		this.metrics.refused(refusal.code());
-		this.log.write(now, () -> "id=" + r.id() + " refused status=" + refusal.status() + " reason="
-				+ refusal.code().code() + " config=" + version);
-		a.refuse(refusal);
+	/**
+	 * Says whom to ask for the newest configuration.
+	 * @param source asks the operator's store
+	 */
+	public void configSource(ConfigSource source) {
+		this.configSource = source;
+	}
+
+	/**
+	 * Returns the present moment.
+	 * @return the moment, by the gateway's clocks
+	 */
+	public Moment moment() {
+		return new Moment(this.clock.getAsLong(), this.wallClock.getAsLong());
+	}
+
+	/**
+	 * Takes that the configuration in force was the newest one.
+	 * @param asked when the question was sent that showed so
+	 */
+	public void proved(Moment asked) {
+		this.proof.proved(asked);
+	}
+
+	long proofAgeMs() {
+		return this.proof.ageMs(moment());
+	}
+
+	void askForProof(Runnable then) {
+		this.configSource.ask(then);
+	}
+
+	// Callers come with keys: what proves them is renewed before it is too old.
+	void keyUsed() {
+		if (this.proof.worthRenewing(moment())) {
+			askForProof(() -> {
+			});
+		}
 	}
 
 	HoldQueue holdQueue(String upstream) {
--- a/src/main/java/io/shallotspur/gateway/Placing.java
+++ b/src/main/java/io/shallotspur/gateway/Placing.java
@@ -45,6 +45,8 @@
 
 	private final Gateway g;
 
+	private final Admitted admitted;
+
 	private final Route route;
 
 	private final RelayRequest request;
@@ -83,17 +85,18 @@
 
 	private long waitsSince;
 
-	Placing(Gateway g, Route route, RelayRequest request, String upstream, @Nullable EngineSpec engine, Sink sink,
-			long arrivedAt, long answerBy) {
+	Placing(Gateway g, Admitted admitted, String upstream, @Nullable EngineSpec engine, Sink sink, long arrivedAt,
+			long answerBy) {
 		this.g = g;
-		this.route = route;
-		this.request = request;
+		this.admitted = admitted;
+		this.route = admitted.route();
+		this.request = admitted.request();
 		this.upstream = upstream;
 		this.engine = engine;
 		this.sink = sink;
 		this.arrivedAt = arrivedAt;
 		this.answerBy = answerBy;
-		this.askedAt = arrivedAt - g.ages.ageMs(route.name(), request.waitMs());
+		this.askedAt = arrivedAt - g.ages.ageMs(this.route.name(), this.request.waitMs());
 	}
 
 	void start(long now) {
@@ -149,7 +152,7 @@
 
 	@Override
 	public int priority() {
-		return Math.min(MAX_PRIORITY, this.route.priority());
+		return Math.min(MAX_PRIORITY, this.admitted.priority());
 	}
 
 	@Override
@@ -216,7 +219,7 @@
 		this.prefillsTried.add(p.get().info().id());
 		this.prefill = new PrefillStep(this.g, p.get(), prompt, this::prefillEnded);
 		this.prefill.start(new WorkerCall(this.request, p.get().info(), Math.max(1, this.answerBy - now), priority(),
-				this.sink.lastEventId(), null, null), prefillLimit());
+				this.sink.lastEventId(), null, null, this.admitted.customerName()), prefillLimit());
 	}
 
 	private boolean stalls(PromptShape prompt) {
@@ -270,7 +273,7 @@
 		}
 		this.tried.add(w.info().id());
 		WorkerCall call = new WorkerCall(this.request, w.info(), Math.max(1, this.answerBy - now), priority(), null,
-				this.source, this.hold);
+				this.source, this.hold, this.admitted.customerName());
 		this.target = null;
 		this.source = null;
 		this.hold = null;
--- /dev/null
+++ b/src/main/java/io/shallotspur/gateway/QuotaPart.java
@@ -0,0 +1,21 @@
+package io.shallotspur.gateway;
+
+/**
+ * Which part of each customer's quota a VM may spend. Stateless.
+ * <p>
+ * The VMs that callers are told to use have equal parts: callers choose among them at
+ * random. One that stands by still meets callers who have an older answer, and others may
+ * not know yet that it serves, or no longer does; it has as much as if it were one more.
+ * That is more than the whole in all, for the seconds in which callers move.
+ */
+final class QuotaPart {
+
+	private QuotaPart() {
+	}
+
+	static double of(EntryVms vms, long now) {
+		int serving = vms.servingEverywhere(now);
+		return 1.0 / (vms.standsBy(now) ? serving + 1 : serving);
+	}
+
+}
--- a/src/main/java/io/shallotspur/gateway/RefusalReason.java
+++ b/src/main/java/io/shallotspur/gateway/RefusalReason.java
@@ -16,6 +16,15 @@
 	/** No route matches host and path. */
 	NO_ROUTE,
 
+	/** No customer has the key that the caller sent, or it sent none. */
+	UNKNOWN_KEY,
+
+	/** Whether the key has been revoked cannot be found out at present. */
+	KEY_UNPROVEN,
+
+	/** The customer has asked for more than its quota. */
+	OVER_QUOTA,
+
 	/** No worker of the upstream takes requests. */
 	NO_WORKER,
 
--- a/src/main/java/io/shallotspur/gateway/RelayMetrics.java
+++ b/src/main/java/io/shallotspur/gateway/RelayMetrics.java
@@ -1,17 +1,28 @@
 package io.shallotspur.gateway;
 
 import java.util.Locale;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 
 import com.codahale.metrics.MetricRegistry;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Counters and histograms of the relaying. Thread-safe, as the registry is.
  */
 public final class RelayMetrics {
 
+	// Customers with series of their own; those that come later are counted together. A
+	// scrape of tens of thousands of series would take the VM longer than its requests.
+	private static final int MOST_CUSTOMERS = 64;
+
+	private static final String OTHERS = "others";
+
 	private final MetricRegistry registry;
 
+	private final Set<String> customers = ConcurrentHashMap.newKeySet();
+
 	/**
 	 * Creates the metrics of one VM.
 	 * @param registry where they are kept
@@ -20,20 +31,38 @@
 		this.registry = registry;
 	}
 
-	void arrived(String route) {
+	void arrived(String route, @Nullable String customer) {
 		this.registry.counter("relay.requests." + route).inc();
+		ofCustomer("requests", customer);
 	}
 
 	void firstByte(String route, long ms) {
 		this.registry.timer("relay.first." + route).update(ms, TimeUnit.MILLISECONDS);
 	}
 
-	void answered(String route, long ms) {
+	void answered(String route, @Nullable String customer, long ms) {
 		this.registry.timer("relay.answered." + route).update(ms, TimeUnit.MILLISECONDS);
+		if (customer != null) {
+			this.registry.timer("customer.answered." + series(customer)).update(ms, TimeUnit.MILLISECONDS);
+		}
 	}
 
-	void refused(RefusalReason reason) {
+	void refused(RefusalReason reason, @Nullable String customer) {
 		this.registry.counter("relay.refused." + reason.code()).inc();
+		ofCustomer("refused." + reason.code(), customer);
+	}
+
+	private void ofCustomer(String what, @Nullable String customer) {
+		if (customer != null) {
+			this.registry.counter("customer." + what + "." + series(customer)).inc();
+		}
+	}
+
+	private String series(String customer) {
+		if (this.customers.size() < MOST_CUSTOMERS) {
+			this.customers.add(customer);
+		}
+		return this.customers.contains(customer) ? customer : OTHERS;
 	}
 
 	void attemptEnded(AttemptEnd end) {
--- a/src/main/java/io/shallotspur/gateway/RelayRefusal.java
+++ b/src/main/java/io/shallotspur/gateway/RelayRefusal.java
@@ -13,6 +13,9 @@
 	/** The request has not run and never will. */
 	public static final int NOT_RUN = 503;
 
+	/** The same, as the customer has asked for too much. */
+	public static final int TOO_MANY = 429;
+
 	/** Nobody knows whether the request has run; no whole answer came. */
 	public static final int OUTCOME_UNKNOWN = 502;
 
--- a/src/main/java/io/shallotspur/gateway/RelayRequest.java
+++ b/src/main/java/io/shallotspur/gateway/RelayRequest.java
@@ -17,9 +17,11 @@
  * {@link Long#MAX_VALUE} if it does not say
  * @param prompt what the request says of its prompt, or {@code null}
  * @param lastEventId the event after which a resumed stream goes on, or {@code null}
+ * @param keyHash the hash of the key that the caller sent, or {@code null} if it sent
+ * none, or none that can be read
  */
 public record RelayRequest(String id, String method, String target, String host, List<HeaderField> headers, byte[] body,
-		long waitMs, @Nullable PromptShape prompt, @Nullable String lastEventId) {
+		long waitMs, @Nullable PromptShape prompt, @Nullable String lastEventId, @Nullable String keyHash) {
 
 	/**
 	 * Creates a request; the list is copied.
--- a/src/main/java/io/shallotspur/gateway/RelayTask.java
+++ b/src/main/java/io/shallotspur/gateway/RelayTask.java
@@ -2,10 +2,10 @@
 
 import org.jspecify.annotations.Nullable;
 
+import io.shallotspur.route.Customer;
 import io.shallotspur.route.EngineSpec;
 import io.shallotspur.route.Route;
 import io.shallotspur.route.RouteKind;
-import io.shallotspur.route.RouteTable;
 import io.shallotspur.route.UpstreamSpec;
 
 /**
@@ -27,7 +27,7 @@
 
 	private final Gateway g;
 
-	private final RouteTable table;
+	private final Admitted admitted;
 
 	private final Route route;
 
@@ -66,19 +66,19 @@
 
 	private boolean finished;
 
-	RelayTask(Gateway g, RouteTable table, Route route, RelayRequest request, CallerAnswer answer, long now) {
+	RelayTask(Gateway g, Admitted admitted, CallerAnswer answer, long now) {
 		this.g = g;
-		this.table = table;
-		this.route = route;
-		this.request = request;
+		this.admitted = admitted;
+		this.route = admitted.route();
+		this.request = admitted.request();
 		this.answer = answer;
 		this.arrivedAt = now;
-		this.answerBy = now + Math.min(request.waitMs(), route.timeoutMs());
-		this.upstream = route.chooseUpstream(g.random.next());
-		this.lastEventId = request.lastEventId();
-		EngineSpec engine = table.upstream(this.upstream).map(UpstreamSpec::engine).orElse(null);
+		this.answerBy = now + Math.min(this.request.waitMs(), this.route.timeoutMs());
+		this.upstream = this.route.chooseUpstream(g.random.next());
+		this.lastEventId = this.request.lastEventId();
+		EngineSpec engine = admitted.table().upstream(this.upstream).map(UpstreamSpec::engine).orElse(null);
 		this.eventTokens = (engine != null) ? engine.eventTokens() : 0;
-		this.placing = new Placing(g, route, request, this.upstream, engine, this, now, this.answerBy);
+		this.placing = new Placing(g, admitted, this.upstream, engine, this, now, this.answerBy);
 	}
 
 	void start(long now) {
@@ -207,7 +207,7 @@
 		if (!inParts) {
 			firstByte();
 		}
-		this.g.metrics.answered(this.route.name(), now - this.arrivedAt);
+		this.g.metrics.answered(this.route.name(), this.admitted.customerName(), now - this.arrivedAt);
 		PromptShape p = this.request.prompt();
 		if (inParts && p != null && this.request.lastEventId() == null) {
 			this.g.times(this.upstream).streamed(now - this.firstAt, p, received());
@@ -337,12 +337,22 @@
 
 	private void refuse(RelayRefusal r, long now) {
 		cancelAttempt();
-		this.g.metrics.refused(r.code());
+		giveBack(r);
+		this.g.metrics.refused(r.code(), this.admitted.customerName());
 		log(now, "refused status=" + r.status() + " reason=" + r.code().code() + " retry-after-ms=" + r.retryAfterMs());
 		finish();
 		this.answer.refuse(r);
 	}
 
+	// What has not run is not charged: the caller is told to come back, and would pay
+	// twice.
+	private void giveBack(RelayRefusal r) {
+		Customer c = this.admitted.customer();
+		if (c != null && r.status() == RelayRefusal.NOT_RUN) {
+			this.g.quotas.giveBack(c, this.admitted.cost());
+		}
+	}
+
 	private void breakOff(RefusalReason reason, long now) {
 		cancelAttempt();
 		this.g.metrics.brokenOff();
@@ -392,8 +402,9 @@
 		String worker = (this.attempt != null) ? this.attempt.worker().info().id() : "none";
 		this.g.log.write(now,
 				() -> "id=" + this.request.id() + " route=" + this.route.name() + " upstream=" + this.upstream
-						+ " worker=" + worker + " config=" + this.table.version() + " sends=" + this.history.sends()
-						+ " ms=" + (now - this.arrivedAt) + " " + what);
+						+ " customer=" + this.admitted.customerName() + " worker=" + worker + " config="
+						+ this.admitted.table().version() + " sends=" + this.history.sends() + " ms="
+						+ (now - this.arrivedAt) + " " + what);
 	}
 
 }
--- a/src/main/java/io/shallotspur/gateway/RetryAdvice.java
+++ b/src/main/java/io/shallotspur/gateway/RetryAdvice.java
@@ -42,6 +42,19 @@
 		return base + (long) (base * draw);
 	}
 
+	/**
+	 * Returns when a caller is to come back whose customer has used up its quota. All of
+	 * the customer's callers wait for the same refill, so they are spread over as long
+	 * again.
+	 * @param refillMs after how long the customer may ask again, in milliseconds
+	 * @param leftMs how long the caller will still wait, in milliseconds
+	 * @param draw a random number from 0 to 1
+	 * @return milliseconds
+	 */
+	static long afterQuotaMs(long refillMs, long leftMs, double draw) {
+		return (long) Math.min(HEEDED_SHARE * leftMs, PLAIN_MS + refillMs * (1 + draw));
+	}
+
 	/**
 	 * Returns when a caller is to come back whose answer will be late in any case. It
 	 * loses nothing by coming later, and by then the burst that kept it waiting is more
--- a/src/main/java/io/shallotspur/gateway/WorkerCall.java
+++ b/src/main/java/io/shallotspur/gateway/WorkerCall.java
@@ -12,9 +12,10 @@
  * @param lastEventId the event after which the answer goes on, or {@code null}
  * @param kvSource where the prompt's KV cache is to be fetched from, or {@code null}
  * @param hold the reservation to be used, or {@code null}
+ * @param customer the customer whose request it is, or {@code null}
  */
 public record WorkerCall(RelayRequest request, WorkerInfo worker, long timeLeftMs, int priority,
-		@Nullable String lastEventId, @Nullable KvSource kvSource, @Nullable String hold) {
+		@Nullable String lastEventId, @Nullable KvSource kvSource, @Nullable String hold, @Nullable String customer) {
 
 	/**
 	 * Returns this call with another place to go on from.
@@ -22,7 +23,8 @@
 	 * @return a call that differs in that only
 	 */
 	public WorkerCall withLastEventId(@Nullable String id) {
-		return new WorkerCall(this.request, this.worker, this.timeLeftMs, this.priority, id, this.kvSource, this.hold);
+		return new WorkerCall(this.request, this.worker, this.timeLeftMs, this.priority, id, this.kvSource, this.hold,
+				this.customer);
 	}
 
 }
--- a/src/main/java/io/shallotspur/node/Admission.java
+++ b/src/main/java/io/shallotspur/node/Admission.java
@@ -1,11 +1,8 @@
 package io.shallotspur.node;
 
-import java.nio.charset.StandardCharsets;
-import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
-import java.util.HexFormat;
 import java.util.Optional;
 
+import io.shallotspur.contract.BearerKey;
 import io.shallotspur.contract.Contract;
 import io.shallotspur.contract.ContractSet;
 import io.shallotspur.contract.RequestClass;
@@ -65,28 +62,13 @@
 	 * @throws RefusedException if no contract has the token
 	 */
 	static Optional<Contract> authenticate(ContractSet contracts, String bearer) throws RefusedException {
-		Optional<Contract> c = bearer.isEmpty() ? Optional.empty() : contracts.findByKeyHash(keyHash(bearer));
+		Optional<Contract> c = bearer.isEmpty() ? Optional.empty() : contracts.findByKeyHash(BearerKey.hash(bearer));
 		if (c.isEmpty()) {
 			throw RefusedException.notRun(RefusalCode.UNAUTHORIZED, "No contract has this bearer token.");
 		}
 		return c;
 	}
 
-	/**
-	 * Hashes a bearer token as contracts keep it.
-	 * @param bearer the token
-	 * @return its SHA-256 in lower-case hex
-	 */
-	static String keyHash(String bearer) {
-		try {
-			byte[] d = MessageDigest.getInstance("SHA-256").digest(bearer.getBytes(StandardCharsets.UTF_8));
-			return HexFormat.of().formatHex(d);
-		}
-		catch (NoSuchAlgorithmException ex) {
-			throw new IllegalStateException(ex);
-		}
-	}
-
 	private static Admission of(Optional<Contract> contract, String className, String key, long deadlineMs, long now)
 			throws RefusedException {
 		if (contract.isEmpty()) {
--- a/src/main/java/io/shallotspur/platform/ConfigDecoder.java
+++ b/src/main/java/io/shallotspur/platform/ConfigDecoder.java
@@ -1,15 +1,21 @@
 package io.shallotspur.platform;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
+import java.util.Set;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import org.jspecify.annotations.Nullable;
 
+import io.shallotspur.contract.BearerKey;
 import io.shallotspur.exc.InputException;
+import io.shallotspur.route.Customer;
 import io.shallotspur.route.EngineSpec;
 import io.shallotspur.route.IngressLimits;
+import io.shallotspur.route.Quota;
+import io.shallotspur.route.QuotaUnit;
 import io.shallotspur.route.Route;
 import io.shallotspur.route.RouteKind;
 import io.shallotspur.route.RouteTable;
@@ -42,7 +48,11 @@
 		for (JsonNode s : n.path("services")) {
 			upstreams.add(upstream(s));
 		}
-		return new RouteTable(n.path("version").asLong(), routes, upstreams, limits(n.path("limits")));
+		List<Customer> customers = new ArrayList<>();
+		for (JsonNode t : n.path("tenants")) {
+			customers.add(customer(t));
+		}
+		return new RouteTable(n.path("version").asLong(), routes, upstreams, limits(n.path("limits")), customers);
 	}
 
 	private static Route route(JsonNode r) throws InputException {
@@ -56,7 +66,7 @@
 				r.path("timeout_ms").asLong(NO_TIMEOUT_MS), r.path("target_latency_ms").asLong(0),
 				r.path("target_gap_ms").asLong(0), r.path("priority").asInt(0),
 				Math.max(1, r.path("max_attempts").asInt(1)), r.path("allow_resume").asBoolean(false),
-				r.path("session_affinity").asBoolean(false));
+				r.path("session_affinity").asBoolean(false), r.path("allow_anonymous").asBoolean(false));
 	}
 
 	private static RouteKind kind(JsonNode r, String name) throws InputException {
@@ -97,6 +107,21 @@
 				e.path("stride").asInt(0));
 	}
 
+	private static Customer customer(JsonNode t) {
+		Set<String> hashes = new HashSet<>();
+		for (JsonNode k : t.path("api_keys")) {
+			hashes.add(BearerKey.hash(k.asText()));
+		}
+		Integer priority = t.path("priority").isInt() ? t.path("priority").asInt() : null;
+		return new Customer(t.path("name").asText(), hashes, priority, quota(t));
+	}
+
+	private static Quota quota(JsonNode t) {
+		QuotaUnit unit = t.path("unit").asText().equals("tokens") ? QuotaUnit.TOKENS : QuotaUnit.REQUESTS;
+		return new Quota(unit, Math.max(0, t.path("rate_per_s").asDouble()),
+				Math.max(0, t.path("burst_size").asDouble()), t.path("plain_tokens").asInt(0));
+	}
+
 	private static IngressLimits limits(JsonNode l) {
 		IngressLimits d = IngressLimits.DEFAULT;
 		return new IngressLimits(l.path("max_header_bytes").asInt(d.maxHeaderBytes()),
--- a/src/main/java/io/shallotspur/platform/EntryDecoder.java
+++ b/src/main/java/io/shallotspur/platform/EntryDecoder.java
@@ -19,6 +19,7 @@
 import io.shallotspur.gateway.WorkerInfo;
 import io.shallotspur.gateway.WorkerStage;
 import io.shallotspur.registry.RegistryChange;
+import io.shallotspur.route.RouteTable;
 
 /**
  * Decodes items and events of the platform's store. Stateless. Other writers may leave
@@ -75,11 +76,15 @@
 					item.path("revision").asLong()));
 		}
 		if (key.equals(Names.CONFIG_KEY) && !gone) {
-			return Optional.of(new RegistryChange.Configured(ConfigDecoder.decode(value(item))));
+			return Optional.of(new RegistryChange.Configured(configuration(item)));
 		}
 		return Optional.empty();
 	}
 
+	static RouteTable configuration(JsonNode item) throws InputException {
+		return ConfigDecoder.decode(value(item));
+	}
+
 	private static JsonNode value(JsonNode item) throws InputException {
 		try {
 			return JSON.readTree(Base64.getDecoder().decode(item.path("value").asText()));
--- a/src/main/java/io/shallotspur/platform/HttpWorkerPort.java
+++ b/src/main/java/io/shallotspur/platform/HttpWorkerPort.java
@@ -249,6 +249,9 @@
 		if (q.body().length > SHARED_BODY_BYTES) {
 			h.set(HttpHeaderNames.CONNECTION, "close");
 		}
+		if (call.customer() != null) {
+			h.set(Names.CUSTOMER, call.customer());
+		}
 		if (q.prompt() != null) {
 			h.set(Names.PRIORITY, call.priority());
 		}
--- a/src/main/java/io/shallotspur/platform/Names.java
+++ b/src/main/java/io/shallotspur/platform/Names.java
@@ -39,6 +39,12 @@
 	/** The caller's estimate of the output tokens. */
 	static final String LENGTH_HINT = "X-Length-Hint";
 
+	/** The caller's key. */
+	static final String CREDENTIALS = "Authorization";
+
+	/** The customer whose key the caller sent. */
+	static final String CUSTOMER = "X-Tenant";
+
 	static final String LAST_EVENT = "Last-Event-Id";
 
 	/** The rank at the worker, 0 to 9; 0 is first. */
@@ -87,11 +93,13 @@
 	static final String FIGURES_PREFIX = "figures/";
 
 	// Fields of one connection, and those that only the system may set. A caller who set
-	// the latter could take another request's memory or rank.
+	// the latter could take another request's memory or rank, or be taken for another
+	// customer's. The key is for this system; a worker that had it could use it.
 	private static final Set<String> NOT_RELAYED = Set.of("connection", "keep-alive", "proxy-connection", "te",
 			"trailer", "transfer-encoding", "upgrade", "expect", "content-length", "proxy-authenticate",
 			"proxy-authorization", "x-stage", "x-kv-source", "x-kv-backup", "x-kv-fetch", "x-hold", "x-pin-ms",
-			"x-request-priority", "x-expect-instance", "x-expect-version", "x-deadline-ms", "last-event-id");
+			"x-request-priority", "x-expect-instance", "x-expect-version", "x-deadline-ms", "last-event-id",
+			"authorization", "x-tenant");
 
 	private Names() {
 	}
--- a/src/main/java/io/shallotspur/platform/PlatformSettings.java
+++ b/src/main/java/io/shallotspur/platform/PlatformSettings.java
@@ -86,7 +86,8 @@
 		String hall = vm.text("hall");
 		return new GatewaySettings(name, hall, bounds.number("retry_ratio", 0.1, 0, 10),
 				bounds.number("retry_slack", 10, 0, 1_000_000),
-				(long) (bounds.number("retry_window_s", 10, 0.1, 3_600) * MS_PER_S));
+				(long) (bounds.number("retry_window_s", 10, 0.1, 3_600) * MS_PER_S),
+				bounds.whole("revoked_key_ms", 0, 0, HOUR_MS));
 	}
 
 	/**
--- a/src/main/java/io/shallotspur/platform/PlatformVm.java
+++ b/src/main/java/io/shallotspur/platform/PlatformVm.java
@@ -18,6 +18,7 @@
 import io.shallotspur.gateway.GatewayPorts;
 import io.shallotspur.gateway.RelayMetrics;
 import io.shallotspur.record.NodeMetrics;
+import io.shallotspur.registry.ConfigReader;
 import io.shallotspur.registry.Duty;
 import io.shallotspur.registry.RegistryFollower;
 import io.shallotspur.registry.SharedFigures;
@@ -73,11 +74,12 @@
 	PlatformVm(PlatformSettings s) {
 		this.settings = s;
 		HttpWorkerPort workers = new HttpWorkerPort(this.loop);
-		GatewayPorts ports = new GatewayPorts(workers, this.loop, this.clock,
+		GatewayPorts ports = new GatewayPorts(workers, this.loop, this.clock, System::currentTimeMillis,
 				() -> ThreadLocalRandom.current().nextDouble(), new DecisionLog(s.log().linesPerSecond()),
 				new RelayMetrics(this.metrics.registry()));
 		this.gateway = new Gateway(s.gateway(), ports);
 		StoreRegistry registry = new StoreRegistry(s.store(), this.loop);
+		this.gateway.configSource(new ConfigReader(registry, this.gateway));
 		String incarnation = Long.toHexString(ThreadLocalRandom.current().nextLong());
 		EntryVm self = new EntryVm(Names.VM_PREFIX + s.callers() + "/" + incarnation, s.callers().toString(),
 				s.region(), s.gateway().hall(), s.cores(), false);
--- a/src/main/java/io/shallotspur/platform/RequestDecoder.java
+++ b/src/main/java/io/shallotspur/platform/RequestDecoder.java
@@ -1,9 +1,12 @@
 package io.shallotspur.platform;
 
+import java.util.List;
+
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import org.jspecify.annotations.Nullable;
 
+import io.shallotspur.contract.BearerKey;
 import io.shallotspur.exc.InputException;
 import io.shallotspur.gateway.PromptShape;
 import io.shallotspur.gateway.RelayRequest;
@@ -33,7 +36,14 @@
 			throw new InputException("The request names no id, host or path.", target);
 		}
 		return new RelayRequest(id, method, target, host, Names.relayed(h), body, waitMs(h), prompt(h),
-				h.get(Names.LAST_EVENT));
+				h.get(Names.LAST_EVENT), keyHash(h));
+	}
+
+	// Two keys name no customer: which of them counts, another reader of the request
+	// could see otherwise.
+	private static @Nullable String keyHash(HttpHeaders h) {
+		List<String> l = h.getAll(Names.CREDENTIALS);
+		return (l.size() == 1) ? BearerKey.hashOf(l.get(0)).orElse(null) : null;
 	}
 
 	private static long waitMs(HttpHeaders h) throws InputException {
--- a/src/main/java/io/shallotspur/platform/StoreRegistry.java
+++ b/src/main/java/io/shallotspur/platform/StoreRegistry.java
@@ -24,6 +24,7 @@
 import reactor.netty.resources.ConnectionProvider;
 
 import io.shallotspur.cfg.Endpoint;
+import io.shallotspur.exc.InputException;
 import io.shallotspur.exc.StoreHistoryGoneException;
 import io.shallotspur.exc.StoreUnavailableException;
 import io.shallotspur.gateway.EngineFigures;
@@ -32,9 +33,11 @@
 import io.shallotspur.registry.Registry;
 import io.shallotspur.registry.RegistryChange;
 import io.shallotspur.registry.RegistryNews;
+import io.shallotspur.route.RouteTable;
 
 /**
- * The registry in the platform's store. Thread-safe; answers come on the event loop.
+ * The registry in the platform's store. Confined to the event loop, on which answers
+ * come.
  * <p>
  * Every call has a time limit of its own, and one that passes it closes its connection:
  * connections go silent without a reset, and one that has lost an answer brings no other.
@@ -77,6 +80,10 @@
 
 	private final Loop loop;
 
+	private @Nullable RouteTable configuration;
+
+	private long configurationRevision;
+
 	StoreRegistry(Endpoint store, Loop loop) {
 		this.loop = loop;
 		ConnectionProvider pool = ConnectionProvider.builder("store")
@@ -146,6 +153,35 @@
 		});
 	}
 
+	@Override
+	public Mono<RouteTable> configuration() {
+		return key(Names.CONFIG_KEY).flatMap((r) -> {
+			if (r.status() != OK) {
+				return Mono.error(refused(r, "key"));
+			}
+			return Mono.fromCallable(() -> configuration(r.body()));
+		});
+	}
+
+	// Asked for again and again while it stays the same; a large one takes some time to
+	// decode.
+	private RouteTable configuration(JsonNode item) throws InputException {
+		long revision = item.path("revision").asLong();
+		RouteTable t = this.configuration;
+		if (t == null || revision != this.configurationRevision) {
+			t = EntryDecoder.configuration(item);
+			this.configuration = t;
+			this.configurationRevision = revision;
+		}
+		return t;
+	}
+
+	private Mono<Reply> key(String key) {
+		QueryStringEncoder q = new QueryStringEncoder("/api/kv-key");
+		q.addParam("key", key);
+		return call(HttpMethod.GET, q.toString(), null, TIMEOUT_MS);
+	}
+
 	@Override
 	public Mono<Long> openLease(long ttlMs) {
 		ObjectNode body = EntryDecoder.JSON.createObjectNode().put("ttl_ms", ttlMs);
@@ -180,9 +216,7 @@
 
 	@Override
 	public Mono<Optional<RegistryChange.DutyHeld>> duty() {
-		QueryStringEncoder q = new QueryStringEncoder("/api/kv-key");
-		q.addParam("key", Names.DUTY_KEY);
-		return call(HttpMethod.GET, q.toString(), null, TIMEOUT_MS).flatMap((r) -> {
+		return key(Names.DUTY_KEY).flatMap((r) -> {
 			if (r.status() == NOT_FOUND) {
 				return Mono.just(Optional.empty());
 			}
--- /dev/null
+++ b/src/main/java/io/shallotspur/registry/ConfigReader.java
@@ -0,0 +1,86 @@
+package io.shallotspur.registry;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.tinylog.Logger;
+
+import io.shallotspur.gateway.ConfigSource;
+import io.shallotspur.gateway.Gateway;
+import io.shallotspur.gateway.Moment;
+import io.shallotspur.route.RouteTable;
+
+/**
+ * Reads the newest configuration when the gateway has to know that it has it. Not
+ * thread-safe; confined to the gateway's thread.
+ * <p>
+ * A watch does not prove it: one that was lost with a silent connection, or that a store
+ * serves from a history that it has dropped, looks like one without changes. Nor does the
+ * renewal of a lease, whose answer says nothing of the configuration.
+ * <p>
+ * Invariant: one call is under way at a time, and all who ask meanwhile share its answer;
+ * after a failure the store is left alone for a while, so that requests without a proof
+ * are refused at once and do not each wait for a store that is away.
+ */
+public final class ConfigReader implements ConfigSource {
+
+	// After a call that failed, ms. Within the time in which a proof is still good
+	// several tries are made.
+	private static final long RETRY_MS = 300;
+
+	private final Registry registry;
+
+	private final Gateway gateway;
+
+	private final List<Runnable> waiting = new ArrayList<>();
+
+	private boolean underWay;
+
+	private long failedAt = Long.MIN_VALUE / 2;
+
+	/**
+	 * Creates a reader.
+	 * @param registry the registry
+	 * @param gateway is told what was read
+	 */
+	public ConfigReader(Registry registry, Gateway gateway) {
+		this.registry = registry;
+		this.gateway = gateway;
+	}
+
+	@Override
+	public void ask(Runnable then) {
+		Moment now = this.gateway.moment();
+		if (!this.underWay && now.steadyMs() - this.failedAt < RETRY_MS) {
+			then.run();
+			return;
+		}
+		this.waiting.add(then);
+		if (!this.underWay) {
+			this.underWay = true;
+			this.registry.configuration().subscribe((t) -> read(t, now), this::failed);
+		}
+	}
+
+	private void read(RouteTable t, Moment asked) {
+		// The watch may have brought a newer one while this answer was on its way, which
+		// is then the newest that is known, and this answer no proof of less.
+		this.gateway.configure(t);
+		this.gateway.proved(asked);
+		over();
+	}
+
+	private void failed(Throwable ex) {
+		this.failedAt = this.gateway.moment().steadyMs();
+		Logger.warn("[registry] configuration not read seen=\"{}\"", ex.toString());
+		over();
+	}
+
+	private void over() {
+		this.underWay = false;
+		List<Runnable> l = List.copyOf(this.waiting);
+		this.waiting.clear();
+		l.forEach(Runnable::run);
+	}
+
+}
--- a/src/main/java/io/shallotspur/registry/Registry.java
+++ b/src/main/java/io/shallotspur/registry/Registry.java
@@ -7,6 +7,7 @@
 import io.shallotspur.gateway.EngineFigures;
 import io.shallotspur.gateway.EntryVm;
 import io.shallotspur.gateway.WorkerStage;
+import io.shallotspur.route.RouteTable;
 
 /**
  * The registry in the platform's store. Calls fail with
@@ -29,6 +30,12 @@
 	 */
 	Mono<RegistryNews> changes(long after, long waitMs);
 
+	/**
+	 * Reads the newest configuration; an answer from the past does not count.
+	 * @return the configuration
+	 */
+	Mono<RouteTable> configuration();
+
 	/**
 	 * Opens a lease.
 	 * @param ttlMs how long it lasts without renewal, in milliseconds
--- a/src/main/java/io/shallotspur/route/Route.java
+++ b/src/main/java/io/shallotspur/route/Route.java
@@ -18,9 +18,11 @@
  * @param maxAttempts the most workers that one request may be sent to; at least 1
  * @param resumable whether a broken stream may go on at another worker
  * @param carriesPrompts whether its requests say what their prompt consists of
+ * @param anonymous whether its callers need no key
  */
 public record Route(String name, String host, String prefix, RouteKind kind, List<RouteTarget> targets, long timeoutMs,
-		long targetMs, long gapMs, int priority, int maxAttempts, boolean resumable, boolean carriesPrompts) {
+		long targetMs, long gapMs, int priority, int maxAttempts, boolean resumable, boolean carriesPrompts,
+		boolean anonymous) {
 
 	/**
 	 * Creates a route; the list of targets is copied.
--- a/src/main/java/io/shallotspur/route/RouteTable.java
+++ b/src/main/java/io/shallotspur/route/RouteTable.java
@@ -22,6 +22,10 @@
 
 	private final IngressLimits limits;
 
+	private final Map<String, Customer> byKeyHash;
+
+	private final boolean asksForKeys;
+
 	/**
 	 * Creates a table.
 	 * @param version its version; later ones are higher
@@ -30,8 +34,25 @@
 	 * @param limits what callers may send
 	 */
 	public RouteTable(long version, List<Route> routes, List<UpstreamSpec> upstreams, IngressLimits limits) {
+		this(version, routes, upstreams, limits, List.of());
+	}
+
+	/**
+	 * Creates a table with customers.
+	 * @param version its version; later ones are higher
+	 * @param routes the routes
+	 * @param upstreams the upstreams
+	 * @param limits what callers may send
+	 * @param customers the customers; if there are none, callers need no key
+	 */
+	public RouteTable(long version, List<Route> routes, List<UpstreamSpec> upstreams, IngressLimits limits,
+			List<Customer> customers) {
 		this.version = version;
 		this.limits = limits;
+		this.asksForKeys = !customers.isEmpty();
+		Map<String, Customer> byKey = new HashMap<>();
+		customers.forEach((c) -> c.keyHashes().forEach((k) -> byKey.put(k, c)));
+		this.byKeyHash = Map.copyOf(byKey);
 		Map<String, UpstreamSpec> byName = new HashMap<>();
 		upstreams.forEach((u) -> byName.put(u.name(), u));
 		this.upstreams = Map.copyOf(byName);
@@ -71,6 +92,23 @@
 		return this.limits;
 	}
 
+	/**
+	 * Tells whether callers must show whose they are.
+	 * @return {@code false} if the operator keeps no customers
+	 */
+	public boolean asksForKeys() {
+		return this.asksForKeys;
+	}
+
+	/**
+	 * Finds the customer that a key belongs to.
+	 * @param keyHash the hash of the key
+	 * @return the customer, or empty if no customer has the key
+	 */
+	public Optional<Customer> customer(String keyHash) {
+		return Optional.ofNullable(this.byKeyHash.get(keyHash));
+	}
+
 	/**
 	 * Returns an upstream.
 	 * @param name its name
--- /dev/null
+++ b/src/test/java/io/shallotspur/gateway/CustomerKeyTests.java
@@ -0,0 +1,196 @@
+package io.shallotspur.gateway;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.assertj.core.api.Assertions;
+import org.junit.jupiter.api.Test;
+
+import io.shallotspur.gateway.GatewayFixture.Call;
+import io.shallotspur.route.Customer;
+import io.shallotspur.route.Quota;
+
+/**
+ * Tests of whose a request is, and of keys that were revoked.
+ */
+class CustomerKeyTests {
+
+	private static final long REVOKED_MS = 5_000;
+
+	private static final Customer ACME = GatewayFixture.customer("acme", Quota.UNLIMITED, "key-1", "key-2");
+
+	private static final Customer BOLT = GatewayFixture.customer("bolt", Quota.UNLIMITED, "key-3");
+
+	private final GatewayFixture f = new GatewayFixture(REVOKED_MS).plainWorkers(2);
+
+	// Questions to the store that wait for an answer.
+	private final List<Runnable> questions = new ArrayList<>();
+
+	CustomerKeyTests() {
+		this.f.gateway.configure(GatewayFixture.table(1, ACME, BOLT));
+		this.f.gateway.configSource(this.questions::add);
+		prove();
+	}
+
+	private void prove() {
+		this.f.gateway.proved(this.f.gateway.moment());
+	}
+
+	private void answerAll() {
+		List<Runnable> l = List.copyOf(this.questions);
+		this.questions.clear();
+		l.forEach(Runnable::run);
+	}
+
+	private int runs() {
+		return this.f.workers.runs.size();
+	}
+
+	@Test
+	void tellsTheWorkerWhoseRequestItIs() {
+		this.f.keyed("safe", "key-2");
+		Assertions.assertThat(this.f.workers.last().call.customer()).isEqualTo("acme");
+		this.f.keyed("safe", "key-3");
+		Assertions.assertThat(this.f.workers.last().call.customer()).isEqualTo("bolt");
+	}
+
+	@Test
+	void deniesACallerWithoutAKnownKey() {
+		Assertions.assertThat(this.f.keyed("safe", null).caller().status).isEqualTo(401);
+		Assertions.assertThat(this.f.keyed("safe", "guess").caller().status).isEqualTo(401);
+		Assertions.assertThat(runs()).isZero();
+		Assertions.assertThat(this.f.gateway.inProgress()).isZero();
+	}
+
+	@Test
+	void asksForNoKeyWhereTheOperatorWantsNone() {
+		this.f.keyed("open", null);
+		Assertions.assertThat(this.f.workers.last().call.customer()).isNull();
+		this.f.keyed("open", "guess");
+		Assertions.assertThat(this.f.workers.last().call.customer()).isNull();
+		this.f.keyed("open", "key-1");
+		Assertions.assertThat(this.f.workers.last().call.customer()).isEqualTo("acme");
+	}
+
+	@Test
+	void asksForNoKeyWhereTheOperatorKeepsNoCustomers() {
+		GatewayFixture g = new GatewayFixture(REVOKED_MS).configured().plainWorkers(1);
+		g.keyed("safe", "any");
+		Assertions.assertThat(g.workers.last().call.customer()).isNull();
+	}
+
+	// A customer gets a new key, and the first caller who uses it reaches a VM that has
+	// not heard of it. Denied, the caller takes its key for bad and gives up.
+	@Test
+	void asksForANewerConfigurationBeforeItDeniesAKey() {
+		this.f.timer.advance(2_000);
+		Call c = this.f.keyed("safe", "key-new");
+		Assertions.assertThat(c.caller().ended).isFalse();
+		this.f.gateway
+			.configure(GatewayFixture.table(2, ACME, GatewayFixture.customer("bolt", Quota.UNLIMITED, "key-new")));
+		prove();
+		answerAll();
+		Assertions.assertThat(this.f.workers.last().call.customer()).isEqualTo("bolt");
+	}
+
+	// The VM is cut off from the store, and meanwhile a stolen key is revoked. Its thief
+	// could use this VM for as long as the cut lasts.
+	@Test
+	void runsNothingWithAKeyThatMayHaveBeenRevokedTooLongAgo() {
+		this.f.timer.advance(REVOKED_MS);
+		Call c = this.f.keyed("safe", "key-1");
+		answerAll();
+		Assertions.assertThat(c.caller().status).isEqualTo(503);
+		Assertions.assertThat(c.caller().refusal.code()).isEqualTo(RefusalReason.KEY_UNPROVEN);
+		Assertions.assertThat(runs()).isZero();
+	}
+
+	@Test
+	void runsItOnceTheStoreHasAnswered() {
+		this.f.timer.advance(REVOKED_MS);
+		this.f.keyed("safe", "key-1");
+		Assertions.assertThat(runs()).isZero();
+		prove();
+		answerAll();
+		Assertions.assertThat(runs()).isEqualTo(1);
+	}
+
+	// A caller waits for its permission at a store that is silent. Its own time passes,
+	// and it could have been served by another VM.
+	@Test
+	void tellsACallerInTimeThatTheStoreIsSilent() {
+		this.f.timer.advance(REVOKED_MS);
+		Call c = this.f.keyed("safe", "key-1");
+		this.f.timer.advance(500);
+		Assertions.assertThat(c.caller().status).isEqualTo(503);
+		prove();
+		answerAll();
+		Assertions.assertThat(c.caller().answers).isEqualTo(1);
+		Assertions.assertThat(runs()).isZero();
+	}
+
+	@Test
+	void aCallerWhoLeavesWhileTheStoreIsAskedIsForgotten() {
+		this.f.timer.advance(REVOKED_MS);
+		Call c = this.f.keyed("safe", "key-1");
+		c.gone().run();
+		prove();
+		answerAll();
+		Assertions.assertThat(runs()).isZero();
+		Assertions.assertThat(this.f.gateway.inProgress()).isZero();
+	}
+
+	// The machine is suspended for six seconds. Its steady clock does not count them, and
+	// by that clock the configuration was proved a moment ago.
+	@Test
+	void aSuspendedMachineNoticesThatItsProofIsOld() {
+		this.f.wallAheadMs += 6_000;
+		this.f.keyed("safe", "key-1");
+		Assertions.assertThat(runs()).isZero();
+		Assertions.assertThat(this.questions).hasSize(1);
+	}
+
+	// Someone sets the clock back. A proof whose age were counted by it would never end.
+	@Test
+	void aClockThatIsSetBackMakesNoProofYounger() {
+		this.f.wallAheadMs -= 60_000;
+		this.f.timer.advance(REVOKED_MS);
+		this.f.keyed("safe", "key-1");
+		Assertions.assertThat(runs()).isZero();
+	}
+
+	// The store answers slowly: the operator revokes a key just after it has read it for
+	// this VM. Counted from the answer, the key would be good for longer than it may.
+	@Test
+	void aProofIsAsOldAsItsQuestion() {
+		this.f.timer.advance(1_000);
+		Moment asked = this.f.gateway.moment();
+		this.f.timer.advance(4_000);
+		this.f.gateway.proved(asked);
+		this.f.timer.advance(1_000);
+		this.f.keyed("safe", "key-1");
+		Assertions.assertThat(runs()).isZero();
+	}
+
+	// A proof that is renewed only when it has ended would leave no time to serve in
+	// when the store is lost right then.
+	@Test
+	void renewsItsProofWhileCallersCome() {
+		this.f.timer.advance(1_000);
+		this.f.keyed("safe", "key-1");
+		Assertions.assertThat(this.questions).isEmpty();
+		this.f.timer.advance(500);
+		this.f.keyed("safe", "key-1");
+		Assertions.assertThat(this.questions).hasSize(1);
+		Assertions.assertThat(runs()).isEqualTo(2);
+	}
+
+	@Test
+	void aKeyThatIsGoneIsDenied() {
+		this.f.gateway.configure(GatewayFixture.table(2, GatewayFixture.customer("acme", Quota.UNLIMITED, "key-2")));
+		Assertions.assertThat(this.f.keyed("safe", "key-1").caller().status).isEqualTo(401);
+		this.f.keyed("safe", "key-2");
+		Assertions.assertThat(runs()).isEqualTo(1);
+	}
+
+}
--- a/src/test/java/io/shallotspur/gateway/GatewayFixture.java
+++ b/src/test/java/io/shallotspur/gateway/GatewayFixture.java
@@ -1,12 +1,17 @@
 package io.shallotspur.gateway;
 
+import java.util.Arrays;
 import java.util.List;
+import java.util.stream.Collectors;
 
 import com.codahale.metrics.MetricRegistry;
 import org.jspecify.annotations.Nullable;
 
+import io.shallotspur.contract.BearerKey;
+import io.shallotspur.route.Customer;
 import io.shallotspur.route.EngineSpec;
 import io.shallotspur.route.IngressLimits;
+import io.shallotspur.route.Quota;
 import io.shallotspur.route.Route;
 import io.shallotspur.route.RouteKind;
 import io.shallotspur.route.RouteTable;
@@ -14,9 +19,10 @@
 import io.shallotspur.route.UpstreamSpec;
 
 /**
- * A gateway with hand-driven workers, callers and time. Routes: {@code /safe/} and
- * {@code /unsafe/} to the plain upstream, {@code /once/} (one attempt) and
- * {@code /resume/} (two, resumable) to the model upstream.
+ * A gateway with hand-driven workers, callers and time. Routes: {@code /safe/},
+ * {@code /unsafe/} and {@code /open/} (needs no key) to the plain upstream,
+ * {@code /once/} (one attempt) and {@code /resume/} (two, resumable) to the model
+ * upstream.
  */
 final class GatewayFixture {
 
@@ -30,29 +36,42 @@
 
 	final MetricRegistry metrics = new MetricRegistry();
 
-	final Gateway gateway = new Gateway(new GatewaySettings("vm-1", "hall-a", 0.2, 50, 10_000), new GatewayPorts(
-			this.workers, this.timer, this.timer::now, () -> 0.5, new DecisionLog(0), new RelayMetrics(this.metrics)));
+	// By how much the time of day has moved against the steady clock, ms.
+	long wallAheadMs;
+
+	final Gateway gateway;
 
 	private int ids;
 
+	GatewayFixture() {
+		this(0);
+	}
+
+	GatewayFixture(long revokedKeyMs) {
+		this.gateway = new Gateway(
+				new GatewaySettings("vm-1", "hall-a", 0.2, 50, 10_000).withRevokedKeyMs(revokedKeyMs),
+				new GatewayPorts(this.workers, this.timer, this.timer::now, () -> this.timer.now() + this.wallAheadMs,
+						() -> 0.5, new DecisionLog(0), new RelayMetrics(this.metrics)));
+	}
+
 	GatewayFixture configured() {
 		this.gateway.configure(table(1));
 		return this;
 	}
 
-	static RouteTable table(long version) {
+	static RouteTable table(long version, Customer... customers) {
 		List<Route> routes = List.of(route("safe", RouteKind.SAFE, "plain", 2, false),
-				route("unsafe", RouteKind.UNSAFE, "plain", 2, false), route("once", RouteKind.STREAM, "llm", 1, false),
-				route("resume", RouteKind.STREAM, "llm", 2, true));
+				route("unsafe", RouteKind.UNSAFE, "plain", 2, false), route("open", RouteKind.SAFE, "plain", 2, false),
+				route("once", RouteKind.STREAM, "llm", 1, false), route("resume", RouteKind.STREAM, "llm", 2, true));
 		List<UpstreamSpec> upstreams = List.of(new UpstreamSpec("plain", 100, null),
 				new UpstreamSpec("llm", 100, new EngineSpec(64, 40_000, 18_432, 170_000, 500, 2_000, 10)));
-		return new RouteTable(version, routes, upstreams, IngressLimits.DEFAULT);
+		return new RouteTable(version, routes, upstreams, IngressLimits.DEFAULT, List.of(customers));
 	}
 
 	private static Route route(String name, RouteKind kind, String upstream, int attempts, boolean resumable) {
 		long timeout = (kind == RouteKind.STREAM) ? 14_000 : 800;
 		return new Route(name, "shop.example", "/" + name + "/", kind, List.of(new RouteTarget(upstream, 1)), timeout,
-				TARGET_MS, 300, 1, attempts, resumable, kind == RouteKind.STREAM);
+				TARGET_MS, 300, 1, attempts, resumable, kind == RouteKind.STREAM, name.equals("open"));
 	}
 
 	GatewayFixture plainWorkers(int n) {
@@ -90,9 +109,26 @@
 		return call(route, waitMs, prompt, null);
 	}
 
+	static Customer customer(String name, Quota quota, String... keys) {
+		return new Customer(name, Arrays.stream(keys).map(BearerKey::hash).collect(Collectors.toSet()), null, quota);
+	}
+
+	Call keyed(String route, @Nullable String key) {
+		return call(route, 1_500, null, null, (key != null) ? BearerKey.hash(key) : null);
+	}
+
+	Call keyedPrompt(String route, String key, int tokens) {
+		return call(route, 14_000, new PromptShape(tokens, 1_000, 400), null, BearerKey.hash(key));
+	}
+
 	private Call call(String route, long waitMs, @Nullable PromptShape prompt, @Nullable String lastEventId) {
+		return call(route, waitMs, prompt, lastEventId, null);
+	}
+
+	private Call call(String route, long waitMs, @Nullable PromptShape prompt, @Nullable String lastEventId,
+			@Nullable String keyHash) {
 		RelayRequest r = new RelayRequest("r" + (++this.ids), "POST", "/" + route + "/x", "shop.example", List.of(),
-				new byte[0], waitMs, prompt, lastEventId);
+				new byte[0], waitMs, prompt, lastEventId, keyHash);
 		FakeCaller c = new FakeCaller();
 		return new Call(c, this.gateway.handle(r, c));
 	}
--- /dev/null
+++ b/src/test/java/io/shallotspur/gateway/QuotaTests.java
@@ -0,0 +1,173 @@
+package io.shallotspur.gateway;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+
+import org.assertj.core.api.Assertions;
+import org.junit.jupiter.api.Test;
+
+import io.shallotspur.gateway.GatewayFixture.Call;
+import io.shallotspur.route.Customer;
+import io.shallotspur.route.Quota;
+import io.shallotspur.route.QuotaUnit;
+
+/**
+ * Tests of quotas: at one VM, and over several that spend their parts.
+ */
+class QuotaTests {
+
+	private static final long WINDOW_MS = 8_000;
+
+	private static final int MOST_COST = 6_200;
+
+	private static final Quota TOKENS = new Quota(QuotaUnit.TOKENS, 10_000, 10_000, 200);
+
+	private static final Customer ACME = GatewayFixture.customer("acme", TOKENS, "key-1");
+
+	private static Customer customer(double perSecond, double burst) {
+		return GatewayFixture.customer("acme", new Quota(QuotaUnit.TOKENS, perSecond, burst, 200), "key-1");
+	}
+
+	private static GatewayFixture gateway(Customer c) {
+		GatewayFixture f = new GatewayFixture().plainWorkers(1);
+		f.gateway.configure(GatewayFixture.table(1, c));
+		f.timer.advance(20_000);
+		return f;
+	}
+
+	@Test
+	void plainCallsCountAsTheOperatorSays() {
+		Assertions.assertThat(TOKENS.plainCost()).isEqualTo(200);
+		Assertions.assertThat(TOKENS.cost(1_460, 80)).isEqualTo(1_540);
+		Assertions.assertThat(new Quota(QuotaUnit.REQUESTS, 5, 5, 200).cost(1_460, 80)).isEqualTo(1);
+	}
+
+	@Test
+	void refusesWhatIsBeyondTheQuotaWithAnHonestAdvice() {
+		GatewayFixture f = gateway(ACME);
+		int served = 0;
+		Call c = f.keyed("safe", "key-1");
+		while (c.caller().refusal == null) {
+			f.workers.last().answer(200, "fine");
+			served++;
+			c = f.keyed("safe", "key-1");
+		}
+		Assertions.assertThat(served).isEqualTo(50);
+		Assertions.assertThat(c.caller().status).isEqualTo(429);
+		f.timer.advance(c.caller().refusal.retryAfterMs());
+		Assertions.assertThat(f.keyed("safe", "key-1").caller().refusal).isNull();
+	}
+
+	// Workers are full and refuse. Were the request charged all the same, its caller, who
+	// is told to come back, would pay for each try.
+	@Test
+	void whatHasNotRunIsNotCharged() {
+		GatewayFixture f = gateway(ACME);
+		for (int i = 0; i < 200; i++) {
+			Call c = f.keyed("unsafe", "key-1");
+			f.workers.last().notRun();
+			Assertions.assertThat(c.caller().status).isEqualTo(503);
+		}
+	}
+
+	// One customer sends many times its usual. The others must not notice.
+	@Test
+	void oneCustomersQuotaIsNotAnothers() {
+		GatewayFixture f = new GatewayFixture().plainWorkers(1);
+		f.gateway.configure(GatewayFixture.table(1, ACME, GatewayFixture.customer("bolt", TOKENS, "key-2")));
+		f.timer.advance(20_000);
+		for (int i = 0; i < 100; i++) {
+			f.keyed("safe", "key-1");
+		}
+		Assertions.assertThat(f.keyed("safe", "key-1").caller().status).isEqualTo(429);
+		Assertions.assertThat(f.keyed("safe", "key-2").caller().refusal).isNull();
+	}
+
+	// The part of a VM is smaller than one request. It must let one through now and then
+	// and not none.
+	@Test
+	void aRequestLargerThanTheBurstPassesNowAndThen() {
+		GatewayFixture f = gateway(customer(1_000, 1_000));
+		f.worker("d1", "llm", WorkerStage.DECODE);
+		Assertions.assertThat(f.keyedPrompt("once", "key-1", 6_000).caller().ended).isFalse();
+		Assertions.assertThat(f.keyedPrompt("once", "key-1", 6_000).caller().status).isEqualTo(429);
+	}
+
+	// The operator lowers the quota far below what the customer sends. What is left of
+	// the former burst must not be spent under the new quota.
+	@Test
+	void aLowerQuotaHoldsAtOnce() {
+		GatewayFixture f = gateway(customer(100_000, 100_000));
+		f.keyed("safe", "key-1");
+		f.gateway.configure(GatewayFixture.table(2, customer(1_000, 1_000)));
+		int served = 0;
+		while (f.keyed("safe", "key-1").caller().refusal == null) {
+			served++;
+		}
+		Assertions.assertThat(served).isEqualTo(5);
+	}
+
+	// All VMs lose power. Each comes back without knowing what was spent a second before;
+	// with a full burst at each start a customer could spend it again and again.
+	@Test
+	void aVmThatHasJustStartedHasNoBurst() {
+		QuotaBook b = new QuotaBook(1_000);
+		Customer c = customer(10_000, 50_000);
+		double spent = 0;
+		while (b.take(c, 200, 1, 1_000) == 0) {
+			spent += 200;
+		}
+		Assertions.assertThat(spent).isLessThanOrEqualTo(5_200);
+	}
+
+	// Several VMs with equal parts, callers spread over them in any way, VMs that start
+	// anew and have forgotten what was spent. In no window may the customer get more than
+	// its quota and one burst, beside a request for each VM, and for each start another
+	// one and what a VM may spend at first.
+	@Test
+	void allVmsTogetherKeepTheQuotaInEachWindow() {
+		for (long seed = 0; seed < 40; seed++) {
+			Random r = new Random(seed);
+			int vms = 1 + r.nextInt(5);
+			Customer c = customer(5_000 + r.nextInt(50_000), 5_000 + r.nextInt(50_000));
+			List<QuotaBook> books = new ArrayList<>();
+			for (int i = 0; i < vms; i++) {
+				books.add(new QuotaBook(-100_000));
+			}
+			List<Spent> spent = new ArrayList<>();
+			List<Long> starts = new ArrayList<>();
+			for (long now = 0; now < 30_000; now += 1 + r.nextInt(20)) {
+				int vm = (r.nextInt(3) == 0) ? 0 : r.nextInt(vms);
+				if (r.nextInt(1_000) == 0) {
+					books.set(vm, new QuotaBook(now));
+					starts.add(now);
+				}
+				double cost = 200 + r.nextInt(MOST_COST - 200);
+				if (books.get(vm).take(c, cost, 1.0 / vms, now) == 0) {
+					spent.add(new Spent(now, cost));
+				}
+			}
+			assertKept(spent, starts, c.quota(), vms, seed);
+		}
+	}
+
+	private static void assertKept(List<Spent> spent, List<Long> starts, Quota q, int vms, long seed) {
+		for (int from = 0; from < spent.size(); from++) {
+			long begin = spent.get(from).at();
+			double sum = spent.stream()
+				.filter((x) -> x.at() >= begin && x.at() < begin + WINDOW_MS)
+				.mapToDouble(Spent::cost)
+				.sum();
+			long started = starts.stream().filter((t) -> t >= begin && t < begin + WINDOW_MS).count();
+			double most = q.perSecond() * WINDOW_MS / 1_000 + q.burst() + (vms + started) * MOST_COST
+					+ started * q.perSecond() / vms / 2;
+			Assertions.assertThat(sum).as("seed %d", seed).isLessThanOrEqualTo(most);
+		}
+	}
+
+	private record Spent(long at, double cost) {
+
+	}
+
+}
--- a/src/test/java/io/shallotspur/node/RecordingHandlerTests.java
+++ b/src/test/java/io/shallotspur/node/RecordingHandlerTests.java
@@ -8,6 +8,7 @@
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 
+import io.shallotspur.contract.BearerKey;
 import io.shallotspur.contract.Contract;
 import io.shallotspur.contract.ContractSet;
 import io.shallotspur.contract.RequestClass;
@@ -25,7 +26,7 @@
 class RecordingHandlerTests {
 
 	private static final ContractSet CONTRACTS = ContractSet
-		.of(List.of(new Contract("acme", 1, 1, List.of(Admission.keyHash("secret")),
+		.of(List.of(new Contract("acme", 1, 1, List.of(BearerKey.hash("secret")),
 				List.of(new RequestClass("summary", "llm", 1, 60_000, 60_000, 120_000, true)), false)));
 
 	private final List<RequestEnd> ends = new ArrayList<>();
--- a/src/test/java/io/shallotspur/node/ServingFixture.java
+++ b/src/test/java/io/shallotspur/node/ServingFixture.java
@@ -25,6 +25,7 @@
 import io.shallotspur.adapter.caller.CallerSettings;
 import io.shallotspur.adapter.engine.HttpEngine;
 import io.shallotspur.adapter.plain.HttpPlainService;
+import io.shallotspur.contract.BearerKey;
 import io.shallotspur.contract.Contract;
 import io.shallotspur.contract.ContractSet;
 import io.shallotspur.contract.RequestClass;
@@ -79,7 +80,7 @@
 	private final CellAssignment plains;
 
 	private final ContractSet contracts = ContractSet
-		.of(List.of(new Contract("lonestar-motels", 1, 0.5, List.of(Admission.keyHash("secret")),
+		.of(List.of(new Contract("lonestar-motels", 1, 0.5, List.of(BearerKey.hash("secret")),
 				List.of(new RequestClass("registration-card", "draft-llm", 3, 10_000, 200, 20_000, true),
 						new RequestClass("key-encoding", "kiosk-api", 0, 5_000, 0, 5_000, false),
 						new RequestClass("signed-card", "draft-llm", 3, 10_000, 200, 20_000, false),
--- a/src/test/java/io/shallotspur/platform/PlatformPathTests.java
+++ b/src/test/java/io/shallotspur/platform/PlatformPathTests.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
 
+import io.netty.handler.codec.http.HttpHeaders;
 import org.assertj.core.api.Assertions;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -91,6 +92,13 @@
 				"idle_timeout_ms":15000}}""".formatted(version);
 	}
 
+	private static String withCustomer(String config, String key) {
+		return config.replaceFirst("\\{",
+				"{\"tenants\":[{\"name\":\"acme\",\"api_keys\":[\"" + key
+						+ "\"],\"priority\":1,\"unit\":\"tokens\",\"plain_tokens\":200,\"rate_per_s\":1000,"
+						+ "\"burst_size\":1000}],");
+	}
+
 	private HttpRequest.Builder request(String path) {
 		return HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + this.vm.callersPort() + path))
 			.timeout(LIMIT)
@@ -248,6 +256,34 @@
 		Assertions.assertThat(send(request("/safe/x").build()).statusCode()).isEqualTo(404);
 	}
 
+	// The worker must learn whose request it is, and must never see the key: it could use
+	// it in the customer's name.
+	@Test
+	void tellsTheWorkerTheCustomerAndNotTheKey() {
+		this.store.put("op/config", withCustomer(config(9), "k9m68k"));
+		HttpRequest q = request("/safe/x").header("Authorization", "Bearer k9m68k").header("X-Tenant", "bolt").build();
+		await(() -> send(request("/safe/x").build()).statusCode() == 401);
+		this.p1.seen.clear();
+		this.p2.seen.clear();
+		Assertions.assertThat(send(q).statusCode()).isEqualTo(200);
+		HttpHeaders h = (this.p1.seen.isEmpty() ? this.p2 : this.p1).seen.get(0);
+		Assertions.assertThat(h.getAll("X-Tenant")).containsExactly("acme");
+		Assertions.assertThat(h.contains("Authorization")).isFalse();
+	}
+
+	@Test
+	void aKeyThatNoCustomerHasIsDenied() {
+		this.store.put("op/config", withCustomer(config(9), "k9m68k"));
+		await(() -> send(request("/safe/x").build()).statusCode() == 401);
+		Assertions.assertThat(send(request("/safe/x").header("Authorization", "Bearer other").build()).statusCode())
+			.isEqualTo(401);
+		Assertions
+			.assertThat(send(request("/safe/x").header("Authorization", "Bearer k9m68k")
+				.header("Authorization", "Bearer k9m68k")
+				.build()).statusCode())
+			.isEqualTo(401);
+	}
+
 	// The operator's entry is not what it should be. What was in force must stay so.
 	@Test
 	void leavesAnUnreadableConfigurationAside() {
--- a/src/test/java/io/shallotspur/registry/FakeRegistry.java
+++ b/src/test/java/io/shallotspur/registry/FakeRegistry.java
@@ -16,6 +16,7 @@
 import io.shallotspur.gateway.EngineFigures;
 import io.shallotspur.gateway.EntryVm;
 import io.shallotspur.gateway.WorkerStage;
+import io.shallotspur.route.RouteTable;
 
 /**
  * A registry whose answers the test gives by hand. A call that nothing was prepared for
@@ -40,6 +41,11 @@
 
 	int claims;
 
+	int configurationReads;
+
+	/** Answers the latest question for the configuration. */
+	public Sinks.One<RouteTable> configurations = Sinks.one();
+
 	int leases;
 
 	int renewals;
@@ -70,6 +76,12 @@
 		return this.watch.asMono();
 	}
 
+	@Override
+	public Mono<RouteTable> configuration() {
+		this.configurationReads++;
+		return this.configurations.asMono();
+	}
+
 	@Override
 	public Mono<Long> openLease(long ttlMs) {
 		this.leases++;
--- a/src/test/java/io/shallotspur/registry/RegistryFollowerTests.java
+++ b/src/test/java/io/shallotspur/registry/RegistryFollowerTests.java
@@ -34,8 +34,8 @@
 	private final FakeRegistry registry = new FakeRegistry();
 
 	private final Gateway gateway = new Gateway(new GatewaySettings("vm", "hall-a", 0.2, 50, 10_000),
-			new GatewayPorts(new NopWorkers(), this.timer, this.timer::now, () -> 0.5, new DecisionLog(0),
-					new RelayMetrics(new MetricRegistry())));
+			new GatewayPorts(new NopWorkers(), this.timer, this.timer::now, this.timer::now, () -> 0.5,
+					new DecisionLog(0), new RelayMetrics(new MetricRegistry())));
 
 	private final RegistryFollower follower = new RegistryFollower(this.registry, this.gateway, this.timer,
 			this.timer::now, () -> 0.5, new ChangeBounds(LEAVE_MS, 3_000));
--- a/src/test/java/io/shallotspur/registry/SharedFiguresTests.java
+++ b/src/test/java/io/shallotspur/registry/SharedFiguresTests.java
@@ -129,7 +129,8 @@
 
 		private final Gateway gateway = new Gateway(new GatewaySettings("vm", "hall-a", 0.2, 50, 10_000),
 				new GatewayPorts(new NopWorkers(), SharedFiguresTests.this.timer, SharedFiguresTests.this.timer::now,
-						() -> 0.5, new DecisionLog(0), new RelayMetrics(new MetricRegistry())));
+						SharedFiguresTests.this.timer::now, () -> 0.5, new DecisionLog(0),
+						new RelayMetrics(new MetricRegistry())));
 
 		private final SharedFigures figures = new SharedFigures(SharedFiguresTests.this.registry, this.gateway,
 				SharedFiguresTests.this.timer, () -> 0.5);
--- a/src/test/java/io/shallotspur/route/RouteTableTests.java
+++ b/src/test/java/io/shallotspur/route/RouteTableTests.java
@@ -16,7 +16,7 @@
 
 	private static Route route(String name, String prefix) {
 		return new Route(name, "shop.example", prefix, RouteKind.SAFE, List.of(new RouteTarget("up", 1)), 800, 300, 0,
-				0, 1, false, false);
+				0, 1, false, false, false);
 	}
 
 	private String find(String host, String path) {
@@ -44,7 +44,7 @@
 	@Test
 	void splitsByWeight() {
 		Route r = new Route("r", "h", "/", RouteKind.SAFE, List.of(new RouteTarget("a", 90), new RouteTarget("b", 10)),
-				1, 1, 0, 0, 1, false, false);
+				1, 1, 0, 0, 1, false, false, false);
 		Assertions.assertThat(r.chooseUpstream(0.89)).isEqualTo("a");
 		Assertions.assertThat(r.chooseUpstream(0.91)).isEqualTo("b");
 	}
--- a/src/test/java/io/shallotspur/stage/StageKeeperTests.java
+++ b/src/test/java/io/shallotspur/stage/StageKeeperTests.java
@@ -50,8 +50,8 @@
 	private final FakeStagePort port = new FakeStagePort();
 
 	private final Gateway gateway = new Gateway(new GatewaySettings("vm-1", "hall-a", 0.2, 50, 10_000),
-			new GatewayPorts(new NopWorkers(), this.timer, this.timer::now, () -> 0.5, new DecisionLog(0),
-					new RelayMetrics(new MetricRegistry())));
+			new GatewayPorts(new NopWorkers(), this.timer, this.timer::now, this.timer::now, () -> 0.5,
+					new DecisionLog(0), new RelayMetrics(new MetricRegistry())));
 
 	private final RegistryFollower follower = new RegistryFollower(this.registry, this.gateway, this.timer,
 			this.timer::now, () -> 0.5, new ChangeBounds(2_000, 2_000));
