Quotas: half of what is tolerated is shared out, and plain calls pass while long prompts do not

Cause: a VM's part of a small customer's burst was less than two prompts, so customers far below their quota got 429 where their callers happened to be; and a customer that had used its quota up with prompts of 6,000 tokens was refused its plain calls of 200 as well. Change: QuotaBook's bucket is larger than the part of the burst by half of what the operator tolerates over the window (settings quota_window_s, quota_overshoot, quota_slack), and a request passes while four times its cost is left, at most a tenth of the bucket. It lets a customer spend a whole window's quota at once, and a VM that starts anew knows nothing of it: after a loss of power of all VMs the quota would be passed.

--- a/src/main/java/io/shallotspur/gateway/Gateway.java
+++ b/src/main/java/io/shallotspur/gateway/Gateway.java
@@ -78,7 +78,7 @@
 		this.log = ports.log();
 		this.metrics = ports.metrics();
 		this.retries = new RetryAllowance(settings);
-		this.quotas = new QuotaBook(this.clock.getAsLong());
+		this.quotas = new QuotaBook(settings.quotas(), this.clock.getAsLong());
 		this.proof = new ConfigProof(settings.revokedKeyMs());
 	}
 
--- a/src/main/java/io/shallotspur/gateway/GatewaySettings.java
+++ b/src/main/java/io/shallotspur/gateway/GatewaySettings.java
@@ -11,9 +11,10 @@
  * @param retryWindowMs the window, in milliseconds
  * @param revokedKeyMs how long a key that was revoked may still be used, in milliseconds;
  * 0 for no bound
+ * @param quotas how exactly customers' quotas have to be kept
  */
 public record GatewaySettings(String vm, String hall, double retryRatio, double retrySlack, long retryWindowMs,
-		long revokedKeyMs) {
+		long revokedKeyMs, QuotaBounds quotas) {
 
 	/**
 	 * Creates settings without a bound for revoked keys.
@@ -24,7 +25,7 @@
 	 * @param retryWindowMs the window, in milliseconds
 	 */
 	public GatewaySettings(String vm, String hall, double retryRatio, double retrySlack, long retryWindowMs) {
-		this(vm, hall, retryRatio, retrySlack, retryWindowMs, 0);
+		this(vm, hall, retryRatio, retrySlack, retryWindowMs, 0, QuotaBounds.EXACT);
 	}
 
 	/**
@@ -33,7 +34,18 @@
 	 * @return settings that differ in that only
 	 */
 	public GatewaySettings withRevokedKeyMs(long ms) {
-		return new GatewaySettings(this.vm, this.hall, this.retryRatio, this.retrySlack, this.retryWindowMs, ms);
+		return new GatewaySettings(this.vm, this.hall, this.retryRatio, this.retrySlack, this.retryWindowMs, ms,
+				this.quotas);
+	}
+
+	/**
+	 * Returns these settings with other bounds for quotas.
+	 * @param bounds how exactly customers' quotas have to be kept
+	 * @return settings that differ in that only
+	 */
+	public GatewaySettings withQuotas(QuotaBounds bounds) {
+		return new GatewaySettings(this.vm, this.hall, this.retryRatio, this.retrySlack, this.retryWindowMs,
+				this.revokedKeyMs, bounds);
 	}
 
 }
--- a/src/main/java/io/shallotspur/gateway/QuotaBook.java
+++ b/src/main/java/io/shallotspur/gateway/QuotaBook.java
@@ -15,27 +15,54 @@
  * VMs together, and a VM cannot ask the others with each request. So it spends its part
  * only: a token bucket with that part of the rate and of the burst.
  * <p>
- * Invariants: a request passes while anything is left, and may leave a debt, so that a
+ * Callers do not spread evenly, and a customer far below its quota would be refused where
+ * its callers happen to be. So the bucket is larger than the part of the burst: the
+ * operator tolerates that a quota is passed by some of it, and half of that is shared out
+ * among the VMs.
+ * <p>
+ * Invariants: a request passes while something is left, and may leave a debt, so that a
  * part that is smaller than a request still lets every so many through; a VM that has
- * just started does not know what was spent before, and begins without the burst.
+ * just started does not know what was spent before, and begins without the burst. So in
+ * any window all VMs together let through no more than the rate, one burst, half of what
+ * is tolerated, a request for each VM, and half a second's rate for each start.
  */
 final class QuotaBook {
 
 	private static final double MS_PER_S = 1_000;
 
+	// The other half is for requests that leave a debt, for VMs that start anew, and for
+	// the seconds in which VMs differ on who serves.
+	private static final double SHARED_TOLERANCE = 0.5;
+
 	// What a VM that has just started may spend at once, in seconds of its part: about
 	// what callers send while it starts.
 	private static final double FIRST_S = 0.5;
 
+	// A request passes while this many times its cost is left. A customer that has used
+	// its quota up with long prompts would otherwise be refused its plain calls as well,
+	// which take a thirtieth.
+	private static final double LEFT_COSTS = 4;
+
+	// But no more than this part of the bucket has to be left.
+	private static final double LEFT_PART = 0.1;
+
 	// Customers that are remembered. Beyond it those whose bucket is full are forgotten,
 	// as they would begin with a full one again.
 	private static final int MOST_CUSTOMERS = 20_000;
 
+	private final QuotaBounds bounds;
+
 	private final long startedAt;
 
 	private final Map<String, Bucket> byCustomer = new HashMap<>();
 
-	QuotaBook(long startedAt) {
+	/**
+	 * Creates a book.
+	 * @param bounds how exactly quotas have to be kept
+	 * @param startedAt since when this VM sees requests, in milliseconds
+	 */
+	QuotaBook(QuotaBounds bounds, long startedAt) {
+		this.bounds = bounds;
 		this.startedAt = startedAt;
 	}
 
@@ -45,18 +72,19 @@
 	 * @param cost units
 	 * @param part the part of the quota that is this VM's, over 0 and at most 1
 	 * @param now the present time in milliseconds
-	 * @return 0 if it was taken, else after how many milliseconds something will be left
+	 * @return 0 if it was taken, else after how many milliseconds there will be room
 	 */
 	long take(Customer c, double cost, double part, long now) {
 		if (!c.quota().limited()) {
 			return 0;
 		}
 		Bucket b = bucket(c, part, now);
-		if (b.level > 0) {
+		double least = Math.min(LEFT_PART * b.most, LEFT_COSTS * cost);
+		if (b.level > least) {
 			b.level -= cost;
 			return 0;
 		}
-		return 1 + (long) (-b.level / b.perMs());
+		return 1 + (long) ((least - b.level) / b.perMs);
 	}
 
 	/**
@@ -67,21 +95,27 @@
 	void giveBack(Customer c, double cost) {
 		Bucket b = this.byCustomer.get(c.name());
 		if (b != null) {
-			b.level = Math.min(b.most(), b.level + cost);
+			b.level = Math.min(b.most, b.level + cost);
 		}
 	}
 
 	private Bucket bucket(Customer c, double part, long now) {
+		Quota q = c.quota();
+		double perMs = q.perSecond() * part / MS_PER_S;
+		double tolerated = this.bounds.slack()
+				+ this.bounds.overshoot() * (q.perSecond() * this.bounds.windowMs() / MS_PER_S + q.burst());
+		double most = part * (q.burst() + SHARED_TOLERANCE * tolerated);
 		Bucket b = this.byCustomer.get(c.name());
 		if (b == null) {
 			if (this.byCustomer.size() >= MOST_CUSTOMERS) {
 				this.byCustomer.values().removeIf((x) -> x.isFull(now));
 			}
-			b = new Bucket(c.quota(), part, now);
-			b.level = Math.min(b.most(), b.perMs() * (FIRST_S * MS_PER_S + now - this.startedAt));
+			b = new Bucket();
+			b.level = perMs * (FIRST_S * MS_PER_S + now - this.startedAt);
+			b.at = now;
 			this.byCustomer.put(c.name(), b);
 		}
-		b.update(c.quota(), part, now);
+		b.fill(perMs, most, now);
 		return b;
 	}
 
@@ -90,39 +124,24 @@
 	 */
 	private static final class Bucket {
 
-		private Quota quota;
+		private double perMs;
 
-		private double part;
+		private double most;
 
 		private double level;
 
 		private long at;
 
-		private Bucket(Quota quota, double part, long now) {
-			this.quota = quota;
-			this.part = part;
+		// A smaller quota or part holds at once for what is left, too.
+		private void fill(double nextPerMs, double nextMost, long now) {
+			this.level = Math.min(nextMost, this.level + this.perMs * (now - this.at));
+			this.perMs = nextPerMs;
+			this.most = nextMost;
 			this.at = now;
 		}
 
-		private double perMs() {
-			return this.quota.perSecond() * this.part / MS_PER_S;
-		}
-
-		private double most() {
-			return this.quota.burst() * this.part;
-		}
-
 		private boolean isFull(long now) {
-			return this.level + perMs() * (now - this.at) >= most();
-		}
-
-		// A smaller quota or part holds at once for what is left, too.
-		private void update(Quota q, double p, long now) {
-			double filled = this.level + perMs() * (now - this.at);
-			this.quota = q;
-			this.part = p;
-			this.level = Math.min(Math.max(most(), 1), filled);
-			this.at = now;
+			return this.level + this.perMs * (now - this.at) >= this.most;
 		}
 
 	}
--- a/src/main/java/io/shallotspur/platform/PlatformSettings.java
+++ b/src/main/java/io/shallotspur/platform/PlatformSettings.java
@@ -6,6 +6,7 @@
 import io.shallotspur.exc.InputException;
 import io.shallotspur.exc.SettingsException;
 import io.shallotspur.gateway.GatewaySettings;
+import io.shallotspur.gateway.QuotaBounds;
 import io.shallotspur.registry.ChangeBounds;
 import io.shallotspur.util.toml.Problems;
 import io.shallotspur.util.toml.TomlTable;
@@ -86,8 +87,16 @@
 		String hall = vm.text("hall");
 		return new GatewaySettings(name, hall, bounds.number("retry_ratio", 0.1, 0, 10),
 				bounds.number("retry_slack", 10, 0, 1_000_000),
-				(long) (bounds.number("retry_window_s", 10, 0.1, 3_600) * MS_PER_S),
-				bounds.whole("revoked_key_ms", 0, 0, HOUR_MS));
+				(long) (bounds.number("retry_window_s", 10, 0.1, 3_600) * MS_PER_S))
+			.withRevokedKeyMs(bounds.whole("revoked_key_ms", 0, 0, HOUR_MS))
+			.withQuotas(quotas(bounds));
+	}
+
+	private static QuotaBounds quotas(TomlTable bounds) {
+		QuotaBounds d = QuotaBounds.EXACT;
+		double window = bounds.number("quota_window_s", (double) d.windowMs() / MS_PER_S, 0.1, 3_600);
+		return new QuotaBounds((long) (window * MS_PER_S), bounds.number("quota_overshoot", d.overshoot(), 0, 10),
+				bounds.number("quota_slack", d.slack(), 0, 1e12));
 	}
 
 	/**
