Prompts are prefilled in the decode worker's hall where workers there are as idle

Cause: prefill workers were chosen by load alone, so two of three KV caches crossed halls, which takes twice as long and is dearer. Change: among prefill workers that are the shorter way, one in the decode worker's hall and then one in this VM's hall is preferred by half and by a quarter of a prefill. Whether a prompt is read apart at all does not depend on it. The log of a request tells the memory it took.

--- a/src/main/java/io/shallotspur/gateway/Placing.java
+++ b/src/main/java/io/shallotspur/gateway/Placing.java
@@ -210,7 +210,8 @@
 	private void prefillOrGo(PromptShape prompt, boolean again, long now) {
 		List<WorkerState> l = this.g.roster.candidates(this.upstream, Set.of(WorkerStage.PREFILL), this.prefillsTried,
 				now);
-		Optional<WorkerState> p = PrefillChoice.choose(prompt, l, this.target, stalls(prompt), this.g.random, now);
+		Optional<WorkerState> p = PrefillChoice.choose(prompt, l, this.target, stalls(prompt), this.g.settings.hall(),
+				this.g.random, now);
 		if (p.isEmpty() || (again && !this.sink.mayPrefillAgain(now))) {
 			go(now);
 			return;
--- a/src/main/java/io/shallotspur/gateway/RelayTask.java
+++ b/src/main/java/io/shallotspur/gateway/RelayTask.java
@@ -285,8 +285,9 @@
 	// Where the time went, counted from the arrival, ms.
 	private String times() {
 		long held = Math.max(this.arrivedAt, this.placing.heldAt());
-		return " held-ms=" + (held - this.arrivedAt) + " sent-ms=" + (this.attemptAt - this.arrivedAt) + " first-ms="
-				+ (this.firstAt - this.arrivedAt) + " pause-ms=" + this.pace.longestPauseMs();
+		return " tokens=" + this.placing.tokens() + " held-ms=" + (held - this.arrivedAt) + " sent-ms="
+				+ (this.attemptAt - this.arrivedAt) + " first-ms=" + (this.firstAt - this.arrivedAt) + " pause-ms="
+				+ this.pace.longestPauseMs();
 	}
 
 	private void relayFailure(@Nullable AnswerHead head, byte[] body, long now) {
--- a/src/test/java/io/shallotspur/gateway/PrefillTests.java
+++ b/src/test/java/io/shallotspur/gateway/PrefillTests.java
@@ -1,6 +1,9 @@
 package io.shallotspur.gateway;
 
+import java.util.List;
+
 import org.assertj.core.api.Assertions;
+import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
@@ -200,4 +203,34 @@
 		prompt("resume", LONG_PROMPT);
 	}
 
+	// Prefill workers of three halls are idle. One in the hall of the decode worker makes
+	// the KV cache's way half as long, and the links between halls have less to carry.
+	@Test
+	void prefersAPrefillWorkerInTheDecodeWorkersHall() {
+		WorkerState near = worker("f1", "hall-b");
+		WorkerState far = worker("f2", "hall-c");
+		Assertions.assertThat(chosen(List.of(far, near))).isSameAs(near);
+		near.started();
+		Assertions.assertThat(chosen(List.of(far, near))).isSameAs(far);
+	}
+
+	// The only prefill worker is in another hall. Its being far is no reason to have the
+	// prompt read at the decode worker, which holds up all answers there.
+	@Test
+	void aPrefillWorkerInAnotherHallIsBetterThanNone() {
+		WorkerState far = worker("f2", "hall-c");
+		Assertions.assertThat(chosen(List.of(far))).isSameAs(far);
+	}
+
+	private static WorkerState worker(String id, String hall) {
+		return new WorkerState(new WorkerInfo(id, "llm", "10.0.0.1", 80, hall, 6, WorkerStage.PREFILL, false, 0, 0), 0);
+	}
+
+	private static @Nullable WorkerState chosen(List<WorkerState> prefill) {
+		return PrefillChoice
+			.choose(new PromptShape(SHORT_PROMPT, 100, 100), prefill, worker("d1", "hall-b"), false, "hall-a",
+					() -> 0.5, 0)
+			.orElse(null);
+	}
+
 }
