--- /dev/null
+++ b/src/main/java/io/shallotspur/gateway/AnswerProgress.java
@@ -0,0 +1,75 @@
+package io.shallotspur.gateway;
+
+import org.jspecify.annotations.Nullable;
+
+import io.shallotspur.route.EngineSpec;
+
+/**
+ * How far the answer to one request has come, over all its attempts. Not thread-safe;
+ * confined to the gateway's thread.
+ */
+final class AnswerProgress {
+
+	private final int eventTokens;
+
+	private final AnswerPace pace = new AnswerPace();
+
+	private @Nullable String lastEventId;
+
+	private long firstAt;
+
+	/**
+	 * Creates the progress of an answer that has not begun here.
+	 * @param engine the engines, if the request is for any
+	 * @param lastEventId the event after which it is to go on, or {@code null}
+	 */
+	AnswerProgress(@Nullable EngineSpec engine, @Nullable String lastEventId) {
+		this.eventTokens = (engine != null) ? engine.eventTokens() : 0;
+		this.lastEventId = lastEventId;
+	}
+
+	void firstByte(long now) {
+		this.firstAt = now;
+	}
+
+	long firstAt() {
+		return this.firstAt;
+	}
+
+	@Nullable String lastEventId() {
+		return this.lastEventId;
+	}
+
+	/**
+	 * Returns how much of the answer its caller has got here.
+	 * @return tokens, as far as the operator says how many an event has
+	 */
+	int received() {
+		return this.pace.events() * this.eventTokens;
+	}
+
+	long longestPauseMs() {
+		return this.pace.longestPauseMs();
+	}
+
+	/**
+	 * Takes a whole event.
+	 * @param event the event
+	 * @param attemptAt when the attempt that it belongs to was sent, in milliseconds
+	 * @param times learn the pace
+	 * @param now the present time in milliseconds
+	 */
+	void event(byte[] event, long attemptAt, EngineTimes times, long now) {
+		String id = EventSplitter.id(event);
+		if (!id.isEmpty()) {
+			this.lastEventId = id;
+		}
+		// A pause in which the worker was lost and another one found is not the engine's.
+		boolean sameAttempt = this.pace.latestAt() > attemptAt;
+		long pause = this.pace.event(now);
+		if (sameAttempt) {
+			times.event(pause, this.eventTokens);
+		}
+	}
+
+}
--- a/src/main/java/io/shallotspur/gateway/RelayTask.java
+++ b/src/main/java/io/shallotspur/gateway/RelayTask.java
@@ -43,9 +43,7 @@
 
 	private final Placing placing;
 
-	private final int eventTokens;
-
-	private final AnswerPace pace = new AnswerPace();
+	private final AnswerProgress progress;
 
 	private AttemptHistory history = AttemptHistory.NONE;
 
@@ -56,12 +54,8 @@
 	private Runnable cancelDeadline = () -> {
 	};
 
-	private @Nullable String lastEventId;
-
 	private boolean prefillsThere;
 
-	private long firstAt;
-
 	private boolean begun;
 
 	private boolean finished;
@@ -75,9 +69,8 @@
 		this.arrivedAt = now;
 		this.answerBy = now + Math.min(this.request.waitMs(), this.route.timeoutMs());
 		this.upstream = this.route.chooseUpstream(g.random.next());
-		this.lastEventId = this.request.lastEventId();
 		EngineSpec engine = admitted.table().upstream(this.upstream).map(UpstreamSpec::engine).orElse(null);
-		this.eventTokens = (engine != null) ? engine.eventTokens() : 0;
+		this.progress = new AnswerProgress(engine, this.request.lastEventId());
 		this.placing = new Placing(g, admitted, this.upstream, engine, this, now, this.answerBy);
 	}
 
@@ -101,7 +94,7 @@
 		this.attempt = a;
 		this.prefillsThere = call.kvSource() == null && this.request.prompt() != null;
 		w.prefilling(this.prefillsThere ? 1 : 0);
-		a.send(this.g.workers, call.withLastEventId(this.lastEventId));
+		a.send(this.g.workers, call.withLastEventId(this.progress.lastEventId()));
 	}
 
 	@Override
@@ -125,12 +118,12 @@
 
 	@Override
 	public int received() {
-		return this.pace.events() * this.eventTokens;
+		return this.progress.received();
 	}
 
 	@Override
 	public @Nullable String lastEventId() {
-		return this.lastEventId;
+		return this.progress.lastEventId();
 	}
 
 	@Override
@@ -158,11 +151,7 @@
 
 	@Override
 	public void event(byte[] event) {
-		String id = EventSplitter.id(event);
-		if (!id.isEmpty()) {
-			this.lastEventId = id;
-		}
-		paced();
+		this.progress.event(event, this.attemptAt, this.g.times(this.upstream), this.g.clock.getAsLong());
 		this.answer.write(event);
 	}
 
@@ -171,16 +160,6 @@
 		this.answer.write(bytes);
 	}
 
-	// A pause in which the worker was lost and another one found is not the engine's.
-	private void paced() {
-		long now = this.g.clock.getAsLong();
-		boolean sameAttempt = this.pace.latestAt() > this.attemptAt;
-		long pause = this.pace.event(now);
-		if (sameAttempt) {
-			this.g.times(this.upstream).event(pause, this.eventTokens);
-		}
-	}
-
 	private void prefillOver() {
 		if (this.prefillsThere && this.attempt != null) {
 			this.attempt.worker().prefilling(-1);
@@ -190,7 +169,7 @@
 
 	private void firstByte() {
 		long now = this.g.clock.getAsLong();
-		this.firstAt = now;
+		this.progress.firstByte(now);
 		prefillOver();
 		this.g.metrics.firstByte(this.route.name(), now - this.arrivedAt);
 		if (this.attempt != null) {
@@ -210,7 +189,7 @@
 		this.g.metrics.answered(this.route.name(), this.admitted.customerName(), now - this.arrivedAt);
 		PromptShape p = this.request.prompt();
 		if (inParts && p != null && this.request.lastEventId() == null) {
-			this.g.times(this.upstream).streamed(now - this.firstAt, p, received());
+			this.g.times(this.upstream).streamed(now - this.progress.firstAt(), p, received());
 		}
 		log(now, "answered status=" + head.status() + times());
 		endAttempt();
@@ -286,8 +265,8 @@
 	private String times() {
 		long held = Math.max(this.arrivedAt, this.placing.heldAt());
 		return " tokens=" + this.placing.tokens() + " held-ms=" + (held - this.arrivedAt) + " sent-ms="
-				+ (this.attemptAt - this.arrivedAt) + " first-ms=" + (this.firstAt - this.arrivedAt) + " pause-ms="
-				+ this.pace.longestPauseMs();
+				+ (this.attemptAt - this.arrivedAt) + " first-ms=" + (this.progress.firstAt() - this.arrivedAt)
+				+ " pause-ms=" + this.progress.longestPauseMs();
 	}
 
 	private void relayFailure(@Nullable AnswerHead head, byte[] body, long now) {
@@ -357,7 +336,7 @@
 	private void breakOff(RefusalReason reason, long now) {
 		cancelAttempt();
 		this.g.metrics.brokenOff();
-		log(now, "broken-off reason=" + reason.code() + " last-event=" + this.lastEventId);
+		log(now, "broken-off reason=" + reason.code() + " last-event=" + this.progress.lastEventId());
 		finish();
 		this.answer.breakOff();
 	}
--- a/src/test/java/io/shallotspur/platform/soak/Evidence.java
+++ b/src/test/java/io/shallotspur/platform/soak/Evidence.java
@@ -16,6 +16,10 @@
 
 	private final Map<String, Kind> sent = new ConcurrentHashMap<>();
 
+	private final Map<String, Credentials> credentials = new ConcurrentHashMap<>();
+
+	private final SoakKeys keys;
+
 	private final Map<String, List<String>> runs = new ConcurrentHashMap<>();
 
 	private final Map<String, Integer> refused = new ConcurrentHashMap<>();
@@ -24,6 +28,22 @@
 
 	private final List<String> broken = new CopyOnWriteArrayList<>();
 
+	Evidence(SoakKeys keys) {
+		this.keys = keys;
+	}
+
+	/**
+	 * A caller sends a request with a key.
+	 * @param id the request
+	 * @param kind what it is
+	 * @param key the key
+	 * @param nowMs the present time in milliseconds
+	 */
+	void sent(String id, Kind kind, String key, long nowMs) {
+		this.credentials.put(id, new Credentials(key, nowMs));
+		sent(id, kind);
+	}
+
 	void sent(String id, Kind kind) {
 		this.sent.put(id, kind);
 	}
@@ -40,6 +60,27 @@
 		}
 	}
 
+	/**
+	 * A worker is told whose request it runs.
+	 * @param id the request
+	 * @param customer the customer, or {@code null}
+	 * @param key the key that came with it, or {@code null} as it has to be
+	 */
+	void ranFor(String id, String customer, String key) {
+		Credentials c = this.credentials.get(id);
+		if (c == null) {
+			return;
+		}
+		if (key != null) {
+			broken("UNASKED id=" + id + " the key was passed on");
+		}
+		if (!SoakKeys.customerOf(c.key()).equals(customer)) {
+			broken("UNASKED id=" + id + " key=" + c.key() + " customer=" + customer);
+		}
+		this.keys.fault(c.key(), c.sentAtMs())
+			.ifPresent((f) -> broken("CONFIG id=" + id + " key=" + c.key() + " " + f));
+	}
+
 	/**
 	 * A worker accepts an order.
 	 * @param worker the worker
@@ -109,6 +150,10 @@
 				+ this.fences.size();
 	}
 
+	private record Credentials(String key, long sentAtMs) {
+
+	}
+
 	/**
 	 * What a request is.
 	 */
--- a/src/test/java/io/shallotspur/platform/soak/EvidenceTests.java
+++ b/src/test/java/io/shallotspur/platform/soak/EvidenceTests.java
@@ -10,7 +10,9 @@
  */
 class EvidenceTests {
 
-	private final Evidence evidence = new Evidence();
+	private final SoakKeys keys = new SoakKeys();
+
+	private final Evidence evidence = new Evidence(this.keys);
 
 	private List<String> broken() {
 		return this.evidence.broken().stream().map((b) -> b.substring(0, b.indexOf(' '))).toList();
@@ -86,6 +88,32 @@
 		Assertions.assertThat(broken()).containsExactly("ONE");
 	}
 
+	@Test
+	void findsRunsWithAKeyThatWasRevokedTooLongAgo() {
+		this.keys.issue();
+		this.keys.issue();
+		this.keys.published(1_000);
+		this.evidence.sent("a", Evidence.Kind.SAFE, "passing-0", 6_000);
+		this.evidence.ranFor("a", "customer-0", null);
+		this.evidence.sent("b", Evidence.Kind.SAFE, "passing-1", 9_000);
+		this.evidence.ranFor("b", "customer-0", null);
+		Assertions.assertThat(broken()).isEmpty();
+		this.evidence.sent("c", Evidence.Kind.SAFE, "passing-0", 6_001);
+		this.evidence.ranFor("c", "customer-0", null);
+		Assertions.assertThat(broken()).containsExactly("CONFIG");
+	}
+
+	@Test
+	void findsRunsForAnotherCustomerAndKeysThatWerePassedOn() {
+		this.evidence.sent("a", Evidence.Kind.SAFE, "lasting-1", 0);
+		this.evidence.ranFor("a", "customer-1", null);
+		Assertions.assertThat(broken()).isEmpty();
+		this.evidence.ranFor("a", "customer-2", null);
+		this.evidence.ranFor("a", "customer-1", "Bearer lasting-1");
+		this.evidence.ranFor("a", null, null);
+		Assertions.assertThat(broken()).containsExactly("UNASKED", "UNASKED", "UNASKED");
+	}
+
 	// The same seed must give the same faults, or a failure could not be played again.
 	@Test
 	void plansTheSameFaultsForASeed() {
--- a/src/test/java/io/shallotspur/platform/soak/SoakCaller.java
+++ b/src/test/java/io/shallotspur/platform/soak/SoakCaller.java
@@ -9,6 +9,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 
 import com.fasterxml.jackson.databind.JsonNode;
@@ -35,6 +36,8 @@
 
 	private final Evidence evidence;
 
+	private final SoakKeys keys;
+
 	private final HttpClient client = HttpClient.newBuilder()
 		.version(HttpClient.Version.HTTP_1_1)
 		.connectTimeout(ASK_LIMIT)
@@ -50,11 +53,12 @@
 
 	private volatile boolean stopped;
 
-	SoakCaller(int number, long seed, List<VmProcess> vms, Evidence evidence) {
+	SoakCaller(int number, long seed, List<VmProcess> vms, Evidence evidence, SoakKeys keys) {
 		this.number = number;
 		this.random = new Random(seed * 31 + number);
 		this.vms = vms;
 		this.evidence = evidence;
+		this.keys = keys;
 	}
 
 	int served() {
@@ -109,10 +113,12 @@
 		Evidence.Kind[] kinds = Evidence.Kind.values();
 		Evidence.Kind kind = kinds[this.random.nextInt(kinds.length)];
 		String id = "c" + this.number + "-" + this.asked.incrementAndGet();
-		this.evidence.sent(id, kind);
+		String key = this.keys.pick(this.random);
+		this.evidence.sent(id, kind, key, TimeUnit.NANOSECONDS.toMillis(System.nanoTime()));
 		HttpRequest.Builder q = HttpRequest.newBuilder(URI.create("http://" + pick() + "/" + kind.path + "/x"))
 			.timeout(LIMIT)
 			.header("X-Request-Id", id)
+			.header("Authorization", "Bearer " + key)
 			.header("X-Deadline-Ms", kind.stream ? "8000" : "1500")
 			.POST(HttpRequest.BodyPublishers.ofString("body of " + id));
 		if (kind.stream) {
--- a/src/test/java/io/shallotspur/platform/soak/SoakRun.java
+++ b/src/test/java/io/shallotspur/platform/soak/SoakRun.java
@@ -36,7 +36,9 @@
 
 	private final StoreDouble store = new StoreDouble();
 
-	private final Evidence evidence = new Evidence();
+	private final SoakKeys keys = new SoakKeys();
+
+	private final Evidence evidence = new Evidence(this.keys);
 
 	private final List<VmProcess> vms = new ArrayList<>();
 
@@ -96,12 +98,13 @@
 							k.stream ? "llm" : "plain", k == Evidence.Kind.RESUMABLE));
 		}
 		this.store.put("op/config", """
-				{"version":%d,"routes":[%s],"services":[
+				{"version":%d,"tenants":[%s],"routes":[%s],"services":[
 				{"name":"plain","health_path":"/health","connection_limit":100},
 				{"name":"llm","health_path":"/health","connection_limit":100,"engine":{"slots":6,
 				"kv_cache_tokens":6000,"kv_token_bytes":10,"link_mbps":100,"kv_handle_s":0.5,"hold_ms":2000}}],
 				"limits":{"max_header_bytes":16384,"max_body_bytes":1000,"header_timeout_ms":3000,
-				"idle_timeout_ms":15000}}""".formatted(++this.version, routes));
+				"idle_timeout_ms":15000}}""".formatted(++this.version, this.keys.issue(), routes));
+		this.keys.published(TimeUnit.NANOSECONDS.toMillis(System.nanoTime()));
 	}
 
 	/**
@@ -137,7 +140,7 @@
 
 	private void traffic() {
 		for (int i = 0; i < CALLERS; i++) {
-			SoakCaller c = new SoakCaller(i, this.seed, this.vms, this.evidence);
+			SoakCaller c = new SoakCaller(i, this.seed, this.vms, this.evidence, this.keys);
 			this.callers.add(c);
 			Thread t = new Thread(c, "caller-" + i);
 			t.setDaemon(true);
--- a/src/test/java/io/shallotspur/platform/soak/SoakWorker.java
+++ b/src/test/java/io/shallotspur/platform/soak/SoakWorker.java
@@ -190,7 +190,7 @@
 			}
 			String id = h.get("X-Request-Id", "");
 			if (this.stage.isEmpty()) {
-				return plainRun(id, s);
+				return plainRun(id, h, s);
 			}
 			if (this.switching) {
 				return full(s);
@@ -256,12 +256,13 @@
 			return s.status(503).header("X-Not-Executed", "1").send();
 		}
 
-		private Publisher<Void> plainRun(String id, HttpServerResponse s) {
+		private Publisher<Void> plainRun(String id, HttpHeaders h, HttpServerResponse s) {
 			if (this.busy.incrementAndGet() > SLOTS) {
 				this.busy.decrementAndGet();
 				return full(s);
 			}
 			SoakWorker.this.evidence.run(id, this.id);
+			SoakWorker.this.evidence.ranFor(id, h.get("X-Tenant"), h.get("Authorization"));
 			return Mono.delay(Duration.ofMillis(5 + Math.floorMod(id.hashCode(), 60)))
 				.doFinally((x) -> this.busy.decrementAndGet())
 				.then(Mono.defer(() -> Mono.from(s.header("X-Server-Stamp", "stamp-" + this.id)
@@ -296,6 +297,7 @@
 				return full(s);
 			}
 			SoakWorker.this.evidence.run(id, this.id);
+			SoakWorker.this.evidence.ranFor(id, h.get("X-Tenant"), h.get("Authorization"));
 			int after = Integer.parseInt(h.get("Last-Event-Id", "0"));
 			Flux<String> events = Flux.range(after + 1, EVENTS - after)
 				.delayElements(STEP)
--- a/src/test/java/io/shallotspur/platform/soak/VmProcess.java
+++ b/src/test/java/io/shallotspur/platform/soak/VmProcess.java
@@ -89,13 +89,14 @@
 				locate_ttl_max_s = 5
 				grace_s = %d
 				worker_drain_ms = 2000
+				revoked_key_ms = %d
 				workers_check_fences = true
 				order_turn_ms = 1000
 				[log]
 				level = "info"
 				lines_per_s = 1000
 				""".formatted(this.number, this.number % 2, this.ports[0], this.ports[1], this.ports[2], this.ports[3],
-				this.store, GRACE_S);
+				this.store, GRACE_S, SoakKeys.REVOKED_MS);
 	}
 
 	boolean alive() {
