--- /dev/null
+++ b/src/test/java/io/shallotspur/platform/CustomerDecodingTests.java
@@ -0,0 +1,68 @@
+package io.shallotspur.platform;
+
+import java.io.IOException;
+
+import org.assertj.core.api.Assertions;
+import org.junit.jupiter.api.Test;
+
+import io.shallotspur.contract.BearerKey;
+import io.shallotspur.exc.InputException;
+import io.shallotspur.route.Customer;
+import io.shallotspur.route.QuotaUnit;
+import io.shallotspur.route.Route;
+import io.shallotspur.route.RouteTable;
+
+/**
+ * Tests of how customers are decoded from the operator's configuration.
+ */
+class CustomerDecodingTests {
+
+	private static RouteTable table(String tenants) throws IOException, InputException {
+		return ConfigDecoder.decode(EntryDecoder.JSON.readTree("""
+				{"version":7,"routes":[{"name":"r","host":"h","prefix":"/r/","kind":"safe","priority":2,"service":"s"},
+				{"name":"o","host":"h","prefix":"/o/","kind":"safe","service":"s","allow_anonymous":true}],
+				"services":[{"name":"s"}]%s}""".formatted(tenants)));
+	}
+
+	private static Customer customer(RouteTable t, String key) {
+		return t.customer(BearerKey.hash(key)).orElseThrow();
+	}
+
+	@Test
+	void decodesKeysRankAndQuota() throws IOException, InputException {
+		RouteTable t = table("""
+				,"tenants":[{"name":"huka270","api_keys":["k1","k2"],"priority":1,"unit":"tokens","plain_tokens":200,
+				"rate_per_s":246600,"burst_size":123300,"new_field":1}]""");
+		Customer c = customer(t, "k2");
+		Assertions.assertThat(c.name()).isEqualTo("huka270");
+		Assertions.assertThat(c.quota().unit()).isEqualTo(QuotaUnit.TOKENS);
+		Assertions.assertThat(c.quota().perSecond()).isEqualTo(246_600);
+		Assertions.assertThat(c.quota().burst()).isEqualTo(123_300);
+		Route r = t.find("h", "/r/x").orElseThrow();
+		Assertions.assertThat(c.priorityOn(r)).isEqualTo(1);
+		Assertions.assertThat(t.customer(BearerKey.hash("k3"))).isEmpty();
+		Assertions.assertThat(t.asksForKeys()).isTrue();
+		Assertions.assertThat(r.anonymous()).isFalse();
+		Assertions.assertThat(t.find("h", "/o/x").orElseThrow().anonymous()).isTrue();
+	}
+
+	// No rate, or none that is more than 0, is no limit; taken for one, the customer
+	// would
+	// be refused everything.
+	@Test
+	void whatIsLeftOutIsNoLimitAndNoRank() throws IOException, InputException {
+		RouteTable t = table(
+				",\"tenants\":[{\"name\":\"a\",\"api_keys\":[\"k1\"]},{\"name\":\"b\",\"api_keys\":[\"k2\"],\"rate_per_s\":0}]");
+		Assertions.assertThat(customer(t, "k1").quota().limited()).isFalse();
+		Assertions.assertThat(customer(t, "k2").quota().limited()).isFalse();
+		Assertions.assertThat(customer(t, "k1").priorityOn(t.find("h", "/r/x").orElseThrow())).isEqualTo(2);
+	}
+
+	// The last key of a customer is taken away. Its callers must not become anonymous.
+	@Test
+	void aCustomerWithoutKeysStillMakesCallersShowOne() throws IOException, InputException {
+		Assertions.assertThat(table(",\"tenants\":[{\"name\":\"a\",\"api_keys\":[]}]").asksForKeys()).isTrue();
+		Assertions.assertThat(table("").asksForKeys()).isFalse();
+	}
+
+}
