--- a/src/main/java/io/shallotspur/gateway/Arrival.java
+++ b/src/main/java/io/shallotspur/gateway/Arrival.java
@@ -41,6 +41,8 @@
 
 	private final CallerAnswer answer;
 
+	private final long arrivedAt;
+
 	private @Nullable RelayTask task;
 
 	private boolean over;
@@ -50,14 +52,15 @@
 	private Runnable cancelTimer = () -> {
 	};
 
-	Arrival(Gateway g, RelayRequest request, CallerAnswer answer) {
+	Arrival(Gateway g, RelayRequest request, CallerAnswer answer, long arrivedAt) {
 		this.g = g;
 		this.request = request;
 		this.answer = answer;
+		this.arrivedAt = arrivedAt;
 	}
 
-	void start(long now) {
-		judge(true, now);
+	void start() {
+		judge(true, this.arrivedAt);
 	}
 
 	// The store is asked once; what is known after that decides.
@@ -132,7 +135,7 @@
 	private void relay(Admitted a, long now) {
 		this.over = true;
 		this.g.metrics.arrived(a.route().name(), a.customerName());
-		RelayTask next = new RelayTask(this.g, a, this.answer, now);
+		RelayTask next = new RelayTask(this.g, a, this.answer, this.arrivedAt);
 		this.task = next;
 		next.start(now);
 	}
--- a/src/main/java/io/shallotspur/gateway/Gateway.java
+++ b/src/main/java/io/shallotspur/gateway/Gateway.java
@@ -172,8 +172,8 @@
 	 */
 	public Runnable handle(RelayRequest request, CallerAnswer answer) {
 		this.inProgress++;
-		Arrival a = new Arrival(this, request, answer);
-		a.start(this.clock.getAsLong());
+		Arrival a = new Arrival(this, request, answer, this.clock.getAsLong());
+		a.start();
 		return a::callerGone;
 	}
 
--- a/src/main/java/io/shallotspur/gateway/RelayTask.java
+++ b/src/main/java/io/shallotspur/gateway/RelayTask.java
@@ -60,23 +60,23 @@
 
 	private boolean finished;
 
-	RelayTask(Gateway g, Admitted admitted, CallerAnswer answer, long now) {
+	RelayTask(Gateway g, Admitted admitted, CallerAnswer answer, long arrivedAt) {
 		this.g = g;
 		this.admitted = admitted;
 		this.route = admitted.route();
 		this.request = admitted.request();
 		this.answer = answer;
-		this.arrivedAt = now;
-		this.answerBy = now + Math.min(this.request.waitMs(), this.route.timeoutMs());
+		this.arrivedAt = arrivedAt;
+		this.answerBy = arrivedAt + Math.min(this.request.waitMs(), this.route.timeoutMs());
 		this.upstream = this.route.chooseUpstream(g.random.next());
 		EngineSpec engine = admitted.table().upstream(this.upstream).map(UpstreamSpec::engine).orElse(null);
 		this.progress = new AnswerProgress(engine, this.request.lastEventId());
-		this.placing = new Placing(g, admitted, this.upstream, engine, this, now, this.answerBy);
+		this.placing = new Placing(g, admitted, this.upstream, engine, this, arrivedAt, this.answerBy);
 	}
 
 	void start(long now) {
 		this.g.retries.firstTry(this.upstream, now);
-		long callerLeft = this.request.waitMs() - (this.answerBy - now);
+		long callerLeft = this.request.waitMs() - (this.answerBy - this.arrivedAt);
 		long slack = Math.min(WORKER_TIMEOUT_SLACK_MS, callerLeft);
 		this.cancelDeadline = this.g.timer.after(this.answerBy + slack - now, this::timeUp);
 		if (this.request.prompt() != null) {
--- a/src/test/java/io/shallotspur/gateway/CustomerKeyTests.java
+++ b/src/test/java/io/shallotspur/gateway/CustomerKeyTests.java
@@ -115,6 +115,19 @@
 		Assertions.assertThat(runs()).isEqualTo(1);
 	}
 
+	// The store is slow, and a caller has waited for its permission. Counted from then
+	// on,
+	// its time would be longer than it waits, and its worker would go on for nobody.
+	@Test
+	void theTimeThatAProofTakesIsTheCallers() {
+		this.f.timer.advance(REVOKED_MS);
+		this.f.keyed("safe", "key-1");
+		this.f.timer.advance(300);
+		prove();
+		answerAll();
+		Assertions.assertThat(this.f.workers.last().call.timeLeftMs()).isEqualTo(500);
+	}
+
 	// A caller waits for its permission at a store that is silent. Its own time passes,
 	// and it could have been served by another VM.
 	@Test
