--- a/src/main/java/io/shallotspur/registry/ConfigReader.java
+++ b/src/main/java/io/shallotspur/registry/ConfigReader.java
@@ -63,9 +63,9 @@
 	}
 
 	private void read(RouteTable t, Moment asked) {
-		// The watch may have brought a newer one while this answer was on its way. That
-		// one
-		// stays in force, and is at least as new as what the answer proves.
+		// If the watch has brought a newer one meanwhile, that one stays in force. It is
+		// at
+		// least as new as what the answer proves.
 		this.gateway.configure(t);
 		this.gateway.proved(asked);
 		over();
--- a/src/test/java/io/shallotspur/gateway/NopWorkers.java
+++ b/src/test/java/io/shallotspur/gateway/NopWorkers.java
@@ -3,7 +3,7 @@
 /**
  * Workers that never answer.
  */
-public final class NopWorkers implements WorkerPort {
+public class NopWorkers implements WorkerPort {
 
 	@Override
 	public Exchange run(WorkerCall call, ExchangeListener listener) {
--- a/src/test/java/io/shallotspur/registry/RevocationModelTests.java
+++ b/src/test/java/io/shallotspur/registry/RevocationModelTests.java
@@ -21,16 +21,13 @@
 import io.shallotspur.gateway.GatewayPorts;
 import io.shallotspur.gateway.GatewaySettings;
 import io.shallotspur.gateway.HeaderField;
-import io.shallotspur.gateway.HoldListener;
-import io.shallotspur.gateway.KvSource;
 import io.shallotspur.gateway.ManualTimer;
-import io.shallotspur.gateway.PrefillListener;
+import io.shallotspur.gateway.NopWorkers;
 import io.shallotspur.gateway.RelayMetrics;
 import io.shallotspur.gateway.RelayRefusal;
 import io.shallotspur.gateway.RelayRequest;
 import io.shallotspur.gateway.WorkerCall;
 import io.shallotspur.gateway.WorkerInfo;
-import io.shallotspur.gateway.WorkerPort;
 import io.shallotspur.gateway.WorkerStage;
 import io.shallotspur.route.Customer;
 import io.shallotspur.route.IngressLimits;
@@ -122,7 +119,7 @@
 	/**
 	 * One VM, the store and the time. Not thread-safe.
 	 */
-	private static final class World implements WorkerPort {
+	private static final class World extends NopWorkers {
 
 		private final ManualTimer timer = new ManualTimer();
 
@@ -225,24 +222,6 @@
 			};
 		}
 
-		@Override
-		public Exchange prefill(WorkerCall call, PrefillListener listener) {
-			return () -> {
-			};
-		}
-
-		@Override
-		public void release(KvSource source) {
-		}
-
-		@Override
-		public void hold(WorkerInfo worker, int tokens, long ttlMs, HoldListener listener) {
-		}
-
-		@Override
-		public void drop(WorkerInfo worker, String hold) {
-		}
-
 	}
 
 	/**
