--- a/src/main/java/io/shallotspur/gateway/EngineTimes.java
+++ b/src/main/java/io/shallotspur/gateway/EngineTimes.java
@@ -96,9 +96,8 @@
 
 	/**
 	 * Returns how long a prefill may take, the wait before it included, until its worker
-	 * is taken for lost. With a fixed limit 23 of 238 prompts in 50 s of bursts were
-	 * given up in the queue of a prefill worker and read again at a decode worker; with
-	 * this one 12 were.
+	 * is taken for lost. With a fixed limit, prompts of a burst would be given up in the
+	 * queue of a prefill worker and read again at a decode worker.
 	 * @return milliseconds: the mean of the latest and four deviations; 0 before the
 	 * first
 	 */
--- a/src/main/java/io/shallotspur/gateway/PrefillChoice.java
+++ b/src/main/java/io/shallotspur/gateway/PrefillChoice.java
@@ -10,13 +10,12 @@
  * the tokens of all it generates, so prompts that come faster than that make each other
  * and every running stream late. Prefill workers take them, until their own queues are
  * the longer way; a prompt so long that answers would stand still beyond what is on time
- * waits for them in any case. Read at a decode worker, prompts of 9,000 tokens held six
- * answers up for 320 to 440 ms each, where 300 ms are on time.
+ * waits for them in any case.
  */
 final class PrefillChoice {
 
 	// Below this many tokens a prefill takes less than the call and the transfer it would
-	// save, tokens: 10 ms at 30 tokens a ms.
+	// save, tokens.
 	private static final int LEAST_TOKENS = 300;
 
 	// Among workers that are about as busy, one in the decode worker's hall is taken: a
--- a/src/main/java/io/shallotspur/gateway/WorkerState.java
+++ b/src/main/java/io/shallotspur/gateway/WorkerState.java
@@ -16,8 +16,8 @@
 final class WorkerState {
 
 	// A report is good for half of the time that requests last here, and at least for so
-	// long, ms. With a fixed 300 ms, answers of 3.5 s were forgotten while they ran, and
-	// one decode worker had six of them where another had two.
+	// long, ms. With a fixed time, long answers would be forgotten while they run, and
+	// workers that have many would be given more.
 	private static final double LEAST_HALF_LIFE_MS = 300;
 
 	private static final double HALF_LIFE_SHARE = 0.5;
--- a/src/main/java/io/shallotspur/registry/RegistryFollower.java
+++ b/src/main/java/io/shallotspur/registry/RegistryFollower.java
@@ -34,10 +34,9 @@
 
 	// Changes come in bursts (a release, many workers at a start). One call after a
 	// pause fetches what would take a call each, ms. Every VM fetches every change, so
-	// the pause grows with the VMs: with eight, calls cost little and a worker's end
-	// should be known soon; with eighty-four the calls of each VM had cost 0.05 of all
-	// credit. The longest is a quarter of the time in which a configuration has to be
-	// in force.
+	// the pause grows with the VMs: with few, calls cost little and a worker's end
+	// should be known soon. The longest is a quarter of the time in which a configuration
+	// has to be in force.
 	private static final long LEAST_PAUSE_MS = 150;
 
 	private static final long MOST_PAUSE_MS = 500;
