A clock that is set back hides no suspension, and a proof of the configuration no longer looks younger

Cause: the age of a proof was the larger of what the steady clock and the time of day showed. A time of day that is set back, before or after the machine was suspended, made both show too little, and a key that had been revoked too long ago ran. Found by reading the change; RevocationModelTests with a step SET_BACK failed with REQUEST, REQUEST, READ, DELIVER, REVOKE, SUSPEND, SET_BACK, REQUEST. Change: ElapsedTime adds what the time of day gains on the steady clock between two readings and leaves aside what it loses; the gateway reads its clocks each 250 ms. Moment is gone. Result: the model passes with the step, CustomerKeyTests.aClockThatIsSetBackHidesNoSuspension too.

--- a/src/main/java/io/shallotspur/gateway/ConfigProof.java
+++ b/src/main/java/io/shallotspur/gateway/ConfigProof.java
@@ -1,7 +1,5 @@
 package io.shallotspur.gateway;
 
-import org.jspecify.annotations.Nullable;
-
 /**
  * How long ago the configuration in force surely was the newest one. Not thread-safe;
  * confined to the gateway's thread.
@@ -17,25 +15,26 @@
 	// which most cuts end or its callers have gone to other VMs.
 	private static final double RENEW_SHARE = 0.25;
 
+	// Longer ago than any bound, and far enough from the least number to be subtracted.
+	private static final long NEVER = Long.MIN_VALUE / 2;
+
 	private final long revokedMs;
 
-	private @Nullable Moment askedAt;
+	private long askedAt = NEVER;
 
 	ConfigProof(long revokedMs) {
 		this.revokedMs = revokedMs;
 	}
 
-	void proved(Moment asked) {
-		if (this.askedAt == null || asked.steadyMs() > this.askedAt.steadyMs()) {
-			this.askedAt = asked;
-		}
+	void proved(long askedMs) {
+		this.askedAt = Math.max(this.askedAt, askedMs);
 	}
 
-	long ageMs(Moment now) {
-		return (this.askedAt != null) ? now.since(this.askedAt) : Long.MAX_VALUE;
+	long ageMs(long now) {
+		return now - this.askedAt;
 	}
 
-	boolean worthRenewing(Moment now) {
+	boolean worthRenewing(long now) {
 		return this.revokedMs > 0 && ageMs(now) > RENEW_SHARE * this.revokedMs;
 	}
 
--- a/src/main/java/io/shallotspur/gateway/Gateway.java
+++ b/src/main/java/io/shallotspur/gateway/Gateway.java
@@ -20,6 +20,8 @@
  */
 public final class Gateway {
 
+	private static final long CLOCK_READING_MS = 250;
+
 	final GatewaySettings settings;
 
 	final WorkerPort workers;
@@ -30,6 +32,11 @@
 
 	private final LongSupplier wallClock;
 
+	private final ElapsedTime elapsed = new ElapsedTime();
+
+	private Runnable cancelClockReading = () -> {
+	};
+
 	final Placement.Random random;
 
 	final DecisionLog log;
@@ -190,23 +197,39 @@
 	}
 
 	/**
-	 * Returns the present moment.
-	 * @return the moment, by the gateway's clocks
+	 * Returns a time that goes on while the machine is suspended.
+	 * @return milliseconds since some moment
+	 */
+	public long elapsedMs() {
+		return this.elapsed.at(this.clock.getAsLong(), this.wallClock.getAsLong());
+	}
+
+	/**
+	 * Reads the clocks from now on. Between two readings a time of day that is set back
+	 * could hide a suspension.
+	 */
+	public void watchClocks() {
+		elapsedMs();
+		this.cancelClockReading = this.timer.after(CLOCK_READING_MS, this::watchClocks);
+	}
+
+	/**
+	 * Reads the clocks no more, except when a key is proved.
 	 */
-	public Moment moment() {
-		return new Moment(this.clock.getAsLong(), this.wallClock.getAsLong());
+	public void unwatchClocks() {
+		this.cancelClockReading.run();
 	}
 
 	/**
 	 * Takes that the configuration in force was the newest one.
-	 * @param asked when the question was sent that showed so
+	 * @param askedMs when the question was sent that showed so, by {@link #elapsedMs}
 	 */
-	public void proved(Moment asked) {
-		this.proof.proved(asked);
+	public void proved(long askedMs) {
+		this.proof.proved(askedMs);
 	}
 
 	long proofAgeMs() {
-		return this.proof.ageMs(moment());
+		return this.proof.ageMs(elapsedMs());
 	}
 
 	void askForProof(Runnable then) {
@@ -215,7 +238,7 @@
 
 	// Callers come with keys: what proves them is renewed before it is too old.
 	void keyUsed() {
-		if (this.proof.worthRenewing(moment())) {
+		if (this.proof.worthRenewing(elapsedMs())) {
 			askForProof(() -> {
 			});
 		}
--- a/src/main/java/io/shallotspur/platform/PlatformVm.java
+++ b/src/main/java/io/shallotspur/platform/PlatformVm.java
@@ -128,6 +128,7 @@
 		this.registration.start();
 		this.figures.start();
 		this.load.start();
+		this.gateway.watchClocks();
 		if (this.settings.orders().fenced()) {
 			this.stages.start();
 		}
@@ -174,6 +175,7 @@
 		this.loop.execute(this.stages::stop);
 		this.loop.execute(this.figures::stop);
 		this.loop.execute(this.load::stop);
+		this.loop.execute(this.gateway::unwatchClocks);
 		this.loop.execute(this.follower::stop);
 		this.servers.forEach((s) -> s.dispose());
 		this.loop.close();
--- a/src/main/java/io/shallotspur/registry/ConfigReader.java
+++ b/src/main/java/io/shallotspur/registry/ConfigReader.java
@@ -7,7 +7,6 @@
 
 import io.shallotspur.gateway.ConfigSource;
 import io.shallotspur.gateway.Gateway;
-import io.shallotspur.gateway.Moment;
 import io.shallotspur.route.RouteTable;
 
 /**
@@ -50,8 +49,8 @@
 
 	@Override
 	public void ask(Runnable then) {
-		Moment now = this.gateway.moment();
-		if (!this.underWay && now.steadyMs() - this.failedAt < RETRY_MS) {
+		long now = this.gateway.elapsedMs();
+		if (!this.underWay && now - this.failedAt < RETRY_MS) {
 			then.run();
 			return;
 		}
@@ -62,7 +61,7 @@
 		}
 	}
 
-	private void read(RouteTable t, Moment asked) {
+	private void read(RouteTable t, long asked) {
 		// If the watch has brought a newer one meanwhile, that one stays in force. It is
 		// at
 		// least as new as what the answer proves.
@@ -72,7 +71,7 @@
 	}
 
 	private void failed(Throwable ex) {
-		this.failedAt = this.gateway.moment().steadyMs();
+		this.failedAt = this.gateway.elapsedMs();
 		Logger.warn("[registry] configuration not read seen=\"{}\"", ex.toString());
 		over();
 	}
--- a/src/test/java/io/shallotspur/gateway/CustomerKeyTests.java
+++ b/src/test/java/io/shallotspur/gateway/CustomerKeyTests.java
@@ -33,7 +33,7 @@
 	}
 
 	private void prove() {
-		this.f.gateway.proved(this.f.gateway.moment());
+		this.f.gateway.proved(this.f.gateway.elapsedMs());
 	}
 
 	private void answerAll() {
@@ -172,12 +172,25 @@
 		Assertions.assertThat(runs()).isZero();
 	}
 
+	// The clock is set back by a minute, and then the machine is suspended. By the time
+	// of
+	// day the proof is younger than it was.
+	@Test
+	void aClockThatIsSetBackHidesNoSuspension() {
+		this.f.wallAheadMs -= 60_000;
+		this.f.gateway.elapsedMs();
+		this.f.wallAheadMs += 6_000;
+		this.f.keyed("safe", "key-1");
+		Assertions.assertThat(runs()).isZero();
+		Assertions.assertThat(this.questions).hasSize(1);
+	}
+
 	// The store answers slowly: the operator revokes a key just after it has read it for
 	// this VM. Counted from the answer, the key would be good for longer than it may.
 	@Test
 	void aProofIsAsOldAsItsQuestion() {
 		this.f.timer.advance(1_000);
-		Moment asked = this.f.gateway.moment();
+		long asked = this.f.gateway.elapsedMs();
 		this.f.timer.advance(4_000);
 		this.f.gateway.proved(asked);
 		this.f.timer.advance(1_000);
--- a/src/test/java/io/shallotspur/registry/RevocationModelTests.java
+++ b/src/test/java/io/shallotspur/registry/RevocationModelTests.java
@@ -40,7 +40,8 @@
 
 /**
  * Goes through all orders, up to a length, in which a key is revoked, a VM asks the store
- * and is answered late, time passes, the machine is suspended and callers come.
+ * and is answered late, time passes, the machine is suspended, its clock is set back and
+ * callers come.
  * <p>
  * A key is revoked while the VM is cut off, suspended, or has an answer on its way that
  * was read before. Its thief then uses the VM. No request may run that was sent later
@@ -112,7 +113,10 @@
 		WAIT,
 
 		/** The machine is suspended for the bound and a little. */
-		SUSPEND
+		SUSPEND,
+
+		/** Someone sets the time of day back by the bound. */
+		SET_BACK
 
 	}
 
@@ -133,6 +137,8 @@
 
 		private long suspendedMs;
 
+		private long setBackMs;
+
 		private long revokedAt = Long.MAX_VALUE;
 
 		private @Nullable RouteTable read;
@@ -144,7 +150,7 @@
 		private World() {
 			this.gateway = new Gateway(
 					new GatewaySettings("vm", "hall-a", 0.2, 50, 10_000).withRevokedKeyMs(REVOKED_MS),
-					new GatewayPorts(this, this.timer, this.timer::now, this::now, () -> 0.5, new DecisionLog(0),
+					new GatewayPorts(this, this.timer, this.timer::now, this::timeOfDay, () -> 0.5, new DecisionLog(0),
 							new RelayMetrics(new MetricRegistry())));
 			this.gateway.configSource(new ConfigReader(this.registry, this.gateway));
 			this.gateway.configure(table());
@@ -158,6 +164,10 @@
 			return this.timer.now() + this.suspendedMs;
 		}
 
+		private long timeOfDay() {
+			return now() - this.setBackMs;
+		}
+
 		private RouteTable table() {
 			boolean revoked = this.revokedAt != Long.MAX_VALUE;
 			Route r = new Route("r", "h", "/", RouteKind.SAFE, List.of(new RouteTarget("up", 1)), 800, 300, 0, 0, 2,
@@ -176,7 +186,10 @@
 				case REVOKE -> revoke();
 				case WAIT -> this.timer.advance(REVOKED_MS / 2 + 100);
 				case SUSPEND -> suspend();
+				case SET_BACK -> setBack();
 			}
+			// The VM reads its clocks all the time.
+			this.gateway.elapsedMs();
 		}
 
 		private void request() {
@@ -194,6 +207,10 @@
 			this.suspendedMs += REVOKED_MS + 100;
 		}
 
+		private void setBack() {
+			this.setBackMs += REVOKED_MS;
+		}
+
 		// The store reads when it has been asked, and not before.
 		private void read() {
 			if (this.registry.configurationReads > this.answered) {
