A VM that is closed twice is closed once

Change: the second close() does nothing. PlatformPathTests.closingTwiceIsClosingOnce failed each time without it.

--- a/src/main/java/io/shallotspur/platform/PlatformVm.java
+++ b/src/main/java/io/shallotspur/platform/PlatformVm.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.LongSupplier;
 
 import org.tinylog.Logger;
@@ -71,6 +72,8 @@
 
 	private volatile boolean leaving;
 
+	private final AtomicBoolean closed = new AtomicBoolean();
+
 	PlatformVm(PlatformSettings s) {
 		this.settings = s;
 		HttpWorkerPort workers = new HttpWorkerPort(this.loop);
@@ -169,9 +172,13 @@
 	}
 
 	/**
-	 * Closes all sockets at once.
+	 * Closes all sockets at once. A second call does nothing: a VM that has left has
+	 * closed by itself, and its event loop would reject what is handed to it.
 	 */
 	void close() {
+		if (!this.closed.compareAndSet(false, true)) {
+			return;
+		}
 		this.loop.execute(this.stages::stop);
 		this.loop.execute(this.figures::stop);
 		this.loop.execute(this.load::stop);
--- a/src/test/java/io/shallotspur/platform/PlatformPathTests.java
+++ b/src/test/java/io/shallotspur/platform/PlatformPathTests.java
@@ -341,6 +341,14 @@
 		Assertions.assertThat(c.join().headers().firstValue("Connection")).hasValue("close");
 	}
 
+	// A VM that has left is closed once more by whoever started it. Its event loop has
+	// ended by then, and what is handed to it is rejected.
+	@Test
+	void closingTwiceIsClosingOnce() {
+		this.vm.close();
+		Assertions.assertThatCode(this.vm::close).doesNotThrowAnyException();
+	}
+
 	// A stream keeps a VM that was told to leave alive to the end of its grace, and
 	// callers with an old address go on coming. Were the door closed early, they would
 	// find nobody and lose the one try they have left; were they let in to the last
