Logs and counters tell which limit a worker has named and what was sent there under it

Change: what a worker says of itself beside an answer is decoded into WorkerNews (load and limit), from answers to requests, prefills and reservations; a line and counters for each change and for each request that goes to a worker with a limit. Nothing is decided by it yet.

--- a/src/main/java/io/shallotspur/gateway/AnswerHead.java
+++ b/src/main/java/io/shallotspur/gateway/AnswerHead.java
@@ -2,8 +2,6 @@
 
 import java.util.List;
 
-import org.jspecify.annotations.Nullable;
-
 /**
  * Status and header of a worker's answer. Immutable.
  *
@@ -13,10 +11,10 @@
  * @param notRun whether the worker says that it has not run the request and never will
  * @param otherWorker whether another incarnation has the address, so that the one that
  * was meant is gone
- * @param load the worker's load, or {@code null} if it does not tell
+ * @param news what the worker says of itself
  */
 public record AnswerHead(int status, List<HeaderField> headers, AnswerOrigin origin, boolean notRun,
-		boolean otherWorker, @Nullable LoadReport load) {
+		boolean otherWorker, WorkerNews news) {
 
 	private static final int LEAST_SUCCESS = 200;
 
--- a/src/main/java/io/shallotspur/gateway/Attempt.java
+++ b/src/main/java/io/shallotspur/gateway/Attempt.java
@@ -85,7 +85,7 @@
 			return;
 		}
 		this.head = h;
-		this.sink.load(h);
+		this.sink.head(h);
 		if (h.origin() == AnswerOrigin.FOREIGN) {
 			fail(AttemptEnd.UNKNOWN, "foreign answer");
 		}
@@ -185,8 +185,8 @@
 	 */
 	interface Sink {
 
-		// The worker told of its load.
-		void load(AnswerHead head);
+		// The answer has begun; it may have news of the worker.
+		void head(AnswerHead head);
 
 		// A success begins whose bytes follow.
 		void begin(AnswerHead head);
--- a/src/main/java/io/shallotspur/gateway/Gateway.java
+++ b/src/main/java/io/shallotspur/gateway/Gateway.java
@@ -252,6 +252,35 @@
 		return this.holdQueues.computeIfAbsent(upstream, (u) -> new HoldQueue(this, u));
 	}
 
+	/**
+	 * Takes what a worker says of itself.
+	 * @param w the worker
+	 * @param news the news
+	 * @param sentAt when the request was sent whose answer says so, in milliseconds
+	 */
+	void told(WorkerState w, WorkerNews news, long sentAt) {
+		long now = this.clock.getAsLong();
+		if (news.load() != null) {
+			w.reported(news.load(), now);
+		}
+		if (news.limit() == null) {
+			return;
+		}
+		String before = w.limit().describe(now);
+		if (w.limit().told(news.limit(), sentAt, now)) {
+			this.metrics.limitNamed();
+			this.log.write(now, () -> "worker=" + w.info().id() + " " + w.limit().describe(now) + " before: " + before);
+		}
+	}
+
+	// A caller's request, or the prefill of its prompt, goes to a worker.
+	void sent(WorkerState w) {
+		w.limit().sent();
+		if (w.limit().limit().named()) {
+			this.metrics.sentToLimited();
+		}
+	}
+
 	void freed(String upstream, String worker) {
 		HoldQueue q = this.holdQueues.get(upstream);
 		if (q != null) {
--- a/src/main/java/io/shallotspur/gateway/HoldListener.java
+++ b/src/main/java/io/shallotspur/gateway/HoldListener.java
@@ -1,11 +1,17 @@
 package io.shallotspur.gateway;
 
 /**
- * Hears what becomes of a call for a reservation. One method is called, once, on the
- * gateway's thread.
+ * Hears what becomes of a call for a reservation, on the gateway's thread. One of the
+ * methods other than {@link #onNews} is called, once.
  */
 public interface HoldListener {
 
+	/**
+	 * What the worker says of itself, before what follows.
+	 * @param news the news
+	 */
+	void onNews(WorkerNews news);
+
 	/**
 	 * A place and memory are reserved.
 	 * @param hold the reservation's name at the worker; can be used once
--- a/src/main/java/io/shallotspur/gateway/HoldQueue.java
+++ b/src/main/java/io/shallotspur/gateway/HoldQueue.java
@@ -224,6 +224,11 @@
 		w.started();
 		this.g.workers.hold(w.info(), tokens, t.waiting.holdMs(), new HoldListener() {
 
+			@Override
+			public void onNews(WorkerNews news) {
+				HoldQueue.this.g.told(w, news, now);
+			}
+
 			@Override
 			public void onHeld(String hold) {
 				answered(t, w, tokens, hold, null);
--- a/src/main/java/io/shallotspur/gateway/PrefillListener.java
+++ b/src/main/java/io/shallotspur/gateway/PrefillListener.java
@@ -2,15 +2,15 @@
 
 /**
  * Hears what becomes of a prefill, on the gateway's thread. One of the methods other than
- * {@link #onLoad} is called, once.
+ * {@link #onNews} is called, once.
  */
 public interface PrefillListener {
 
 	/**
-	 * The worker told of its load, before what follows.
-	 * @param report the load
+	 * What the worker says of itself, before what follows.
+	 * @param news the news
 	 */
-	void onLoad(LoadReport report);
+	void onNews(WorkerNews news);
 
 	/**
 	 * The KV cache is there.
--- a/src/main/java/io/shallotspur/gateway/PrefillStep.java
+++ b/src/main/java/io/shallotspur/gateway/PrefillStep.java
@@ -48,6 +48,7 @@
 	void start(WorkerCall call, long limitMs) {
 		this.startedAt = this.g.clock.getAsLong();
 		this.worker.started();
+		this.g.sent(this.worker);
 		this.worker.whenEnded(this.onWorkerEnd);
 		this.cancelTimer = this.g.timer.after(limitMs, () -> {
 			this.g.times(this.worker.info().upstream()).prefillTimedOut(limitMs);
@@ -65,8 +66,8 @@
 	}
 
 	@Override
-	public void onLoad(LoadReport report) {
-		this.worker.reported(report, this.g.clock.getAsLong());
+	public void onNews(WorkerNews news) {
+		this.g.told(this.worker, news, this.startedAt);
 	}
 
 	@Override
--- a/src/main/java/io/shallotspur/gateway/RelayMetrics.java
+++ b/src/main/java/io/shallotspur/gateway/RelayMetrics.java
@@ -73,6 +73,14 @@
 		this.registry.counter("relay.sent-to-vanished").inc();
 	}
 
+	void limitNamed() {
+		this.registry.counter("relay.limit-changed").inc();
+	}
+
+	void sentToLimited() {
+		this.registry.counter("relay.sent-to-limited").inc();
+	}
+
 	void retried() {
 		this.registry.counter("relay.retried").inc();
 	}
--- a/src/main/java/io/shallotspur/gateway/RelayTask.java
+++ b/src/main/java/io/shallotspur/gateway/RelayTask.java
@@ -89,6 +89,7 @@
 	public void ready(WorkerState w, WorkerCall call, long now) {
 		this.attemptAt = now;
 		w.started();
+		this.g.sent(w);
 		if (w.onGrace()) {
 			this.g.metrics.sentToVanished();
 			note("sent to vanished worker=" + w.info().id(), now);
@@ -136,13 +137,14 @@
 	}
 
 	@Override
-	public void load(AnswerHead head) {
-		long now = this.g.clock.getAsLong();
-		if (this.attempt != null && head.load() != null) {
-			this.attempt.worker().reported(head.load(), now);
+	public void head(AnswerHead head) {
+		if (this.attempt == null) {
+			return;
 		}
-		if (this.attempt != null && head.otherWorker()) {
-			this.g.roster.replaced(this.attempt.worker().info().id(), this.placing.stage(), now);
+		WorkerState w = this.attempt.worker();
+		this.g.told(w, head.news(), this.attemptAt);
+		if (head.otherWorker()) {
+			this.g.roster.replaced(w.info().id(), this.placing.stage(), this.g.clock.getAsLong());
 		}
 	}
 
--- /dev/null
+++ b/src/main/java/io/shallotspur/gateway/WorkerLimit.java
@@ -0,0 +1,21 @@
+package io.shallotspur.gateway;
+
+/**
+ * How many requests a worker takes from all VMs together, as it says itself. Immutable.
+ *
+ * @param perSecond requests a second, 0 or more; infinite if it names no limit
+ */
+public record WorkerLimit(double perSecond) {
+
+	/** The worker takes whatever comes. */
+	public static final WorkerLimit NONE = new WorkerLimit(Double.POSITIVE_INFINITY);
+
+	/**
+	 * Tells whether the worker names a limit.
+	 * @return {@code false} if it takes whatever comes
+	 */
+	public boolean named() {
+		return this.perSecond < Double.POSITIVE_INFINITY;
+	}
+
+}
--- a/src/main/java/io/shallotspur/gateway/WorkerState.java
+++ b/src/main/java/io/shallotspur/gateway/WorkerState.java
@@ -54,6 +54,8 @@
 
 	private long unreachableUntil;
 
+	private final NamedLimit limit = new NamedLimit();
+
 	private final Set<Runnable> onEnd = new LinkedHashSet<>();
 
 	WorkerState(WorkerInfo info, long now) {
@@ -147,6 +149,10 @@
 		this.reportedAt = now;
 	}
 
+	NamedLimit limit() {
+		return this.limit;
+	}
+
 	/**
 	 * Takes how long a request was at the worker.
 	 * @param ms its time there, in milliseconds
--- a/src/main/java/io/shallotspur/platform/AnswerDecoder.java
+++ b/src/main/java/io/shallotspur/platform/AnswerDecoder.java
@@ -3,10 +3,13 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import org.jspecify.annotations.Nullable;
+import org.tinylog.Logger;
 
 import io.shallotspur.gateway.AnswerHead;
 import io.shallotspur.gateway.AnswerOrigin;
 import io.shallotspur.gateway.LoadReport;
+import io.shallotspur.gateway.WorkerLimit;
+import io.shallotspur.gateway.WorkerNews;
 
 /**
  * Decodes the head of a worker's answer. Stateless.
@@ -24,7 +27,40 @@
 	static AnswerHead head(String requestId, int status, HttpHeaders h) {
 		boolean other = status == MISDIRECTED;
 		boolean notRun = h.contains(Names.NOT_RUN) || other;
-		return new AnswerHead(status, Names.relayed(h), origin(requestId, h), notRun, other, load(h.get(Names.LOAD)));
+		AnswerOrigin origin = origin(requestId, h);
+		// Another incarnation, and an answer to another request, say nothing of this
+		// worker at present.
+		WorkerNews news = (other || origin == AnswerOrigin.FOREIGN) ? WorkerNews.NONE
+				: news(h, origin == AnswerOrigin.SIGNED);
+		return new AnswerHead(status, Names.relayed(h), origin, notRun, other, news);
+	}
+
+	/**
+	 * Decodes what a worker says of itself.
+	 * @param h the fields of its answer
+	 * @param tellsAll whether an answer of this kind has all that the worker says, so
+	 * that a field that it lacks is not meant
+	 * @return the news
+	 */
+	static WorkerNews news(HttpHeaders h, boolean tellsAll) {
+		return new WorkerNews(load(h.get(Names.LOAD)), limit(h.get(Names.LIMIT), tellsAll));
+	}
+
+	private static @Nullable WorkerLimit limit(@Nullable String v, boolean tellsAll) {
+		if (v == null) {
+			return tellsAll ? WorkerLimit.NONE : null;
+		}
+		try {
+			double perSecond = Double.parseDouble(v.strip());
+			if (perSecond >= 0 && perSecond < Double.POSITIVE_INFINITY) {
+				return new WorkerLimit(perSecond);
+			}
+		}
+		catch (NumberFormatException ex) {
+			// Left aside below, like a number that is no rate.
+		}
+		Logger.info("[platform] limit left aside seen=\"{}\"", v);
+		return null;
 	}
 
 	private static AnswerOrigin origin(String requestId, HttpHeaders h) {
--- a/src/main/java/io/shallotspur/platform/HttpWorkerPort.java
+++ b/src/main/java/io/shallotspur/platform/HttpWorkerPort.java
@@ -34,6 +34,7 @@
 import io.shallotspur.gateway.RelayRequest;
 import io.shallotspur.gateway.WorkerCall;
 import io.shallotspur.gateway.WorkerInfo;
+import io.shallotspur.gateway.WorkerNews;
 import io.shallotspur.gateway.WorkerPort;
 import io.shallotspur.gateway.WorkerStage;
 
@@ -141,27 +142,33 @@
 		Disposable d = send(call, EntryDecoder.encode(WorkerStage.PREFILL), sent)
 			.responseSingle((r, content) -> content.asByteArray()
 				.defaultIfEmpty(new byte[0])
-				.map((b) -> prefilled(head(call.request(), r), b)))
+				.map((b) -> prefilled(call.request(), r, b)))
 			.subscribe((p) -> tell(p, listener), (ex) -> listener.onFailure(failure(sent, ex)));
 		return d::dispose;
 	}
 
-	private static Prefilled prefilled(AnswerHead head, byte[] body) {
+	private static Prefilled prefilled(RelayRequest request, HttpClientResponse r, byte[] body) {
+		AnswerHead head = head(request, r);
+		String handle = handle(head, body);
+		// Answers to prefills are not signed; one with a handle is the worker's.
+		boolean whole = !handle.isEmpty() && head.origin() != AnswerOrigin.FOREIGN;
+		return new Prefilled(head, handle, whole ? AnswerDecoder.news(r.responseHeaders(), true) : head.news());
+	}
+
+	private static String handle(AnswerHead head, byte[] body) {
 		try {
 			JsonNode n = EntryDecoder.JSON.readTree(body);
-			return new Prefilled(head, (head.status() == OK) ? n.path("kv_handle").asText() : "");
+			return (head.status() == OK) ? n.path("kv_handle").asText() : "";
 		}
 		catch (IOException ex) {
 			// Not an answer in the protocol: the same as none.
 			Logger.info("[platform] prefill answer left aside status={} seen=\"{}\"", head.status(), ex.toString());
-			return new Prefilled(head, "");
+			return "";
 		}
 	}
 
 	private static void tell(Prefilled p, PrefillListener listener) {
-		if (p.head().load() != null) {
-			listener.onLoad(p.head().load());
-		}
+		listener.onNews(p.news());
 		String status = "status " + p.head().status();
 		if (!p.handle().isEmpty() && p.head().origin() != AnswerOrigin.FOREIGN) {
 			listener.onReady(p.handle());
@@ -197,13 +204,19 @@
 	public void hold(WorkerInfo worker, int tokens, long ttlMs, HoldListener listener) {
 		ObjectNode body = EntryDecoder.JSON.createObjectNode().put("tokens", tokens).put("ttl_ms", ttlMs);
 		this.side.post(worker, Names.HOLD_PATH, body)
-			.responseSingle((r, content) -> content.asByteArray()
-				.defaultIfEmpty(new byte[0])
-				.map((b) -> new HoldAnswer(r.status().code(), held(r.status().code(), b))))
+			.responseSingle(
+					(r, content) -> content.asByteArray().defaultIfEmpty(new byte[0]).map((b) -> holdAnswer(r, b)))
 			.timeout(Duration.ofMillis(SIDE_CALL_MS), this.loop.scheduler())
 			.subscribe((h) -> tell(h, listener), (ex) -> listener.onFailure(new ExchangeFailure(true, ex.toString())));
 	}
 
+	private static HoldAnswer holdAnswer(HttpClientResponse r, byte[] body) {
+		int status = r.status().code();
+		boolean other = status == AnswerDecoder.MISDIRECTED;
+		WorkerNews news = other ? WorkerNews.NONE : AnswerDecoder.news(r.responseHeaders(), false);
+		return new HoldAnswer(status, held(status, body), news);
+	}
+
 	private static Optional<String> held(int status, byte[] body) {
 		try {
 			String h = (status == OK) ? EntryDecoder.JSON.readTree(body).path("hold").asText() : "";
@@ -216,6 +229,7 @@
 	}
 
 	private static void tell(HoldAnswer a, HoldListener listener) {
+		listener.onNews(a.news());
 		if (a.hold().isPresent()) {
 			listener.onHeld(a.hold().get());
 		}
@@ -281,14 +295,14 @@
 	/**
 	 * A worker's answer to a call for a reservation.
 	 */
-	private record HoldAnswer(int status, Optional<String> hold) {
+	private record HoldAnswer(int status, Optional<String> hold, WorkerNews news) {
 
 	}
 
 	/**
 	 * A worker's answer to a prefill.
 	 */
-	private record Prefilled(AnswerHead head, String handle) {
+	private record Prefilled(AnswerHead head, String handle, WorkerNews news) {
 
 	}
 
--- a/src/main/java/io/shallotspur/platform/Names.java
+++ b/src/main/java/io/shallotspur/platform/Names.java
@@ -33,6 +33,11 @@
 	/** Running, waiting, slots, separated by commas. */
 	static final String LOAD = "X-Server-Load";
 
+	/**
+	 * Requests a second that the worker takes from all VMs together, while it says so.
+	 */
+	static final String LIMIT = "Server-Limit";
+
 	/** Prompt tokens and the most output tokens, separated by a comma. */
 	static final String TOKEN_COUNTS = "X-Token-Count";
 
--- a/src/test/java/io/shallotspur/gateway/FakeWorkers.java
+++ b/src/test/java/io/shallotspur/gateway/FakeWorkers.java
@@ -71,15 +71,15 @@
 		}
 
 		void head(int status) {
-			this.listener.onHead(new AnswerHead(status, List.of(), AnswerOrigin.SIGNED, false, false, null));
+			this.listener.onHead(new AnswerHead(status, List.of(), AnswerOrigin.SIGNED, false, false, WorkerNews.NONE));
 		}
 
 		void notRun() {
-			this.listener.onHead(new AnswerHead(503, List.of(), AnswerOrigin.UNSIGNED, true, false, null));
+			this.listener.onHead(new AnswerHead(503, List.of(), AnswerOrigin.UNSIGNED, true, false, WorkerNews.NONE));
 		}
 
 		void replaced() {
-			this.listener.onHead(new AnswerHead(421, List.of(), AnswerOrigin.UNSIGNED, true, true, null));
+			this.listener.onHead(new AnswerHead(421, List.of(), AnswerOrigin.UNSIGNED, true, true, WorkerNews.NONE));
 		}
 
 		void lost() {
--- a/src/test/java/io/shallotspur/gateway/RelayTests.java
+++ b/src/test/java/io/shallotspur/gateway/RelayTests.java
@@ -99,7 +99,8 @@
 	@Test
 	void neverPassesOnAnAnswerToAnotherRequest() {
 		Call c = this.f.call("unsafe");
-		this.f.workers.last().listener.onHead(new AnswerHead(200, List.of(), AnswerOrigin.FOREIGN, false, false, null));
+		this.f.workers.last().listener
+			.onHead(new AnswerHead(200, List.of(), AnswerOrigin.FOREIGN, false, false, WorkerNews.NONE));
 		Assertions.assertThat(c.caller().status).isEqualTo(502);
 		Assertions.assertThat(this.f.workers.last().cancelled).isTrue();
 	}
@@ -108,7 +109,7 @@
 	void neverPassesOnAnUnsignedSuccess() {
 		Call c = this.f.call("unsafe");
 		this.f.workers.last().listener
-			.onHead(new AnswerHead(200, List.of(), AnswerOrigin.UNSIGNED, false, false, null));
+			.onHead(new AnswerHead(200, List.of(), AnswerOrigin.UNSIGNED, false, false, WorkerNews.NONE));
 		Assertions.assertThat(c.caller().status).isEqualTo(502);
 	}
 
