--- a/src/test/java/io/shallotspur/gateway/FakeWorkers.java
+++ b/src/test/java/io/shallotspur/gateway/FakeWorkers.java
@@ -74,6 +74,13 @@
 			this.listener.onHead(new AnswerHead(status, List.of(), AnswerOrigin.SIGNED, false, false, WorkerNews.NONE));
 		}
 
+		void answerNaming(WorkerLimit limit) {
+			this.listener
+				.onHead(new AnswerHead(200, List.of(), AnswerOrigin.SIGNED, false, false, new WorkerNews(null, limit)));
+			this.listener.onBytes("fine".getBytes());
+			this.listener.onEnd();
+		}
+
 		void notRun() {
 			this.listener.onHead(new AnswerHead(503, List.of(), AnswerOrigin.UNSIGNED, true, false, WorkerNews.NONE));
 		}
--- a/src/test/java/io/shallotspur/gateway/GatewayFixture.java
+++ b/src/test/java/io/shallotspur/gateway/GatewayFixture.java
@@ -2,6 +2,7 @@
 
 import java.util.Arrays;
 import java.util.List;
+import java.util.function.DoubleSupplier;
 import java.util.stream.Collectors;
 
 import com.codahale.metrics.MetricRegistry;
@@ -48,10 +49,14 @@
 	}
 
 	GatewayFixture(long revokedKeyMs) {
+		this(revokedKeyMs, () -> 0.5);
+	}
+
+	GatewayFixture(long revokedKeyMs, DoubleSupplier random) {
 		this.gateway = new Gateway(
 				new GatewaySettings("vm-1", "hall-a", 0.2, 50, 10_000).withRevokedKeyMs(revokedKeyMs),
 				new GatewayPorts(this.workers, this.timer, this.timer::now, () -> this.timer.now() + this.wallAheadMs,
-						() -> 0.5, new DecisionLog(0), new RelayMetrics(this.metrics)));
+						random, new DecisionLog(0), new RelayMetrics(this.metrics)));
 	}
 
 	GatewayFixture configured() {
--- /dev/null
+++ b/src/test/java/io/shallotspur/gateway/LimitedFleet.java
@@ -0,0 +1,178 @@
+package io.shallotspur.gateway;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+
+import io.shallotspur.gateway.GatewayFixture.Call;
+
+/**
+ * Several VMs in virtual time before plain workers that may name limits. Callers use the
+ * VMs that {@link EntryVms} names, and now and then one that stands by.
+ */
+final class LimitedFleet {
+
+	static final double WINDOW_S = 4;
+
+	private static final long WINDOW_MS = 4_000;
+
+	// From this long after a worker first named a limit the bound holds.
+	private static final long SETTLING_MS = 3_000;
+
+	// What a VM was told this long ago binds it.
+	private static final long NOTICE_MS = 500;
+
+	private static final long ANSWER_MS = 80;
+
+	private static final int STEP_MS = 10;
+
+	private final Random random;
+
+	private final List<GatewayFixture> vms = new ArrayList<>();
+
+	private final List<EntryVm> entries = new ArrayList<>();
+
+	private final Map<String, WorkerLimit> limits = new HashMap<>();
+
+	private final Map<String, Long> namedAt = new HashMap<>();
+
+	private final Map<String, Long> toldAt = new HashMap<>();
+
+	private final Deque<Due> due = new ArrayDeque<>();
+
+	private final List<Arrived> arrived = new ArrayList<>();
+
+	private final Map<GatewayFixture, Integer> seen = new HashMap<>();
+
+	final List<Call> calls = new ArrayList<>();
+
+	private long now;
+
+	LimitedFleet(int vms, int workers, long seed) {
+		this.random = new Random(seed);
+		for (int i = 0; i < vms; i++) {
+			this.entries.add(new EntryVm("vms/" + i, "10.1.0." + i + ":80", "r", "hall-" + i % 3, 1, false));
+		}
+		for (int i = 0; i < vms; i++) {
+			this.vms.add(start(i, workers));
+		}
+	}
+
+	private GatewayFixture start(int i, int workers) {
+		GatewayFixture f = new GatewayFixture(0, this.random::nextDouble).configured().plainWorkers(workers);
+		f.gateway.vms().own(this.entries.get(i));
+		this.entries.forEach(f.gateway.vms()::seen);
+		return f;
+	}
+
+	void names(String worker, WorkerLimit limit) {
+		this.limits.put(worker, limit);
+		this.namedAt.putIfAbsent(worker, this.now);
+	}
+
+	long now() {
+		return this.now;
+	}
+
+	/**
+	 * Lets callers come.
+	 * @param ms for how long, in milliseconds
+	 * @param perSecond requests a second at all VMs together
+	 * @param strayShare the part that goes to any VM and not to one that serves
+	 */
+	void run(long ms, double perSecond, double strayShare) {
+		long end = this.now + ms;
+		while (this.now < end) {
+			answer();
+			double expected = perSecond * STEP_MS / 1_000;
+			while (this.random.nextDouble() < expected) {
+				call(strayShare);
+				expected -= 1;
+			}
+			this.now += STEP_MS;
+			this.vms.forEach((f) -> f.timer.advance(STEP_MS));
+			collect();
+		}
+	}
+
+	private void call(double strayShare) {
+		GatewayFixture f = this.vms.get(this.random.nextInt(this.vms.size()));
+		boolean stray = this.random.nextDouble() < strayShare;
+		while (!stray && f.gateway.vms().standsBy(f.timer.now())) {
+			f = this.vms.get(this.random.nextInt(this.vms.size()));
+		}
+		this.calls.add(f.call("unsafe"));
+		collect();
+	}
+
+	// Requests that have come to workers since the last look.
+	private void collect() {
+		for (int i = 0; i < this.vms.size(); i++) {
+			GatewayFixture f = this.vms.get(i);
+			List<FakeWorkers.Run> runs = f.workers.runs;
+			for (int r = this.seen.getOrDefault(f, 0); r < runs.size(); r++) {
+				String worker = runs.get(r).call.worker().id();
+				this.arrived.add(new Arrived(this.now, worker, i, told(i, worker)));
+				this.due.add(new Due(this.now + ANSWER_MS, runs.get(r), i, worker));
+			}
+			this.seen.put(f, runs.size());
+		}
+	}
+
+	private boolean told(int vm, String worker) {
+		Long at = this.toldAt.get(vm + worker);
+		return at != null && this.now - at >= NOTICE_MS;
+	}
+
+	private void answer() {
+		while (!this.due.isEmpty() && this.due.peekFirst().at() <= this.now) {
+			Due d = this.due.removeFirst();
+			WorkerLimit limit = this.limits.getOrDefault(d.worker(), WorkerLimit.NONE);
+			if (limit.named()) {
+				this.toldAt.putIfAbsent(d.vm() + d.worker(), this.now);
+			}
+			d.run().answerNaming(limit);
+		}
+	}
+
+	/**
+	 * Returns the most requests that a worker got in a window in which its bound held,
+	 * from VMs that it had told.
+	 * @param worker the worker
+	 * @return the number of requests
+	 */
+	long mostInWindow(String worker) {
+		long from = this.namedAt.getOrDefault(worker, Long.MAX_VALUE / 2) + SETTLING_MS;
+		List<Long> l = this.arrived.stream()
+			.filter((a) -> a.worker().equals(worker) && a.told() && a.at() >= from)
+			.map(Arrived::at)
+			.toList();
+		return l.stream()
+			.mapToLong((t) -> l.stream().filter((u) -> u >= t && u < t + WINDOW_MS).count())
+			.max()
+			.orElse(0);
+	}
+
+	/**
+	 * Returns how many requests a worker has got.
+	 * @param worker the worker
+	 * @param from since when, in milliseconds
+	 * @return the number of requests, of all VMs
+	 */
+	long arrivedSince(String worker, long from) {
+		return this.arrived.stream().filter((a) -> a.worker().equals(worker) && a.at() >= from).count();
+	}
+
+	private record Due(long at, FakeWorkers.Run run, int vm, String worker) {
+
+	}
+
+	private record Arrived(long at, String worker, int vm, boolean told) {
+
+	}
+
+}
