VMs together keep to the connections that a worker takes

A worker resets connections beyond its limit, and a request on one of them may have run, so its caller hears of an unknown outcome and may not repeat it.

Evidence: LimitTests.noWorkerGetsMoreConnectionsThanItTakesFromAllVms failed before (60 requests under way at a worker that takes 100 from two VMs), passes now. The fix: a worker at which this VM has as many requests under way as its part (ConnectionPart) is no candidate: three quarters of the limit are shared by the VMs that callers are told to use, the rest by the others. A call that finds no other worker is refused as not run; prompts wait for a place as before.

--- a/src/main/java/io/shallotspur/gateway/EntryVms.java
+++ b/src/main/java/io/shallotspur/gateway/EntryVms.java
@@ -123,7 +123,7 @@
 			byRegion.values().removeIf((l) -> l.size() < FEWEST_NEAR);
 			byRegion.replaceAll((region, l) -> ServingSet.of(l));
 			long until = this.byKey.values().stream().mapToLong(Entry::until).min().orElse(Long.MAX_VALUE);
-			c = new Choice(byRegion, ServingSet.of(all), until);
+			c = Choice.of(byRegion, ServingSet.of(all), until);
 			this.choice = c;
 		}
 		return c;
@@ -144,9 +144,7 @@
 	 * @return the number of VMs, at least 1
 	 */
 	int servingEverywhere(long now) {
-		Choice c = choice(now);
-		int n = c.byRegion().isEmpty() ? c.ofAll().size() : c.byRegion().values().stream().mapToInt(List::size).sum();
-		return Math.max(1, n);
+		return Math.max(1, choice(now).addresses().size());
 	}
 
 	/**
@@ -156,15 +154,8 @@
 	 * @return its place, from 0, or -1 if callers are told to use others
 	 */
 	int placeAmongServing(long now) {
-		EntryVm me = this.own;
-		Choice c = choice(now);
-		List<EntryVm> all = new ArrayList<>();
-		c.byRegion().keySet().stream().sorted().forEach((r) -> all.addAll(c.of(r)));
-		List<EntryVm> l = all.isEmpty() ? c.ofAll() : all;
-		if (me == null || l.isEmpty()) {
-			return 0;
-		}
-		return l.stream().map(EntryVm::address).toList().indexOf(me.address());
+		List<String> l = choice(now).addresses();
+		return (this.own == null || l.isEmpty()) ? 0 : l.indexOf(this.own.address());
 	}
 
 	/**
@@ -196,9 +187,19 @@
 	 *
 	 * @param byRegion those of each region that has enough
 	 * @param ofAll those for callers of any other region
+	 * @param addresses those of all regions that have enough, or of all, in an agreed
+	 * order
 	 * @param until when a VM among all ends, in milliseconds
 	 */
-	private record Choice(Map<String, List<EntryVm>> byRegion, List<EntryVm> ofAll, long until) {
+	private record Choice(Map<String, List<EntryVm>> byRegion, List<EntryVm> ofAll, List<String> addresses,
+			long until) {
+
+		static Choice of(Map<String, List<EntryVm>> byRegion, List<EntryVm> ofAll, long until) {
+			List<String> l = new ArrayList<>();
+			byRegion.keySet().stream().sorted().forEach((r) -> byRegion.get(r).forEach((v) -> l.add(v.address())));
+			List<String> all = byRegion.isEmpty() ? ofAll.stream().map(EntryVm::address).toList() : l;
+			return new Choice(byRegion, ofAll, all, until);
+		}
 
 		List<EntryVm> of(String region) {
 			return this.byRegion.getOrDefault(region, this.ofAll);
--- a/src/main/java/io/shallotspur/gateway/Placing.java
+++ b/src/main/java/io/shallotspur/gateway/Placing.java
@@ -10,6 +10,7 @@
 
 import io.shallotspur.route.EngineSpec;
 import io.shallotspur.route.Route;
+import io.shallotspur.route.UpstreamSpec;
 
 /**
  * Finds the worker of each attempt of one request, and what it takes to run there: for a
@@ -61,6 +62,8 @@
 
 	private final @Nullable EngineSpec engine;
 
+	private final int connectionLimit;
+
 	private final Sink sink;
 
 	private final long arrivedAt;
@@ -93,14 +96,15 @@
 
 	private long waitsSince;
 
-	Placing(Gateway g, Admitted admitted, String upstream, @Nullable EngineSpec engine, Sink sink, long arrivedAt,
+	Placing(Gateway g, Admitted admitted, String upstream, @Nullable UpstreamSpec spec, Sink sink, long arrivedAt,
 			long answerBy) {
 		this.g = g;
 		this.admitted = admitted;
 		this.route = admitted.route();
 		this.request = admitted.request();
 		this.upstream = upstream;
-		this.engine = engine;
+		this.engine = (spec != null) ? spec.engine() : null;
+		this.connectionLimit = (spec != null) ? spec.connectionLimit() : Integer.MAX_VALUE;
 		this.sink = sink;
 		this.arrivedAt = arrivedAt;
 		this.answerBy = answerBy;
@@ -151,7 +155,13 @@
 		WorkerState w = known(now).stream()
 			.min(Comparator.comparingLong((x) -> this.g.limits.waitMs(x, now)))
 			.orElseThrow();
-		waitFor(w, this.g.limits.waitMs(w, now));
+		long wait = this.g.limits.waitMs(w, now);
+		if (wait == 0) {
+			// It names no limit, but has as many connections of this VM as it takes.
+			this.sink.nowhere(RefusalReason.WORKERS_FULL, now);
+			return;
+		}
+		waitFor(w, wait);
 	}
 
 	private void waitFor(WorkerState w, long ms) {
@@ -210,7 +220,8 @@
 	}
 
 	private List<WorkerState> admitting(List<WorkerState> workers, long now) {
-		return workers.stream().filter((w) -> this.g.limits.admits(w, now)).toList();
+		int connections = ConnectionPart.of(this.connectionLimit, this.g.vms, now);
+		return workers.stream().filter((w) -> w.running() < connections && this.g.limits.admits(w, now)).toList();
 	}
 
 	/**
--- a/src/main/java/io/shallotspur/gateway/RelayTask.java
+++ b/src/main/java/io/shallotspur/gateway/RelayTask.java
@@ -3,7 +3,6 @@
 import org.jspecify.annotations.Nullable;
 
 import io.shallotspur.route.Customer;
-import io.shallotspur.route.EngineSpec;
 import io.shallotspur.route.Route;
 import io.shallotspur.route.RouteKind;
 import io.shallotspur.route.UpstreamSpec;
@@ -69,9 +68,9 @@
 		this.arrivedAt = arrivedAt;
 		this.answerBy = arrivedAt + Math.min(this.request.waitMs(), this.route.timeoutMs());
 		this.upstream = this.route.chooseUpstream(g.random.next());
-		EngineSpec engine = admitted.table().upstream(this.upstream).map(UpstreamSpec::engine).orElse(null);
-		this.progress = new AnswerProgress(engine, this.request.lastEventId());
-		this.placing = new Placing(g, admitted, this.upstream, engine, this, arrivedAt, this.answerBy);
+		UpstreamSpec spec = admitted.table().upstream(this.upstream).orElse(null);
+		this.progress = new AnswerProgress((spec != null) ? spec.engine() : null, this.request.lastEventId());
+		this.placing = new Placing(g, admitted, this.upstream, spec, this, arrivedAt, this.answerBy);
 	}
 
 	void start(long now) {
--- a/src/main/java/io/shallotspur/gateway/WorkerState.java
+++ b/src/main/java/io/shallotspur/gateway/WorkerState.java
@@ -130,6 +130,12 @@
 		this.running--;
 	}
 
+	// Requests, prefills and reservations of this VM that are under way; each has a
+	// connection.
+	int running() {
+		return this.running;
+	}
+
 	// The start or end of a prefill that this VM has a decode worker do itself.
 	void prefilling(int change) {
 		this.prefilling += change;
--- a/src/test/java/io/shallotspur/gateway/LimitTests.java
+++ b/src/test/java/io/shallotspur/gateway/LimitTests.java
@@ -234,4 +234,22 @@
 		Assertions.assertThat(f.workers.runs).hasSize(2);
 	}
 
+	// Guards against connections beyond what a worker takes from all VMs together: it
+	// resets them, and whether their requests have run is not known.
+	@Test
+	void noWorkerGetsMoreConnectionsThanItTakesFromAllVms() {
+		GatewayFixture f = new GatewayFixture().configured().plainWorkers(1);
+		EntryVm me = new EntryVm("vms/1", "10.1.0.1:80", "r", "hall-a", 1, false);
+		f.gateway.vms().own(me);
+		f.gateway.vms().seen(new EntryVm("vms/2", "10.1.0.2:80", "r", "hall-b", 1, false));
+		Call last = null;
+		for (int i = 0; i < 60; i++) {
+			last = f.call("unsafe");
+		}
+		Assertions.assertThat(f.workers.runs).hasSizeLessThanOrEqualTo(50);
+		Assertions.assertThat(last.caller().status).isEqualTo(503);
+		f.workers.runs.get(0).answer(200, "fine");
+		Assertions.assertThat(f.call("unsafe").caller().refusal).isNull();
+	}
+
 }
