--- a/src/test/java/io/shallotspur/gateway/LimitTests.java
+++ b/src/test/java/io/shallotspur/gateway/LimitTests.java
@@ -51,6 +51,22 @@
 		}
 	}
 
+	// Guards against the request that each VM has saved up after a calm minute: with
+	// forty
+	// VMs that all serve, a worker that takes one a second would get forty at once.
+	@Test
+	void manyVmsDoNotSendWhatEachHasSaved() {
+		LimitedFleet f = new LimitedFleet(40, 1, 5);
+		for (int vm = 0; vm < 40; vm++) {
+			f.crowded(vm, true, (v) -> true);
+		}
+		f.names("p1", limit(1));
+		f.run(10_000, 200, 0);
+		f.run(60_000, 0, 0);
+		f.run(2_000, 400, 0);
+		Assertions.assertThat(f.broken()).isEmpty();
+	}
+
 	// Guards against a limit that is kept so far below that callers are refused whom the
 	// workers would have served.
 	@Test
