The soak has workers that name limits, and a path test keeps to them through sockets

Change: up to two limits a run, 8 to 16 s long, drawn apart so that the faults of each seed stay; what reaches a limited worker is held to the platform's bound while VMs and store are calm. EvidenceTests and PlatformPathTests.keepsToTheLimitsThatWorkersName.

--- a/src/test/java/io/shallotspur/platform/PlatformPathTests.java
+++ b/src/test/java/io/shallotspur/platform/PlatformPathTests.java
@@ -242,6 +242,21 @@
 		Assertions.assertThat(r.body()).contains("\"addresses\":[\"127.0.0.1:").contains("\"ttl_s\":2.0");
 	}
 
+	// Guards against a limit that is read but not kept to: workers that take nothing at
+	// all get no second request, and the caller hears so at once.
+	@Test
+	void keepsToTheLimitsThatWorkersName() {
+		this.p1.limit = "0.0";
+		this.p2.limit = "0.0";
+		send(request("/safe/x").build());
+		send(request("/safe/x").build());
+		HttpResponse<String> r = send(request("/safe/x").build());
+		Assertions.assertThat(r.statusCode()).isEqualTo(503);
+		Assertions.assertThat(r.headers().firstValue("Retry-After")).isPresent();
+		Assertions.assertThat(this.p1.paths).hasSize(1);
+		Assertions.assertThat(this.p2.paths).hasSize(1);
+	}
+
 	@Test
 	void servesItsMetrics() {
 		send(request("/safe/x").build());
--- a/src/test/java/io/shallotspur/platform/WorkerDouble.java
+++ b/src/test/java/io/shallotspur/platform/WorkerDouble.java
@@ -37,6 +37,9 @@
 
 	volatile int orderStatus = 202;
 
+	// Requests a second that it says it takes; empty for none.
+	volatile String limit = "";
+
 	private final DisposableServer server;
 
 	private final String id;
@@ -86,6 +89,9 @@
 		this.seen.add(q.requestHeaders());
 		this.paths.add(q.method() + " " + q.uri() + " " + body);
 		s.header("X-Request-Id", q.requestHeaders().get("X-Request-Id", ""));
+		if (!this.limit.isEmpty()) {
+			s.header("Server-Limit", this.limit);
+		}
 		if ("prefill".equals(q.requestHeaders().get("X-Stage"))) {
 			return s.sendString(Mono.just("{\"kv_handle\":\"kv1\",\"tokens\":1,\"version\":1}"));
 		}
--- a/src/test/java/io/shallotspur/platform/soak/Evidence.java
+++ b/src/test/java/io/shallotspur/platform/soak/Evidence.java
@@ -37,6 +37,8 @@
 
 	private final Map<String, Integer> refused = new ConcurrentHashMap<>();
 
+	private final Map<String, LimitedWorker> limited = new ConcurrentHashMap<>();
+
 	private final Map<String, Long> fences = new ConcurrentHashMap<>();
 
 	private final List<String> broken = new CopyOnWriteArrayList<>();
@@ -100,6 +102,11 @@
 	 * @param nowMs the present time in milliseconds
 	 */
 	void reached(String id, String worker, long leftAtMs, long nowMs) {
+		LimitedWorker limit = this.limited.get(worker);
+		if (limit != null) {
+			limit.reached(nowMs, (this.disturbances.get() == 0) ? this.disturbedAt.get() + CALM_MS : Long.MAX_VALUE)
+				.ifPresent((b) -> broken("LIMIT id=" + id + " worker=" + worker + " " + b));
+		}
 		long late = nowMs - leftAtMs;
 		boolean calm = this.disturbances.get() == 0 && this.disturbedAt.get() + CALM_MS < leftAtMs;
 		if (leftAtMs != Long.MAX_VALUE && late > LEAVES_MS && calm) {
@@ -107,6 +114,21 @@
 		}
 	}
 
+	/**
+	 * A worker names a limit from now on, or none.
+	 * @param worker the worker
+	 * @param perSecond requests a second; infinite for none
+	 * @param nowMs the present time in milliseconds
+	 */
+	void limited(String worker, double perSecond, long nowMs) {
+		if (perSecond < Double.POSITIVE_INFINITY) {
+			this.limited.put(worker, new LimitedWorker(perSecond, nowMs));
+		}
+		else {
+			this.limited.remove(worker);
+		}
+	}
+
 	/**
 	 * A worker is told whose request it runs.
 	 * @param id the request
--- a/src/test/java/io/shallotspur/platform/soak/EvidenceTests.java
+++ b/src/test/java/io/shallotspur/platform/soak/EvidenceTests.java
@@ -134,6 +134,36 @@
 		Assertions.assertThat(broken()).containsExactly("UNASKED", "UNASKED", "UNASKED");
 	}
 
+	@Test
+	void findsRequestsBeyondTheLimitThatAWorkerNamed() {
+		this.evidence.limited("w1", 1, 0);
+		this.evidence.disturbanceBegins();
+		this.evidence.disturbanceEnds(-5_000);
+		reachEach(100, 0, 3_000);
+		reachEach(400, 3_000, 12_000);
+		Assertions.assertThat(broken()).isEmpty();
+		reachEach(300, 12_000, 16_000);
+		Assertions.assertThat(broken()).containsOnly("LIMIT");
+	}
+
+	@Test
+	void aLimitThatHasEndedOrAVmThatIsDisturbedBreaksNothing() {
+		this.evidence.limited("w1", 1, 0);
+		this.evidence.disturbanceBegins();
+		reachEach(100, 4_000, 9_000);
+		this.evidence.disturbanceEnds(9_000);
+		reachEach(100, 9_000, 15_900);
+		this.evidence.limited("w1", Double.POSITIVE_INFINITY, 15_900);
+		reachEach(100, 15_900, 20_000);
+		Assertions.assertThat(broken()).isEmpty();
+	}
+
+	private void reachEach(long everyMs, long fromMs, long untilMs) {
+		for (long now = fromMs; now < untilMs; now += everyMs) {
+			this.evidence.reached("a", "w1", Long.MAX_VALUE, now);
+		}
+	}
+
 	// The same seed must give the same faults, or a failure could not be played again.
 	@Test
 	void plansTheSameFaultsForASeed() {
--- a/src/test/java/io/shallotspur/platform/soak/Fault.java
+++ b/src/test/java/io/shallotspur/platform/soak/Fault.java
@@ -63,7 +63,10 @@
 		CONFIGURATION,
 
 		/** The store comes back from a copy; what was lost is written again. */
-		STORE_RESTORED;
+		STORE_RESTORED,
+
+		/** A worker names a limit of requests a second in its answers. */
+		WORKER_LIMITED;
 
 		// The others of the plan stay as they are for a seed, whatever is added here.
 		static final List<Kind> DRAWN = List.of(values()).subList(0, STORE_RESTORED.ordinal());
--- a/src/test/java/io/shallotspur/platform/soak/FaultInjector.java
+++ b/src/test/java/io/shallotspur/platform/soak/FaultInjector.java
@@ -13,6 +13,10 @@
 
 	private static final long RESTART_MS = 300;
 
+	private static final double MOST_LIMIT_PER_S = 4;
+
+	private static final double MOST_LIMITED_MS = 16_000;
+
 	private static final long AWAY_MS = 200;
 
 	private static final long WRITTEN_AGAIN_MS = 1_500;
@@ -72,6 +76,7 @@
 			case STORE_FORGETS -> this.store.dropHistory();
 			case CONFIGURATION -> this.publish.run();
 			case STORE_RESTORED -> storeRestored(f);
+			case WORKER_LIMITED -> limited(f);
 		}
 	}
 
@@ -121,6 +126,13 @@
 		vm.start();
 	}
 
+	private void limited(Fault f) throws InterruptedException {
+		SoakWorker w = this.workers.get(f.target());
+		w.limit(MOST_LIMIT_PER_S * f.forMs() / MOST_LIMITED_MS);
+		Thread.sleep(f.forMs());
+		w.limit(Double.POSITIVE_INFINITY);
+	}
+
 	private void storeAway(Fault f) throws InterruptedException {
 		this.store.away(true);
 		Thread.sleep(f.forMs());
--- a/src/test/java/io/shallotspur/platform/soak/FaultPlan.java
+++ b/src/test/java/io/shallotspur/platform/soak/FaultPlan.java
@@ -14,6 +14,10 @@
 
 	private static final long MOST_MS = 4_000;
 
+	// The bound on what a worker gets begins three seconds after it names a limit, and is
+	// for four.
+	private static final long LEAST_LIMITED_MS = 8_000;
+
 	private FaultPlan() {
 	}
 
@@ -29,6 +33,16 @@
 		return l;
 	}
 
+	private static List<Fault> limits(long seed, long lengthMs, int workers) {
+		Random r = new Random(~seed * 31);
+		List<Fault> l = new ArrayList<>();
+		for (int n = r.nextInt(3); n > 0; n--) {
+			long lasts = LEAST_LIMITED_MS + r.nextInt((int) LEAST_LIMITED_MS);
+			l.add(new Fault(Fault.Kind.WORKER_LIMITED, r.nextInt((int) lengthMs / 2), lasts, r.nextInt(workers)));
+		}
+		return l;
+	}
+
 	/**
 	 * Makes a plan. Faults overlap; some come in series at one target.
 	 * @param seed the seed
@@ -54,6 +68,7 @@
 			}
 		}
 		l.addAll(restores(seed, lengthMs));
+		l.addAll(limits(seed, lengthMs, workers));
 		l.sort(Comparator.comparingLong(Fault::atMs));
 		return l;
 	}
--- a/src/test/java/io/shallotspur/platform/soak/SoakWorker.java
+++ b/src/test/java/io/shallotspur/platform/soak/SoakWorker.java
@@ -88,6 +88,16 @@
 			.collect(Collectors.joining());
 	}
 
+	/**
+	 * The worker names a limit from now on, or none; one that starts again names none.
+	 * @param perSecond requests a second; infinite for none
+	 */
+	synchronized void limit(double perSecond) {
+		Life l = this.life;
+		l.limitPerS = perSecond;
+		this.evidence.limited(l.id, perSecond, Evidence.nowMs());
+	}
+
 	LoopbackProxy proxy() {
 		return this.proxy;
 	}
@@ -180,6 +190,8 @@
 
 		private volatile boolean leaves;
 
+		private volatile double limitPerS = Double.POSITIVE_INFINITY;
+
 		private volatile long leftAtMs = Long.MAX_VALUE;
 
 		private Life(String stage) {
@@ -206,6 +218,9 @@
 			if (!h.get("X-Expect-Instance", this.id).equals(this.id)) {
 				return s.status(421).send();
 			}
+			if (this.limitPerS < Double.POSITIVE_INFINITY) {
+				s.header("Server-Limit", Double.toString(this.limitPerS));
+			}
 			if (q.uri().startsWith("/api/")) {
 				return call(q, s, body);
 			}
