The soak's VMs listen below the ports that connections are given

Cause, by the VM's log: "Failed to bind on 127.0.0.1:43511, Address already in use", for more than the five seconds for which a start tries; the VM had been killed, and its port had been given to a connection, as its ports came from that range. Change: ports are drawn from 18,000 to 31,999. No check is changed. Test code only.

--- a/src/test/java/io/shallotspur/platform/soak/SoakRun.java
+++ b/src/test/java/io/shallotspur/platform/soak/SoakRun.java
@@ -1,6 +1,7 @@
 package io.shallotspur.platform.soak;
 
 import java.io.IOException;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.nio.file.Path;
@@ -10,6 +11,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 
@@ -28,6 +30,12 @@
 
 	private static final int SERVED_AGAIN = 40;
 
+	private static final int FIRST_PORT = 18_000;
+
+	private static final int PORTS = 14_000;
+
+	private static final int PORTS_A_VM = 4;
+
 	private final long seed;
 
 	private final long lengthMs;
@@ -75,14 +83,21 @@
 		}
 	}
 
-	// Ports that were free a moment ago; they are not asked for again soon.
+	// Below the range from which connections get their own ports: one of those, given to
+	// a
+	// connection while a VM is down, would keep the VM from starting again.
 	private static int[] ports() throws IOException {
 		List<ServerSocket> l = new ArrayList<>();
-		int[] ports = new int[4];
-		for (int i = 0; i < ports.length; i++) {
-			l.add(new ServerSocket(0, 1, InetAddress.getLoopbackAddress()));
-			ports[i] = l.get(i).getLocalPort();
+		while (l.size() < PORTS_A_VM) {
+			int port = FIRST_PORT + ThreadLocalRandom.current().nextInt(PORTS);
+			try {
+				l.add(new ServerSocket(port, 1, InetAddress.getLoopbackAddress()));
+			}
+			catch (BindException ex) {
+				// Taken; another one is drawn.
+			}
 		}
+		int[] ports = l.stream().mapToInt(ServerSocket::getLocalPort).toArray();
 		for (ServerSocket s : l) {
 			s.close();
 		}
