--- a/src/test/java/io/shallotspur/platform/soak/Evidence.java
+++ b/src/test/java/io/shallotspur/platform/soak/Evidence.java
@@ -29,6 +29,8 @@
 
 	private final Map<String, Kind> sent = new ConcurrentHashMap<>();
 
+	private final Map<String, String> sentTo = new ConcurrentHashMap<>();
+
 	private final Map<String, Credentials> credentials = new ConcurrentHashMap<>();
 
 	private final SoakKeys keys;
@@ -59,6 +61,24 @@
 		sent(id, kind);
 	}
 
+	/**
+	 * A caller chooses a VM for a request.
+	 * @param id the request
+	 * @param vm the VM's address
+	 */
+	void sentTo(String id, String vm) {
+		this.sentTo.put(id, vm);
+	}
+
+	/**
+	 * A VM is killed, stopped or cut off, or has just been.
+	 * @param vm its address
+	 * @param nowMs the present time in milliseconds
+	 */
+	void struck(String vm, long nowMs) {
+		this.limited.values().forEach((l) -> l.struck(vm, nowMs));
+	}
+
 	void sent(String id, Kind kind) {
 		this.sent.put(id, kind);
 	}
@@ -104,7 +124,7 @@
 	void reached(String id, String worker, long leftAtMs, long nowMs) {
 		LimitedWorker limit = this.limited.get(worker);
 		if (limit != null) {
-			limit.reached(nowMs, (this.disturbances.get() == 0) ? this.disturbedAt.get() + CALM_MS : Long.MAX_VALUE)
+			limit.reached(this.sentTo.getOrDefault(id, ""), nowMs)
 				.ifPresent((b) -> broken("LIMIT id=" + id + " worker=" + worker + " " + b));
 		}
 		long late = nowMs - leftAtMs;
--- a/src/test/java/io/shallotspur/platform/soak/EvidenceTests.java
+++ b/src/test/java/io/shallotspur/platform/soak/EvidenceTests.java
@@ -137,8 +137,6 @@
 	@Test
 	void findsRequestsBeyondTheLimitThatAWorkerNamed() {
 		this.evidence.limited("w1", 1, 0);
-		this.evidence.disturbanceBegins();
-		this.evidence.disturbanceEnds(-5_000);
 		reachEach(100, 0, 3_000);
 		reachEach(400, 3_000, 12_000);
 		Assertions.assertThat(broken()).isEmpty();
@@ -147,14 +145,15 @@
 	}
 
 	@Test
-	void aLimitThatHasEndedOrAVmThatIsDisturbedBreaksNothing() {
+	void aLimitThatHasEndedOrAVmThatIsStruckBreaksNothing() {
 		this.evidence.limited("w1", 1, 0);
-		this.evidence.disturbanceBegins();
-		reachEach(100, 4_000, 9_000);
-		this.evidence.disturbanceEnds(9_000);
-		reachEach(100, 9_000, 15_900);
-		this.evidence.limited("w1", Double.POSITIVE_INFINITY, 15_900);
-		reachEach(100, 15_900, 20_000);
+		this.evidence.sentTo("a", "vm-1");
+		this.evidence.struck("vm-1", 2_500);
+		reachEach(100, 2_500, 5_500);
+		this.evidence.struck("vm-1", 5_500);
+		reachEach(100, 5_500, 8_400);
+		this.evidence.limited("w1", Double.POSITIVE_INFINITY, 8_400);
+		reachEach(100, 8_400, 20_000);
 		Assertions.assertThat(broken()).isEmpty();
 	}
 
--- a/src/test/java/io/shallotspur/platform/soak/FaultInjector.java
+++ b/src/test/java/io/shallotspur/platform/soak/FaultInjector.java
@@ -52,14 +52,25 @@
 			return;
 		}
 		this.evidence.disturbanceBegins();
+		List<VmProcess> struck = struck(f);
+		struck.forEach((vm) -> this.evidence.struck(vm.callers(), Evidence.nowMs()));
 		try {
 			make(f);
 		}
 		finally {
 			this.evidence.disturbanceEnds(Evidence.nowMs());
+			struck.forEach((vm) -> this.evidence.struck(vm.callers(), Evidence.nowMs()));
 		}
 	}
 
+	private List<VmProcess> struck(Fault f) {
+		return switch (f.kind()) {
+			case ALL_KILL -> this.vms;
+			case VM_KILL, VM_TERM, VM_PAUSE, STORE_RESET, STORE_SILENT -> List.of(this.vms.get(f.target()));
+			default -> List.of();
+		};
+	}
+
 	private void make(Fault f) throws IOException, InterruptedException {
 		switch (f.kind()) {
 			case VM_KILL, VM_TERM, VM_PAUSE -> process(f, this.vms.get(f.target()));
--- a/src/test/java/io/shallotspur/platform/soak/SoakCaller.java
+++ b/src/test/java/io/shallotspur/platform/soak/SoakCaller.java
@@ -115,7 +115,9 @@
 		String id = "c" + this.number + "-" + this.asked.incrementAndGet();
 		String key = this.keys.pick(this.random);
 		this.evidence.sent(id, kind, key, TimeUnit.NANOSECONDS.toMillis(System.nanoTime()));
-		HttpRequest.Builder q = HttpRequest.newBuilder(URI.create("http://" + pick() + "/" + kind.path + "/x"))
+		String vm = pick();
+		this.evidence.sentTo(id, vm);
+		HttpRequest.Builder q = HttpRequest.newBuilder(URI.create("http://" + vm + "/" + kind.path + "/x"))
 			.timeout(LIMIT)
 			.header("X-Request-Id", id)
 			.header("Authorization", "Bearer " + key)
