--- a/src/main/java/io/shallotspur/gateway/Placing.java
+++ b/src/main/java/io/shallotspur/gateway/Placing.java
@@ -161,6 +161,7 @@
 			this.sink.nowhere(RefusalReason.WORKERS_FULL, now);
 			return;
 		}
+		this.g.metrics.waitedForLimit();
 		waitFor(w, wait);
 	}
 
--- a/src/main/java/io/shallotspur/gateway/RelayMetrics.java
+++ b/src/main/java/io/shallotspur/gateway/RelayMetrics.java
@@ -77,6 +77,10 @@
 		this.registry.counter("relay.limit-changed").inc();
 	}
 
+	void waitedForLimit() {
+		this.registry.counter("relay.waited-for-limit").inc();
+	}
+
 	void sentToLimited() {
 		this.registry.counter("relay.sent-to-limited").inc();
 	}
--- a/src/test/java/io/shallotspur/gateway/LimitTests.java
+++ b/src/test/java/io/shallotspur/gateway/LimitTests.java
@@ -82,6 +82,29 @@
 		Assertions.assertThat(f.arrivedSince("p3", 5_000)).isBetween(450L, 540L);
 	}
 
+	private static double used(int serving, double perSecond, double firstShare) {
+		LimitedFleet f = new LimitedFleet(8, 1, 6);
+		for (int vm = 0; vm < 8; vm++) {
+			f.crowded(vm, serving > 2, (v) -> true);
+		}
+		f.prefersFirst(firstShare);
+		f.names("p1", limit(perSecond));
+		f.run(4_000, 100, 0);
+		f.run(60_000, 100, 0);
+		Assertions.assertThat(f.broken()).isEmpty();
+		return f.arrivedSince("p1", 4_000) / (60 * perSecond);
+	}
+
+	// Guards against parts that lie unused at VMs with few callers.
+	@Test
+	void whileCallersWantMoreMostOfALimitIsUsed() {
+		Assertions.assertThat(used(2, 5, 0)).isGreaterThan(0.85);
+		Assertions.assertThat(used(2, 40, 0)).isGreaterThan(0.85);
+		Assertions.assertThat(used(2, 5, 0.6)).isGreaterThan(0.70);
+		Assertions.assertThat(used(2, 40, 0.6)).isGreaterThan(0.70);
+		Assertions.assertThat(used(8, 1, 0)).isGreaterThan(0.5);
+	}
+
 	// Guards against refusals while the limits of all workers together leave room: calls
 	// that come at uneven distances wait for a moment instead.
 	@Test
--- a/src/test/java/io/shallotspur/gateway/LimitedFleet.java
+++ b/src/test/java/io/shallotspur/gateway/LimitedFleet.java
@@ -57,6 +57,8 @@
 
 	private final List<Sent> calls = new ArrayList<>();
 
+	private double firstShare;
+
 	private long now;
 
 	LimitedFleet(int vms, int workers, long seed) {
@@ -106,15 +108,27 @@
 	}
 
 	private void call(double strayShare) {
-		GatewayFixture f = this.vms.get(this.random.nextInt(this.vms.size()));
 		boolean stray = this.random.nextDouble() < strayShare;
-		while (!stray && f.gateway.vms().standsBy(f.timer.now())) {
-			f = this.vms.get(this.random.nextInt(this.vms.size()));
-		}
+		List<GatewayFixture> l = this.vms.stream()
+			.filter((f) -> stray || !f.gateway.vms().standsBy(f.timer.now()))
+			.toList();
+		boolean first = this.random.nextDouble() < this.firstShare;
+		call(first ? l.get(0) : l.get(this.random.nextInt(l.size())));
+	}
+
+	private void call(GatewayFixture f) {
 		this.calls.add(new Sent(this.now, f.call("unsafe")));
 		collect();
 	}
 
+	/**
+	 * Has callers prefer the first VM that serves.
+	 * @param share the part that uses it in any case; the others use any
+	 */
+	void prefersFirst(double share) {
+		this.firstShare = share;
+	}
+
 	/**
 	 * Has a VM taken out of the set that callers are told to use, or into it again.
 	 * @param vm the VM
--- a/src/test/java/io/shallotspur/platform/soak/SoakRun.java
+++ b/src/test/java/io/shallotspur/platform/soak/SoakRun.java
@@ -84,8 +84,7 @@
 	}
 
 	// Below the range from which connections get their own ports: one of those, given to
-	// a
-	// connection while a VM is down, would keep the VM from starting again.
+	// a connection while a VM is down, would keep the VM from starting again.
 	private static int[] ports() throws IOException {
 		List<ServerSocket> l = new ArrayList<>();
 		while (l.size() < PORTS_A_VM) {
