Who is late in any case is not refused for a limit that nobody named

Cause: a wait of 0 ms for a limit was compared with a time that is up, which is below 0. Evidence: LimitTests.whereNobodyNamesALimitNobodyIsRefusedForOne, WORKERS_LIMITED before, WORKERS_FULL now. Found by reading.

--- a/src/main/java/io/shallotspur/gateway/Placing.java
+++ b/src/main/java/io/shallotspur/gateway/Placing.java
@@ -121,7 +121,7 @@
 		if (known(now).isEmpty()) {
 			this.sink.nowhere(RefusalReason.NO_WORKER, now);
 		}
-		else if (limitWaitMs(now) > (reserves ? waitUntil() - now : limitPatienceMs(now))) {
+		else if (limitWaitMs(now) > Math.max(0, reserves ? waitUntil() - now : limitPatienceMs(now))) {
 			this.sink.nowhere(RefusalReason.WORKERS_LIMITED, now);
 		}
 		else if (reserves) {
--- a/src/test/java/io/shallotspur/gateway/LimitTests.java
+++ b/src/test/java/io/shallotspur/gateway/LimitTests.java
@@ -273,6 +273,21 @@
 		Assertions.assertThat(f.workers.runs).hasSize(2);
 	}
 
+	// Guards against a caller who is late already and is told of limits that nobody
+	// named,
+	// and to come back at once.
+	@Test
+	void whereNobodyNamesALimitNobodyIsRefusedForOne() {
+		GatewayFixture f = new GatewayFixture().configured();
+		f.worker("d1", "llm", WorkerStage.DECODE);
+		PromptShape p = new PromptShape(3_000, 1_190, 400);
+		for (int i = 0; i < 20; i++) {
+			f.gateway.times("llm").streamed(12_000, p, 400);
+		}
+		Call c = f.call("once", 8_000, p);
+		Assertions.assertThat(c.caller().refusal.code()).isEqualTo(RefusalReason.WORKERS_FULL);
+	}
+
 	// Guards against connections beyond what a worker takes from all VMs together: it
 	// resets them, and whether their requests have run is not known.
 	@Test
