Candidates and LimitWait out of Placing

Now once, in Candidates; LimitWait holds the promise of a worker's next request. No change of behaviour; tests of the gateway pass.

--- a/src/main/java/io/shallotspur/gateway/Placing.java
+++ b/src/main/java/io/shallotspur/gateway/Placing.java
@@ -1,6 +1,5 @@
 package io.shallotspur.gateway;
 
-import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
@@ -62,7 +61,7 @@
 
 	private final @Nullable EngineSpec engine;
 
-	private final int connectionLimit;
+	private final Candidates candidates;
 
 	private final Sink sink;
 
@@ -104,7 +103,7 @@
 		this.request = admitted.request();
 		this.upstream = upstream;
 		this.engine = (spec != null) ? spec.engine() : null;
-		this.connectionLimit = (spec != null) ? spec.connectionLimit() : Integer.MAX_VALUE;
+		this.candidates = new Candidates(g, upstream, (spec != null) ? spec.connectionLimit() : Integer.MAX_VALUE);
 		this.sink = sink;
 		this.arrivedAt = arrivedAt;
 		this.answerBy = answerBy;
@@ -118,19 +117,24 @@
 		this.waitsSince = now;
 		EngineSpec e = this.engine;
 		boolean reserves = e != null && e.holdMs() > 0 && this.request.prompt() != null;
-		if (known(now).isEmpty()) {
+		Optional<WorkerState> first = this.candidates.firstWithRoom(stage(), this.tried, now);
+		long limitWait = first.map((w) -> this.g.limits.waitMs(w, now)).orElse(0L);
+		if (first.isEmpty()) {
 			this.sink.nowhere(RefusalReason.NO_WORKER, now);
 		}
-		else if (limitWaitMs(now) > Math.max(0, reserves ? waitUntil() - now : limitPatienceMs(now))) {
+		else if (limitWait > 0 && limitWait > (reserves ? waitUntil() - now : limitPatienceMs(now))) {
 			this.sink.nowhere(RefusalReason.WORKERS_LIMITED, now);
 		}
 		else if (reserves) {
 			HoldQueue.Ticket t = this.g.holdQueue(this.upstream).enter(this, now);
 			this.ticket = t.isOver() ? null : t;
 		}
+		else if (limitWait > 0) {
+			waitForLimit(first.get(), now);
+		}
 		else {
 			Placement.cheapest(candidates(now), this.g.settings.hall(), this.g.random, now)
-				.ifPresentOrElse((w) -> prefillOrGo(w, now), () -> waitForLimit(now));
+				.ifPresentOrElse((w) -> prefillOrGo(w, now), () -> this.sink.nowhere(RefusalReason.WORKERS_FULL, now));
 		}
 	}
 
@@ -141,61 +145,45 @@
 	 * if that is not known
 	 */
 	long limitWaitMs(long now) {
-		return known(now).stream().mapToLong((w) -> this.g.limits.waitMs(w, now)).min().orElse(0);
+		return this.candidates.firstWithRoom(stage(), this.tried, now)
+			.map((w) -> this.g.limits.waitMs(w, now))
+			.orElse(0L);
 	}
 
 	private long limitPatienceMs(long now) {
 		return (long) (LIMIT_PATIENCE * Math.max(0, latestStart() - now));
 	}
 
-	// The one that may be sent a request first. Its next one is promised to this request,
-	// so those who come later wait behind it, and each knows at once whether its time
-	// comes before it would be late.
-	private void waitForLimit(long now) {
-		WorkerState w = known(now).stream()
-			.min(Comparator.comparingLong((x) -> this.g.limits.waitMs(x, now)))
-			.orElseThrow();
-		long wait = this.g.limits.waitMs(w, now);
-		if (wait == 0) {
-			// It names no limit, but has as many connections of this VM as it takes.
-			this.sink.nowhere(RefusalReason.WORKERS_FULL, now);
-			return;
-		}
+	private void waitForLimit(WorkerState w, long now) {
 		this.g.metrics.waitedForLimit();
-		waitFor(w, wait);
-	}
+		this.limitWait = new LimitWait(this.g, w, new LimitWait.Then() {
 
-	private void waitFor(WorkerState w, long ms) {
-		w.limit().reserve();
-		this.limitWait = new LimitWait(w, this.g.timer.after(ms, () -> waited(w)));
-	}
+			@Override
+			public long waitUntil() {
+				return Placing.this.waitUntil();
+			}
 
-	private void waited(WorkerState w) {
-		endLimitWait();
-		long now = this.g.clock.getAsLong();
-		if (!w.stays(now) || !this.g.roster.lives(w.info())) {
-			start(now);
-			return;
-		}
-		long more = this.g.limits.promisedWaitMs(w, now);
-		if (more > waitUntil() - now) {
-			this.sink.nowhere(RefusalReason.WORKERS_LIMITED, now);
-		}
-		else if (more > 0) {
-			waitFor(w, more);
-		}
-		else {
-			this.heldAt = now;
-			prefillOrGo(w, now);
-		}
-	}
+			@Override
+			public void maySend(WorkerState worker, long at) {
+				Placing.this.limitWait = null;
+				Placing.this.heldAt = at;
+				prefillOrGo(worker, at);
+			}
 
-	private void endLimitWait() {
-		if (this.limitWait != null) {
-			this.limitWait.cancelTimer().run();
-			this.limitWait.worker().limit().unreserve();
-			this.limitWait = null;
-		}
+			@Override
+			public void workerGone(long at) {
+				Placing.this.limitWait = null;
+				start(at);
+			}
+
+			@Override
+			public void tooLate(long at) {
+				Placing.this.limitWait = null;
+				Placing.this.sink.nowhere(RefusalReason.WORKERS_LIMITED, at);
+			}
+
+		});
+		this.limitWait.start(now);
 	}
 
 	/**
@@ -212,17 +200,7 @@
 
 	@Override
 	public List<WorkerState> candidates(long now) {
-		return admitting(known(now), now);
-	}
-
-	// Those that may run the request, whether or not a limit of theirs is used up.
-	private List<WorkerState> known(long now) {
-		return this.g.roster.candidates(this.upstream, Set.of(stage()), this.tried, now);
-	}
-
-	private List<WorkerState> admitting(List<WorkerState> workers, long now) {
-		int connections = ConnectionPart.of(this.connectionLimit, this.g.vms, now);
-		return workers.stream().filter((w) -> w.running() < connections && this.g.limits.admits(w, now)).toList();
+		return this.candidates.admitting(stage(), this.tried, now);
 	}
 
 	/**
@@ -301,8 +279,7 @@
 	}
 
 	private void prefillOrGo(PromptShape prompt, boolean again, long now) {
-		List<WorkerState> l = admitting(
-				this.g.roster.candidates(this.upstream, Set.of(WorkerStage.PREFILL), this.prefillsTried, now), now);
+		List<WorkerState> l = this.candidates.admitting(WorkerStage.PREFILL, this.prefillsTried, now);
 		Optional<WorkerState> p = PrefillChoice.choose(prompt, l, this.target, stalls(prompt), this.g.settings.hall(),
 				this.g.random, now);
 		if (p.isEmpty() || (again && !this.sink.mayPrefillAgain(now))) {
@@ -415,7 +392,10 @@
 			this.g.workers.release(this.source);
 			this.source = null;
 		}
-		endLimitWait();
+		if (this.limitWait != null) {
+			this.limitWait.cancel();
+			this.limitWait = null;
+		}
 		if (this.hold != null && this.target != null) {
 			this.target.limit().unreserve();
 			this.g.workers.drop(this.target.info(), this.hold);
@@ -424,13 +404,6 @@
 		this.target = null;
 	}
 
-	/**
-	 * A request that a worker has promised its next one to, and that waits for it.
-	 */
-	private record LimitWait(WorkerState worker, Runnable cancelTimer) {
-
-	}
-
 	/**
 	 * Hears where the request goes.
 	 */
