One token bucket for quotas and for workers' limits; less work for each answer

Change: TokenBucket serves both. What was sent is a record that is written out only if the limit has changed; turns are looked up for workers with a limit only. Under a rate that rises, what was saved at the old rate is now bounded by the new bucket, as it was for quotas.

--- a/src/main/java/io/shallotspur/gateway/Gateway.java
+++ b/src/main/java/io/shallotspur/gateway/Gateway.java
@@ -269,10 +269,11 @@
 		if (news.limit() == null) {
 			return;
 		}
-		String before = w.limit().describe(now);
+		NamedLimit.Sent before = w.limit().sentSince(now);
 		if (w.limit().told(news.limit(), sentAt, now)) {
 			this.metrics.limitNamed();
-			this.log.write(now, () -> "worker=" + w.info().id() + " " + w.limit().describe(now) + " before: " + before);
+			this.log.write(now,
+					() -> "worker=" + w.info().id() + " limit-per-s=" + w.limit().limit() + " before: " + before);
 		}
 	}
 
--- a/src/main/java/io/shallotspur/gateway/NamedLimit.java
+++ b/src/main/java/io/shallotspur/gateway/NamedLimit.java
@@ -28,11 +28,7 @@
 	// Whether this VM's part has been known since the limit began.
 	private boolean begun;
 
-	private double perMs;
-
-	private double level;
-
-	private long levelAt;
+	private TokenBucket bucket = new TokenBucket(0, 0);
 
 	// Requests that may be sent though they have not been yet: they wait for their time,
 	// or for a place at the worker.
@@ -59,12 +55,11 @@
 			return false;
 		}
 		if (this.limit.named() && next.named()) {
-			fill(now);
-			this.perMs *= next.perSecond() / Math.max(next.perSecond(), this.limit.perSecond());
+			double part = next.perSecond() / Math.max(next.perSecond(), this.limit.perSecond());
+			this.bucket.fill(part * this.bucket.perMs(), this.bucket.most(), now);
 		}
 		else {
-			this.level = 0;
-			this.levelAt = now;
+			this.bucket = new TokenBucket(0, now);
 			this.begun = false;
 		}
 		this.limit = next;
@@ -99,29 +94,18 @@
 	}
 
 	private long waitMs(double perSecond, int requests, long now) {
-		fill(perSecond, now);
-		double missing = requests - this.level;
-		if (missing <= 0) {
-			return 0;
-		}
-		return (this.perMs > 0) ? (long) Math.ceil(missing / this.perMs) : Long.MAX_VALUE;
-	}
-
-	// Another part holds from now on, and for what is saved at once.
-	private void fill(double perSecond, long now) {
+		double perMs = perSecond / MS_PER_S;
+		double most = Math.max(1, SAVED_MS * perMs);
 		if (!this.begun) {
 			this.begun = true;
-			this.perMs = perSecond / MS_PER_S;
+			this.bucket.fill(perMs, most, this.since);
 		}
-		fill(now);
-		this.perMs = perSecond / MS_PER_S;
-		this.level = Math.min(Math.max(1, SAVED_MS * this.perMs), this.level);
-	}
-
-	private void fill(long now) {
-		double most = Math.max(1, SAVED_MS * this.perMs);
-		this.level = Math.min(most, this.level + this.perMs * (now - this.levelAt));
-		this.levelAt = now;
+		this.bucket.fill(perMs, most, now);
+		double missing = requests - this.bucket.level();
+		if (missing <= 0) {
+			return 0;
+		}
+		return (perMs > 0) ? (long) Math.ceil(missing / perMs) : Long.MAX_VALUE;
 	}
 
 	void reserve() {
@@ -139,7 +123,7 @@
 	 */
 	void sent(long inTurn) {
 		this.sent++;
-		this.level--;
+		this.bucket.take(1);
 		this.turn = inTurn;
 	}
 
@@ -148,13 +132,28 @@
 	}
 
 	/**
-	 * Describes for the log what this VM has sent since the limit changed.
+	 * Returns what this VM has sent since the limit changed.
 	 * @param now the present time in milliseconds
-	 * @return fields and values
+	 * @return the limit, requests and time
 	 */
-	String describe(long now) {
-		return "limit-per-s=" + (this.limit.named() ? this.limit.perSecond() : "none") + " sent=" + this.sent
-				+ " since-ms=" + (now - this.since);
+	Sent sentSince(long now) {
+		return new Sent(this.limit, this.sent, now - this.since);
+	}
+
+	/**
+	 * What a VM has sent under a limit. Immutable.
+	 *
+	 * @param limit the limit
+	 * @param requests how many requests
+	 * @param ms in how many milliseconds
+	 */
+	record Sent(WorkerLimit limit, long requests, long ms) {
+
+		@Override
+		public String toString() {
+			return "limit-per-s=" + this.limit + " sent=" + this.requests + " since-ms=" + this.ms;
+		}
+
 	}
 
 }
--- a/src/main/java/io/shallotspur/gateway/QuotaBook.java
+++ b/src/main/java/io/shallotspur/gateway/QuotaBook.java
@@ -54,7 +54,7 @@
 
 	private final long startedAt;
 
-	private final Map<String, Bucket> byCustomer = new HashMap<>();
+	private final Map<String, TokenBucket> byCustomer = new HashMap<>();
 
 	/**
 	 * Creates a book.
@@ -78,13 +78,13 @@
 		if (!c.quota().limited()) {
 			return 0;
 		}
-		Bucket b = bucket(c, part, now);
-		double least = Math.min(LEFT_PART * b.most, LEFT_COSTS * cost);
-		if (b.level > least) {
-			b.level -= cost;
+		TokenBucket b = bucket(c, part, now);
+		double least = Math.min(LEFT_PART * b.most(), LEFT_COSTS * cost);
+		if (b.level() > least) {
+			b.take(cost);
 			return 0;
 		}
-		return 1 + (long) ((least - b.level) / b.perMs);
+		return 1 + (long) ((least - b.level()) / b.perMs());
 	}
 
 	/**
@@ -93,57 +93,28 @@
 	 * @param cost units
 	 */
 	void giveBack(Customer c, double cost) {
-		Bucket b = this.byCustomer.get(c.name());
+		TokenBucket b = this.byCustomer.get(c.name());
 		if (b != null) {
-			b.level = Math.min(b.most, b.level + cost);
+			b.giveBack(cost);
 		}
 	}
 
-	private Bucket bucket(Customer c, double part, long now) {
+	private TokenBucket bucket(Customer c, double part, long now) {
 		Quota q = c.quota();
 		double perMs = q.perSecond() * part / MS_PER_S;
 		double tolerated = this.bounds.slack()
 				+ this.bounds.overshoot() * (q.perSecond() * this.bounds.windowMs() / MS_PER_S + q.burst());
 		double most = part * (q.burst() + SHARED_TOLERANCE * tolerated);
-		Bucket b = this.byCustomer.get(c.name());
+		TokenBucket b = this.byCustomer.get(c.name());
 		if (b == null) {
 			if (this.byCustomer.size() >= MOST_CUSTOMERS) {
 				this.byCustomer.values().removeIf((x) -> x.isFull(now));
 			}
-			b = new Bucket();
-			b.level = perMs * (FIRST_S * MS_PER_S + now - this.startedAt);
-			b.at = now;
+			b = new TokenBucket(perMs * (FIRST_S * MS_PER_S + now - this.startedAt), now);
 			this.byCustomer.put(c.name(), b);
 		}
 		b.fill(perMs, most, now);
 		return b;
 	}
 
-	/**
-	 * The bucket of one customer. Not thread-safe.
-	 */
-	private static final class Bucket {
-
-		private double perMs;
-
-		private double most;
-
-		private double level;
-
-		private long at;
-
-		// A smaller quota or part holds at once for what is left, too.
-		private void fill(double nextPerMs, double nextMost, long now) {
-			this.level = Math.min(nextMost, this.level + this.perMs * (now - this.at));
-			this.perMs = nextPerMs;
-			this.most = nextMost;
-			this.at = now;
-		}
-
-		private boolean isFull(long now) {
-			return this.level + this.perMs * (now - this.at) >= this.most;
-		}
-
-	}
-
 }
--- a/src/main/java/io/shallotspur/gateway/WorkerLimit.java
+++ b/src/main/java/io/shallotspur/gateway/WorkerLimit.java
@@ -18,4 +18,9 @@
 		return this.perSecond < Double.POSITIVE_INFINITY;
 	}
 
+	@Override
+	public String toString() {
+		return named() ? Double.toString(this.perSecond) : "none";
+	}
+
 }
--- a/src/main/java/io/shallotspur/gateway/WorkerLimits.java
+++ b/src/main/java/io/shallotspur/gateway/WorkerLimits.java
@@ -61,7 +61,8 @@
 
 	// A caller's request, or the prefill of its prompt, goes to a worker.
 	void sent(WorkerState w, long now) {
-		w.limit().sent(LimitPart.turn(this.vms, this.phase, now));
+		boolean named = w.limit().limit().named();
+		w.limit().sent(named ? LimitPart.turn(this.vms, this.phase, now) : -1);
 	}
 
 }
