A failure of a worker that lacks its limit does not end the limit

Cause: every signed answer without the header was taken for the end of the limit. Evidence: AnswerDecoderTests.aRefusalOrFailureWithoutALimitDoesNotEndIt failed before for a 500. The fix: only a success ends a limit. A worker that takes requests again succeeds soon.

--- a/src/main/java/io/shallotspur/platform/AnswerDecoder.java
+++ b/src/main/java/io/shallotspur/platform/AnswerDecoder.java
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpStatusClass;
 import org.jspecify.annotations.Nullable;
 import org.tinylog.Logger;
 
@@ -30,8 +31,8 @@
 		AnswerOrigin origin = origin(requestId, h);
 		// Another incarnation, and an answer to another request, say nothing of this
 		// worker at present.
-		WorkerNews news = (other || origin == AnswerOrigin.FOREIGN) ? WorkerNews.NONE
-				: news(h, origin == AnswerOrigin.SIGNED);
+		boolean whole = origin == AnswerOrigin.SIGNED && HttpStatusClass.SUCCESS.contains(status);
+		WorkerNews news = (other || origin == AnswerOrigin.FOREIGN) ? WorkerNews.NONE : news(h, whole);
 		return new AnswerHead(status, Names.relayed(h), origin, notRun, other, news);
 	}
 
