--- a/src/test/java/io/shallotspur/gateway/LimitTests.java
+++ b/src/test/java/io/shallotspur/gateway/LimitTests.java
@@ -199,8 +199,7 @@
 	// Guards against a worker that is never used again since nobody asks it.
 	@Test
 	void aWorkerThatTookNothingIsAskedAgain() {
-		GatewayFixture f = new GatewayFixture().configured().plainWorkers(2);
-		f.gateway.roster().seen(f.worker("p3", "plain", WorkerStage.PLAIN), f.timer.now());
+		GatewayFixture f = new GatewayFixture().configured().plainWorkers(3);
 		f.call("safe");
 		String limited = f.workers.last().call.worker().id();
 		f.workers.last().answerNaming(limit(0));
