Count and log the response fields of workers that nobody reads

Operators could not see that workers state something new: a field that no part of the product reads was passed on to callers and left no trace. One hook of the HTTP client sees the responses of all calls: requests, prefills, reservations, releases, reports and orders. PlatformEndToEndTests.countsResponseFieldsThatAreNotKnown passes.

--- a/src/main/java/io/shallotspur/platform/HttpWorkerPort.java
+++ b/src/main/java/io/shallotspur/platform/HttpWorkerPort.java
@@ -83,7 +83,12 @@
 
 	private final Map<InetSocketAddress, Long> idleTimeouts = new HashMap<>();
 
-	HttpWorkerPort(VmEventLoop loop) {
+	/**
+	 * Creates a port without connections.
+	 * @param loop the event loop
+	 * @param unknownFields counts the response fields that are not decoded
+	 */
+	HttpWorkerPort(VmEventLoop loop, UnknownResponseFields unknownFields) {
 		this.loop = loop;
 		ConnectionProvider pool = ConnectionProvider.builder("workers")
 			.maxConnections(MAX_CONNECTIONS_PER_WORKER)
@@ -99,6 +104,7 @@
 			.followRedirect(false)
 			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
 			.option(ChannelOption.TCP_NODELAY, true)
+			.doOnResponse((r, c) -> unknownFields.observe(r))
 			.headers((h) -> h.remove(HttpHeaderNames.USER_AGENT));
 		this.controlClient = new WorkerClient(this.client);
 	}
--- a/src/main/java/io/shallotspur/platform/PlatformNames.java
+++ b/src/main/java/io/shallotspur/platform/PlatformNames.java
@@ -40,6 +40,12 @@
 	 */
 	static final String RATE_LIMIT = "Server-Limit";
 
+	/** The versions of the weights that a response was generated with. */
+	static final String WEIGHT_VERSIONS = "X-Weight-Versions";
+
+	/** The id of the worker that answers a health check. */
+	static final String INSTANCE_ID = "X-Instance-Id";
+
 	/** Prompt tokens and maximum output tokens, separated by a comma. */
 	static final String TOKEN_COUNTS = "X-Token-Count";
 
--- a/src/main/java/io/shallotspur/platform/PlatformVm.java
+++ b/src/main/java/io/shallotspur/platform/PlatformVm.java
@@ -78,7 +78,7 @@
 
 	PlatformVm(PlatformSettings s) {
 		this.settings = s;
-		HttpWorkerPort workers = new HttpWorkerPort(this.loop);
+		HttpWorkerPort workers = new HttpWorkerPort(this.loop, new UnknownResponseFields(this.metrics.registry()));
 		GatewayPorts ports = new GatewayPorts(workers, this.loop, this.clock, System::currentTimeMillis,
 				() -> ThreadLocalRandom.current().nextDouble(), new DecisionLog(s.log().linesPerSecond()),
 				new RelayMetrics(this.metrics.registry()));
--- /dev/null
+++ b/src/main/java/io/shallotspur/platform/UnknownResponseFields.java
@@ -0,0 +1,94 @@
+package io.shallotspur.platform;
+
+import java.util.HashSet;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+
+import com.codahale.metrics.MetricRegistry;
+import io.netty.handler.codec.http.HttpHeaders;
+import org.tinylog.Logger;
+import reactor.netty.http.client.HttpClientResponse;
+
+/**
+ * Counts the header fields in responses of workers that this process neither uses nor
+ * knows as ordinary HTTP, and logs the first sight of each. Such a field may state
+ * something about the worker that has to be obeyed. Confined to the event loop.
+ * <p>
+ * Invariant: at most {@link #MAX_NAMES} names have a counter and a log line of their own.
+ */
+final class UnknownResponseFields {
+
+	static final String COUNTER_PREFIX = "workers.unknown-field.";
+
+	/** Fields over {@link #MAX_NAMES} are counted together under this name. */
+	static final String OTHERS = "others";
+
+	static final int MAX_NAMES = 32;
+
+	private static final int MAX_LOGGED_VALUE = 64;
+
+	private static final Set<String> KNOWN = new TreeSet<>(String.CASE_INSENSITIVE_ORDER);
+
+	static {
+		KNOWN.addAll(Set.of(PlatformNames.REQUEST_ID, PlatformNames.SIGNATURE, PlatformNames.NOT_EXECUTED,
+				PlatformNames.LOAD, PlatformNames.RATE_LIMIT, PlatformNames.WEIGHT_VERSIONS,
+				PlatformNames.INSTANCE_ID));
+		KNOWN.addAll(Set.of("Accept-Ranges", "Age", "Allow", "Cache-Control", "Connection", "Content-Disposition",
+				"Content-Encoding", "Content-Language", "Content-Length", "Content-Location", "Content-Range",
+				"Content-Type", "Date", "ETag", "Expires", "Keep-Alive", "Last-Modified", "Link", "Location", "Pragma",
+				"Server", "Set-Cookie", "Trailer", "Transfer-Encoding", "Upgrade", "Vary", "Via", "Warning",
+				"WWW-Authenticate"));
+	}
+
+	private final MetricRegistry registry;
+
+	private final Set<String> seen = new HashSet<>();
+
+	/**
+	 * Creates the counters.
+	 * @param registry the registry that holds them
+	 */
+	UnknownResponseFields(MetricRegistry registry) {
+		this.registry = registry;
+	}
+
+	/**
+	 * Counts the unknown fields of a response.
+	 * @param response the response of a worker
+	 */
+	void observe(HttpClientResponse response) {
+		for (Map.Entry<String, String> field : response.responseHeaders()) {
+			if (!KNOWN.contains(field.getKey())) {
+				count(field.getKey().toLowerCase(Locale.ROOT), field.getValue(), response);
+			}
+		}
+	}
+
+	private void count(String name, String value, HttpClientResponse response) {
+		boolean isNew = this.seen.size() < MAX_NAMES && this.seen.add(name);
+		this.registry.counter(COUNTER_PREFIX + (this.seen.contains(name) ? name : OTHERS)).inc();
+		if (isNew) {
+			Logger.warn("[platform] unknown response field name={} value=\"{}\" status={} call={} worker={}", name,
+					truncated(value), response.status().code(), callKind(response), expectedWorker(response));
+		}
+	}
+
+	private static String truncated(String value) {
+		return value.substring(0, Math.min(MAX_LOGGED_VALUE, value.length()));
+	}
+
+	private static String callKind(HttpClientResponse response) {
+		HttpHeaders request = response.requestHeaders();
+		if (request.contains(PlatformNames.STAGE)) {
+			return request.get(PlatformNames.STAGE);
+		}
+		return request.contains(PlatformNames.REQUEST_ID) ? "request" : response.fullPath();
+	}
+
+	private static String expectedWorker(HttpClientResponse response) {
+		return response.requestHeaders().get(PlatformNames.EXPECTED_INSTANCE, "unknown");
+	}
+
+}
--- a/src/test/java/io/shallotspur/platform/FakeWorker.java
+++ b/src/test/java/io/shallotspur/platform/FakeWorker.java
@@ -2,7 +2,9 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Map;
 import java.util.Queue;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -40,6 +42,9 @@
 	// The Server-Limit header of its responses, in requests per second; empty for none.
 	volatile String rateLimit = "";
 
+	// Further header fields of all its responses, to requests and to control calls.
+	final Map<String, String> responseFields = new ConcurrentHashMap<>();
+
 	private final DisposableServer server;
 
 	private final String id;
@@ -72,6 +77,7 @@
 	}
 
 	private Publisher<Void> answer(HttpServerRequest q, HttpServerResponse s, String body) {
+		this.responseFields.forEach(s::header);
 		if (q.uri().equals("/api/hold-take")) {
 			return s.sendString(Mono.just("{\"hold\":\"h1\"}"));
 		}
--- a/src/test/java/io/shallotspur/platform/HttpStagePortTests.java
+++ b/src/test/java/io/shallotspur/platform/HttpStagePortTests.java
@@ -1,5 +1,6 @@
 package io.shallotspur.platform;
 
+import com.codahale.metrics.MetricRegistry;
 import org.assertj.core.api.Assertions;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -22,7 +23,8 @@
 
 	private final VmEventLoop loop = new VmEventLoop();
 
-	private final HttpStagePort port = new HttpStagePort(new HttpWorkerPort(this.loop).controlClient(), this.loop);
+	private final HttpStagePort port = new HttpStagePort(
+			new HttpWorkerPort(this.loop, new UnknownResponseFields(new MetricRegistry())).controlClient(), this.loop);
 
 	@AfterEach
 	void stop() {
--- a/src/test/java/io/shallotspur/platform/PlatformEndToEndTests.java
+++ b/src/test/java/io/shallotspur/platform/PlatformEndToEndTests.java
@@ -260,12 +260,30 @@
 		Assertions.assertThat(this.p2.receivedRequests).hasSize(1);
 	}
 
+	// Guards against a statement of workers that no part of the product reads and nobody
+	// notices.
+	@Test
+	void countsResponseFieldsThatAreNotKnown() {
+		this.p1.responseFields.put("Server-Wish", "1");
+		this.p2.responseFields.put("Server-Wish", "1");
+		this.d1.responseFields.put("Decode-Wish", "2");
+		send(request("/safe/x").build());
+		send(request("/model/x").header("X-Token-Count", "200,20").build());
+		Assertions.assertThat(metrics())
+			.contains("workers_unknown_field_server_wish_total 1.0", "workers_unknown_field_decode_wish_total 2.0")
+			.doesNotContain("unknown_field_x_", "unknown_field_content");
+	}
+
+	private String metrics() {
+		return send(
+				HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + this.vm.metricsPort() + "/metrics")).build())
+			.body();
+	}
+
 	@Test
 	void servesMetrics() {
 		send(request("/safe/x").build());
-		HttpResponse<String> r = send(
-				HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + this.vm.metricsPort() + "/metrics")).build());
-		Assertions.assertThat(r.body()).contains("relay_requests_s").contains("relay_answered_s");
+		Assertions.assertThat(metrics()).contains("relay_requests_s").contains("relay_answered_s");
 	}
 
 	@Test
