The soak has workers that state their leaving and ask for pauses

WorkerStatements judges, from what callers and workers saw, which requests reached a worker after a VM had passed on that it leaves or had been asked for a pause; a restart or pause of the VM excuses it, and so does a disturbance of the worker's connections for pauses, as it cannot be heard. Requests that a plain worker refuses as full count as arrivals now.

--- a/src/test/java/io/shallotspur/platform/soak/Fault.java
+++ b/src/test/java/io/shallotspur/platform/soak/Fault.java
@@ -66,12 +66,29 @@
 		STORE_RESTORED,
 
 		/** A worker sets a rate limit in its responses. */
-		WORKER_LIMITED;
+		WORKER_LIMITED,
+
+		/**
+		 * A worker states in its responses that it is leaving, and drains some time
+		 * later.
+		 */
+		WORKER_LEAVES,
+
+		/** A worker refuses requests and asks for a pause with each refusal. */
+		WORKER_PAUSES;
 
 		// Kinds after these are planned separately, so that adding a kind does not change
 		// the other faults of a seed.
 		static final List<Kind> BASE_KINDS = List.of(values()).subList(0, STORE_RESTORED.ordinal());
 
+		boolean disturbsWorkerConnections() {
+			return this == WORKER_RESET || this == WORKER_ONE_WAY || this == WORKER_SILENT || this == WORKER_DELAY;
+		}
+
+		boolean interruptsVms() {
+			return this == VM_KILL || this == VM_TERM || this == VM_PAUSE || this == ALL_KILL;
+		}
+
 		// Invariants with a deadline hold only while neither the VMs nor the store are
 		// disturbed.
 		boolean disturbsVms() {
--- a/src/test/java/io/shallotspur/platform/soak/FaultInjector.java
+++ b/src/test/java/io/shallotspur/platform/soak/FaultInjector.java
@@ -47,19 +47,41 @@
 	}
 
 	void inject(Fault f) throws IOException, InterruptedException {
+		if (f.kind().disturbsWorkerConnections()) {
+			disturbWorker(f);
+			return;
+		}
 		if (!f.kind().disturbsVms()) {
 			apply(f);
 			return;
 		}
 		this.checker.onDisturbanceStarted();
 		List<VmProcess> affected = affectedVms(f);
-		affected.forEach((vm) -> this.checker.onVmDisturbed(vm.callerAddress(), InvariantChecker.nowMs()));
+		affected.forEach((vm) -> onVmDisturbed(f, vm));
 		try {
 			apply(f);
 		}
 		finally {
 			this.checker.onDisturbanceEnded(InvariantChecker.nowMs());
-			affected.forEach((vm) -> this.checker.onVmDisturbed(vm.callerAddress(), InvariantChecker.nowMs()));
+			affected.forEach((vm) -> onVmDisturbed(f, vm));
+		}
+	}
+
+	private void onVmDisturbed(Fault f, VmProcess vm) {
+		this.checker.onVmDisturbed(vm.callerAddress(), InvariantChecker.nowMs());
+		if (f.kind().interruptsVms()) {
+			this.checker.onVmInterrupted(vm.callerAddress());
+		}
+	}
+
+	private void disturbWorker(Fault f) throws IOException, InterruptedException {
+		String id = this.workers.get(f.target()).currentId();
+		this.checker.onWorkerDisturbed(id, true, InvariantChecker.nowMs());
+		try {
+			apply(f);
+		}
+		finally {
+			this.checker.onWorkerDisturbed(id, false, InvariantChecker.nowMs());
 		}
 	}
 
@@ -88,6 +110,8 @@
 			case CONFIGURATION -> this.publishConfiguration.run();
 			case STORE_RESTORED -> restoreStore(f);
 			case WORKER_LIMITED -> limitWorker(f);
+			case WORKER_LEAVES -> this.workers.get(f.target()).leave(f.forMs());
+			case WORKER_PAUSES -> this.workers.get(f.target()).refuseWithPause(f.forMs());
 		}
 	}
 
--- a/src/test/java/io/shallotspur/platform/soak/FaultPlan.java
+++ b/src/test/java/io/shallotspur/platform/soak/FaultPlan.java
@@ -17,6 +17,10 @@
 	// In ms. The rate at a worker is checked from 3 s after it sets a limit, over 4 s.
 	private static final long MIN_LIMIT_DURATION_MS = 8_000;
 
+	// In ms. What reaches a worker is checked for two seconds after it states that it is
+	// leaving, and for the length of a pause.
+	private static final long MIN_STATEMENT_DURATION_MS = 4_000;
+
 	private FaultPlan() {
 	}
 
@@ -42,6 +46,17 @@
 		return l;
 	}
 
+	private static List<Fault> planStatements(long seed, long lengthMs, int workers) {
+		Random r = new Random(~seed * 37);
+		List<Fault> l = new ArrayList<>();
+		for (int n = r.nextInt(4); n > 0; n--) {
+			Fault.Kind kind = r.nextBoolean() ? Fault.Kind.WORKER_LEAVES : Fault.Kind.WORKER_PAUSES;
+			long durationMs = MIN_STATEMENT_DURATION_MS + r.nextInt((int) MIN_STATEMENT_DURATION_MS);
+			l.add(new Fault(kind, r.nextInt((int) lengthMs), durationMs, r.nextInt(workers)));
+		}
+		return l;
+	}
+
 	/**
 	 * Creates a plan. Faults overlap; some are repeated at the same target.
 	 * @param seed the seed
@@ -69,6 +84,7 @@
 		}
 		l.addAll(planRestores(seed, lengthMs));
 		l.addAll(planRateLimits(seed, lengthMs, workers));
+		l.addAll(planStatements(seed, lengthMs, workers));
 		l.sort(Comparator.comparingLong(Fault::atMs));
 		return l;
 	}
--- a/src/test/java/io/shallotspur/platform/soak/InvariantChecker.java
+++ b/src/test/java/io/shallotspur/platform/soak/InvariantChecker.java
@@ -44,6 +44,8 @@
 
 	private final Map<String, RateLimitedWorker> rateLimitedWorkers = new ConcurrentHashMap<>();
 
+	private final WorkerStatements statements = new WorkerStatements();
+
 	private final Map<String, Long> fencingTokens = new ConcurrentHashMap<>();
 
 	private final List<String> violations = new CopyOnWriteArrayList<>();
@@ -82,6 +84,49 @@
 		this.rateLimitedWorkers.values().forEach((worker) -> worker.onVmDisturbed(vm, nowMs));
 	}
 
+	/**
+	 * Called when a VM is restarted or paused, at the beginning and at the end.
+	 * @param vm the address of the VM
+	 */
+	void onVmInterrupted(String vm) {
+		this.statements.onVmDisturbed(vm);
+	}
+
+	/**
+	 * Called when a disturbance of the connections to a worker begins or ends.
+	 * @param worker the worker id
+	 * @param begins whether it begins
+	 * @param nowMs the current time in milliseconds
+	 */
+	void onWorkerDisturbed(String worker, boolean begins, long nowMs) {
+		this.statements.onWorkerDisturbed(worker, begins, nowMs);
+	}
+
+	/**
+	 * Called when a worker refuses a request and asks for a pause.
+	 * @param id the request id
+	 * @param worker the worker id
+	 * @param pauseMs the pause in milliseconds
+	 * @param nowMs the current time in milliseconds
+	 */
+	void onPauseRequested(String id, String worker, long pauseMs, long nowMs) {
+		String vm = this.vmByRequest.get(id);
+		if (vm != null) {
+			this.statements.onPauseRequested(vm, worker, pauseMs, nowMs);
+		}
+	}
+
+	/**
+	 * Called when a caller receives a response in which the worker states that it is
+	 * leaving.
+	 * @param id the request id
+	 * @param worker the worker id
+	 * @param nowMs the current time in milliseconds
+	 */
+	void onLeavingPassedOn(String id, String worker, long nowMs) {
+		this.statements.onLeavingPassedOn(this.vmByRequest.get(id), worker, nowMs);
+	}
+
 	void onRequestSent(String id, RequestKind kind) {
 		this.kindByRequest.put(id, kind);
 	}
@@ -130,6 +175,11 @@
 			limit.onRequestReceived(this.vmByRequest.getOrDefault(id, ""), nowMs)
 				.ifPresent((excess) -> addViolation("LIMIT id=" + id + " worker=" + worker + " " + excess));
 		}
+		Credentials c = this.credentials.get(id);
+		if (c != null) {
+			this.statements.onRequestReceived(this.vmByRequest.getOrDefault(id, ""), worker, c.sentAtMs(), nowMs)
+				.ifPresent((violation) -> addViolation(violation + " id=" + id));
+		}
 		long elapsedMs = nowMs - drainingSinceMs;
 		boolean undisturbed = this.activeDisturbances.get() == 0
 				&& this.lastDisturbanceEndedAt.get() + RECOVERY_MS < drainingSinceMs;
--- a/src/test/java/io/shallotspur/platform/soak/InvariantCheckerTests.java
+++ b/src/test/java/io/shallotspur/platform/soak/InvariantCheckerTests.java
@@ -160,6 +160,51 @@
 		Assertions.assertThat(violatedInvariants()).isEmpty();
 	}
 
+	@Test
+	void reportsRequestsSentAfterAStatementOfLeaving() {
+		sendAndReceive("a", 0);
+		this.checker.onLeavingPassedOn("a", "w1", 100);
+		sendAndReceive("b", 2_100);
+		Assertions.assertThat(violatedInvariants()).isEmpty();
+		sendAndReceive("c", 2_101);
+		Assertions.assertThat(violatedInvariants()).containsExactly("DRAIN");
+		this.checker.onVmInterrupted("vm-1");
+		sendAndReceive("d", 2_200);
+		Assertions.assertThat(violatedInvariants()).containsExactly("DRAIN");
+	}
+
+	@Test
+	void reportsMoreThanTwoRequestsInAPause() {
+		sendAndReceive("a", 0);
+		this.checker.onPauseRequested("a", "w1", 3_000, 0);
+		sendAndReceive("b", 400);
+		sendAndReceive("c", 600);
+		sendAndReceive("d", 2_900);
+		sendAndReceive("e", 3_000);
+		Assertions.assertThat(violatedInvariants()).isEmpty();
+		sendAndReceive("f", 2_999);
+		Assertions.assertThat(violatedInvariants()).containsExactly("BUDGET");
+	}
+
+	@Test
+	void ignoresPausesOfAWorkerThatCannotBeHeard() {
+		sendAndReceive("a", 0);
+		this.checker.onPauseRequested("a", "w1", 3_000, 0);
+		this.checker.onWorkerDisturbed("w1", true, 100);
+		this.checker.onPauseRequested("a", "w1", 3_000, 200);
+		this.checker.onWorkerDisturbed("w1", false, 300);
+		for (int i = 0; i < 5; i++) {
+			sendAndReceive("b" + i, 1_400);
+		}
+		Assertions.assertThat(violatedInvariants()).isEmpty();
+	}
+
+	private void sendAndReceive(String id, long nowMs) {
+		this.checker.onRequestSent(id, InvariantChecker.RequestKind.SAFE, "lasting-1", nowMs);
+		this.checker.onVmChosen(id, "vm-1");
+		this.checker.onRequestReceived(id, "w1", Long.MAX_VALUE, nowMs);
+	}
+
 	private void receiveRequests(long intervalMs, long fromMs, long untilMs) {
 		for (long now = fromMs; now < untilMs; now += intervalMs) {
 			this.checker.onRequestReceived("a", "w1", Long.MAX_VALUE, now);
--- a/src/test/java/io/shallotspur/platform/soak/SoakCaller.java
+++ b/src/test/java/io/shallotspur/platform/soak/SoakCaller.java
@@ -129,6 +129,11 @@
 		try {
 			HttpResponse<String> r = this.client.send(request.build(), HttpResponse.BodyHandlers.ofString());
 			this.checker.onResponse(id, r.statusCode(), r.body());
+			r.headers()
+				.firstValue("Server-Leaving")
+				.flatMap((v) -> r.headers().firstValue("X-Server-Stamp"))
+				.ifPresent((stamp) -> this.checker.onLeavingPassedOn(id, stamp.substring("stamp-".length()),
+						InvariantChecker.nowMs()));
 			if (r.statusCode() == 200) {
 				this.successCount.incrementAndGet();
 			}
--- a/src/test/java/io/shallotspur/platform/soak/SoakWorker.java
+++ b/src/test/java/io/shallotspur/platform/soak/SoakWorker.java
@@ -44,6 +44,11 @@
 
 	private static final Duration DRAIN_TIME = Duration.ofMillis(3_500);
 
+	// The pause that a refusal asks for.
+	private static final Duration PAUSE = Duration.ofMillis(2_500);
+
+	private static final String PAUSE_S = "2.5";
+
 	private static final ObjectMapper JSON = new ObjectMapper();
 
 	private final String upstream;
@@ -131,6 +136,34 @@
 		});
 	}
 
+	/**
+	 * States in the worker's responses that it is leaving, and drains it some time later.
+	 * @param untilDrainMs how long the store shows it as ready meanwhile, in milliseconds
+	 */
+	void leave(long untilDrainMs) throws InterruptedException {
+		Incarnation leaving = this.current;
+		leaving.statesLeaving = true;
+		Thread.sleep(untilDrainMs);
+		if (this.current == leaving) {
+			drain();
+		}
+	}
+
+	/**
+	 * Refuses requests for some time, and asks for a pause with each refusal.
+	 * @param durationMs how long it refuses them, in milliseconds
+	 */
+	void refuseWithPause(long durationMs) throws InterruptedException {
+		Incarnation refusing = this.current;
+		refusing.asksForPause = true;
+		Thread.sleep(durationMs);
+		refusing.asksForPause = false;
+	}
+
+	String currentId() {
+		return this.current.id;
+	}
+
 	private void deregister(Incarnation incarnation) {
 		this.removedKeys.add(incarnation.key());
 		this.store.remove(incarnation.key());
@@ -191,6 +224,10 @@
 
 		private volatile boolean draining;
 
+		private volatile boolean statesLeaving;
+
+		private volatile boolean asksForPause;
+
 		private volatile double limitPerS = Double.POSITIVE_INFINITY;
 
 		private volatile long drainingSinceMs = Long.MAX_VALUE;
@@ -222,17 +259,24 @@
 			if (this.limitPerS < Double.POSITIVE_INFINITY) {
 				s.header("Server-Limit", Double.toString(this.limitPerS));
 			}
+			if (this.statesLeaving || this.draining) {
+				s.header("Server-Leaving", "1");
+			}
 			if (q.uri().startsWith("/api/")) {
 				return handleControlCall(q, s, body);
 			}
 			String id = h.get("X-Request-Id", "");
-			if (this.stage.isEmpty()) {
-				return runPlain(id, h, s);
-			}
 			if (this.changingStage) {
 				return rejectAsFull(s);
 			}
 			SoakWorker.this.checker.onRequestReceived(id, this.id, this.drainingSinceMs, InvariantChecker.nowMs());
+			if (this.asksForPause) {
+				SoakWorker.this.checker.onPauseRequested(id, this.id, PAUSE.toMillis(), InvariantChecker.nowMs());
+				return rejectAsFull(s.header("Retry-After", PAUSE_S));
+			}
+			if (this.stage.isEmpty()) {
+				return runPlain(id, h, s);
+			}
 			boolean prefill = "prefill".equals(h.get("X-Stage"));
 			if (prefill != this.stage.equals("prefill")) {
 				return s.status(421).send();
@@ -299,7 +343,6 @@
 				this.runningRequests.decrementAndGet();
 				return rejectAsFull(s);
 			}
-			SoakWorker.this.checker.onRequestReceived(id, this.id, this.drainingSinceMs, InvariantChecker.nowMs());
 			SoakWorker.this.checker.onRequestStarted(id, this.id);
 			SoakWorker.this.checker.onCredentialsReceived(id, h.get("X-Tenant"), h.get("Authorization"));
 			return Mono.delay(Duration.ofMillis(5 + Math.floorMod(id.hashCode(), 60)))
