Check the selected worker again before a request is sent

A worker that was selected without a reservation was not looked at again after the prompt had been prefilled elsewhere, up to some hundred ms later: a request could reach a worker that had stated its leaving or asked for a pause meanwhile. Reserved places were checked already; now the check is one for all.

--- a/src/main/java/io/shallotspur/gateway/Gateway.java
+++ b/src/main/java/io/shallotspur/gateway/Gateway.java
@@ -297,8 +297,8 @@
 	private void applyNotice(WorkerState w, WorkerNotice notice, long now) {
 		if (notice.leaving() && w.markLeaving()) {
 			this.metrics.leavingStated();
-			this.log.write(now, () -> "worker=" + w.info().id() + " states that it is leaving registry-leaving="
-					+ w.info().draining());
+			Logger.info("[relay] worker={} states that it is leaving registry-leaving={}", w.info().id(),
+					w.info().draining());
 		}
 		if (notice.pauseMs() > 0) {
 			startPause(w, notice.pauseMs(), now);
--- a/src/main/java/io/shallotspur/gateway/RelayTask.java
+++ b/src/main/java/io/shallotspur/gateway/RelayTask.java
@@ -305,8 +305,9 @@
 	private long retryAfterMs(RefusalReason reason, long now) {
 		double random = this.gateway.random.next();
 		long remainingMs = this.request.callerTimeoutMs() - (now - this.arrivedAt);
-		long waitMs = this.placing.retryWaitMs(now);
-		if (reason == RefusalReason.WORKERS_LIMITED || (reason == RefusalReason.WORKERS_FULL && waitMs > 0)) {
+		boolean workersBusy = reason == RefusalReason.WORKERS_LIMITED || reason == RefusalReason.WORKERS_FULL;
+		long waitMs = workersBusy ? this.placing.retryWaitMs(now) : 0;
+		if (reason == RefusalReason.WORKERS_LIMITED || waitMs > 0) {
 			return RetryAfter.refillDelayMs(waitMs, remainingMs, random);
 		}
 		boolean tooLate = now > this.placing.latestStart();
--- a/src/main/java/io/shallotspur/gateway/RequestPlacement.java
+++ b/src/main/java/io/shallotspur/gateway/RequestPlacement.java
@@ -288,7 +288,7 @@
 			send(now);
 			return;
 		}
-		if (this.reservation != null && !isReservationValid(w, now)) {
+		if (!isTargetValid(w, now)) {
 			restart(now);
 			return;
 		}
@@ -360,7 +360,7 @@
 			this.gateway.releaseKvCache(this.source);
 			this.source = null;
 		}
-		if (this.reservation != null && !isReservationValid(worker, now)) {
+		if (!isTargetValid(worker, now)) {
 			restart(now);
 			return;
 		}
@@ -376,15 +376,19 @@
 		this.callback.onReady(worker, call, now);
 	}
 
-	// A reservation is lost when its worker restarts while the prompt is prefilled
-	// elsewhere, or when that takes too long. If sent without it, the request would be
-	// admitted without memory of its own, and a running request would be evicted for it.
-	// A reservation at a draining worker is of no use either: the request would arrive
-	// late, and its response would break off. A worker that has asked for a pause would
-	// refuse the request.
-	private boolean isReservationValid(WorkerState w, long now) {
+	// While the prompt is prefilled elsewhere, the selected worker may start to leave,
+	// and
+	// the response would break off, or ask for a pause, and it would refuse the request.
+	private boolean isTargetValid(WorkerState w, long now) {
 		return w.isActive(now) && w.pauseRemainingMs(now) == 0 && this.gateway.roster.isCurrentInstance(w.info())
-				&& now < this.reservedAt + reservationMs() - RESERVATION_MARGIN_MS;
+				&& (this.reservation == null || isReservationValid(now));
+	}
+
+	// A reservation expires when the prefill takes too long. If sent without it, the
+	// request would be admitted without memory of its own, and a running request would be
+	// evicted for it.
+	private boolean isReservationValid(long now) {
+		return now < this.reservedAt + reservationMs() - RESERVATION_MARGIN_MS;
 	}
 
 	private boolean isCacheValid(KvSource s, long now) {
--- a/src/test/java/io/shallotspur/gateway/GatewayFixture.java
+++ b/src/test/java/io/shallotspur/gateway/GatewayFixture.java
@@ -66,14 +66,22 @@
 	}
 
 	static RouteTable table(long version, Customer... customers) {
+		return table(version, 2_000, customers);
+	}
+
+	private static RouteTable table(long version, long maxReservationMs, Customer... customers) {
 		List<Route> routes = List.of(route("safe", RouteKind.SAFE, "plain", 2, false),
 				route("unsafe", RouteKind.UNSAFE, "plain", 2, false), route("open", RouteKind.SAFE, "plain", 2, false),
 				route("once", RouteKind.STREAM, "llm", 1, false), route("resume", RouteKind.STREAM, "llm", 2, true));
 		List<UpstreamSpec> upstreams = List.of(new UpstreamSpec("plain", 100, null),
-				new UpstreamSpec("llm", 100, new EngineSpec(64, 40_000, 18_432, 170_000, 500, 2_000, 10)));
+				new UpstreamSpec("llm", 100, new EngineSpec(64, 40_000, 18_432, 170_000, 500, maxReservationMs, 10)));
 		return new RouteTable(version, routes, upstreams, IngressLimits.DEFAULT, List.of(customers));
 	}
 
+	static RouteTable tableWithoutReservations(long version) {
+		return table(version, 0);
+	}
+
 	private static Route route(String name, RouteKind kind, String upstream, int attempts, boolean resumable) {
 		long timeout = (kind == RouteKind.STREAM) ? 14_000 : 800;
 		return new Route(name, "shop.example", "/" + name + "/", kind, List.of(new RouteTarget(upstream, 1)), timeout,
--- a/src/test/java/io/shallotspur/gateway/WorkerNoticeTests.java
+++ b/src/test/java/io/shallotspur/gateway/WorkerNoticeTests.java
@@ -245,6 +245,21 @@
 		Assertions.assertThat(this.f.workers.releasedHandles).containsExactly("k1");
 	}
 
+	// Guards against a decode worker that is selected, without a reservation, before the
+	// prompt is prefilled elsewhere, and asks for a pause or leaves meanwhile.
+	@Test
+	void workerSelectedBeforeAPrefillIsCheckedAgainAfterIt() {
+		this.f.gateway.configure(GatewayFixture.tableWithoutReservations(2));
+		WorkerInfo d1 = this.f.addWorker("d1", "llm", WorkerStage.DECODE);
+		WorkerInfo d2 = this.f.addWorker("d2", "llm", WorkerStage.DECODE);
+		this.f.addWorker("f1", "llm", WorkerStage.PREFILL);
+		this.f.stateLeaving(d2);
+		this.f.callWithPrompt("once", 3_000);
+		this.f.askForPause(d1, 3_000);
+		this.f.workers.prefills.get(0).listener.onReady("k1");
+		Assertions.assertThat(this.f.workers.runs).isEmpty();
+	}
+
 	@Test
 	void pausedPrefillWorkerIsSkipped() {
 		this.f.addWorker("d1", "llm", WorkerStage.DECODE);
