Run the timeouts of stage calls in tests on a virtual clock

The port takes the scheduler of its timeouts now; in the tests it is virtual, and the connections have no real timeouts. A silent worker has a test of its own, which needs exactly the 500 ms.

--- a/src/main/java/io/shallotspur/platform/HttpStagePort.java
+++ b/src/main/java/io/shallotspur/platform/HttpStagePort.java
@@ -8,6 +8,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.netty.handler.codec.http.HttpMethod;
 import reactor.core.publisher.Mono;
+import reactor.core.scheduler.Scheduler;
 
 import io.shallotspur.exc.EngineLostException;
 import io.shallotspur.gateway.WorkerInfo;
@@ -37,16 +38,16 @@
 
 	private final WorkerClient workers;
 
-	private final VmEventLoop loop;
+	private final Scheduler timeouts;
 
 	/**
 	 * Creates a port.
 	 * @param workers the client
-	 * @param loop the event loop
+	 * @param timeouts runs the timeouts of the calls
 	 */
-	HttpStagePort(WorkerClient workers, VmEventLoop loop) {
+	HttpStagePort(WorkerClient workers, Scheduler timeouts) {
 		this.workers = workers;
-		this.loop = loop;
+		this.timeouts = timeouts;
 	}
 
 	@Override
@@ -55,7 +56,7 @@
 			.responseSingle((r, content) -> content.asByteArray()
 				.defaultIfEmpty(new byte[0])
 				.flatMap((b) -> report(worker, r.status().code(), b)))
-			.timeout(Duration.ofMillis(TIMEOUT_MS), this.loop.scheduler())
+			.timeout(Duration.ofMillis(TIMEOUT_MS), this.timeouts)
 			.onErrorMap((ex) -> workerLost(worker, ex));
 	}
 
@@ -87,7 +88,7 @@
 		return this.workers.post(o.worker(), PlatformNames.ORDER_PATH, n)
 			.response()
 			.map((r) -> result(r.status().code()))
-			.timeout(Duration.ofMillis(TIMEOUT_MS), this.loop.scheduler())
+			.timeout(Duration.ofMillis(TIMEOUT_MS), this.timeouts)
 			.onErrorMap((ex) -> workerLost(o.worker(), ex));
 	}
 
--- a/src/test/java/io/shallotspur/platform/FakeWorker.java
+++ b/src/test/java/io/shallotspur/platform/FakeWorker.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicInteger;
 
 import io.netty.handler.codec.http.HttpHeaders;
@@ -39,6 +40,10 @@
 
 	volatile int orderStatus = 202;
 
+	volatile boolean answersReports = true;
+
+	final CountDownLatch reportReceived = new CountDownLatch(1);
+
 	// The Server-Limit header of its responses, in requests per second; empty for none.
 	volatile String rateLimit = "";
 
@@ -85,6 +90,10 @@
 			return s.sendString(Mono.just("{\"hold\":\"h1\"}"));
 		}
 		if (q.uri().equals("/api/report")) {
+			this.reportReceived.countDown();
+			if (!this.answersReports) {
+				return Mono.never();
+			}
 			return s
 				.sendString(Mono.just("{\"stage\":\"%s\",\"busy\":false,\"sequence_number\":4}".formatted(this.stage)));
 		}
--- a/src/test/java/io/shallotspur/platform/HttpStagePortTests.java
+++ b/src/test/java/io/shallotspur/platform/HttpStagePortTests.java
@@ -1,6 +1,8 @@
 package io.shallotspur.platform;
 
+import java.time.Duration;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 
 import com.codahale.metrics.MetricRegistry;
@@ -9,6 +11,8 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import reactor.netty.http.client.HttpClient;
+import reactor.test.scheduler.VirtualTimeScheduler;
 
 import io.shallotspur.exc.EngineLostException;
 import io.shallotspur.gateway.WorkerInfo;
@@ -27,10 +31,12 @@
 
 	private final VmEventLoop loop = new VmEventLoop();
 
-	private final WorkerClient client = new HttpWorkerPort(this.loop, new UnknownResponseFields(new MetricRegistry()))
-		.workerClient();
+	private final VirtualTimeScheduler timeouts = VirtualTimeScheduler.create();
 
-	private final HttpStagePort port = new HttpStagePort(this.client, this.loop);
+	private final WorkerClient client = new WorkerClient(HttpClient.newConnection().runOn(this.loop.resources(), false),
+			new UnknownResponseFields(new MetricRegistry()));
+
+	private final HttpStagePort port = new HttpStagePort(this.client, this.timeouts);
 
 	@AfterEach
 	void stop() {
@@ -73,6 +79,19 @@
 		Assertions.assertThat(notices).hasSize(2).allMatch(WorkerNotice::leaving);
 	}
 
+	// The worker is silent. A call that never ended would keep its worker in a stage
+	// change for good.
+	@Test
+	void failsWhenAWorkerIsSilentForTheTimeout() throws InterruptedException {
+		this.worker.answersReports = false;
+		CompletableFuture<StageReport> report = this.port.report(info()).toFuture();
+		this.worker.reportReceived.await();
+		this.timeouts.advanceTimeBy(Duration.ofMillis(499));
+		Assertions.assertThat(report).isNotDone();
+		this.timeouts.advanceTimeBy(Duration.ofMillis(1));
+		Assertions.assertThat(report).isCompletedExceptionally();
+	}
+
 	// The worker is down. The sender must get an error that leaves the result of the call
 	// open.
 	@Test
