Send nothing for a caller that left before its request was read

Cause: the event loop reads the request and the end of its connection in two passes, and the request was sent within the first.

Why this works: a request is handled after the loop has read its sockets once more, and not at all if its connection has ended by then.

Not covered: a step in the middle of a request (a retry, the run after a prefill) that is handled in the same pass before the close is read.

--- a/src/main/java/io/shallotspur/gateway/Gateway.java
+++ b/src/main/java/io/shallotspur/gateway/Gateway.java
@@ -189,6 +189,16 @@
 		return admission::callerDisconnected;
 	}
 
+	/**
+	 * Records a request whose caller had closed its connection before it was read.
+	 * Nothing is sent on its behalf.
+	 * @param request the request
+	 */
+	public void callerLeftUnread(RelayRequest request) {
+		this.metrics.callerDisconnected();
+		this.log.write(this.clock.getAsLong(), () -> "id=" + request.id() + " caller-gone before the request was read");
+	}
+
 	void requestFinished() {
 		this.inProgress--;
 	}
--- a/src/main/java/io/shallotspur/platform/CallerIngress.java
+++ b/src/main/java/io/shallotspur/platform/CallerIngress.java
@@ -145,12 +145,21 @@
 			Logger.info("[caller] malformed request seen=\"{}\"", ex.getMessage());
 			return refuse(response, res, BAD_REQUEST);
 		}
-		res.withConnection((c) -> dispatch(c.channel(), r, response));
+		res.withConnection((c) -> {
+			this.activeConnections.add(c.channel());
+			// On a busy VM, the caller may have closed its connection before its request
+			// is read. The close is read separately, after the request.
+			this.loop.executeAfterNextRead(() -> dispatch(c.channel(), r, response));
+		});
 		return response.completion();
 	}
 
 	private void dispatch(Channel c, RelayRequest r, HttpCallerResponse response) {
-		this.activeConnections.add(c);
+		if (!c.isActive()) {
+			this.activeConnections.remove(c);
+			this.gateway.callerLeftUnread(r);
+			return;
+		}
 		Runnable onDisconnect = this.gateway.handle(r, response);
 		ChannelFutureListener closeListener = (f) -> onDisconnect.run();
 		c.closeFuture().addListener(closeListener);
--- a/src/main/java/io/shallotspur/platform/PlatformVm.java
+++ b/src/main/java/io/shallotspur/platform/PlatformVm.java
@@ -203,6 +203,10 @@
 		this.loop.close();
 	}
 
+	VmEventLoop loop() {
+		return this.loop;
+	}
+
 	int callersPort() {
 		return this.servers.get(0).port();
 	}
--- a/src/main/java/io/shallotspur/platform/VmEventLoop.java
+++ b/src/main/java/io/shallotspur/platform/VmEventLoop.java
@@ -39,6 +39,16 @@
 		this.loop.execute(task);
 	}
 
+	/**
+	 * Runs a task once the loop has read from its sockets again. Called on the loop.
+	 * @param task the task
+	 */
+	void executeAfterNextRead(Runnable task) {
+		// Tasks that are submitted while the loop reads run before it reads again; what
+		// they schedule does not.
+		this.loop.execute(() -> this.loop.schedule(task, 0, TimeUnit.MILLISECONDS));
+	}
+
 	@Override
 	public Runnable schedule(long delayMs, Runnable task) {
 		ScheduledFuture<?> f = this.loop.schedule(task, delayMs, TimeUnit.MILLISECONDS);
