Read a worker's notice whatever its body is, also in control calls

A worker that refused a call with an encoded body, or echoed an empty request id in the response to a reservation, report or order, was not heeded: what it stated about leaving or a pause counted as that of another request.

Cause: the notice asked whether the response can be relayed (ResponseAuthenticity), which says more than whose response it is. Control calls have no id, so any echo differed from it.

Change: only a status 421 and the id of another request make a notice foreign; an empty echo is none.

ResponseHeadDecoderTests.statementCountsWhateverTheBodyIs failed before.

--- a/src/main/java/io/shallotspur/platform/ResponseHeadDecoder.java
+++ b/src/main/java/io/shallotspur/platform/ResponseHeadDecoder.java
@@ -81,12 +81,18 @@
 	 * the expected incarnation or answers another request
 	 */
 	static WorkerNotice notice(@Nullable String requestId, int status, HttpHeaders h) {
-		if (status == MISDIRECTED || authenticity(requestId, h) == ResponseAuthenticity.MISMATCHED) {
+		if (status == MISDIRECTED || answersOtherRequest(requestId, h)) {
 			return WorkerNotice.NONE;
 		}
 		return new WorkerNotice(leaving(h), pauseMs(status, h).orElse(0));
 	}
 
+	// Control calls have no id, and the echo of none may be empty.
+	private static boolean answersOtherRequest(@Nullable String requestId, HttpHeaders h) {
+		String echoed = h.get(PlatformNames.REQUEST_ID, "");
+		return !echoed.isEmpty() && !echoed.equals(requestId);
+	}
+
 	private static boolean leaving(HttpHeaders h) {
 		List<String> values = h.getAll(PlatformNames.LEAVING);
 		return values.size() == 1 && values.get(0).strip().equals(IS_LEAVING);
@@ -147,7 +153,7 @@
 		return null;
 	}
 
-	private static ResponseAuthenticity authenticity(@Nullable String requestId, HttpHeaders h) {
+	private static ResponseAuthenticity authenticity(String requestId, HttpHeaders h) {
 		String echoed = h.get(PlatformNames.REQUEST_ID);
 		// A late response to an earlier request on the same connection can only be
 		// detected by its id. Requests never ask for a content encoding, so an encoded
--- a/src/test/java/io/shallotspur/platform/ResponseHeadDecoderTests.java
+++ b/src/test/java/io/shallotspur/platform/ResponseHeadDecoderTests.java
@@ -71,6 +71,16 @@
 		Assertions.assertThat(ResponseHeadDecoder.notice(null, 200, h).leaving()).isTrue();
 	}
 
+	// Guards against statements that are dropped with a body that cannot be relayed, or
+	// in a response to a control call, which has no id to echo.
+	@Test
+	void statementCountsWhateverTheBodyIs() {
+		HttpHeaders encoded = signed().add("Server-Leaving", "1").add("Content-Encoding", "gzip");
+		Assertions.assertThat(statesLeaving(503, encoded)).isTrue();
+		HttpHeaders emptyId = new DefaultHttpHeaders().add("X-Request-Id", "").add("Server-Leaving", "1");
+		Assertions.assertThat(ResponseHeadDecoder.notice(null, 200, emptyId).leaving()).isTrue();
+	}
+
 	// Guards against a response of another worker at the address, or to an earlier
 	// request, that takes a worker out of use for good.
 	@Test
