A worker's statements end when its id comes back at another address

A worker that came back under its id at another address, and doesn't report when it started, inherited what the former process had stated: after a leaving it got no request for good.

Cause: only a later start, as reported, told two instances apart.

Change: entries with different addresses describe different instances, for the state, for notices that arrive late, and for reservations and KV caches.

WorkerNoticeTests. entryWithAnotherAddressDescribesANewInstance failed before.

--- a/src/main/java/io/shallotspur/gateway/WorkerDirectory.java
+++ b/src/main/java/io/shallotspur/gateway/WorkerDirectory.java
@@ -55,7 +55,7 @@
 		if (known != null && known.info().isRestartOf(info)) {
 			return;
 		}
-		boolean sameInstance = known != null && !info.isRestartOf(known.info());
+		boolean sameInstance = known != null && info.mayBeSameInstance(known.info());
 		boolean inUse = this.byId.containsKey(info.id());
 		this.removed.remove(info.id());
 		this.byId.put(info.id(), sameInstance ? known : new WorkerState(info, now));
@@ -83,7 +83,7 @@
 	 * restarted since
 	 */
 	Optional<WorkerState> instance(WorkerInfo info) {
-		return Optional.ofNullable(state(info.id())).filter((s) -> !s.info().isRestartOf(info));
+		return Optional.ofNullable(state(info.id())).filter((s) -> s.info().mayBeSameInstance(info));
 	}
 
 	/**
@@ -94,7 +94,7 @@
 	 */
 	boolean isCurrentInstance(WorkerInfo info) {
 		WorkerState s = state(info.id());
-		return s == null || !s.info().isRestartOf(info);
+		return s == null || s.info().mayBeSameInstance(info);
 	}
 
 	/**
--- a/src/main/java/io/shallotspur/gateway/WorkerInfo.java
+++ b/src/main/java/io/shallotspur/gateway/WorkerInfo.java
@@ -45,6 +45,16 @@
 		return other.startedAt > 0 && this.startedAt > other.startedAt;
 	}
 
+	/**
+	 * Tells whether this entry and another one may describe the same start of the worker.
+	 * A process does not change its address.
+	 * @param other an entry of a worker with the same id
+	 * @return {@code false} if the address or the start differs
+	 */
+	public boolean mayBeSameInstance(WorkerInfo other) {
+		return address().equals(other.address()) && !isRestartOf(other) && !other.isRestartOf(this);
+	}
+
 	/**
 	 * Returns the address in the form that workers use for each other.
 	 * @return {@code host:port}
--- a/src/test/java/io/shallotspur/gateway/WorkerNoticeTests.java
+++ b/src/test/java/io/shallotspur/gateway/WorkerNoticeTests.java
@@ -207,6 +207,22 @@
 		Assertions.assertThat(this.f.workers.runs).hasSize(1);
 	}
 
+	// Guards against a statement that outlives its worker: a process does not change its
+	// address, so an entry with another one describes a new start, also if it does not
+	// report when it started.
+	@Test
+	void entryWithAnotherAddressDescribesANewInstance() {
+		WorkerInfo first = new WorkerInfo("p7", "other", "10.0.0.7", 80, "hall-a", 6, WorkerStage.PLAIN, false, 0, 0);
+		WorkerInfo second = new WorkerInfo("p7", "other", "10.0.0.8", 80, "hall-a", 6, WorkerStage.PLAIN, false, 0, 0);
+		WorkerDirectory roster = this.f.gateway.roster();
+		roster.updateEntry(first, this.f.timer.now());
+		this.f.stateLeaving(first);
+		roster.entryRemoved("p7", this.f.timer.now());
+		roster.updateEntry(second, this.f.timer.now());
+		this.f.stateLeaving(first);
+		Assertions.assertThat(roster.activeWorkers("other", this.f.timer.now())).containsExactly(second);
+	}
+
 	// Guards against prompts that wait in the queue until their deadlines while every
 	// decode worker has asked for a longer pause.
 	@Test
