A worker with an exhausted limit no longer hides one whose pause ends first

With one worker limited and the other pausing for 100 ms, a call was refused and its caller told to come back by the limit, which may be seconds later.

Cause: pausing workers were left out of the candidates as soon as any other was healthy, also one that can't be sent anything either. The earliest moment was then taken among the limited ones alone.

Change: pausing workers stay candidates, and only their wait keeps requests away; unreachable and ejected ones are tried if all others pause, as before.

WorkerNoticeTests. requestWaitsForTheWorkerThatMayBeUsedFirst failed before.

--- a/src/main/java/io/shallotspur/gateway/Candidates.java
+++ b/src/main/java/io/shallotspur/gateway/Candidates.java
@@ -31,9 +31,9 @@
 
 	/**
 	 * Returns the workers that may be used, whether or not their rate limits and
-	 * connection shares are exhausted. Leaving workers and those with an announced stage
-	 * change are left out; unreachable and ejected ones and those that have asked for a
-	 * pause are left out unless all are.
+	 * connection shares are exhausted or they have asked for a pause. Leaving workers and
+	 * those with an announced stage change are left out; unreachable and ejected ones are
+	 * left out unless all others are or have asked for a pause.
 	 * @param stage the required stage
 	 * @param excluded ids of workers to leave out
 	 * @param now the present time in milliseconds
--- a/src/main/java/io/shallotspur/gateway/WorkerDirectory.java
+++ b/src/main/java/io/shallotspur/gateway/WorkerDirectory.java
@@ -235,8 +235,8 @@
 		return instance(info).map((s) -> s.pauseRemainingMs(now)).orElse(0L);
 	}
 
-	// Leaves out workers that fail, are unreachable or slow, or have asked for a pause,
-	// unless all are.
+	// Leaves out workers that fail, are unreachable or slow, unless all others are or
+	// have asked for a pause.
 	List<WorkerState> candidates(String upstream, Set<WorkerStage> stages, Set<String> excluded, long now) {
 		removeExpired(now);
 		List<WorkerState> all = new ArrayList<>();
@@ -249,11 +249,11 @@
 				continue;
 			}
 			all.add(s);
-			if (s.isReachable(now) && s.pauseRemainingMs(now) == 0 && d.health(i.id(), now) != WorkerHealth.EJECTED) {
+			if (s.isReachable(now) && d.health(i.id(), now) != WorkerHealth.EJECTED) {
 				healthy.add(s);
 			}
 		}
-		return healthy.isEmpty() ? all : healthy;
+		return healthy.stream().allMatch((s) -> s.pauseRemainingMs(now) > 0) ? all : healthy;
 	}
 
 	OutlierDetector outlierDetector(String upstream) {
--- a/src/test/java/io/shallotspur/gateway/WorkerNoticeTests.java
+++ b/src/test/java/io/shallotspur/gateway/WorkerNoticeTests.java
@@ -223,6 +223,20 @@
 		Assertions.assertThat(roster.activeWorkers("other", this.f.timer.now())).containsExactly(second);
 	}
 
+	// Guards against a call that is refused, or told to come back much later, since a
+	// worker with an exhausted limit hides one whose pause is about to end.
+	@Test
+	void requestWaitsForTheWorkerThatMayBeUsedFirst() {
+		WorkerInfo p2 = this.f.addWorker("p2", "plain", WorkerStage.PLAIN);
+		this.f.gateway.updateWorkerStatus(this.f.gateway.roster().instance(p2).orElseThrow(),
+				new WorkerStatus(null, new WorkerRateLimit(0)), this.f.timer.now());
+		this.f.askForPause(this.p1, 100);
+		Call c = this.f.call("safe");
+		Assertions.assertThat(c.caller().responseCount).isZero();
+		this.f.timer.advance(100);
+		Assertions.assertThat(this.f.workers.lastRun().call.worker().id()).isEqualTo("p1");
+	}
+
 	// Guards against prompts that wait in the queue until their deadlines while every
 	// decode worker has asked for a longer pause.
 	@Test
