Refuse what no worker will take as soon as that is known

Calls that waited for a worker were held to the end of their wait although it had asked for a longer pause or stated its leaving meanwhile, and prompts in the queue until their deadline once the last decode worker had left.

Cause: waits looked at their worker again only when their timer fired; the queue took "no worker" for "no wait", and was asked on pauses alone.

Change: a wait listens to the notices of its worker and is placed anew at once. The queue rejects what no worker may be sent in time on every notice, and whenever it finds no worker to ask; without any worker the reason is no-worker.

Three tests of WorkerNoticeTests failed before (waitingRequestIsRefusedAtOnce..., queuedRequestIsRefusedOnceAllDecodeWorkersLeave). A wait still learns of the store's word on a worker when its timer fires.

--- a/src/main/java/io/shallotspur/gateway/Gateway.java
+++ b/src/main/java/io/shallotspur/gateway/Gateway.java
@@ -313,6 +313,11 @@
 		if (notice.pauseMs() > 0) {
 			startPause(w, notice.pauseMs(), now);
 		}
+		w.notifyOfNotice();
+		ReservationQueue queue = this.reservationQueues.get(w.info().upstream());
+		if (queue != null) {
+			queue.rejectUnservable(now);
+		}
 	}
 
 	private void startPause(WorkerState w, long pauseMs, long now) {
@@ -320,10 +325,6 @@
 			this.metrics.pauseStarted();
 			this.log.write(now, () -> "worker=" + w.info().id() + " asks for a pause pause-ms=" + pauseMs);
 		}
-		ReservationQueue queue = this.reservationQueues.get(w.info().upstream());
-		if (queue != null) {
-			queue.rejectUnservable(now);
-		}
 	}
 
 	/**
--- a/src/main/java/io/shallotspur/gateway/RateLimitWait.java
+++ b/src/main/java/io/shallotspur/gateway/RateLimitWait.java
@@ -16,6 +16,8 @@
 
 	private final Listener listener;
 
+	private final Runnable noticeListener = this::onNotice;
+
 	private Runnable cancelTimer = () -> {
 	};
 
@@ -37,11 +39,18 @@
 
 	private void schedule(long delayMs) {
 		this.worker.limit().reserve();
+		this.worker.addNoticeListener(this.noticeListener);
 		this.cancelTimer = this.gateway.timer.schedule(delayMs, this::onTimer);
 	}
 
+	// The worker will not take the request when the wait ends.
+	private void onNotice() {
+		cancel();
+		this.listener.onWorkerUnavailable(this.gateway.clock.getAsLong());
+	}
+
 	private void onTimer() {
-		this.worker.limit().releaseReservation();
+		cancel();
 		long now = this.gateway.clock.getAsLong();
 		if (!this.worker.isActive(now) || !this.gateway.roster.isCurrentInstance(this.worker.info())
 				|| this.worker.pauseRemainingMs(now) > 0) {
@@ -66,6 +75,7 @@
 	 */
 	void cancel() {
 		this.cancelTimer.run();
+		this.worker.removeNoticeListener(this.noticeListener);
 		this.worker.limit().releaseReservation();
 	}
 
--- a/src/main/java/io/shallotspur/gateway/RequestPlacement.java
+++ b/src/main/java/io/shallotspur/gateway/RequestPlacement.java
@@ -3,6 +3,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 
 import org.jspecify.annotations.Nullable;
@@ -150,18 +151,19 @@
 	 * {@link Long#MAX_VALUE} if the time is not known
 	 */
 	long retryWaitMs(long now) {
-		return sendWaitMs(Set.of(), now);
+		return sendWaitMs(Set.of(), now).orElse(0);
 	}
 
 	@Override
 	public long sendWaitMs(long now) {
-		return sendWaitMs(this.triedWorkers, now);
+		return sendWaitMs(this.triedWorkers, now).orElse(Long.MAX_VALUE);
 	}
 
-	private long sendWaitMs(Set<String> excluded, long now) {
+	// Empty if there is no worker.
+	private OptionalLong sendWaitMs(Set<String> excluded, long now) {
 		return this.candidates.soonestAvailable(stage(), excluded, now)
-			.map((w) -> this.gateway.workerAvailability.waitMs(w, now))
-			.orElse(0L);
+			.map((w) -> OptionalLong.of(this.gateway.workerAvailability.waitMs(w, now)))
+			.orElse(OptionalLong.empty());
 	}
 
 	private long maxLimitWaitMs(long now) {
@@ -278,7 +280,8 @@
 	@Override
 	public void onRejected(long now) {
 		this.ticket = null;
-		this.callback.onRefused(RefusalReason.WORKERS_FULL, now);
+		boolean workersKnown = !this.candidates.all(stage(), this.triedWorkers, now).isEmpty();
+		this.callback.onRefused(workersKnown ? RefusalReason.WORKERS_FULL : RefusalReason.NO_WORKER, now);
 	}
 
 	private void prefillOrSend(WorkerState w, long now) {
--- a/src/main/java/io/shallotspur/gateway/ReservationQueue.java
+++ b/src/main/java/io/shallotspur/gateway/ReservationQueue.java
@@ -151,17 +151,17 @@
 	}
 
 	/**
-	 * Rejects the requests that no worker may be sent in time, because all have asked for
-	 * pauses or have a rate limit.
+	 * Rejects the requests that no worker may be sent in time, because all have left,
+	 * asked for pauses or have a rate limit.
 	 * @param now the present time in milliseconds
 	 */
 	void rejectUnservable(long now) {
 		for (Ticket ticket : new ArrayList<>(this.queue)) {
-			long waitMs = ticket.request.sendWaitMs(now);
 			// A worker that may be sent one of them may be sent the others.
-			if (waitMs == 0) {
+			if (!ticket.request.candidates(now).isEmpty()) {
 				return;
 			}
+			long waitMs = ticket.request.sendWaitMs(now);
 			if (waitMs > ticket.request.waitDeadline() - now) {
 				cancel(ticket);
 				ticket.request.onRejected(now);
@@ -174,6 +174,7 @@
 		while (this.inFlight.size() < MAX_CONCURRENT_CALLS && now >= this.nextAttemptAt) {
 			Optional<ReservationAttempt> attempt = nextAttempt(now);
 			if (attempt.isEmpty()) {
+				rejectUnservable(now);
 				break;
 			}
 			this.queue.remove(attempt.get().ticket());
@@ -295,7 +296,6 @@
 			onRefused(worker, tokens, failure, now);
 			if (!ticket.closed) {
 				this.queue.add(ticket);
-				rejectUnservable(now);
 			}
 		}
 		dispatch(now);
@@ -363,7 +363,8 @@
 		// Lifetime of its reservation, ms.
 		long reservationMs();
 
-		// How long until a worker may be sent it; 0 if one may now, ms.
+		// How long until a worker may be sent it; 0 if one may now, MAX_VALUE if there is
+		// none or the time is not known, ms.
 		long sendWaitMs(long now);
 
 		// The workers that may run it.
--- a/src/main/java/io/shallotspur/gateway/WorkerState.java
+++ b/src/main/java/io/shallotspur/gateway/WorkerState.java
@@ -64,6 +64,8 @@
 
 	private final Set<Runnable> terminationListeners = new LinkedHashSet<>();
 
+	private final Set<Runnable> noticeListeners = new LinkedHashSet<>();
+
 	WorkerState(WorkerInfo info, long now) {
 		this.info = info;
 		this.warmUpEnd = now + info.warmUpMs();
@@ -154,6 +156,23 @@
 		List.copyOf(this.terminationListeners).forEach(Runnable::run);
 	}
 
+	/**
+	 * Adds a task to run after the worker has stated that it is leaving or asked for a
+	 * pause.
+	 * @param task run each time, until it is removed
+	 */
+	void addNoticeListener(Runnable task) {
+		this.noticeListeners.add(task);
+	}
+
+	void removeNoticeListener(Runnable task) {
+		this.noticeListeners.remove(task);
+	}
+
+	void notifyOfNotice() {
+		List.copyOf(this.noticeListeners).forEach(Runnable::run);
+	}
+
 	void markUnreachable(long now) {
 		this.unreachableUntil = now + UNREACHABLE_BACKOFF_MS;
 	}
--- a/src/test/java/io/shallotspur/gateway/WorkerNoticeTests.java
+++ b/src/test/java/io/shallotspur/gateway/WorkerNoticeTests.java
@@ -207,6 +207,49 @@
 		Assertions.assertThat(this.f.workers.runs).hasSize(1);
 	}
 
+	// Guards against a call that is refused, or told to come back much later, since a
+	// worker with an exhausted limit hides one whose pause is about to end.
+	@Test
+	void requestWaitsForTheWorkerThatMayBeUsedFirst() {
+		WorkerInfo p2 = this.f.addWorker("p2", "plain", WorkerStage.PLAIN);
+		this.f.gateway.updateWorkerStatus(this.f.gateway.roster().instance(p2).orElseThrow(),
+				new WorkerStatus(null, new WorkerRateLimit(0)), this.f.timer.now());
+		this.f.askForPause(this.p1, 100);
+		Call c = this.f.call("safe");
+		Assertions.assertThat(c.caller().responseCount).isZero();
+		this.f.timer.advance(100);
+		Assertions.assertThat(this.f.workers.lastRun().call.worker().id()).isEqualTo("p1");
+	}
+
+	// Guards against calls that are held until their wait ends although their only worker
+	// has made it known that it will not take them by then.
+	@Test
+	void waitingRequestIsRefusedAtOnceWhenItsOnlyWorkerAsksForALongerPause() {
+		this.f.askForPause(this.p1, 300);
+		Call c = this.f.call("safe");
+		this.f.askForPause(this.p1, 3_000);
+		Assertions.assertThat(c.caller().refusal.reason()).isEqualTo(RefusalReason.WORKERS_LIMITED);
+	}
+
+	@Test
+	void waitingRequestIsRefusedAtOnceWhenItsOnlyWorkerLeaves() {
+		this.f.askForPause(this.p1, 300);
+		Call c = this.f.call("safe");
+		this.f.stateLeaving(this.p1);
+		Assertions.assertThat(c.caller().refusal.reason()).isEqualTo(RefusalReason.NO_WORKER);
+		this.f.timer.advance(1_000);
+		Assertions.assertThat(c.caller().responseCount).isEqualTo(1);
+	}
+
+	@Test
+	void queuedRequestIsRefusedOnceAllDecodeWorkersLeave() {
+		WorkerInfo d1 = this.f.addWorker("d1", "llm", WorkerStage.DECODE);
+		Call queued = this.f.callWithPrompt("once", 200);
+		this.f.workers.reservations.get(0).listener().onNoCapacity();
+		this.f.stateLeaving(d1);
+		Assertions.assertThat(queued.caller().refusal.reason()).isEqualTo(RefusalReason.NO_WORKER);
+	}
+
 	// Guards against a statement that outlives its worker: a process does not change its
 	// address, so an entry with another one describes a new start, also if it does not
 	// report when it started.
@@ -223,20 +266,6 @@
 		Assertions.assertThat(roster.activeWorkers("other", this.f.timer.now())).containsExactly(second);
 	}
 
-	// Guards against a call that is refused, or told to come back much later, since a
-	// worker with an exhausted limit hides one whose pause is about to end.
-	@Test
-	void requestWaitsForTheWorkerThatMayBeUsedFirst() {
-		WorkerInfo p2 = this.f.addWorker("p2", "plain", WorkerStage.PLAIN);
-		this.f.gateway.updateWorkerStatus(this.f.gateway.roster().instance(p2).orElseThrow(),
-				new WorkerStatus(null, new WorkerRateLimit(0)), this.f.timer.now());
-		this.f.askForPause(this.p1, 100);
-		Call c = this.f.call("safe");
-		Assertions.assertThat(c.caller().responseCount).isZero();
-		this.f.timer.advance(100);
-		Assertions.assertThat(this.f.workers.lastRun().call.worker().id()).isEqualTo("p1");
-	}
-
 	// Guards against prompts that wait in the queue until their deadlines while every
 	// decode worker has asked for a longer pause.
 	@Test
