HttpStagePortTests uses the client of the product again

Since these tests made their calls with a plain HTTP client, so they checked less than before: not the pool, and not that nothing is sent twice.

Change: the product's client, with the timeouts of the port on the virtual clock as before. Its connect timeout counts on the event loop, which handles a connection that is ready before its timers.

--- a/src/test/java/io/shallotspur/platform/HttpStagePortTests.java
+++ b/src/test/java/io/shallotspur/platform/HttpStagePortTests.java
@@ -11,7 +11,6 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
-import reactor.netty.http.client.HttpClient;
 import reactor.test.scheduler.VirtualTimeScheduler;
 
 import io.shallotspur.exc.EngineLostException;
@@ -33,8 +32,8 @@
 
 	private final VirtualTimeScheduler timeouts = VirtualTimeScheduler.create();
 
-	private final WorkerClient client = new WorkerClient(HttpClient.newConnection().runOn(this.loop.resources(), false),
-			new UnknownResponseFields(new MetricRegistry()));
+	private final WorkerClient client = new HttpWorkerPort(this.loop, new UnknownResponseFields(new MetricRegistry()))
+		.workerClient();
 
 	private final HttpStagePort port = new HttpStagePort(this.client, this.timeouts);
 
