A worker's idle timeout is read in all responses and ends with its connection

A call to a worker could cross with the worker's close of an idle connection: it is not known then whether the call ran. Prefills, reservations, releases, reports and orders were exposed to that, and the first request to a worker at an address that another one had before.

Keep-Alive was read in responses to requests only; connections to a prefill worker carry none. And it was kept by address, so it outlived the worker.

Change: the hook of all responses records it with the connection, which is what it speaks of.

--- a/src/main/java/io/shallotspur/platform/HttpWorkerPort.java
+++ b/src/main/java/io/shallotspur/platform/HttpWorkerPort.java
@@ -1,11 +1,7 @@
 package io.shallotspur.platform;
 
 import java.io.IOException;
-import java.net.InetSocketAddress;
-import java.net.SocketAddress;
 import java.time.Duration;
-import java.util.HashMap;
-import java.util.Map;
 import java.util.Optional;
 
 import com.fasterxml.jackson.databind.JsonNode;
@@ -61,15 +57,6 @@
 	// descriptors, of which a process has a few thousand.
 	private static final int MAX_CONNECTIONS_PER_WORKER = 512;
 
-	// In ms. Idle connections are closed this long before the worker would close them.
-	// Otherwise a request could cross with the worker's close, and it would be unknown
-	// whether the request ran.
-	private static final long IDLE_MARGIN_MS = 1_500;
-
-	private static final long MAX_IDLE_MS = 10_000;
-
-	private static final long MIN_IDLE_MS = 300;
-
 	// In bytes. A worker may respond before it has read a long body, and then parse the
 	// next request on the connection as the rest of that body. A larger body may not fit
 	// into the socket buffers at once and is sent on a connection of its own.
@@ -79,8 +66,6 @@
 
 	private final VmEventLoop loop;
 
-	private final Map<InetSocketAddress, Long> idleTimeouts = new HashMap<>();
-
 	/**
 	 * Creates a port without connections.
 	 * @param loop the event loop
@@ -92,9 +77,9 @@
 			.maxConnections(MAX_CONNECTIONS_PER_WORKER)
 			.pendingAcquireTimeout(Duration.ofMillis(CONNECT_TIMEOUT_MS))
 			.lifo()
-			.maxIdleTime(Duration.ofMillis(MAX_IDLE_MS))
-			.evictInBackground(Duration.ofMillis(MIN_IDLE_MS))
-			.evictionPredicate((c, m) -> m.idleTime() > maxIdleMs(c.channel().remoteAddress()))
+			.maxIdleTime(Duration.ofMillis(ConnectionIdleLimit.MAX_MS))
+			.evictInBackground(Duration.ofMillis(ConnectionIdleLimit.MIN_MS))
+			.evictionPredicate((c, m) -> m.idleTime() > ConnectionIdleLimit.ms(c.channel()))
 			.build();
 		HttpClient client = HttpClient.create(pool)
 			.runOn(loop.resources(), false)
@@ -114,17 +99,10 @@
 		return this.workerClient;
 	}
 
-	private long maxIdleMs(SocketAddress a) {
-		return this.idleTimeouts.getOrDefault(a, MAX_IDLE_MS);
-	}
-
 	@Override
 	public Exchange run(WorkerCall call, ExchangeListener listener) {
 		SendState state = new SendState();
 		Disposable d = send(call, "", state).response((r, content) -> {
-			InetSocketAddress a = new InetSocketAddress(call.worker().host(), call.worker().port());
-			KeepAliveHeader.idleTimeoutMs(r.responseHeaders())
-				.ifPresent((ms) -> this.idleTimeouts.put(a, Math.max(MIN_IDLE_MS, ms - IDLE_MARGIN_MS)));
 			listener.onHead(head(call.request(), r));
 			return content.asByteArray();
 		}).subscribe(listener::onBytes, (ex) -> listener.onFailure(failure(state, ex)), listener::onEnd);
--- a/src/main/java/io/shallotspur/platform/WorkerClient.java
+++ b/src/main/java/io/shallotspur/platform/WorkerClient.java
@@ -4,6 +4,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
 import reactor.core.publisher.Mono;
@@ -77,10 +78,11 @@
 	 */
 	HttpClient expecting(WorkerInfo worker) {
 		return this.client.headers((h) -> h.set(PlatformNames.EXPECTED_INSTANCE, worker.id()))
-			.doOnResponse((r, c) -> onResponse(worker, r));
+			.doOnResponse((r, c) -> onResponse(worker, r, c.channel()));
 	}
 
-	private void onResponse(WorkerInfo worker, HttpClientResponse r) {
+	private void onResponse(WorkerInfo worker, HttpClientResponse r, Channel connection) {
+		ConnectionIdleLimit.record(connection, r.responseHeaders());
 		this.unknownFields.observe(r);
 		String requestId = r.requestHeaders().get(PlatformNames.REQUEST_ID);
 		WorkerNotice notice = ResponseHeadDecoder.notice(requestId, r.status().code(), r.responseHeaders());
