One bound on metric series that are named from outside

UnknownResponseFields wrote again what RelayMetrics had: the first names get a series of their own, later ones share one. SeriesNames serves both; counters and their names are the same.

--- a/src/main/java/io/shallotspur/gateway/RelayMetrics.java
+++ b/src/main/java/io/shallotspur/gateway/RelayMetrics.java
@@ -1,8 +1,6 @@
 package io.shallotspur.gateway;
 
 import java.util.Locale;
-import java.util.Set;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 
 import com.codahale.metrics.MetricRegistry;
@@ -18,11 +16,9 @@
 	// time than its requests.
 	private static final int MAX_CUSTOMER_SERIES = 64;
 
-	private static final String OTHERS = "others";
-
 	private final MetricRegistry registry;
 
-	private final Set<String> customers = ConcurrentHashMap.newKeySet();
+	private final SeriesNames customers = new SeriesNames(MAX_CUSTOMER_SERIES);
 
 	/**
 	 * Creates the metrics of one VM.
@@ -44,7 +40,8 @@
 	void answered(String route, @Nullable String customer, long ms) {
 		this.registry.timer("relay.answered." + route).update(ms, TimeUnit.MILLISECONDS);
 		if (customer != null) {
-			this.registry.timer("customer.answered." + seriesName(customer)).update(ms, TimeUnit.MILLISECONDS);
+			this.registry.timer("customer.answered." + this.customers.seriesOf(customer))
+				.update(ms, TimeUnit.MILLISECONDS);
 		}
 	}
 
@@ -55,15 +52,8 @@
 
 	private void countForCustomer(String name, @Nullable String customer) {
 		if (customer != null) {
-			this.registry.counter("customer." + name + "." + seriesName(customer)).inc();
-		}
-	}
-
-	private String seriesName(String customer) {
-		if (this.customers.size() < MAX_CUSTOMER_SERIES) {
-			this.customers.add(customer);
+			this.registry.counter("customer." + name + "." + this.customers.seriesOf(customer)).inc();
 		}
-		return this.customers.contains(customer) ? customer : OTHERS;
 	}
 
 	void attemptEnded(AttemptOutcome end) {
--- a/src/main/java/io/shallotspur/platform/UnknownResponseFields.java
+++ b/src/main/java/io/shallotspur/platform/UnknownResponseFields.java
@@ -1,6 +1,5 @@
 package io.shallotspur.platform;
 
-import java.util.HashSet;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
@@ -11,6 +10,8 @@
 import org.tinylog.Logger;
 import reactor.netty.http.client.HttpClientResponse;
 
+import io.shallotspur.gateway.SeriesNames;
+
 /**
  * Counts the header fields in responses of workers that this process neither uses nor
  * knows as ordinary HTTP, or whose values it does not understand, and logs the first
@@ -23,9 +24,6 @@
 
 	static final String COUNTER_PREFIX = "workers.unknown-field.";
 
-	/** Fields over {@link #MAX_NAMES} are counted together under this name. */
-	static final String OTHERS = "others";
-
 	static final int MAX_NAMES = 32;
 
 	private static final int MAX_LOGGED_VALUE = 64;
@@ -45,7 +43,7 @@
 
 	private final MetricRegistry registry;
 
-	private final Set<String> seen = new HashSet<>();
+	private final SeriesNames names = new SeriesNames(MAX_NAMES);
 
 	/**
 	 * Creates the counters.
@@ -70,8 +68,8 @@
 	}
 
 	private void count(String name, String value, HttpClientResponse response) {
-		boolean isNew = this.seen.size() < MAX_NAMES && this.seen.add(name);
-		this.registry.counter(COUNTER_PREFIX + (this.seen.contains(name) ? name : OTHERS)).inc();
+		boolean isNew = this.names.add(name);
+		this.registry.counter(COUNTER_PREFIX + this.names.seriesOf(name)).inc();
 		if (isNew) {
 			Logger.warn("[platform] unknown response field name={} value=\"{}\" status={} call={} worker={}", name,
 					truncated(value), response.status().code(), callKind(response), expectedWorker(response));
