--- a/src/test/java/io/shallotspur/platform/WorkerStatementTests.java
+++ b/src/test/java/io/shallotspur/platform/WorkerStatementTests.java
@@ -12,8 +12,7 @@
  */
 class WorkerStatementTests extends EndToEndFixture {
 
-	// Guards against a statement of workers that no part of the product reads and nobody
-	// notices.
+	// Guards against a new header field of workers that is ignored without a trace.
 	@Test
 	void countsResponseFieldsThatAreNotKnown() {
 		this.p1.responseFields.put("Server-Wish", "1");
@@ -55,25 +54,23 @@
 	@Test
 	void sendsNoFurtherPrefillToAWorkerThatIsLeaving() {
 		this.f1.responseFields.put("Server-Leaving", "1");
-		for (int i = 0; i < 3; i++) {
-			HttpResponse<String> r = send(request("/model/x").header("X-Token-Count", "3000,20").build());
-			Assertions.assertThat(r.statusCode()).isEqualTo(200);
-		}
+		Assertions.assertThat(Stream.generate(this::sendLongPrompt).limit(3)).containsOnly(200);
 		Assertions.assertThat(this.f1.receivedRequests).hasSize(1);
 	}
 
 	@Test
 	void sendsNoFurtherPrefillToAWorkerThatAskedForAPause() {
 		this.f1.refusePrefillsWith = "30";
-		HttpResponse<String> first = send(request("/model/x").header("X-Token-Count", "3000,20").build());
-		Assertions.assertThat(first.statusCode()).isEqualTo(503);
-		for (int i = 0; i < 3; i++) {
-			HttpResponse<String> r = send(request("/model/x").header("X-Token-Count", "3000,20").build());
-			Assertions.assertThat(r.statusCode()).isEqualTo(200);
-		}
+		Assertions.assertThat(sendLongPrompt()).isEqualTo(503);
+		Assertions.assertThat(Stream.generate(this::sendLongPrompt).limit(3)).containsOnly(200);
 		Assertions.assertThat(this.f1.receivedRequests).hasSize(1);
 	}
 
+	// Sends a request whose prompt is prefilled at a separate worker.
+	private int sendLongPrompt() {
+		return send(request("/model/x").header("X-Token-Count", "3000,20").build()).statusCode();
+	}
+
 	// Guards against requests to workers that have refused one and asked for a pause.
 	@Test
 	void sendsNothingToAWorkerThatAskedForAPause() {
