ReservationQueue: its tickets and its requests are files of their own

The file had grown to 423 lines with three jobs: tickets and their order, the requests that wait, and the calls for reservations. A field of RequestPlacement that nothing read is gone. ReservationQueueTests and WorkerNoticeTests pass unchanged.

HttpStagePortTests, ConnectionIdleLimitTests, VmEventLoopTests and CallerCloseTests passed three times of three on one core beside three busy loops.

--- /dev/null
+++ b/src/main/java/io/shallotspur/gateway/PendingRequest.java
@@ -0,0 +1,38 @@
+package io.shallotspur.gateway;
+
+import java.util.List;
+
+/**
+ * A request that waits for a reservation in a {@link ReservationQueue}.
+ */
+interface PendingRequest {
+
+	// Required memory, tokens.
+	int requiredTokens();
+
+	// Priority; 0 is the highest.
+	int priority();
+
+	// Latest time at which it can start and still be answered on time, ms.
+	long latestStart();
+
+	// Time at which it stops waiting, ms.
+	long waitDeadline();
+
+	// Lifetime of its reservation, ms.
+	long reservationMs();
+
+	// How long until a worker may be sent it; 0 if one may now, MAX_VALUE if there is
+	// none or the time is not known, ms.
+	long sendWaitMs(long now);
+
+	// The workers that may run it.
+	List<WorkerState> candidates(long now);
+
+	// A slot is reserved.
+	void onReserved(WorkerState worker, String reservation, long now);
+
+	// No slot was available in time, or the queue is full.
+	void onRejected(long now);
+
+}
--- a/src/main/java/io/shallotspur/gateway/RequestPlacement.java
+++ b/src/main/java/io/shallotspur/gateway/RequestPlacement.java
@@ -22,7 +22,7 @@
  * {@link Callback} receives exactly one result for each {@link #start}, unless
  * {@link #cancel} comes first.
  */
-final class RequestPlacement implements ReservationQueue.PendingRequest {
+final class RequestPlacement implements PendingRequest {
 
 	// A late response still has some value for the caller, but a request that has waited
 	// for twice its objective while others are served first is refused, so that the
@@ -68,15 +68,13 @@
 
 	private final Callback callback;
 
-	private final long arrivedAt;
-
 	private final long deadline;
 
 	private final long firstArrivalAt;
 
 	private final Set<String> triedWorkers = new HashSet<>();
 
-	private ReservationQueue.@Nullable Ticket ticket;
+	private @Nullable ReservationTicket ticket;
 
 	private @Nullable PrefillStep prefillStep;
 
@@ -109,7 +107,6 @@
 		this.candidates = new Candidates(gateway, upstream,
 				(upstreamSpec != null) ? upstreamSpec.connectionLimit() : Integer.MAX_VALUE);
 		this.callback = callback;
-		this.arrivedAt = arrivedAt;
 		this.deadline = deadline;
 		this.firstArrivalAt = arrivedAt - gateway.requestAges.ageMs(this.route.name(), this.request.callerTimeoutMs());
 	}
@@ -131,7 +128,7 @@
 			this.callback.onRefused(RefusalReason.WORKERS_LIMITED, now);
 		}
 		else if (reserves) {
-			ReservationQueue.Ticket newTicket = this.gateway.reservationQueue(this.upstream).enqueue(this, now);
+			ReservationTicket newTicket = this.gateway.reservationQueue(this.upstream).enqueue(this, now);
 			this.ticket = newTicket.isClosed() ? null : newTicket;
 		}
 		else if (limitWait > 0) {
--- a/src/main/java/io/shallotspur/gateway/ReservationQueue.java
+++ b/src/main/java/io/shallotspur/gateway/ReservationQueue.java
@@ -1,8 +1,6 @@
 package io.shallotspur.gateway;
 
 import java.util.ArrayList;
-import java.util.Collections;
-import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
@@ -61,32 +59,23 @@
 	// Concurrent reservation calls; the round trip to a worker takes 2 ms.
 	private static final int MAX_CONCURRENT_CALLS = 4;
 
-	// Requests that have waited for this fraction of their available time show that slots
-	// free up more slowly than requests arrive.
-	private static final double LONG_WAIT_FRACTION = 0.5;
-
 	// Minimum queue limit, in requests, for few slots. Otherwise the limit is the number
 	// of slots of the workers: each is freed once in the time of a response, and no
 	// request waits longer.
 	private static final int MIN_QUEUE_LIMIT = 64;
 
-	private static final Comparator<Ticket> ORDER = Comparator.comparing((Ticket t) -> t.late)
-		.thenComparingInt((t) -> t.request.priority())
-		.thenComparingLong((t) -> t.request.latestStart())
-		.thenComparingLong((t) -> t.sequence);
-
 	private final Gateway gateway;
 
 	private final String upstream;
 
-	private final TreeSet<Ticket> queue = new TreeSet<>(ORDER);
+	private final TreeSet<ReservationTicket> queue = new TreeSet<>(ReservationTicket.ORDER);
 
 	private final RecentRefusals recentRefusals = new RecentRefusals();
 
 	private long lastSequence;
 
 	// Requests with a reservation call in progress.
-	private final Set<Ticket> inFlight = new HashSet<>();
+	private final Set<ReservationTicket> inFlight = new HashSet<>();
 
 	private int consecutiveRefusals;
 
@@ -106,8 +95,8 @@
 	 * @param now the present time in milliseconds
 	 * @return its ticket
 	 */
-	Ticket enqueue(PendingRequest request, long now) {
-		Ticket ticket = new Ticket(request, ++this.lastSequence, now);
+	ReservationTicket enqueue(PendingRequest request, long now) {
+		ReservationTicket ticket = new ReservationTicket(request, ++this.lastSequence, now);
 		this.queue.add(ticket);
 		if (this.queue.size() > MIN_QUEUE_LIMIT && this.queue.size() > totalSlots(request.candidates(now))) {
 			rejectLast(now);
@@ -123,10 +112,10 @@
 	// Rejects the request that would wait longest, not the newest arrival, which may be
 	// first.
 	private void rejectLast(long now) {
-		List<Ticket> ordered = orderedTickets(now);
-		Ticket last = ordered.get(ordered.size() - 1);
+		List<ReservationTicket> ordered = ReservationTicket.serviceOrder(this.queue, now);
+		ReservationTicket last = ordered.get(ordered.size() - 1);
 		cancel(last);
-		last.request.onRejected(now);
+		last.request().onRejected(now);
 	}
 
 	/**
@@ -134,8 +123,8 @@
 	 * released.
 	 * @param ticket its ticket
 	 */
-	void cancel(Ticket ticket) {
-		ticket.closed = true;
+	void cancel(ReservationTicket ticket) {
+		ticket.close();
 		this.queue.remove(ticket);
 	}
 
@@ -156,15 +145,15 @@
 	 * @param now the present time in milliseconds
 	 */
 	void rejectUnservable(long now) {
-		for (Ticket ticket : new ArrayList<>(this.queue)) {
+		for (ReservationTicket ticket : new ArrayList<>(this.queue)) {
 			// A worker that may be sent one of them may be sent the others.
-			if (!ticket.request.candidates(now).isEmpty()) {
+			if (!ticket.request().candidates(now).isEmpty()) {
 				return;
 			}
-			long waitMs = ticket.request.sendWaitMs(now);
-			if (waitMs > ticket.request.waitDeadline() - now) {
+			long waitMs = ticket.request().sendWaitMs(now);
+			if (waitMs > ticket.request().waitDeadline() - now) {
 				cancel(ticket);
-				ticket.request.onRejected(now);
+				ticket.request().onRejected(now);
 			}
 		}
 	}
@@ -188,14 +177,14 @@
 	}
 
 	private Optional<ReservationAttempt> nextAttempt(long now) {
-		List<Ticket> ordered = orderedTickets(now);
+		List<ReservationTicket> ordered = ReservationTicket.serviceOrder(this.queue, now);
 		boolean hasTimelyRequest = Stream.concat(ordered.stream(), this.inFlight.stream())
-			.anyMatch((ticket) -> !ticket.late);
-		for (Ticket ticket : ordered) {
-			if (ticket.late && hasTimelyRequest) {
+			.anyMatch((ticket) -> !ticket.isLate());
+		for (ReservationTicket ticket : ordered) {
+			if (ticket.isLate() && hasTimelyRequest) {
 				break;
 			}
-			List<WorkerState> candidates = ticket.request.candidates(now);
+			List<WorkerState> candidates = ticket.request().candidates(now);
 			Optional<WorkerState> worker = selectWorker(ticket, candidates, now);
 			if (worker.isPresent()) {
 				return Optional.of(new ReservationAttempt(ticket, worker.get(), candidates.size()));
@@ -204,51 +193,35 @@
 		return Optional.empty();
 	}
 
-	private List<Ticket> orderedTickets(long now) {
-		List<Ticket> ordered = new ArrayList<>(this.queue);
-		int from = 0;
-		while (from < ordered.size()) {
-			int to = from + 1;
-			while (to < ordered.size() && ordered.get(to).hasSameRank(ordered.get(from))) {
-				to++;
-			}
-			if (ordered.get(from).late || ordered.get(from).hasWaitedLong(now)) {
-				Collections.reverse(ordered.subList(from, to));
-			}
-			from = to;
-		}
-		return ordered;
-	}
-
 	// Rejects expired requests and reorders those that have become late.
 	private void updateTickets(long now) {
-		for (Ticket ticket : new ArrayList<>(this.queue)) {
-			if (now >= ticket.request.waitDeadline()) {
+		for (ReservationTicket ticket : new ArrayList<>(this.queue)) {
+			if (now >= ticket.request().waitDeadline()) {
 				cancel(ticket);
-				ticket.request.onRejected(now);
+				ticket.request().onRejected(now);
 			}
-			else if (!ticket.late && now > ticket.request.latestStart()) {
+			else if (!ticket.isLate() && now > ticket.request().latestStart()) {
 				this.queue.remove(ticket);
-				ticket.late = true;
+				ticket.markLate();
 				this.queue.add(ticket);
 			}
 		}
 	}
 
-	private Optional<WorkerState> selectWorker(Ticket ticket, List<WorkerState> candidates, long now) {
-		int tokens = ticket.request.requiredTokens();
+	private Optional<WorkerState> selectWorker(ReservationTicket ticket, List<WorkerState> candidates, long now) {
+		int tokens = ticket.request().requiredTokens();
 		List<WorkerState> eligible = candidates.stream()
-			.filter((w) -> this.recentRefusals.mayFit(w.info().id(), tokens, ticket.late, now))
+			.filter((w) -> this.recentRefusals.mayFit(w.info().id(), tokens, ticket.isLate(), now))
 			.toList();
 		return WorkerSelector.leastCost(eligible, this.gateway.settings.hall(), this.gateway.random, now);
 	}
 
-	private void requestReservation(Ticket ticket, WorkerState worker, long now) {
-		int tokens = ticket.request.requiredTokens();
+	private void requestReservation(ReservationTicket ticket, WorkerState worker, long now) {
+		int tokens = ticket.request().requiredTokens();
 		this.inFlight.add(ticket);
 		worker.requestStarted();
 		worker.limit().reserve();
-		this.gateway.workerPort.reserve(worker.info(), tokens, ticket.request.reservationMs(),
+		this.gateway.workerPort.reserve(worker.info(), tokens, ticket.request().reservationMs(),
 				new ReservationListener() {
 
 					@Override
@@ -281,7 +254,7 @@
 				});
 	}
 
-	private void onResponse(Ticket ticket, WorkerState worker, int tokens, @Nullable String reservation,
+	private void onResponse(ReservationTicket ticket, WorkerState worker, int tokens, @Nullable String reservation,
 			@Nullable ExchangeFailure failure) {
 		long now = this.gateway.clock.getAsLong();
 		this.inFlight.remove(ticket);
@@ -294,21 +267,21 @@
 			this.consecutiveRefusals++;
 			worker.limit().releaseReservation();
 			onRefused(worker, tokens, failure, now);
-			if (!ticket.closed) {
+			if (!ticket.isClosed()) {
 				this.queue.add(ticket);
 			}
 		}
 		dispatch(now);
 	}
 
-	private void onReserved(Ticket ticket, WorkerState worker, String reservation, long now) {
-		if (ticket.closed) {
+	private void onReserved(ReservationTicket ticket, WorkerState worker, String reservation, long now) {
+		if (ticket.isClosed()) {
 			worker.limit().releaseReservation();
 			this.gateway.cancelReservation(worker.info(), reservation);
 			return;
 		}
-		ticket.closed = true;
-		ticket.request.onReserved(worker, reservation, now);
+		ticket.close();
+		ticket.request().onReserved(worker, reservation, now);
 	}
 
 	private void onRefused(WorkerState worker, int tokens, @Nullable ExchangeFailure failure, long now) {
@@ -333,8 +306,8 @@
 			return;
 		}
 		long wakeAt = this.recentRefusals.nextRetryAt(now, now + FULL_BACKOFF_MS);
-		for (Ticket ticket : this.queue) {
-			wakeAt = Math.min(wakeAt, ticket.request.waitDeadline());
+		for (ReservationTicket ticket : this.queue) {
+			wakeAt = Math.min(wakeAt, ticket.request().waitDeadline());
 		}
 		if (this.nextAttemptAt > now && this.inFlight.size() < MAX_CONCURRENT_CALLS) {
 			wakeAt = Math.min(wakeAt, this.nextAttemptAt);
@@ -343,81 +316,11 @@
 				() -> dispatch(this.gateway.clock.getAsLong()));
 	}
 
-	/**
-	 * A request waiting for a reservation.
-	 */
-	interface PendingRequest {
-
-		// Required memory, tokens.
-		int requiredTokens();
-
-		// Priority; 0 is the highest.
-		int priority();
-
-		// Latest time at which it can start and still be answered on time, ms.
-		long latestStart();
-
-		// Time at which it stops waiting, ms.
-		long waitDeadline();
-
-		// Lifetime of its reservation, ms.
-		long reservationMs();
-
-		// How long until a worker may be sent it; 0 if one may now, MAX_VALUE if there is
-		// none or the time is not known, ms.
-		long sendWaitMs(long now);
-
-		// The workers that may run it.
-		List<WorkerState> candidates(long now);
-
-		// A slot is reserved.
-		void onReserved(WorkerState worker, String reservation, long now);
-
-		// No slot was available in time, or the queue is full.
-		void onRejected(long now);
-
-	}
-
-	/**
-	 * The entry of a request in the queue.
-	 */
-	static final class Ticket {
-
-		private final PendingRequest request;
-
-		private final long sequence;
-
-		private final long enqueuedAt;
-
-		private boolean late;
-
-		private boolean closed;
-
-		boolean isClosed() {
-			return this.closed;
-		}
-
-		private Ticket(PendingRequest request, long sequence, long enqueuedAt) {
-			this.request = request;
-			this.sequence = sequence;
-			this.enqueuedAt = enqueuedAt;
-		}
-
-		private boolean hasSameRank(Ticket other) {
-			return this.late == other.late && this.request.priority() == other.request.priority();
-		}
-
-		private boolean hasWaitedLong(long now) {
-			return now - this.enqueuedAt > LONG_WAIT_FRACTION * (this.request.latestStart() - this.enqueuedAt);
-		}
-
-	}
-
 	/**
 	 * The next reservation call: the request, the worker to call and the number of
 	 * candidates.
 	 */
-	private record ReservationAttempt(Ticket ticket, WorkerState worker, int candidateCount) {
+	private record ReservationAttempt(ReservationTicket ticket, WorkerState worker, int candidateCount) {
 
 	}
 
