Log the fingerprint of requests that break off while they may have been running

From the logs of the incident one cannot tell whether two arrivals are the same request, as each has an id of its own. The line of an attempt with an unknown outcome now has a hash of customer, method, host, path and body, the same at all VMs: arrivals that come again, and what ran together at a worker that ended, can be told. It is computed for such attempts only. No decision uses it yet.

--- a/src/main/java/io/shallotspur/gateway/RelayTask.java
+++ b/src/main/java/io/shallotspur/gateway/RelayTask.java
@@ -44,6 +44,8 @@
 
 	private final ResponseProgress progress;
 
+	private final LazyFingerprint fingerprint;
+
 	private AttemptHistory history = AttemptHistory.NONE;
 
 	private @Nullable Attempt attempt;
@@ -64,6 +66,7 @@
 		this.admitted = admitted;
 		this.route = admitted.route();
 		this.request = admitted.request();
+		this.fingerprint = new LazyFingerprint(admitted);
 		this.response = response;
 		this.arrivedAt = arrivedAt;
 		this.deadline = arrivedAt + Math.min(this.request.callerTimeoutMs(), this.route.timeoutMs());
@@ -217,7 +220,7 @@
 		this.gateway.metrics.attemptEnded(end);
 		recordFailure(end, now);
 		NextStep next = this.history.nextStep(end, mayRetry(end, now));
-		log(now, "attempt=" + end + " seen=\"" + reason + "\" next=" + next);
+		log(now, "attempt=" + end + " seen=\"" + reason + "\" next=" + next + fingerprintField(end));
 		endAttempt();
 		switch (next) {
 			case RETRY -> {
@@ -229,6 +232,12 @@
 		}
 	}
 
+	// Requests that broke off while they may have been running, recognizable when they
+	// are sent again.
+	private String fingerprintField(AttemptOutcome end) {
+		return (end == AttemptOutcome.UNKNOWN) ? " fingerprint=" + Long.toHexString(this.fingerprint.value()) : "";
+	}
+
 	private void recordFailure(AttemptOutcome end, long now) {
 		if (this.attempt == null) {
 			return;
