--- a/src/test/java/io/shallotspur/platform/EndToEndFixture.java
+++ b/src/test/java/io/shallotspur/platform/EndToEndFixture.java
@@ -46,7 +46,7 @@
 		this.store.put("servers/d1", this.d1.entry("llm", "ready"));
 		this.store.put("servers/f1", this.f1.entry("llm", "ready"));
 		this.store.takeSnapshot();
-		this.vm = new PlatformVm(settings(this.store.address()));
+		this.vm = new PlatformVm(settings("vm-1", this.store.address()));
 		this.vm.start();
 		await(() -> status(this.vm.readyPort(), "/api/readiness") == 200);
 	}
@@ -61,10 +61,10 @@
 		this.f1.stop();
 	}
 
-	private static PlatformSettings settings(Endpoint store) {
+	static PlatformSettings settings(String vm, Endpoint store) {
 		Endpoint any = new Endpoint("127.0.0.1", 0);
-		return new PlatformSettings(new GatewaySettings("vm-1", "hall-a", 0.2, 50, 10_000), "region-1", 1, any, any,
-				any, any, store, 2_000, 8_000, new ChangeDeadlines(2_000, 2_000),
+		return new PlatformSettings(new GatewaySettings(vm, "hall-a", 0.2, 50, 10_000), "region-1", 1, any, any, any,
+				any, store, 2_000, 8_000, new ChangeDeadlines(2_000, 2_000),
 				new PlatformSettings.OrderSettings(true, 0), new PlatformSettings.LogSettings("info", 10));
 	}
 
@@ -94,7 +94,11 @@
 	}
 
 	HttpRequest.Builder request(String path) {
-		return HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + this.vm.callersPort() + path))
+		return request(this.vm, path);
+	}
+
+	static HttpRequest.Builder request(PlatformVm at, String path) {
+		return HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + at.callersPort() + path))
 			.timeout(TIMEOUT)
 			.header("X-Request-Id", "r1")
 			.header("X-Deadline-Ms", "5000");
--- a/src/test/java/io/shallotspur/platform/FakeWorker.java
+++ b/src/test/java/io/shallotspur/platform/FakeWorker.java
@@ -11,9 +11,12 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 import io.netty.handler.codec.http.HttpHeaders;
+import org.jspecify.annotations.Nullable;
 import org.reactivestreams.Publisher;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
+import reactor.core.scheduler.Schedulers;
+import reactor.netty.Connection;
 import reactor.netty.DisposableServer;
 import reactor.netty.http.server.HttpServer;
 import reactor.netty.http.server.HttpServerRequest;
@@ -50,6 +53,15 @@
 	// The Retry-After header with which it refuses prefills; empty if it accepts them.
 	volatile String refusePrefillsWith = "";
 
+	// A request with this body ends the worker when it begins to run it; null for none.
+	volatile @Nullable String crashingBody;
+
+	// Run after the worker has ended in that way.
+	volatile Runnable onCrash = () -> {
+	};
+
+	private final Queue<Connection> connections = new ConcurrentLinkedQueue<>();
+
 	// Further header fields of all its responses, to requests and to control calls.
 	final Map<String, String> responseFields = new ConcurrentHashMap<>();
 
@@ -62,7 +74,16 @@
 	FakeWorker(String id, String stage) {
 		this.id = id;
 		this.stage = stage;
-		this.server = HttpServer.create().host("127.0.0.1").port(0).handle(this::handle).bindNow();
+		this.server = HttpServer.create()
+			.host("127.0.0.1")
+			.port(0)
+			.doOnConnection(this.connections::add)
+			.handle(this::handle)
+			.bindNow();
+	}
+
+	String id() {
+		return this.id;
 	}
 
 	String entry(String upstream, String state) {
@@ -80,6 +101,13 @@
 		this.server.disposeNow();
 	}
 
+	// Ends as a process does: nothing listens any more, and all connections are closed.
+	private void crash() {
+		this.server.disposeNow();
+		this.connections.forEach(Connection::dispose);
+		this.onCrash.run();
+	}
+
 	private Publisher<Void> handle(HttpServerRequest q, HttpServerResponse s) {
 		return q.receive().aggregate().asString().defaultIfEmpty("").flatMap((body) -> Mono.from(answer(q, s, body)));
 	}
@@ -116,6 +144,10 @@
 			}
 			return s.sendString(Mono.just("{\"kv_handle\":\"kv1\",\"tokens\":1,\"version\":1}"));
 		}
+		if (body.equals(this.crashingBody)) {
+			Schedulers.boundedElastic().schedule(this::crash);
+			return Mono.never();
+		}
 		Behaviour b = this.nextBehaviours.poll();
 		return (b != null) ? b.answer(s) : normalResponse(s);
 	}
