Refuse requests that crash the workers that run them, at all VMs

What callers saw: a request that crashes each worker that begins it was sent again and again and lost 12 to 14 workers; at each, up to nine innocent streams broke off, and for half of the time a tenth and more of a kind of request was not served.

Cause: the gateway kept nothing of a request beyond one arrival. Such requests were found in the product's own interface only (quarantine.CrashSuspects, used by cell and node).

Change: CrashSuspects decides for both. The gateway asks before anything is sent (first tries, retries, prefills, resumed streams, after each wait) and feeds it: when a request breaks off while it may have been running, the worker's address is checked once; if it refuses connections, all requests of this VM that broke off there were running at a crash. Observations go to all VMs by the store, one key for each VM and crash. Conditions of a quarantine for workers that are shared: three crashes without another explanation (a quarantined request ran there; other workers crashed in the same 100 ms), more than any other request at the last one; six in any case. A request that completes is cleared. A refusal is 503, as it has not run, with a Retry-After of the rest of the quarantine.

Why it works: a fingerprint is the same at all VMs, a worker's instance crashes at most once and only a refused connection proves it, and merging observations is idempotent, so each VM comes to the same conclusion from what the store has.

--- a/src/main/java/io/shallotspur/gateway/Gateway.java
+++ b/src/main/java/io/shallotspur/gateway/Gateway.java
@@ -56,6 +56,10 @@
 
 	final QuotaLimiter quotas;
 
+	final RequestQuarantine quarantine;
+
+	final WorkerCrashDetector crashDetector = new WorkerCrashDetector(this);
+
 	private final ConfigFreshness configFreshness;
 
 	private ConfigSource configSource = Runnable::run;
@@ -90,6 +94,7 @@
 		this.retryBudget = new UpstreamRetryBudget(settings);
 		this.workerAvailability = new WorkerAvailability(this.entryVms, this.random.next());
 		this.quotas = new QuotaLimiter(settings.quotas(), this.clock.getAsLong());
+		this.quarantine = new RequestQuarantine(this.metrics);
 		this.configFreshness = new ConfigFreshness(settings.revokedKeyMs());
 	}
 
@@ -133,6 +138,14 @@
 		return this.entryVms;
 	}
 
+	/**
+	 * Returns the requests that crash workers.
+	 * @return the quarantine; what other VMs know is merged into it
+	 */
+	public RequestQuarantine quarantine() {
+		return this.quarantine;
+	}
+
 	/**
 	 * Returns timing statistics of recent requests at the engines of an upstream.
 	 * @param upstream the upstream
--- a/src/main/java/io/shallotspur/gateway/PrefillStep.java
+++ b/src/main/java/io/shallotspur/gateway/PrefillStep.java
@@ -18,6 +18,8 @@
 
 	private final PromptInfo prompt;
 
+	private final LazyFingerprint fingerprint;
+
 	private final Consumer<Result> callback;
 
 	private final Runnable workerTerminationListener = () -> onFailure(new ExchangeFailure(true, "worker restarted"));
@@ -36,12 +38,15 @@
 	 * @param gateway the gateway
 	 * @param worker the prefill worker
 	 * @param prompt the prompt
+	 * @param fingerprint the fingerprint of the request
 	 * @param callback receives the result, once, unless the step is cancelled
 	 */
-	PrefillStep(Gateway gateway, WorkerState worker, PromptInfo prompt, Consumer<Result> callback) {
+	PrefillStep(Gateway gateway, WorkerState worker, PromptInfo prompt, LazyFingerprint fingerprint,
+			Consumer<Result> callback) {
 		this.gateway = gateway;
 		this.worker = worker;
 		this.prompt = prompt;
+		this.fingerprint = fingerprint;
 		this.callback = callback;
 	}
 
@@ -101,7 +106,11 @@
 			cancel();
 			// After a timeout or a failed connection, the next prompts are sent elsewhere
 			// for a while.
-			this.worker.markUnreachable(this.gateway.clock.getAsLong());
+			long now = this.gateway.clock.getAsLong();
+			this.worker.markUnreachable(now);
+			if (failure.sent()) {
+				this.gateway.crashDetector.onInterrupted(this.worker, this.fingerprint, now);
+			}
 			this.callback.accept(new Result(null, failure.reason(), false));
 		}
 	}
--- a/src/main/java/io/shallotspur/gateway/RefusalReason.java
+++ b/src/main/java/io/shallotspur/gateway/RefusalReason.java
@@ -40,6 +40,9 @@
 	 */
 	WORKERS_LIMITED,
 
+	/** The request has crashed workers and is in quarantine. */
+	CRASHES_WORKERS,
+
 	/** The connection to the worker broke while the request may have been running. */
 	WORKER_LOST,
 
--- a/src/main/java/io/shallotspur/gateway/RelayMetrics.java
+++ b/src/main/java/io/shallotspur/gateway/RelayMetrics.java
@@ -92,6 +92,18 @@
 		this.registry.counter("relay.sent-during-pause").inc();
 	}
 
+	void crashChecked() {
+		this.registry.counter("relay.crash-checked").inc();
+	}
+
+	void workerCrashed() {
+		this.registry.counter("relay.worker-crashed").inc();
+	}
+
+	void quarantined() {
+		this.registry.counter("relay.quarantined").inc();
+	}
+
 	void retried() {
 		this.registry.counter("relay.retried").inc();
 	}
--- a/src/main/java/io/shallotspur/gateway/RelayTask.java
+++ b/src/main/java/io/shallotspur/gateway/RelayTask.java
@@ -73,7 +73,8 @@
 		this.upstream = this.route.chooseUpstream(gateway.random.next());
 		UpstreamSpec spec = admitted.routeTable().upstream(this.upstream).orElse(null);
 		this.progress = new ResponseProgress((spec != null) ? spec.engine() : null, this.request.lastEventId());
-		this.placing = new RequestPlacement(gateway, admitted, this.upstream, spec, this, arrivedAt, this.deadline);
+		this.placing = new RequestPlacement(gateway, admitted, this.fingerprint, this.upstream, spec, this, arrivedAt,
+				this.deadline);
 	}
 
 	void start(long now) {
@@ -202,6 +203,7 @@
 			this.gateway.engineTimes(this.upstream)
 				.recordResponse(now - this.progress.firstByteAt(), p, receivedTokens());
 		}
+		this.gateway.quarantine.recordCompletion(this.fingerprint, now);
 		log(now, "answered status=" + head.status() + timingFields());
 		endAttempt();
 		finish();
@@ -244,6 +246,9 @@
 		}
 		WorkerState w = this.attempt.worker();
 		w.recordOutcome(true);
+		if (end == AttemptOutcome.UNKNOWN) {
+			this.gateway.crashDetector.onInterrupted(w, this.fingerprint, now);
+		}
 		if (end == AttemptOutcome.NOT_RUN) {
 			int slots = w.info().slots();
 			w.recordLoad(new LoadReport(slots, slots, slots), now);
@@ -312,6 +317,9 @@
 	}
 
 	private long retryAfterMs(RefusalReason reason, long now) {
+		if (reason == RefusalReason.CRASHES_WORKERS) {
+			return this.gateway.quarantine.remainingMs(this.fingerprint, now);
+		}
 		double random = this.gateway.random.next();
 		long remainingMs = this.request.callerTimeoutMs() - (now - this.arrivedAt);
 		boolean workersBusy = reason == RefusalReason.WORKERS_LIMITED || reason == RefusalReason.WORKERS_FULL;
--- a/src/main/java/io/shallotspur/gateway/RequestPlacement.java
+++ b/src/main/java/io/shallotspur/gateway/RequestPlacement.java
@@ -58,6 +58,8 @@
 
 	private final Route route;
 
+	private final LazyFingerprint fingerprint;
+
 	private final RelayRequest request;
 
 	private final String upstream;
@@ -96,11 +98,12 @@
 
 	private long waitStartedAt;
 
-	RequestPlacement(Gateway gateway, AdmittedRequest admitted, String upstream, @Nullable UpstreamSpec upstreamSpec,
-			Callback callback, long arrivedAt, long deadline) {
+	RequestPlacement(Gateway gateway, AdmittedRequest admitted, LazyFingerprint fingerprint, String upstream,
+			@Nullable UpstreamSpec upstreamSpec, Callback callback, long arrivedAt, long deadline) {
 		this.gateway = gateway;
 		this.admitted = admitted;
 		this.route = admitted.route();
+		this.fingerprint = fingerprint;
 		this.request = admitted.request();
 		this.upstream = upstream;
 		this.engine = (upstreamSpec != null) ? upstreamSpec.engine() : null;
@@ -117,6 +120,9 @@
 		// wait would be over, and a response that could continue at another worker would
 		// end.
 		this.waitStartedAt = now;
+		if (refuseIfQuarantined(now)) {
+			return;
+		}
 		EngineSpec engineSpec = this.engine;
 		boolean reserves = engineSpec != null && engineSpec.maxReservationMs() > 0 && this.request.prompt() != null;
 		Optional<WorkerState> first = this.candidates.soonestAvailable(stage(), this.triedWorkers, now);
@@ -283,6 +289,9 @@
 
 	private void prefillOrSend(WorkerState w, long now) {
 		this.target = w;
+		if (refuseIfQuarantined(now)) {
+			return;
+		}
 		PromptInfo prompt = this.request.prompt();
 		if (this.engine == null || prompt == null || this.prefillAttempted) {
 			send(now);
@@ -306,7 +315,8 @@
 		}
 		this.prefillAttempted = true;
 		this.triedPrefillWorkers.add(prefillWorker.get().info().id());
-		this.prefillStep = new PrefillStep(this.gateway, prefillWorker.get(), prompt, this::onPrefillResult);
+		this.prefillStep = new PrefillStep(this.gateway, prefillWorker.get(), prompt, this.fingerprint,
+				this::onPrefillResult);
 		this.prefillStep.start(
 				new WorkerCall(this.request, prefillWorker.get().info(), Math.max(1, this.deadline - now), priority(),
 						this.callback.lastEventId(), null, null, this.admitted.customerName()),
@@ -351,9 +361,20 @@
 		}
 	}
 
+	// Asked right before anything is sent: the same request may have crashed a worker
+	// elsewhere while this one waited.
+	private boolean refuseIfQuarantined(long now) {
+		if (!this.gateway.quarantine.contains(this.fingerprint, now)) {
+			return false;
+		}
+		cancel();
+		this.callback.onRefused(RefusalReason.CRASHES_WORKERS, now);
+		return true;
+	}
+
 	private void send(long now) {
 		WorkerState worker = this.target;
-		if (worker == null) {
+		if (worker == null || refuseIfQuarantined(now)) {
 			return;
 		}
 		if (this.source != null && !isCacheValid(this.source, now)) {
--- /dev/null
+++ b/src/main/java/io/shallotspur/gateway/RequestQuarantine.java
@@ -0,0 +1,119 @@
+package io.shallotspur.gateway;
+
+import java.util.Collection;
+import java.util.List;
+import java.util.Set;
+
+import org.tinylog.Logger;
+
+import io.shallotspur.quarantine.CrashSuspects;
+import io.shallotspur.quarantine.QuarantineLimits;
+import io.shallotspur.quarantine.SuspectEntry;
+
+/**
+ * The requests that crash the workers that run them, as known to this VM. Callers send
+ * such a request again, to any VM, and each time another worker is lost with all that
+ * runs there. Not thread-safe; confined to the gateway's thread.
+ * <p>
+ * Invariant: a request whose quarantine is known is not sent to any worker.
+ */
+public final class RequestQuarantine {
+
+	private final CrashSuspects suspects = new CrashSuspects(QuarantineLimits.SHARED_WORKERS);
+
+	private final RelayMetrics metrics;
+
+	private Runnable changeListener = () -> {
+	};
+
+	RequestQuarantine(RelayMetrics metrics) {
+		this.metrics = metrics;
+	}
+
+	/**
+	 * Sets the listener for changes that this VM observed, which other VMs do not know.
+	 * @param listener called after each change
+	 */
+	public void setChangeListener(Runnable listener) {
+		this.changeListener = listener;
+	}
+
+	boolean contains(LazyFingerprint fingerprint, long now) {
+		return !this.suspects.isEmpty() && this.suspects.isQuarantined(fingerprint.value(), now);
+	}
+
+	/**
+	 * Returns how long a request will still be refused.
+	 * @param fingerprint the fingerprint of the request
+	 * @param now the present time in milliseconds
+	 * @return milliseconds; 0 if it is not in quarantine
+	 */
+	long remainingMs(LazyFingerprint fingerprint, long now) {
+		return this.suspects.quarantineRemainingMs(fingerprint.value(), now);
+	}
+
+	/**
+	 * Records the crash of a worker.
+	 * @param worker the worker
+	 * @param running the fingerprints of the requests of this VM that were running on it
+	 * @param now the present time in milliseconds
+	 */
+	void recordCrash(WorkerInfo worker, Collection<Long> running, long now) {
+		Set<Long> causes = this.suspects.recordCrash(worker.instanceName(), running, now);
+		this.metrics.workerCrashed();
+		Logger.info("[quarantine] worker crashed worker={} running={}", worker.id(), hex(running));
+		logQuarantined(causes, "observed");
+		this.changeListener.run();
+	}
+
+	// A request that ran to completion did not cause the crashes before.
+	void recordCompletion(LazyFingerprint fingerprint, long now) {
+		if (!this.suspects.isEmpty()) {
+			this.suspects.recordCompletion(fingerprint.value(), now);
+			this.changeListener.run();
+		}
+	}
+
+	/**
+	 * Merges the entries of another VM.
+	 * @param entries the entries, on this VM's clock
+	 * @param now the present time in milliseconds
+	 * @return the fingerprints of the requests that are newly quarantined here
+	 */
+	public Set<Long> merge(Collection<SuspectEntry> entries, long now) {
+		Set<Long> causes = this.suspects.merge(entries, now);
+		logQuarantined(causes, "reported");
+		return causes;
+	}
+
+	/**
+	 * Returns the entries that have changed since the last call.
+	 * @param now the present time in milliseconds
+	 * @return the entries
+	 */
+	public List<SuspectEntry> drainChanges(long now) {
+		return this.suspects.drainChanges(now);
+	}
+
+	/**
+	 * Returns all entries.
+	 * @param now the present time in milliseconds
+	 * @return the entries, the one with the latest crash first
+	 */
+	public List<SuspectEntry> entries(long now) {
+		return this.suspects.entries(now);
+	}
+
+	private void logQuarantined(Set<Long> causes, String source) {
+		for (long fingerprint : causes) {
+			this.metrics.quarantined();
+			Logger.warn("[quarantine] request quarantined fingerprint={} source={}", Long.toHexString(fingerprint),
+					source);
+		}
+	}
+
+	private static List<String> hex(Collection<Long> fingerprints) {
+		return fingerprints.stream().map(Long::toHexString).toList();
+	}
+
+}
--- a/src/main/java/io/shallotspur/gateway/WorkerInfo.java
+++ b/src/main/java/io/shallotspur/gateway/WorkerInfo.java
@@ -55,6 +55,14 @@
 		return address().equals(other.address()) && !isRestartOf(other) && !other.isRestartOf(this);
 	}
 
+	/**
+	 * Returns a name that no other start of this or another worker has.
+	 * @return the id, and when it started if it reports that
+	 */
+	public String instanceName() {
+		return (this.startedAt > 0) ? this.id + "@" + this.startedAt : this.id;
+	}
+
 	/**
 	 * Returns the address in the form that workers use for each other.
 	 * @return {@code host:port}
--- a/src/main/java/io/shallotspur/gateway/WorkerPort.java
+++ b/src/main/java/io/shallotspur/gateway/WorkerPort.java
@@ -1,5 +1,7 @@
 package io.shallotspur.gateway;
 
+import java.util.function.Consumer;
+
 /**
  * Client of the workers. Methods do not block and are called on the gateway's thread.
  */
@@ -43,4 +45,12 @@
 	 */
 	void cancelReservation(WorkerInfo worker, String reservation);
 
+	/**
+	 * Checks whether the process of a worker still listens, without sending it a request.
+	 * @param worker the worker
+	 * @param callback receives {@code false} only if a connection was refused, which
+	 * means that the process has ended
+	 */
+	void checkListening(WorkerInfo worker, Consumer<Boolean> callback);
+
 }
--- a/src/main/java/io/shallotspur/platform/HttpWorkerPort.java
+++ b/src/main/java/io/shallotspur/platform/HttpWorkerPort.java
@@ -1,23 +1,28 @@
 package io.shallotspur.platform;
 
 import java.io.IOException;
+import java.net.ConnectException;
 import java.time.Duration;
 import java.util.Optional;
+import java.util.function.Consumer;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ConnectTimeoutException;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import org.tinylog.Logger;
 import reactor.core.Disposable;
 import reactor.core.publisher.Flux;
+import reactor.netty.DisposableChannel;
 import reactor.netty.http.client.HttpClient;
 import reactor.netty.http.client.HttpClientResponse;
 import reactor.netty.resources.ConnectionProvider;
+import reactor.netty.tcp.TcpClient;
 
 import io.shallotspur.gateway.Exchange;
 import io.shallotspur.gateway.ExchangeFailure;
@@ -64,6 +69,8 @@
 
 	private final WorkerClient workerClient;
 
+	private final TcpClient connectionChecks;
+
 	private final VmEventLoop loop;
 
 	/**
@@ -89,6 +96,9 @@
 			.option(ChannelOption.TCP_NODELAY, true)
 			.headers((h) -> h.remove(HttpHeaderNames.USER_AGENT));
 		this.workerClient = new WorkerClient(client, unknownFields);
+		this.connectionChecks = TcpClient.newConnection()
+			.runOn(loop.resources(), false)
+			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS);
 	}
 
 	/**
@@ -227,6 +237,20 @@
 		}
 	}
 
+	@Override
+	public void checkListening(WorkerInfo worker, Consumer<Boolean> callback) {
+		this.connectionChecks.host(worker.host())
+			.port(worker.port())
+			.connect()
+			.doOnNext(DisposableChannel::dispose)
+			.subscribe((c) -> callback.accept(true), (ex) -> callback.accept(!isRefused(ex)));
+	}
+
+	// A timeout is a ConnectException, too, but means that nothing has responded.
+	private static boolean isRefused(Throwable ex) {
+		return ex instanceof ConnectException && !(ex instanceof ConnectTimeoutException);
+	}
+
 	private HttpClient.ResponseReceiver<?> send(WorkerCall call, String stage, SendState state) {
 		RelayRequest q = call.request();
 		ByteBuf body = Unpooled.wrappedBuffer(q.body());
--- a/src/main/java/io/shallotspur/platform/PlatformNames.java
+++ b/src/main/java/io/shallotspur/platform/PlatformNames.java
@@ -132,6 +132,12 @@
 	 */
 	static final String SETTLED_ERA_KEY = "eras/settled";
 
+	/**
+	 * Prefix of the publications about requests that crash workers, one key for each
+	 * publication of a VM.
+	 */
+	static final String SUSPECTS_PREFIX = "suspects/";
+
 	// Hop-by-hop headers, and headers that only this system may set. A caller that set
 	// one of the latter could use another request's KV cache or priority, or pass for
 	// another customer. The API key is meant for this system only; a worker that received
--- a/src/main/java/io/shallotspur/platform/PlatformVm.java
+++ b/src/main/java/io/shallotspur/platform/PlatformVm.java
@@ -23,6 +23,7 @@
 import io.shallotspur.registry.Leadership;
 import io.shallotspur.registry.RegistryWatcher;
 import io.shallotspur.registry.SharedEngineStats;
+import io.shallotspur.registry.SharedQuarantine;
 import io.shallotspur.registry.VmLoadSampler;
 import io.shallotspur.registry.VmRegistration;
 import io.shallotspur.stage.StageRebalancer;
@@ -66,6 +67,8 @@
 
 	private final SharedEngineStats engineStats;
 
+	private final SharedQuarantine sharedQuarantine;
+
 	private final VmLoadSampler loadSampler;
 
 	private final CallerIngress ingress;
@@ -104,6 +107,9 @@
 		this.engineStats = new SharedEngineStats(registry, this.gateway, this.loop,
 				() -> ThreadLocalRandom.current().nextDouble());
 		this.watcher.setSharedStats(this.engineStats);
+		this.sharedQuarantine = new SharedQuarantine(registry, this.gateway.quarantine(), this.loop, this.clock,
+				() -> ThreadLocalRandom.current().nextDouble(), incarnation);
+		this.watcher.setSharedQuarantine(this.sharedQuarantine);
 		this.watcher.setStaleDataListener(reader::onStoreRestored);
 		this.watcher.addRestoreListener(this.registration::onStoreRestored);
 		this.watcher.addRestoreListener((ms) -> this.metrics.registry().counter("store.restored").inc());
@@ -196,6 +202,7 @@
 		}
 		this.loop.execute(this.stages::stop);
 		this.loop.execute(this.engineStats::stop);
+		this.loop.execute(this.sharedQuarantine::stop);
 		this.loop.execute(this.loadSampler::stop);
 		this.loop.execute(this.gateway::stopClockSampling);
 		this.loop.execute(this.watcher::stop);
--- a/src/main/java/io/shallotspur/platform/StoreEntryCodec.java
+++ b/src/main/java/io/shallotspur/platform/StoreEntryCodec.java
@@ -80,6 +80,9 @@
 			return Optional.of(new RegistryChange.EngineStatsUpdated(upstream, engineStats(key, value(item)),
 					position(item, era)));
 		}
+		if (key.startsWith(PlatformNames.SUSPECTS_PREFIX) && !deleted) {
+			return Optional.of(SuspectReportCodec.decode(key, value(item)));
+		}
 		if (key.equals(PlatformNames.SETTLED_ERA_KEY) && !deleted) {
 			return Optional
 				.of(new RegistryChange.EraSettled(new StoreEntryFields(value(item), key).nonNegativeLong("era")));
--- a/src/main/java/io/shallotspur/platform/StoreRegistry.java
+++ b/src/main/java/io/shallotspur/platform/StoreRegistry.java
@@ -25,6 +25,7 @@
 import io.shallotspur.registry.RegistryChange;
 import io.shallotspur.registry.RegistryUpdate;
 import io.shallotspur.registry.StorePosition;
+import io.shallotspur.registry.SuspectReport;
 import io.shallotspur.route.RouteTable;
 
 /**
@@ -235,6 +236,14 @@
 		return transact(body, "tell");
 	}
 
+	@Override
+	public Mono<Boolean> publishSuspects(String name, List<SuspectReport> reports, long lease) {
+		ObjectNode body = newTransaction();
+		addPut(body, PlatformNames.SUSPECTS_PREFIX + name, StoreEntryCodec.encode(SuspectReportCodec.encode(reports)),
+				lease);
+		return transact(body, "suspects");
+	}
+
 	@Override
 	public Mono<Boolean> publishSettled(long era) {
 		ObjectNode body = newTransaction();
--- a/src/main/java/io/shallotspur/quarantine/CrashSuspects.java
+++ b/src/main/java/io/shallotspur/quarantine/CrashSuspects.java
@@ -16,17 +16,17 @@
  * Detects poison requests: requests that crash the workers they run on.
  * <p>
  * All requests that were running on a crashed worker become suspects. A request is
- * quarantined once it was running at two crashes and every other request at the later
- * crash had been present at fewer. The scheduler never places two suspects on one worker,
- * so a poison request is normally quarantined at its second crash. If two suspects do
- * share a worker, because their nodes had not yet exchanged entries, neither is
- * quarantined: this avoids refusing an innocent request and costs one more worker. A
- * suspect that completes is cleared; one that makes progress for a while weighs less.
+ * quarantined once it was running at as many crashes as the limits require, none of them
+ * has another explanation, and every other request at the last one had been present at
+ * fewer. If two suspects share a worker and are equally likely, neither is quarantined:
+ * this avoids refusing an innocent request and costs one more worker. A suspect that
+ * completes is cleared; one that makes progress for a while weighs less.
  * <p>
- * Invariants: a request that was present at one crash only is never quarantined; the
- * number of entries and the lifetime of each entry are bounded; {@link #merge} is
- * idempotent and commutative. Thread-safe: each method holds the monitor of this object
- * for a time bounded by the size of the table.
+ * Invariants: a request that was present at fewer crashes than the limits require, or
+ * that completed after them, is never quarantined; the number of entries and the lifetime
+ * of each entry are bounded; {@link #merge} is idempotent and commutative. Thread-safe:
+ * each method holds the monitor of this object for a time bounded by the size of the
+ * table.
  */
 public final class CrashSuspects {
 
@@ -88,6 +88,25 @@
 		return e != null && e.quarantined() && !isExpired(e, now);
 	}
 
+	/**
+	 * Returns how long a request will still be refused.
+	 * @param fingerprint the fingerprint of the request
+	 * @param now the present time in milliseconds
+	 * @return milliseconds; 0 if it is not quarantined
+	 */
+	public synchronized long quarantineRemainingMs(long fingerprint, long now) {
+		SuspectEntry e = this.entries.get(fingerprint);
+		return (e != null && e.quarantined()) ? Math.max(0, e.lastCrashAt() + this.limits.quarantineTtlMs() - now) : 0;
+	}
+
+	/**
+	 * Returns whether there are no suspects and no quarantined requests.
+	 * @return {@code true} if the table is empty
+	 */
+	public synchronized boolean isEmpty() {
+		return this.entries.isEmpty();
+	}
+
 	/**
 	 * Returns whether a request was running on a worker that crashed and has not
 	 * completed since. No two suspects may share a worker. Quarantined requests are also
@@ -211,7 +230,7 @@
 		Set<Long> causes = new LinkedHashSet<>();
 		for (long fingerprint : candidates) {
 			SuspectEntry e = this.entries.get(fingerprint);
-			if (e != null && !e.quarantined() && e.unclearedCrashCount() > 1 && isMostLikelyCause(e)) {
+			if (e != null && !e.quarantined() && isCause(e)) {
 				causes.add(fingerprint);
 			}
 		}
@@ -219,6 +238,38 @@
 		return causes;
 	}
 
+	private boolean isCause(SuspectEntry e) {
+		QuarantineLimits.Evidence evidence = this.limits.evidence();
+		if (e.unclearedCrashCount() >= evidence.maxCrashes()) {
+			return true;
+		}
+		return e.unclearedCrashCount() >= evidence.minCrashes() && countUnexplainedCrashes(e) >= evidence.minCrashes()
+				&& isMostLikelyCause(e);
+	}
+
+	private long countUnexplainedCrashes(SuspectEntry e) {
+		return e.crashes()
+			.stream()
+			.filter((c) -> c.state() != CrashState.CLEARED && !hasOtherExplanation(e, c))
+			.count();
+	}
+
+	// Either a quarantined request was running on the worker, or another worker, on which
+	// this request was not running, crashed at the same moment.
+	private boolean hasOtherExplanation(SuspectEntry e, Crash crash) {
+		long windowMs = this.limits.sameCrashWindowMs();
+		return this.entries.values()
+			.stream()
+			.filter((other) -> other.fingerprint() != e.fingerprint())
+			.anyMatch((other) -> (other.quarantined() && other.wasPresentAt(crash, windowMs))
+					|| other.crashes().stream().anyMatch((c) -> coincide(c, crash) && !e.wasPresentAt(c, windowMs)));
+	}
+
+	private boolean coincide(Crash one, Crash other) {
+		return !one.worker().equals(other.worker())
+				&& Math.abs(one.at() - other.at()) < this.limits.evidence().coincidenceMs();
+	}
+
 	private boolean isMostLikelyCause(SuspectEntry e) {
 		Crash last = e.crashes().get(e.crashes().size() - 1);
 		long open = countCrashesBefore(e, last, CrashState.OPEN);
--- a/src/main/java/io/shallotspur/quarantine/SuspectEntry.java
+++ b/src/main/java/io/shallotspur/quarantine/SuspectEntry.java
@@ -17,7 +17,7 @@
 	/**
 	 * The maximum number of crashes kept for one request.
 	 */
-	public static final int MAX_CRASHES = 4;
+	public static final int MAX_CRASHES = 6;
 
 	public SuspectEntry {
 		List<Crash> sorted = new ArrayList<>(crashes);
@@ -49,6 +49,27 @@
 		return (int) this.crashes.stream().filter((c) -> c.state() != CrashState.CLEARED).count();
 	}
 
+	/**
+	 * Returns whether the request was running at a crash.
+	 * @param crash the crash
+	 * @param windowMs the largest difference between the times of two observations of one
+	 * crash, in milliseconds
+	 * @return {@code true} if this entry has an observation of the crash
+	 */
+	public boolean wasPresentAt(Crash crash, long windowMs) {
+		return this.crashes.stream().anyMatch((c) -> c.matches(crash, windowMs));
+	}
+
+	/**
+	 * Returns this entry with all times shifted, to convert them to another clock.
+	 * @param ms the milliseconds to add
+	 * @return a new entry
+	 */
+	public SuspectEntry shiftedBy(long ms) {
+		return new SuspectEntry(this.fingerprint,
+				this.crashes.stream().map((c) -> new Crash(c.worker(), c.at() + ms, c.state())).toList());
+	}
+
 	/**
 	 * Returns the time of the last crash.
 	 * @return the time in milliseconds, or {@link Long#MIN_VALUE} if there is no crash
--- a/src/main/java/io/shallotspur/registry/ChangeApplier.java
+++ b/src/main/java/io/shallotspur/registry/ChangeApplier.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
@@ -43,6 +44,9 @@
 	private Consumer<RegistryChange.EngineStatsUpdated> statsListener = (s) -> {
 	};
 
+	private Consumer<List<SuspectReport>> suspectsListener = (l) -> {
+	};
+
 	private LongConsumer settledListener = (e) -> {
 	};
 
@@ -63,6 +67,10 @@
 		this.statsListener = listener;
 	}
 
+	void setSuspectsListener(Consumer<List<SuspectReport>> listener) {
+		this.suspectsListener = listener;
+	}
+
 	void setSettledListener(LongConsumer listener) {
 		this.settledListener = listener;
 	}
@@ -198,6 +206,9 @@
 		else if (c instanceof RegistryChange.EngineStatsUpdated e) {
 			this.statsListener.accept(e);
 		}
+		else if (c instanceof RegistryChange.SuspectsPublished e) {
+			this.suspectsListener.accept(e.reports());
+		}
 		else if (c instanceof RegistryChange.EraSettled e) {
 			this.settledListener.accept(e.era());
 		}
--- a/src/main/java/io/shallotspur/registry/Registry.java
+++ b/src/main/java/io/shallotspur/registry/Registry.java
@@ -1,5 +1,6 @@
 package io.shallotspur.registry;
 
+import java.util.List;
 import java.util.Optional;
 import java.util.function.LongConsumer;
 
@@ -110,6 +111,16 @@
 	 */
 	Mono<Boolean> publishStats(String upstream, EngineStatistics stats, StorePosition expected);
 
+	/**
+	 * Publishes, also for VMs that start later, requests that were running on workers
+	 * that crashed.
+	 * @param name a name that no other publication has
+	 * @param reports the requests
+	 * @param lease the lease that the publication is attached to
+	 * @return whether the lease existed
+	 */
+	Mono<Boolean> publishSuspects(String name, List<SuspectReport> reports, long lease);
+
 	/**
 	 * Publishes, also for VMs that start later, that the data lost in a restore of the
 	 * store has been written again.
--- a/src/main/java/io/shallotspur/registry/RegistryChange.java
+++ b/src/main/java/io/shallotspur/registry/RegistryChange.java
@@ -1,5 +1,7 @@
 package io.shallotspur.registry;
 
+import java.util.List;
+
 import org.jspecify.annotations.Nullable;
 
 import io.shallotspur.gateway.EngineStatistics;
@@ -101,6 +103,22 @@
 
 	}
 
+	/**
+	 * A VM published requests that were running on workers that crashed.
+	 *
+	 * @param reports the requests
+	 */
+	record SuspectsPublished(List<SuspectReport> reports) implements RegistryChange {
+
+		/**
+		 * Creates a change; the list is copied.
+		 */
+		public SuspectsPublished {
+			reports = List.copyOf(reports);
+		}
+
+	}
+
 	/**
 	 * There is no leader.
 	 */
--- a/src/main/java/io/shallotspur/registry/RegistryWatcher.java
+++ b/src/main/java/io/shallotspur/registry/RegistryWatcher.java
@@ -160,6 +160,15 @@
 		addRestoreListener((ms) -> shared.onStoreRestored());
 	}
 
+	/**
+	 * Sets the receiver of what other VMs publish about requests that crash workers.
+	 * @param shared the receiver
+	 */
+	public void setSharedQuarantine(SharedQuarantine shared) {
+		this.applier.setSuspectsListener(shared::onPublished);
+		addRestoreListener(shared::onStoreRestored);
+	}
+
 	/**
 	 * Adds a listener for restores of the store from an older snapshot.
 	 * @param listener called immediately with the time to wait before calling the store
--- /dev/null
+++ b/src/main/java/io/shallotspur/registry/SharedQuarantine.java
@@ -0,0 +1,216 @@
+package io.shallotspur.registry;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.DoubleSupplier;
+import java.util.function.LongSupplier;
+import java.util.stream.Stream;
+
+import org.tinylog.Logger;
+import reactor.core.publisher.Mono;
+
+import io.shallotspur.gateway.GatewayTimer;
+import io.shallotspur.gateway.RequestQuarantine;
+import io.shallotspur.quarantine.Crash;
+import io.shallotspur.quarantine.CrashState;
+import io.shallotspur.quarantine.SuspectEntry;
+
+/**
+ * Makes the requests that crash workers known to all VMs: each VM publishes what it
+ * observed in the store, and merges what the others published. Not thread-safe; confined
+ * to the gateway's thread.
+ * <p>
+ * Invariants: what was observed is published until the store has accepted it, also after
+ * the store was unavailable; a VM publishes only its own observations, so the number of
+ * calls grows with the number of crashes, not with that of the VMs that hear of them.
+ */
+public final class SharedQuarantine {
+
+	// Changes that come together are published together, ms.
+	private static final long GATHER_MS = 20;
+
+	private static final long MIN_INTERVAL_MS = 200;
+
+	private static final long RETRY_MS = 1_000;
+
+	private static final int MAX_BATCH = 256;
+
+	private static final int MAX_PENDING = 4_096;
+
+	// Publications outlive the VM that made them: VMs that start later read them. The
+	// store removes them with their lease, in ms.
+	private static final long LEASE_MS = 600_000;
+
+	private static final long LEASE_RENEWAL_MS = 300_000;
+
+	private final Registry registry;
+
+	private final RequestQuarantine quarantine;
+
+	private final GatewayTimer timer;
+
+	private final LongSupplier clock;
+
+	private final DoubleSupplier random;
+
+	private final String publisher;
+
+	// Observations that the store has not accepted yet, by fingerprint.
+	private final Map<Long, SuspectEntry> pending = new LinkedHashMap<>();
+
+	// Requests that this VM has published something about.
+	private final Set<Long> published = new HashSet<>();
+
+	private long publications;
+
+	private long lease;
+
+	private long leaseOpenedAt;
+
+	private boolean scheduled;
+
+	private boolean stopped;
+
+	/**
+	 * Creates an instance that publishes the changes of a quarantine.
+	 * @param registry the registry
+	 * @param quarantine the requests that crash workers
+	 * @param timer the gateway's timer
+	 * @param clock supplies the gateway's time in milliseconds
+	 * @param random supplies random numbers from 0 to 1
+	 * @param publisher a name that no other start of a VM has
+	 */
+	public SharedQuarantine(Registry registry, RequestQuarantine quarantine, GatewayTimer timer, LongSupplier clock,
+			DoubleSupplier random, String publisher) {
+		this.registry = registry;
+		this.quarantine = quarantine;
+		this.timer = timer;
+		this.clock = clock;
+		this.random = random;
+		this.publisher = publisher;
+		quarantine.setChangeListener(this::collect);
+	}
+
+	/**
+	 * Stops publishing.
+	 */
+	public void stop() {
+		this.stopped = true;
+	}
+
+	void onPublished(List<SuspectReport> reports) {
+		collect();
+		long now = this.clock.getAsLong();
+		Set<Long> causes = this.quarantine.merge(reports.stream().map((r) -> entry(r, now)).toList(), now);
+		// All VMs come to the same conclusion, and only those with a part in it publish
+		// it.
+		this.quarantine.drainChanges(now)
+			.stream()
+			.filter((e) -> causes.contains(e.fingerprint()) && this.published.contains(e.fingerprint()))
+			.forEach(this::add);
+		scheduleIfPending(GATHER_MS);
+	}
+
+	// A store that was restored from an older snapshot lacks the latest publications and
+	// the lease.
+	void onStoreRestored(long delayMs) {
+		this.lease = 0;
+		this.quarantine.entries(this.clock.getAsLong())
+			.stream()
+			.filter((e) -> this.published.contains(e.fingerprint()))
+			.forEach(this::add);
+		scheduleIfPending(delayMs + GATHER_MS);
+	}
+
+	private void collect() {
+		this.quarantine.drainChanges(this.clock.getAsLong()).forEach(this::add);
+		scheduleIfPending(GATHER_MS);
+	}
+
+	// The table of suspects is bounded, and so is what may be published again.
+	private void add(SuspectEntry e) {
+		if (this.published.size() >= MAX_PENDING) {
+			this.published.clear();
+		}
+		this.published.add(e.fingerprint());
+		if (this.pending.size() < MAX_PENDING || this.pending.containsKey(e.fingerprint())) {
+			this.pending.put(e.fingerprint(), e);
+		}
+	}
+
+	private void scheduleIfPending(long delayMs) {
+		if (!this.scheduled && !this.pending.isEmpty() && !this.stopped) {
+			this.scheduled = true;
+			this.timer.schedule(delayMs, this::publish);
+		}
+	}
+
+	private void publish() {
+		if (this.stopped) {
+			return;
+		}
+		List<SuspectEntry> batch = this.pending.values().stream().limit(MAX_BATCH).toList();
+		batch.forEach((e) -> this.pending.remove(e.fingerprint()));
+		currentLease().flatMap((l) -> write(batch, l))
+			.subscribe((done) -> onResult(batch, done), (ex) -> onFailure(batch, ex.toString()));
+	}
+
+	private Mono<Long> currentLease() {
+		long now = this.clock.getAsLong();
+		if (this.lease != 0 && now - this.leaseOpenedAt < LEASE_RENEWAL_MS) {
+			return Mono.just(this.lease);
+		}
+		return this.registry.openLease(LEASE_MS).doOnNext((l) -> {
+			this.lease = l;
+			this.leaseOpenedAt = now;
+		});
+	}
+
+	private Mono<Boolean> write(List<SuspectEntry> batch, long ofLease) {
+		long now = this.clock.getAsLong();
+		String name = this.publisher + "/" + this.publications++;
+		return this.registry.publishSuspects(name, batch.stream().map((e) -> report(e, now)).toList(), ofLease);
+	}
+
+	private void onResult(List<SuspectEntry> batch, boolean done) {
+		if (!done) {
+			this.lease = 0;
+			onFailure(batch, "lease lost");
+			return;
+		}
+		Logger.info("[quarantine] published requests={}", batch.size());
+		this.scheduled = false;
+		scheduleIfPending(MIN_INTERVAL_MS);
+	}
+
+	private void onFailure(List<SuspectEntry> batch, String cause) {
+		Logger.info("[quarantine] not published requests={} seen=\"{}\"", batch.size(), cause);
+		batch.forEach((e) -> this.pending.putIfAbsent(e.fingerprint(), e));
+		this.scheduled = false;
+		scheduleIfPending((long) (RETRY_MS * (0.5 + this.random.getAsDouble())));
+	}
+
+	private static SuspectReport report(SuspectEntry e, long now) {
+		return new SuspectReport(e.fingerprint(),
+				e.crashes()
+					.stream()
+					.map((c) -> new SuspectReport.CrashReport(c.worker(), Math.max(0, now - c.at()), c.state().name()))
+					.toList());
+	}
+
+	private static SuspectEntry entry(SuspectReport r, long now) {
+		List<Crash> crashes = new ArrayList<>();
+		for (SuspectReport.CrashReport c : r.crashes()) {
+			// A state that a later version has added says nothing to this one.
+			Stream.of(CrashState.values())
+				.filter((s) -> s.name().equals(c.state()))
+				.forEach((s) -> crashes.add(new Crash(c.worker(), now - c.ageMs(), s)));
+		}
+		return new SuspectEntry(r.fingerprint(), crashes);
+	}
+
+}
--- a/src/test/java/io/shallotspur/gateway/FakeWorkers.java
+++ b/src/test/java/io/shallotspur/gateway/FakeWorkers.java
@@ -1,7 +1,10 @@
 package io.shallotspur.gateway;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
+import java.util.function.Consumer;
 
 /**
  * Workers that record all calls and respond when the test says so.
@@ -16,6 +19,11 @@
 
 	final List<String> cancelledReservations = new ArrayList<>();
 
+	// Ids of the workers that have been checked, and of those that refuse connections.
+	final List<String> checks = new ArrayList<>();
+
+	final Set<String> ended = new HashSet<>();
+
 	final List<String> releasedHandles = new ArrayList<>();
 
 	@Override
@@ -42,6 +50,12 @@
 		this.reservations.add(new Reservation(worker, tokens, listener));
 	}
 
+	@Override
+	public void checkListening(WorkerInfo worker, Consumer<Boolean> callback) {
+		this.checks.add(worker.id());
+		callback.accept(!this.ended.contains(worker.id()));
+	}
+
 	@Override
 	public void cancelReservation(WorkerInfo worker, String reservation) {
 		this.cancelledReservations.add(reservation);
--- a/src/test/java/io/shallotspur/gateway/NopWorkers.java
+++ b/src/test/java/io/shallotspur/gateway/NopWorkers.java
@@ -1,5 +1,7 @@
 package io.shallotspur.gateway;
 
+import java.util.function.Consumer;
+
 /**
  * Workers that never respond.
  */
@@ -25,6 +27,10 @@
 	public void reserve(WorkerInfo worker, int tokens, long ttlMs, ReservationListener listener) {
 	}
 
+	@Override
+	public void checkListening(WorkerInfo worker, Consumer<Boolean> callback) {
+	}
+
 	@Override
 	public void cancelReservation(WorkerInfo worker, String reservation) {
 	}
--- a/src/test/java/io/shallotspur/quarantine/CrashSuspectsTests.java
+++ b/src/test/java/io/shallotspur/quarantine/CrashSuspectsTests.java
@@ -124,6 +124,61 @@
 		assertThat(this.suspects.isSuspect(1, 20)).isFalse();
 	}
 
+	// Guards against refusing a request that ran on a rack that lost power three times.
+	@Test
+	void coincidingCrashesHaveACommonCause() {
+		CrashSuspects shared = new CrashSuspects(QuarantineLimits.SHARED_WORKERS);
+		for (int i = 0; i < 5; i++) {
+			shared.recordCrash("a" + i, List.of(1L), i * 10_000L);
+			shared.recordCrash("b" + i, List.of(100L + i), i * 10_000L + 40);
+			assertThat(shared.isQuarantined(1, i * 10_000L + 40)).isFalse();
+		}
+	}
+
+	@Test
+	void thirdCrashQuarantinesAmongRequestsThatWereAtFewer() {
+		CrashSuspects shared = new CrashSuspects(QuarantineLimits.SHARED_WORKERS);
+		assertThat(shared.recordCrash("w1", List.of(POISON, 1L, 2L), 0)).isEmpty();
+		assertThat(shared.recordCrash("w2", List.of(POISON, 1L, 3L), 2_000)).isEmpty();
+		assertThat(shared.recordCrash("w3", List.of(POISON, 3L, 4L), 2_300)).containsExactly(POISON);
+	}
+
+	// Guards against refusing a request that ran three times beside ones that are known
+	// to crash workers.
+	@Test
+	void crashesOfQuarantinedRequestsAreExplained() {
+		CrashSuspects shared = new CrashSuspects(QuarantineLimits.SHARED_WORKERS);
+		for (int i = 0; i < 3; i++) {
+			shared.recordCrash("w" + i, List.of(POISON), i * 2_000L);
+		}
+		for (int i = 3; i < 6; i++) {
+			assertThat(shared.recordCrash("w" + i, List.of(POISON, 1L), i * 2_000L)).isEmpty();
+		}
+	}
+
+	// Guards against two requests that hide behind each other as they always meet.
+	@Test
+	void sixthCrashQuarantinesInAnyCase() {
+		CrashSuspects shared = new CrashSuspects(QuarantineLimits.SHARED_WORKERS);
+		for (int i = 1; i < 6; i++) {
+			assertThat(shared.recordCrash("w" + i, List.of(POISON, POISON + 1), i * 2_000L)).isEmpty();
+		}
+		assertThat(shared.recordCrash("w6", List.of(POISON, POISON + 1), 12_000)).containsExactly(POISON, POISON + 1);
+	}
+
+	// Guards against counting a crash once for each VM whose requests it broke off.
+	@Test
+	void aWorkerInstanceCrashesOnce() {
+		CrashSuspects shared = new CrashSuspects(QuarantineLimits.SHARED_WORKERS);
+		CrashSuspects peer = new CrashSuspects(QuarantineLimits.SHARED_WORKERS);
+		for (int i = 0; i < 2; i++) {
+			shared.recordCrash("w" + i, List.of(POISON), i * 10_000L);
+			peer.recordCrash("w" + i, List.of(POISON), i * 10_000L + 4_000);
+		}
+		assertThat(shared.merge(peer.drainChanges(20_000), 20_000)).isEmpty();
+		assertThat(shared.entries(20_000)).singleElement().matches((e) -> e.crashes().size() == 2);
+	}
+
 	@Test
 	void tableIsBoundedInMemoryAndTime() {
 		CrashSuspects bounded = new CrashSuspects(new QuarantineLimits(10, 1_000, 5_000, 10));
--- a/src/test/java/io/shallotspur/registry/FakeRegistry.java
+++ b/src/test/java/io/shallotspur/registry/FakeRegistry.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -55,6 +56,9 @@
 
 	final Map<String, RegistryChange.EngineStatsUpdated> stats = new HashMap<>();
 
+	/** What was published about requests that crash workers, by name. */
+	public final Map<String, List<SuspectReport>> suspects = new LinkedHashMap<>();
+
 	private long revision = 100;
 
 	final List<Long> settledEras = new ArrayList<>();
@@ -147,6 +151,17 @@
 		return this.storeDown ? unavailableError() : Mono.just(isLeader);
 	}
 
+	@Override
+	public Mono<Boolean> publishSuspects(String name, List<SuspectReport> reports, long lease) {
+		if (this.storeDown) {
+			return unavailableError();
+		}
+		if (this.leaseExists) {
+			this.suspects.put(name, reports);
+		}
+		return Mono.just(this.leaseExists);
+	}
+
 	@Override
 	public Mono<Boolean> publishStats(String upstream, EngineStatistics newStats, StorePosition expected) {
 		if (this.storeDown) {
--- a/src/test/java/io/shallotspur/registry/SimulatedStore.java
+++ b/src/test/java/io/shallotspur/registry/SimulatedStore.java
@@ -275,6 +275,11 @@
 		return Mono.never();
 	}
 
+	@Override
+	public Mono<Boolean> publishSuspects(String name, List<SuspectReport> reports, long ofLease) {
+		return Mono.never();
+	}
+
 	@Override
 	public Mono<Boolean> publishSettled(long settledEra) {
 		return Mono.fromRunnable(() -> put("eras/settled", new RegistryChange.EraSettled(settledEra))).thenReturn(true);
