Tests of what VMs publish about crashing requests

Crashes that different VMs observe add up; only observers publish; nothing is lost while the store is away, its lease is gone or it comes back from an older copy; a VM that starts reads what others published; malformed entries convict nobody.

--- /dev/null
+++ b/src/test/java/io/shallotspur/gateway/ObservedCrashes.java
@@ -0,0 +1,39 @@
+package io.shallotspur.gateway;
+
+import java.util.List;
+
+/**
+ * Records crashes of workers and completions at a gateway, for tests of other packages.
+ */
+public final class ObservedCrashes {
+
+	private ObservedCrashes() {
+	}
+
+	/**
+	 * Records the crash of a worker.
+	 * @param gateway the gateway that observed it
+	 * @param worker the worker
+	 * @param running the fingerprints of the requests that were running on it
+	 * @param now the present time in milliseconds
+	 */
+	public static void record(Gateway gateway, String worker, List<Long> running, long now) {
+		WorkerInfo w = new WorkerInfo(worker, "up", "10.0.0.1", 80, "hall-a", 6, WorkerStage.PLAIN, false, 0, 0);
+		gateway.quarantine().recordCrash(w, running, now);
+	}
+
+	/**
+	 * Returns whether a gateway refuses a request.
+	 * @param gateway the gateway
+	 * @param fingerprint the fingerprint of the request
+	 * @param now the present time in milliseconds
+	 * @return {@code true} if it does
+	 */
+	public static boolean isQuarantined(Gateway gateway, long fingerprint, long now) {
+		return gateway.quarantine()
+			.entries(now)
+			.stream()
+			.anyMatch((e) -> e.fingerprint() == fingerprint && e.quarantined());
+	}
+
+}
--- a/src/test/java/io/shallotspur/platform/StoreEntryCodecTests.java
+++ b/src/test/java/io/shallotspur/platform/StoreEntryCodecTests.java
@@ -19,6 +19,7 @@
 
 import io.shallotspur.gateway.WorkerStage;
 import io.shallotspur.registry.RegistryChange;
+import io.shallotspur.registry.SuspectReport;
 
 /**
  * Tests of {@link StoreEntryCodec} with malformed entries from other writers. If such an
@@ -69,6 +70,28 @@
 		Assertions.assertThat(w.worker().slots()).isEqualTo(16);
 	}
 
+	@Test
+	void readsSuspectsAsTheyWereWritten() {
+		List<SuspectReport> reports = List.of(
+				new SuspectReport(-1,
+						List.of(new SuspectReport.CrashReport("i-1", 0, "OPEN"),
+								new SuspectReport.CrashReport("i-2@7", 90, "CONVICTED"))),
+				new SuspectReport(5, List.of()));
+		ObjectNode value = SuspectReportCodec.encode(reports);
+		Assertions.assertThat(StoreEntryCodec.decode(item("suspects/vm/0", value.toString()), ERA))
+			.contains(new RegistryChange.SuspectsPublished(reports));
+	}
+
+	// Guards against requests that are refused because of a malformed entry.
+	@Test
+	void rejectsMalformedSuspects() {
+		Assertions
+			.assertThat(List.of("{\"requests\":[1]}", "{\"requests\":[{\"fingerprint\":\"xyz\"}]}",
+					"{\"requests\":[{\"fingerprint\":\"1\",\"crashes\":[{\"worker\":\"i\",\"age_ms\":-1}]}]}"))
+			.allSatisfy((v) -> Assertions.assertThat(StoreEntryCodec.decode(item("suspects/vm/0", v), ERA))
+				.containsInstanceOf(RegistryChange.EntryUnreadable.class));
+	}
+
 	@Test
 	void decodesPlainWorkerWithoutStageAndStartTime() {
 		ObjectNode n = validWorker();
--- /dev/null
+++ b/src/test/java/io/shallotspur/registry/SharedQuarantineTests.java
@@ -0,0 +1,163 @@
+package io.shallotspur.registry;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import com.codahale.metrics.MetricRegistry;
+import org.assertj.core.api.Assertions;
+import org.junit.jupiter.api.Test;
+
+import io.shallotspur.gateway.DecisionLog;
+import io.shallotspur.gateway.Gateway;
+import io.shallotspur.gateway.GatewayPorts;
+import io.shallotspur.gateway.GatewaySettings;
+import io.shallotspur.gateway.ManualTimer;
+import io.shallotspur.gateway.NopWorkers;
+import io.shallotspur.gateway.ObservedCrashes;
+import io.shallotspur.gateway.RelayMetrics;
+
+/**
+ * Tests of {@link SharedQuarantine}: VMs that share one store.
+ */
+class SharedQuarantineTests {
+
+	private static final long CRASHING = 666;
+
+	private final ManualTimer timer = new ManualTimer();
+
+	private final FakeRegistry registry = new FakeRegistry();
+
+	private final List<Vm> vms = new ArrayList<>(List.of(new Vm(0), new Vm(1), new Vm(2)));
+
+	// Delivers all publications to all VMs, also those that they know already.
+	private void deliver() {
+		List.copyOf(this.registry.suspects.values()).forEach((r) -> this.vms.forEach((v) -> v.shared.onPublished(r)));
+	}
+
+	private void crash(int vm, String worker, Long... running) {
+		ObservedCrashes.record(this.vms.get(vm).gateway, worker, List.of(running), this.timer.now());
+	}
+
+	private boolean isRefusedBy(int vm) {
+		return ObservedCrashes.isQuarantined(this.vms.get(vm).gateway, CRASHING, this.timer.now());
+	}
+
+	// The crashes are observed by different VMs, and the caller goes to the third.
+	@Test
+	void crashesAtDifferentVmsAddUp() {
+		for (int i = 0; i < 3; i++) {
+			Assertions.assertThat(isRefusedBy(2)).isFalse();
+			crash(i % 2, "w" + i, CRASHING, 10L + i);
+			this.timer.advance(1_000);
+			deliver();
+		}
+		Assertions.assertThat(List.of(0, 1, 2)).allMatch(this::isRefusedBy);
+	}
+
+	// Guards against as many publications as there are VMs that hear of a crash.
+	@Test
+	void onlyObserversPublish() {
+		for (int i = 0; i < 3; i++) {
+			crash(0, "w" + i, CRASHING);
+			this.timer.advance(1_000);
+			deliver();
+			this.timer.advance(1_000);
+		}
+		Assertions.assertThat(this.registry.suspects).hasSize(3);
+	}
+
+	// Guards against the loss of what was observed while the store was unavailable.
+	@Test
+	void publishesAfterTheStoreWasUnavailable() {
+		this.registry.storeDown = true;
+		for (int i = 0; i < 3; i++) {
+			crash(0, "w" + i, CRASHING);
+			this.timer.advance(2_000);
+		}
+		Assertions.assertThat(isRefusedBy(0)).isTrue();
+		Assertions.assertThat(this.registry.suspects).isEmpty();
+		this.registry.storeDown = false;
+		this.timer.advance(2_000);
+		deliver();
+		Assertions.assertThat(isRefusedBy(1)).isTrue();
+		Assertions.assertThat(this.registry.suspects).hasSize(1);
+	}
+
+	// Guards against the loss of a publication whose lease has ended.
+	@Test
+	void opensAnotherLeaseWhenItsLeaseIsGone() {
+		this.registry.leaseExists = false;
+		crash(0, "w1", CRASHING);
+		this.timer.advance(500);
+		Assertions.assertThat(this.registry.suspects).isEmpty();
+		this.registry.leaseExists = true;
+		this.timer.advance(2_000);
+		Assertions.assertThat(this.registry.suspects).hasSize(1);
+		Assertions.assertThat(this.registry.leases).isEqualTo(2);
+	}
+
+	// All VMs are killed after the third crash, and the caller comes again.
+	@Test
+	void aVmThatStartsReadsWhatOthersPublished() {
+		for (int i = 0; i < 3; i++) {
+			crash(0, "w" + i, CRASHING);
+			this.timer.advance(1_000);
+		}
+		this.vms.set(1, new Vm(3));
+		deliver();
+		Assertions.assertThat(isRefusedBy(1)).isTrue();
+	}
+
+	@Test
+	void publishesAgainWhatARestoredStoreLacks() {
+		for (int i = 0; i < 3; i++) {
+			crash(0, "w" + i, CRASHING);
+			this.timer.advance(1_000);
+		}
+		this.registry.suspects.clear();
+		this.vms.forEach((v) -> v.shared.onStoreRestored(100));
+		this.timer.advance(1_000);
+		deliver();
+		Assertions.assertThat(isRefusedBy(2)).isTrue();
+		Assertions.assertThat(this.registry.suspects).hasSize(1);
+	}
+
+	// Guards against innocent requests that only one VM knows to have completed.
+	@Test
+	void completionsAreShared() {
+		crash(0, "w1", CRASHING);
+		this.timer.advance(1_000);
+		deliver();
+		SuspectReport cleared = new SuspectReport(CRASHING,
+				List.of(new SuspectReport.CrashReport("w1", 10, "CLEARED")));
+		this.vms.get(2).shared.onPublished(List.of(cleared));
+		crash(2, "w2", CRASHING);
+		crash(2, "w3", CRASHING);
+		Assertions.assertThat(isRefusedBy(2)).isFalse();
+	}
+
+	// Guards against entries of a later version that this one does not understand.
+	@Test
+	void ignoresStatesThatAreNotKnown() {
+		this.vms.get(0).shared.onPublished(
+				List.of(new SuspectReport(CRASHING, List.of(new SuspectReport.CrashReport("w1", 10, "SOLVED")))));
+		Assertions.assertThat(isRefusedBy(0)).isFalse();
+	}
+
+	private final class Vm {
+
+		private final Gateway gateway = new Gateway(new GatewaySettings("vm", "hall-a", 0.2, 50, 10_000),
+				new GatewayPorts(new NopWorkers(), SharedQuarantineTests.this.timer,
+						SharedQuarantineTests.this.timer::now, SharedQuarantineTests.this.timer::now, () -> 0.5,
+						new DecisionLog(0), new RelayMetrics(new MetricRegistry())));
+
+		private final SharedQuarantine shared;
+
+		private Vm(int number) {
+			this.shared = new SharedQuarantine(SharedQuarantineTests.this.registry, this.gateway.quarantine(),
+					SharedQuarantineTests.this.timer, SharedQuarantineTests.this.timer::now, () -> 0.5, "vm-" + number);
+		}
+
+	}
+
+}
