Never pass on a worker's failure that promises what is not known

Change: for routes whose requests must not run twice such a failure is replaced by 502. Others get it as before. RelayTests.replacesAFailureThatPromisesWhatIsNotKnown failed before for all three statuses.

--- a/src/main/java/io/shallotspur/gateway/RefusalReason.java
+++ b/src/main/java/io/shallotspur/gateway/RefusalReason.java
@@ -46,6 +46,12 @@
 	/** The connection to the worker broke while the request may have been running. */
 	WORKER_LOST,
 
+	/**
+	 * The worker ran the request and returned an error whose status would promise that it
+	 * has not run.
+	 */
+	WORKER_FAILED,
+
 	/** The time for an answer has expired. */
 	TIMED_OUT,
 
--- a/src/main/java/io/shallotspur/gateway/RelayRefusal.java
+++ b/src/main/java/io/shallotspur/gateway/RelayRefusal.java
@@ -1,5 +1,7 @@
 package io.shallotspur.gateway;
 
+import java.util.Set;
+
 /**
  * The response to a caller when no worker's answer can be relayed. Immutable.
  *
@@ -18,6 +20,8 @@
 	 */
 	public static final int TOO_MANY_REQUESTS = 429;
 
+	private static final Set<Integer> NOT_RUN_STATUSES = Set.of(408, 421, TOO_MANY_REQUESTS, NOT_RUN);
+
 	/** It is not known whether the request has run; no complete response was received. */
 	public static final int OUTCOME_UNKNOWN = 502;
 
@@ -26,6 +30,16 @@
 	 */
 	public static final int TIMED_OUT = 504;
 
+	/**
+	 * Returns whether callers take a status as the guarantee that the request has not run
+	 * and will not run.
+	 * @param status the HTTP status
+	 * @return {@code true} for 408, 421, 429 and 503
+	 */
+	static boolean promisesNotRun(int status) {
+		return NOT_RUN_STATUSES.contains(status);
+	}
+
 	/**
 	 * Creates a refusal that guarantees that the request has not run.
 	 * @param reason the reason
--- a/src/main/java/io/shallotspur/gateway/RelayTask.java
+++ b/src/main/java/io/shallotspur/gateway/RelayTask.java
@@ -299,6 +299,11 @@
 			refuseOrAbort(RefusalReason.WORKER_LOST, now);
 			return;
 		}
+		// Callers send a request again after such a status even if it must not run twice.
+		if (!this.route.repeatable() && RelayRefusal.promisesNotRun(head.status())) {
+			refuseOrAbort(RefusalReason.WORKER_FAILED, now);
+			return;
+		}
 		log(now, "failed status=" + head.status());
 		finish();
 		this.response.send(head.status(), head.headers(), body);
--- a/src/test/java/io/shallotspur/gateway/RelayTests.java
+++ b/src/test/java/io/shallotspur/gateway/RelayTests.java
@@ -4,6 +4,8 @@
 
 import org.assertj.core.api.Assertions;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import io.shallotspur.gateway.GatewayFixture.Call;
 
@@ -66,6 +68,17 @@
 		Assertions.assertThat(c.caller().status).isEqualTo(502);
 	}
 
+	// Guards against a caller that repeats a request which has run, as the worker's error
+	// has a status that promises the opposite.
+	@ParameterizedTest
+	@ValueSource(ints = { 408, 429, 503 })
+	void replacesAFailureThatPromisesWhatIsNotKnown(int status) {
+		FakeCaller caller = this.f.call("unsafe").caller();
+		this.f.workers.lastRun().respond(status, "busy");
+		Assertions.assertThat(caller.status).isEqualTo(502);
+		Assertions.assertThat(this.f.workers.runs).hasSize(1);
+	}
+
 	@Test
 	void retriesAnUnsafeRequestThatHasNotRun() {
 		Call c = this.f.call("unsafe");
