Soak: requests that crash the workers that run them

Up to three callers at a time send a request that ends each worker that runs it, at once or in mid stream, again and again to one VM after the other, beside all other faults. The worker refuses connections for 700 ms and comes back as another instance. The judge counts from what workers received: resends later than three seconds after the third crash, with no disturbance of VMs or store since (three are tolerated), and responses that call an innocent request a crashing one (none). Their faults have a random generator of their own, so the other faults of a seed stay.

--- a/src/test/java/io/shallotspur/platform/soak/Fault.java
+++ b/src/test/java/io/shallotspur/platform/soak/Fault.java
@@ -75,7 +75,12 @@
 		WORKER_LEAVES,
 
 		/** A worker refuses requests and asks for a pause with each refusal. */
-		WORKER_PAUSES;
+		WORKER_PAUSES,
+
+		/**
+		 * A caller sends a request again and again that crashes each worker that runs it.
+		 */
+		CRASHING_REQUEST;
 
 		// Kinds after these are planned separately, so that adding a kind does not change
 		// the other faults of a seed.
@@ -92,7 +97,7 @@
 		// Invariants with a deadline hold only while neither the VMs nor the store are
 		// disturbed.
 		boolean disturbsVms() {
-			return !name().startsWith("WORKER") && this != CONFIGURATION;
+			return !name().startsWith("WORKER") && this != CONFIGURATION && this != CRASHING_REQUEST;
 		}
 
 	}
--- a/src/test/java/io/shallotspur/platform/soak/FaultInjector.java
+++ b/src/test/java/io/shallotspur/platform/soak/FaultInjector.java
@@ -31,17 +31,21 @@
 
 	private final InvariantChecker checker;
 
+	private final CrashingCaller crashingCaller;
+
 	private final Runnable publishConfiguration;
 
 	private final Runnable rewriteLostEntries;
 
 	FaultInjector(List<VmProcess> vms, List<SoakWorker> workers, List<LoopbackProxy> storeProxies, FakeStore store,
-			InvariantChecker checker, Runnable publishConfiguration, Runnable rewriteLostEntries) {
+			InvariantChecker checker, CrashingCaller crashingCaller, Runnable publishConfiguration,
+			Runnable rewriteLostEntries) {
 		this.vms = vms;
 		this.workers = workers;
 		this.storeProxies = storeProxies;
 		this.store = store;
 		this.checker = checker;
+		this.crashingCaller = crashingCaller;
 		this.publishConfiguration = publishConfiguration;
 		this.rewriteLostEntries = rewriteLostEntries;
 	}
@@ -111,6 +115,7 @@
 			case STORE_RESTORED -> restoreStore(f);
 			case WORKER_LIMITED -> limitWorker(f);
 			case WORKER_LEAVES -> this.workers.get(f.target()).leave(f.forMs());
+			case CRASHING_REQUEST -> this.crashingCaller.sendRepeatedly(f);
 			case WORKER_PAUSES -> this.workers.get(f.target()).refuseWithPause(f.forMs());
 		}
 	}
--- a/src/test/java/io/shallotspur/platform/soak/FaultPlan.java
+++ b/src/test/java/io/shallotspur/platform/soak/FaultPlan.java
@@ -22,6 +22,9 @@
 	// leaving, and for the length of a pause.
 	private static final long MIN_STATEMENT_DURATION_MS = 4_000;
 
+	// In ms. What reaches workers is checked from three seconds after the third crash.
+	private static final long MIN_CRASHING_DURATION_MS = 6_000;
+
 	private FaultPlan() {
 	}
 
@@ -58,6 +61,17 @@
 		return l;
 	}
 
+	// Up to three at a time, so that workers crash under several requests at once.
+	private static List<Fault> planCrashingRequests(long seed, long lengthMs) {
+		SplittableRandom r = new SplittableRandom(seed * 31);
+		List<Fault> l = new ArrayList<>();
+		for (int n = 1 + r.nextInt(3); n > 0; n--) {
+			long durationMs = MIN_CRASHING_DURATION_MS + r.nextInt((int) MIN_CRASHING_DURATION_MS / 2);
+			l.add(new Fault(Fault.Kind.CRASHING_REQUEST, r.nextInt((int) lengthMs), durationMs, n));
+		}
+		return l;
+	}
+
 	/**
 	 * Creates a plan. Faults overlap; some are repeated at the same target.
 	 * @param seed the seed
@@ -86,6 +100,7 @@
 		l.addAll(planRestores(seed, lengthMs));
 		l.addAll(planRateLimits(seed, lengthMs, workers));
 		l.addAll(planStatements(seed, lengthMs, workers));
+		l.addAll(planCrashingRequests(seed, lengthMs));
 		l.sort(Comparator.comparingLong(Fault::atMs));
 		return l;
 	}
--- a/src/test/java/io/shallotspur/platform/soak/InvariantChecker.java
+++ b/src/test/java/io/shallotspur/platform/soak/InvariantChecker.java
@@ -46,6 +46,8 @@
 
 	private final WorkerStatements statements = new WorkerStatements();
 
+	private final CrashingRequests crashingRequests = new CrashingRequests();
+
 	private final Map<String, Long> fencingTokens = new ConcurrentHashMap<>();
 
 	private final List<String> violations = new CopyOnWriteArrayList<>();
@@ -127,6 +129,28 @@
 		this.statements.onLeavingPassedOn(this.vmByRequest.get(id), worker, nowMs);
 	}
 
+	/**
+	 * Called when a request reaches a worker that crashes each worker that runs it.
+	 * @param id the request id
+	 * @param body the body, the same for each resend
+	 * @param nowMs the current time in milliseconds
+	 */
+	void onCrashingRequestReceived(String id, String body, long nowMs) {
+		long undisturbedSince = (this.activeDisturbances.get() == 0) ? this.lastDisturbanceEndedAt.get()
+				: Long.MAX_VALUE;
+		this.crashingRequests.onReceived(body, undisturbedSince, nowMs)
+			.ifPresent((violation) -> addViolation(violation + " id=" + id));
+	}
+
+	/**
+	 * Called when a worker crashes because of a request that it runs.
+	 * @param body the body of the request
+	 * @param nowMs the current time in milliseconds
+	 */
+	void onCrashedByRequest(String body, long nowMs) {
+		this.crashingRequests.onCrash(body, nowMs);
+	}
+
 	void onRequestSent(String id, RequestKind kind) {
 		this.kindByRequest.put(id, kind);
 	}
@@ -244,6 +268,9 @@
 	 * @param body the response body
 	 */
 	void onResponse(String id, int status, String body) {
+		if (body.equals(CrashingRequests.REFUSAL) && !CrashingCaller.isCrashingId(id)) {
+			addViolation("QUARANTINE id=" + id + " was refused and has crashed no worker");
+		}
 		if (NOT_EXECUTED_STATUSES.contains(status)) {
 			this.refusalStatuses.put(id, status);
 		}
@@ -291,8 +318,8 @@
 
 	String summary() {
 		long runs = this.workersByRequest.values().stream().mapToInt(List::size).sum();
-		return "sent=" + this.kindByRequest.size() + " runs=" + runs + " refused=" + this.refusalStatuses.size()
-				+ " orders=" + this.fencingTokens.size();
+		return this.crashingRequests.summary() + " sent=" + this.kindByRequest.size() + " runs=" + runs + " refused="
+				+ this.refusalStatuses.size() + " orders=" + this.fencingTokens.size();
 	}
 
 	private record Credentials(String key, long sentAtMs) {
--- a/src/test/java/io/shallotspur/platform/soak/LoopbackProxy.java
+++ b/src/test/java/io/shallotspur/platform/soak/LoopbackProxy.java
@@ -3,11 +3,13 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ThreadLocalRandom;
 
 /**
  * Forwards connections to a local port and simulates network faults. Thread-safe.
@@ -20,7 +22,15 @@
 
 	private static final long DELAY_MS = 250;
 
-	private final ServerSocket listener;
+	// Ports below the ephemeral range: no outgoing connection takes one of them while its
+	// proxy does not listen.
+	private static final int FIRST_PORT = 10_000;
+
+	private static final int PORT_COUNT = 8_000;
+
+	private final int port;
+
+	private volatile ServerSocket listener;
 
 	private final Set<Socket> openSockets = ConcurrentHashMap.newKeySet();
 
@@ -30,12 +40,45 @@
 
 	LoopbackProxy(int targetPort) throws IOException {
 		this.targetPort = targetPort;
-		this.listener = new ServerSocket(0, 256, InetAddress.getLoopbackAddress());
+		this.listener = bindFreePort();
+		this.port = this.listener.getLocalPort();
 		startDaemon(this::acceptConnections);
 	}
 
+	private static ServerSocket bindFreePort() throws IOException {
+		while (true) {
+			try {
+				return bind(FIRST_PORT + ThreadLocalRandom.current().nextInt(PORT_COUNT));
+			}
+			catch (BindException ex) {
+				// The port is in use; the loop tries another one.
+			}
+		}
+	}
+
+	private static ServerSocket bind(int port) throws IOException {
+		return new ServerSocket(port, 256, InetAddress.getLoopbackAddress());
+	}
+
 	int port() {
-		return this.listener.getLocalPort();
+		return this.port;
+	}
+
+	/**
+	 * Resets all connections and refuses new ones, as when the target's process has
+	 * ended.
+	 */
+	void refuseConnections() {
+		close(this.listener);
+		reset();
+	}
+
+	/**
+	 * Accepts connections again.
+	 */
+	void acceptAgain() throws IOException {
+		this.listener = bind(this.port);
+		startDaemon(this::acceptConnections);
 	}
 
 	void targetPort(int port) {
@@ -65,13 +108,14 @@
 	}
 
 	private void acceptConnections() {
-		while (!this.listener.isClosed()) {
+		ServerSocket accepting = this.listener;
+		while (!accepting.isClosed()) {
 			try {
-				Socket client = this.listener.accept();
+				Socket client = accepting.accept();
 				startDaemon(() -> connect(client));
 			}
 			catch (IOException ex) {
-				// The listener was closed at the end of the run.
+				// The listener was closed.
 				return;
 			}
 		}
--- a/src/test/java/io/shallotspur/platform/soak/SoakRun.java
+++ b/src/test/java/io/shallotspur/platform/soak/SoakRun.java
@@ -60,7 +60,8 @@
 	private final ExecutorService faultExecutor = Executors.newCachedThreadPool();
 
 	private final FaultInjector injector = new FaultInjector(this.vms, this.workers, this.storeProxies, this.store,
-			this.checker, this::publishConfiguration, this::rewriteLostEntries);
+			this.checker, new CrashingCaller(this.vms, this.checker), this::publishConfiguration,
+			this::rewriteLostEntries);
 
 	private int configVersion = 7;
 
--- a/src/test/java/io/shallotspur/platform/soak/SoakWorker.java
+++ b/src/test/java/io/shallotspur/platform/soak/SoakWorker.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.stream.Collectors;
@@ -44,6 +45,9 @@
 
 	private static final Duration DRAIN_TIME = Duration.ofMillis(3_500);
 
+	// Until a worker that was crashed by a request is back.
+	private static final Duration DOWN_TIME = Duration.ofMillis(700);
+
 	// The pause that a refusal asks for.
 	private static final Duration PAUSE = Duration.ofMillis(2_500);
 
@@ -120,6 +124,30 @@
 		Mono.delay(Duration.ofMillis(1_500), Schedulers.boundedElastic()).subscribe((t) -> deregister(old));
 	}
 
+	// The process ends while it runs a request and is back after some time as a new
+	// incarnation.
+	private synchronized void crashRunning(Incarnation old, String body) {
+		if (this.current != old || old.crashed) {
+			return;
+		}
+		old.crashed = true;
+		this.proxy.refuseConnections();
+		this.checker.onCrashedByRequest(body, InvariantChecker.nowMs());
+		Schedulers.boundedElastic().schedule(old.server::disposeNow);
+		Mono.delay(DOWN_TIME, Schedulers.boundedElastic()).subscribe((t) -> comeBack(old));
+		Mono.delay(Duration.ofMillis(1_500), Schedulers.boundedElastic()).subscribe((t) -> deregister(old));
+	}
+
+	private synchronized void comeBack(Incarnation old) {
+		try {
+			this.proxy.acceptAgain();
+			restart(old);
+		}
+		catch (IOException ex) {
+			this.checker.addViolation("soak: " + name() + " could not listen again: " + ex);
+		}
+	}
+
 	/**
 	 * Drains the worker: it announces that it is draining, keeps serving for longer than
 	 * the two seconds in which it may still receive requests, and is then replaced.
@@ -227,6 +255,8 @@
 
 		private volatile boolean draining;
 
+		private volatile boolean crashed;
+
 		private volatile boolean statesLeaving;
 
 		private volatile boolean asksForPause;
@@ -277,16 +307,30 @@
 				SoakWorker.this.checker.onPauseRequested(id, this.id, PAUSE.toMillis(), InvariantChecker.nowMs());
 				return rejectAsFull(s.header("Retry-After", PAUSE_S));
 			}
+			if (CrashingCaller.isCrashing(body)) {
+				SoakWorker.this.checker.onCrashingRequestReceived(id, body, InvariantChecker.nowMs());
+			}
 			if (this.stage.isEmpty()) {
-				return runPlain(id, h, s);
+				crashIfMarked(body);
+				return CrashingCaller.isCrashing(body) ? Mono.never() : runPlain(id, h, s);
 			}
 			boolean prefill = "prefill".equals(h.get("X-Stage"));
 			if (prefill != this.stage.equals("prefill")) {
 				return s.status(421).send();
 			}
+			if (!prefill) {
+				crashIfMarked(body);
+			}
 			return prefill ? prefill(id, s) : decode(id, h, s);
 		}
 
+		private void crashIfMarked(String body) {
+			if (CrashingCaller.isCrashing(body)) {
+				Schedulers.boundedElastic()
+					.schedule(() -> crashRunning(this, body), CrashingCaller.crashDelayMs(body), TimeUnit.MILLISECONDS);
+			}
+		}
+
 		private Publisher<Void> handleControlCall(HttpServerRequest q, HttpServerResponse s, String body) {
 			if (q.uri().equals("/api/hold-take")) {
 				boolean slotFree = !this.changingStage && this.reservations.size() + this.runningRequests.get() < SLOTS;
