Crashes that are learned of at once count among each other

Found by the model over all orders of six events (arrivals at two VMs, news, a restart, the store away, back and restored; 117,649 sequences, those with three arrivals played): a VM that learns of several crashes in the same millisecond, as one that has just started does from a listing, took none of them to be before another, and did not refuse the request. Now those at the same time count, but for other observations of the same crash.

--- a/src/main/java/io/shallotspur/quarantine/SuspectEntry.java
+++ b/src/main/java/io/shallotspur/quarantine/SuspectEntry.java
@@ -109,7 +109,8 @@
 	}
 
 	/**
-	 * Counts the crashes before a given one.
+	 * Counts the crashes before a given one. Others at the same time count, too: a node
+	 * that has just started may have learned of all of them at once.
 	 * @param crash the crash to compare with
 	 * @param maxState the highest state of the crashes that are counted
 	 * @param windowMs the largest difference between the times of two observations of one
@@ -122,7 +123,10 @@
 			.mapToLong(Crash::at)
 			.max()
 			.orElse(Long.MIN_VALUE);
-		return this.crashes.stream().filter((c) -> c.at() < at && c.state().compareTo(maxState) <= 0).count();
+		return this.crashes.stream()
+			.filter((c) -> c.at() < at || (c.at() == at && !c.worker().equals(crash.worker())))
+			.filter((c) -> c.state().compareTo(maxState) <= 0)
+			.count();
 	}
 
 	/**
