PromptPrefill and RetryDelay: files of their own

The prefill of a prompt with its KV cache, and the retry delay after a refusal, are classes of their own; which reason a refusal has after an attempt is asked of RefusalReason. On the way: a second prefill asks the quarantine, too, which only the first did (RequestQuarantineTests.doesNotRepeatThePrefillOfAQuarantinedRequest).

--- a/src/main/java/io/shallotspur/gateway/RefusalReason.java
+++ b/src/main/java/io/shallotspur/gateway/RefusalReason.java
@@ -58,6 +58,19 @@
 	/** The request violates the protocol or a limit. */
 	BAD_REQUEST;
 
+	/**
+	 * Returns the reason why a request is refused after its last attempt.
+	 * @param outcome the outcome of the attempt
+	 * @return the reason
+	 */
+	static RefusalReason after(AttemptOutcome outcome) {
+		return switch (outcome) {
+			case NOT_SENT -> NO_WORKER;
+			case NOT_RUN -> WORKERS_FULL;
+			case FAILED, UNKNOWN -> WORKER_LOST;
+		};
+	}
+
 	/**
 	 * Returns the form used in responses and logs.
 	 * @return the name in kebab case
--- a/src/main/java/io/shallotspur/gateway/RelayTask.java
+++ b/src/main/java/io/shallotspur/gateway/RelayTask.java
@@ -42,6 +42,8 @@
 
 	private final RequestPlacement placing;
 
+	private final RetryDelay retryDelay;
+
 	private final ResponseProgress progress;
 
 	private final LazyFingerprint fingerprint;
@@ -75,6 +77,7 @@
 		this.progress = new ResponseProgress((spec != null) ? spec.engine() : null, this.request.lastEventId());
 		this.placing = new RequestPlacement(gateway, admitted, this.fingerprint, this.upstream, spec, this, arrivedAt,
 				this.deadline);
+		this.retryDelay = new RetryDelay(gateway, this.request, this.route, this.fingerprint, this.placing, arrivedAt);
 	}
 
 	void start(long now) {
@@ -230,7 +233,7 @@
 				this.placing.start(now);
 			}
 			case RELAY_FAILURE -> relayFailure(head, body, now);
-			case REFUSE_NOT_RUN, REPORT_UNKNOWN -> refuseOrAbort(refusalReason(end), now);
+			case REFUSE_NOT_RUN, REPORT_UNKNOWN -> refuseOrAbort(RefusalReason.after(end), now);
 		}
 	}
 
@@ -277,14 +280,6 @@
 				|| this.gateway.retryBudget.tryAcquire(this.upstream, this.gateway.entryVms, now);
 	}
 
-	private static RefusalReason refusalReason(AttemptOutcome end) {
-		return switch (end) {
-			case NOT_SENT -> RefusalReason.NO_WORKER;
-			case NOT_RUN -> RefusalReason.WORKERS_FULL;
-			case FAILED, UNKNOWN -> RefusalReason.WORKER_LOST;
-		};
-	}
-
 	// The memory that the request needs, in tokens; timestamps relative to the arrival
 	// and the longest pause between two events, ms.
 	private String timingFields() {
@@ -317,27 +312,8 @@
 			refuse(new RelayRefusal(RelayRefusal.OUTCOME_UNKNOWN, reason, 0), now);
 		}
 		else {
-			refuse(RelayRefusal.notRun(reason, retryAfterMs(reason, now)), now);
-		}
-	}
-
-	private long retryAfterMs(RefusalReason reason, long now) {
-		if (reason == RefusalReason.CRASHES_WORKERS) {
-			return this.gateway.quarantine.remainingMs(this.fingerprint, now);
-		}
-		double random = this.gateway.random.next();
-		long remainingMs = this.request.callerTimeoutMs() - (now - this.arrivedAt);
-		boolean workersBusy = reason == RefusalReason.WORKERS_LIMITED || reason == RefusalReason.WORKERS_FULL;
-		long waitMs = workersBusy ? this.placing.retryWaitMs(now) : 0;
-		if (reason == RefusalReason.WORKERS_LIMITED || waitMs > 0) {
-			return RetryAfter.refillDelayMs(waitMs, remainingMs, random);
-		}
-		boolean tooLate = now > this.placing.latestStart();
-		boolean hasTimeout = this.request.callerTimeoutMs() != Long.MAX_VALUE;
-		if (tooLate && hasTimeout && this.route.kind() == RouteKind.STREAM) {
-			return Math.max(1, RetryAfter.lateDelayMs(remainingMs, this.placing.generationMs(), random));
+			refuse(RelayRefusal.notRun(reason, this.retryDelay.afterRefusalMs(reason, now)), now);
 		}
-		return RetryAfter.delayMs(this.route, random);
 	}
 
 	private void onDeadline() {
--- a/src/main/java/io/shallotspur/gateway/RequestPlacement.java
+++ b/src/main/java/io/shallotspur/gateway/RequestPlacement.java
@@ -22,7 +22,7 @@
  * {@link Callback} receives exactly one result for each {@link #start}, unless
  * {@link #cancel} comes first.
  */
-final class RequestPlacement implements PendingRequest {
+final class RequestPlacement implements PendingRequest, PromptPrefill.Owner {
 
 	// A late response still has some value for the caller, but a request that has waited
 	// for twice its objective while others are served first is refused, so that the
@@ -30,21 +30,9 @@
 	// just before that would be too late.
 	private static final double MAX_WAIT_OBJECTIVES = 2;
 
-	// A prefill takes about 100 ms; if there is no response within several times that,
-	// the worker is taken to be unreachable, ms.
-	private static final long MIN_PREFILL_TIMEOUT_MS = 400;
-
 	// A call that is sent this long before its reservation expires arrives in time, ms.
 	private static final long RESERVATION_MARGIN_MS = 50;
 
-	// Fraction of the reservation that a prefill may use; the remainder is for the call
-	// that follows it.
-	private static final double RESERVATION_PREFILL_FRACTION = 0.6;
-
-	// Fraction of the time to the first event that a prefill may use. The remainder is
-	// for a decode worker that has to prefill by itself after all.
-	private static final double TARGET_PREFILL_FRACTION = 0.6;
-
 	// Fraction of the time to its latest start that a request may wait for a rate limit.
 	// While demand exceeds the limits, all requests that are sent wait this long, and a
 	// further small delay must not make their responses late.
@@ -70,6 +58,8 @@
 
 	private final Callback callback;
 
+	private final @Nullable PromptPrefill prefill;
+
 	private final long deadline;
 
 	private final long firstArrivalAt;
@@ -78,22 +68,12 @@
 
 	private @Nullable ReservationTicket ticket;
 
-	private @Nullable PrefillStep prefillStep;
-
-	private final Set<String> triedPrefillWorkers = new HashSet<>();
-
-	private boolean prefillAttempted;
-
 	private @Nullable WorkerState target;
 
 	private @Nullable String reservation;
 
 	private @Nullable RateLimitWait limitWait;
 
-	private @Nullable KvSource source;
-
-	private long prefilledAt;
-
 	private long reservedAt;
 
 	private long waitStartedAt;
@@ -111,6 +91,9 @@
 				(upstreamSpec != null) ? upstreamSpec.connectionLimit() : Integer.MAX_VALUE);
 		this.callback = callback;
 		this.deadline = deadline;
+		PromptInfo prompt = this.request.prompt();
+		this.prefill = (this.engine != null && prompt != null) ? new PromptPrefill(gateway, admitted, prompt,
+				fingerprint, upstream, this.engine, this.candidates, this) : null;
 		this.firstArrivalAt = arrivedAt - gateway.requestAges.ageMs(this.route.name(), this.request.callerTimeoutMs());
 	}
 
@@ -289,73 +272,44 @@
 
 	private void prefillOrSend(WorkerState w, long now) {
 		this.target = w;
-		if (refuseIfQuarantined(now)) {
-			return;
-		}
-		PromptInfo prompt = this.request.prompt();
-		if (this.engine == null || prompt == null || this.prefillAttempted) {
+		if (this.prefill == null || this.prefill.isAttempted()) {
 			send(now);
-			return;
 		}
-		if (!isTargetValid(w, now)) {
+		else if (!isTargetValid(w, now)) {
 			restart(now);
-			return;
 		}
-		prefillOrSend(prompt, false, now);
+		else {
+			this.prefill.start(w, now);
+		}
 	}
 
-	private void prefillOrSend(PromptInfo prompt, boolean retry, long now) {
-		List<WorkerState> prefillWorkers = this.candidates.available(WorkerStage.PREFILL, this.triedPrefillWorkers,
-				now);
-		Optional<WorkerState> prefillWorker = PrefillSelector.select(prompt, prefillWorkers, this.target,
-				wouldStall(prompt), this.gateway.settings.hall(), this.gateway.random, now);
-		if (prefillWorker.isEmpty() || (retry && !this.callback.mayRetryPrefill(now))) {
-			send(now);
-			return;
-		}
-		this.prefillAttempted = true;
-		this.triedPrefillWorkers.add(prefillWorker.get().info().id());
-		this.prefillStep = new PrefillStep(this.gateway, prefillWorker.get(), prompt, this.fingerprint,
-				this::onPrefillResult);
-		this.prefillStep.start(
-				new WorkerCall(this.request, prefillWorker.get().info(), Math.max(1, this.deadline - now), priority(),
-						this.callback.lastEventId(), null, null, this.admitted.customerName()),
-				prefillTimeoutMs());
-	}
-
-	private boolean wouldStall(PromptInfo prompt) {
-		return this.engine != null && this.gateway.engineTimes(this.upstream)
-			.statistics()
-			.filter((f) -> f.wouldStall(prompt.promptTokens(), this.engine.tokensPerEvent(),
-					this.route.maxEventGapMs()))
-			.isPresent();
-	}
-
-	// Follows the duration of recent prefills, within the lifetime of the reservation.
-	private long prefillTimeoutMs() {
-		long defaultMs = Math.max(MIN_PREFILL_TIMEOUT_MS,
-				(long) (this.route.latencyTargetMs() * TARGET_PREFILL_FRACTION));
-		long maxMs = Math.max(defaultMs, (long) (RESERVATION_PREFILL_FRACTION * reservationMs()));
-		long expectedMs = this.gateway.engineTimes(this.upstream).prefillTimeoutMs();
-		return (expectedMs > 0) ? Math.min(maxMs, Math.max(MIN_PREFILL_TIMEOUT_MS, expectedMs)) : defaultMs;
-	}
-
-	private void onPrefillResult(PrefillStep.Result result) {
-		long now = this.gateway.clock.getAsLong();
-		this.prefillStep = null;
-		this.source = result.source();
-		this.prefilledAt = now;
-		if (result.failure() != null) {
-			this.callback.log("prefill failed seen=\"" + result.failure() + "\" refused=" + result.refused(), now);
-		}
-		PromptInfo prompt = this.request.prompt();
-		if (result.refused() && !this.callback.mayContinueAfterRefusedPrefill(now)) {
+	@Override
+	public boolean mayRetryPrefill(long now) {
+		return this.callback.mayRetryPrefill(now);
+	}
+
+	@Override
+	public boolean refuseBeforePrefill(long now) {
+		return refuseIfQuarantined(now);
+	}
+
+	@Override
+	public WorkerCall prefillCall(WorkerInfo worker, long now) {
+		return new WorkerCall(this.request, worker, Math.max(1, this.deadline - now), priority(),
+				this.callback.lastEventId(), null, null, this.admitted.customerName());
+	}
+
+	@Override
+	public void log(String message, long now) {
+		this.callback.log(message, now);
+	}
+
+	@Override
+	public void onPrefillDone(boolean refused, long now) {
+		if (refused && !this.callback.mayContinueAfterRefusedPrefill(now)) {
 			cancel();
 			this.callback.onRefused(RefusalReason.WORKERS_FULL, now);
 		}
-		else if (result.source() == null && !result.refused() && prompt != null && wouldStall(prompt)) {
-			prefillOrSend(prompt, true, now);
-		}
 		else {
 			send(now);
 		}
@@ -377,10 +331,6 @@
 		if (worker == null || refuseIfQuarantined(now)) {
 			return;
 		}
-		if (this.source != null && !isCacheValid(this.source, now)) {
-			this.gateway.releaseKvCache(this.source);
-			this.source = null;
-		}
 		if (!isTargetValid(worker, now)) {
 			restart(now);
 			return;
@@ -389,10 +339,10 @@
 			worker.limit().releaseReservation();
 		}
 		this.triedWorkers.add(worker.info().id());
+		KvSource source = (this.prefill != null) ? this.prefill.takeSource(now) : null;
 		WorkerCall call = new WorkerCall(this.request, worker.info(), Math.max(1, this.deadline - now), priority(),
-				null, this.source, this.reservation, this.admitted.customerName());
+				null, source, this.reservation, this.admitted.customerName());
 		this.target = null;
-		this.source = null;
 		this.reservation = null;
 		this.callback.onReady(worker, call, now);
 	}
@@ -413,18 +363,10 @@
 		return now < this.reservedAt + reservationMs() - RESERVATION_MARGIN_MS;
 	}
 
-	private boolean isCacheValid(KvSource s, long now) {
-		long ttl = (this.engine != null) ? this.engine.kvHandleTtlMs() : 0;
-		return this.gateway.roster.isCurrentInstance(s.worker()) && (ttl <= 0 || now - this.prefilledAt < ttl);
-	}
-
 	// The KV cache stays usable for a fraction of a second and is kept for the next
 	// reservation.
 	private void restart(long now) {
-		KvSource cache = this.source;
-		this.source = null;
-		cancel();
-		this.source = cache;
+		releasePlace();
 		start(now);
 	}
 
@@ -432,18 +374,17 @@
 	 * Cancels the operations in progress and releases the acquired resources.
 	 */
 	void cancel() {
+		if (this.prefill != null) {
+			this.prefill.cancel();
+		}
+		releasePlace();
+	}
+
+	private void releasePlace() {
 		if (this.ticket != null) {
 			this.gateway.reservationQueue(this.upstream).cancel(this.ticket);
 			this.ticket = null;
 		}
-		if (this.prefillStep != null) {
-			this.prefillStep.cancel();
-			this.prefillStep = null;
-		}
-		if (this.source != null) {
-			this.gateway.releaseKvCache(this.source);
-			this.source = null;
-		}
 		if (this.limitWait != null) {
 			this.limitWait.cancel();
 			this.limitWait = null;
--- a/src/test/java/io/shallotspur/gateway/RequestQuarantineTests.java
+++ b/src/test/java/io/shallotspur/gateway/RequestQuarantineTests.java
@@ -141,6 +141,22 @@
 		Assertions.assertThat(this.f.workers.releasedHandles).containsExactly("kv1");
 	}
 
+	// Guards against a second prefill of a request that was quarantined during its first.
+	@Test
+	void doesNotRepeatThePrefillOfAQuarantinedRequest() {
+		this.f.addWorker("f1", "llm", WorkerStage.PREFILL);
+		this.f.addWorker("f2", "llm", WorkerStage.PREFILL);
+		this.f.gateway.engineTimes("llm")
+			.setSharedStatistics(new EngineStatistics(20, 3_000, 500, 3_800, 0.03, 0.03, 1, OutputLengthModel.PRIOR));
+		FakeCaller caller = this.f.callWithBody("resume", CRASHING, new PromptInfo(20_000, 1_190, 400)).caller();
+		this.f.workers.reservations.get(0).listener().onReserved("h1");
+		quarantine("resume");
+		this.f.workers.prefills.get(0).listener.onFailure(new ExchangeFailure(true, "no response"));
+		Assertions.assertThat(this.f.workers.prefills).hasSize(1);
+		Assertions.assertThat(this.f.workers.runs).isEmpty();
+		Assertions.assertThat(caller.status).isEqualTo(503);
+	}
+
 	// Guards against a prompt that crashes the prefill workers, before it is run.
 	@Test
 	void prefillsCountAsRunning() {
