Rehearse a check of a worker's address; gauge of suspects

The classes that the check needs are in the archive with the others, so that a VM at a fraction of a core does not load them while a worker has just crashed (the rehearsal's class log names TcpClientConnect and the detector's state). quarantine.entries has the name that it has on the own interface.

--- a/src/main/java/io/shallotspur/gateway/RequestQuarantine.java
+++ b/src/main/java/io/shallotspur/gateway/RequestQuarantine.java
@@ -114,6 +114,15 @@
 		return this.suspects.drainChanges(now);
 	}
 
+	/**
+	 * Returns the number of suspects and quarantined requests; also called by the thread
+	 * that reads the metrics.
+	 * @return the number of entries, including some that have expired
+	 */
+	public int size() {
+		return this.suspects.size();
+	}
+
 	/**
 	 * Returns all entries.
 	 * @param now the present time in milliseconds
--- a/src/main/java/io/shallotspur/platform/PlatformVm.java
+++ b/src/main/java/io/shallotspur/platform/PlatformVm.java
@@ -114,6 +114,7 @@
 		this.watcher.addRestoreListener(this.registration::onStoreRestored);
 		this.watcher.addRestoreListener((ms) -> this.metrics.registry().counter("store.restored").inc());
 		this.metrics.registry().gauge("store.era", () -> registry::era);
+		this.metrics.registry().gauge("quarantine.entries", () -> this.gateway.quarantine()::size);
 		this.loadSampler = new VmLoadSampler(this.loop, this.clock, this.gateway::inProgress,
 				this.registration::setOverloaded);
 		this.gateway.entryVms().registerSelf(self);
--- a/src/main/java/io/shallotspur/platform/TrainingRun.java
+++ b/src/main/java/io/shallotspur/platform/TrainingRun.java
@@ -44,6 +44,7 @@
 		for (int i = 0; i < REQUESTS; i++) {
 			request(vm.callersPort(), "/p/x", false);
 			request(vm.callersPort(), "/p/full", false);
+			request(vm.callersPort(), "/p/broken", false);
 			request(vm.callersPort(), "/m/x", true);
 			request(vm.callersPort(), "/none", false);
 			request(vm.locatePort(), PlatformNames.LOCATE_PATH, false);
--- a/src/main/java/io/shallotspur/platform/TrainingRunServer.java
+++ b/src/main/java/io/shallotspur/platform/TrainingRunServer.java
@@ -64,6 +64,9 @@
 		if (h.contains(PlatformNames.STAGE)) {
 			return json(s, "{\"kv_handle\":\"k\",\"tokens\":1,\"version\":1}");
 		}
+		if (path.endsWith("broken")) {
+			return s.withConnection((c) -> c.channel().close()).neverComplete();
+		}
 		if (path.endsWith("full")) {
 			return s.status(SERVICE_UNAVAILABLE).header(PlatformNames.NOT_EXECUTED, "1").send();
 		}
--- a/src/main/java/io/shallotspur/quarantine/CrashSuspects.java
+++ b/src/main/java/io/shallotspur/quarantine/CrashSuspects.java
@@ -130,6 +130,14 @@
 		return (e != null && e.quarantined()) ? Math.max(0, e.lastCrashAt() + this.limits.quarantineTtlMs() - now) : 0;
 	}
 
+	/**
+	 * Returns the number of entries, including some that have expired.
+	 * @return the number of suspects and quarantined requests
+	 */
+	public synchronized int size() {
+		return this.entries.size();
+	}
+
 	/**
 	 * Returns whether there are no suspects and no quarantined requests.
 	 * @return {@code true} if the table is empty
