--- a/src/main/java/io/shallotspur/gateway/WorkerCrashDetector.java
+++ b/src/main/java/io/shallotspur/gateway/WorkerCrashDetector.java
@@ -18,9 +18,8 @@
  */
 final class WorkerCrashDetector {
 
-	// All connections to a crashed worker break within a few ms, and an event loop that
-	// is
-	// late notices some of them later than others, ms.
+	// All connections to a crashed worker break within a few ms; a late event loop
+	// notices some of them later than others, ms.
 	private static final long GATHER_MS = 100;
 
 	// Bounds the checks of a worker that breaks off responses but has not crashed, ms.
