CrashingRequestTests counts a worker once; tests of progress and of the check's interval

Cause in the test, not in the code: two VMs had sent the request to the same worker within ms, and the fake worker ended twice in the list; so what the test took for the third end was the second, and the wait after it began too early. A fake worker now ends once. The bound, the wait and the number of resends are as before.

Switching mechanisms off in a scratch copy showed three that no test missed: progress at a crash, progress after one, and the interval between checks. Each has its test.

--- a/src/test/java/io/shallotspur/gateway/RequestQuarantineTests.java
+++ b/src/test/java/io/shallotspur/gateway/RequestQuarantineTests.java
@@ -1,6 +1,7 @@
 package io.shallotspur.gateway;
 
 import java.util.List;
+import java.util.Set;
 
 import org.assertj.core.api.Assertions;
 import org.junit.jupiter.api.BeforeEach;
@@ -104,18 +105,60 @@
 		Assertions.assertThat(this.f.workers.runs).hasSize(runs + 2);
 	}
 
+	private void startStream(String worker) {
+		this.f.addWorker(worker, "llm", WorkerStage.DECODE);
+		sendPrompt(CRASHING);
+		this.f.workers.reservations.get(this.f.workers.reservations.size() - 1).listener().onReserved("h");
+	}
+
+	private void streamFor(long ms) {
+		this.f.workers.lastRun().respondHead(200);
+		this.f.workers.lastRun().sendEvents("id: 1\ndata: a\n\n");
+		this.f.timer.advance(ms);
+		this.f.workers.lastRun().sendEvents("id: 2\ndata: b\n\n");
+	}
+
+	private List<CrashState> states() {
+		return this.f.gateway.quarantine()
+			.entries(this.f.timer.now())
+			.get(0)
+			.crashes()
+			.stream()
+			.map(Crash::state)
+			.toList();
+	}
+
+	// Guards against suspecting a request that had run well on the worker that crashed
+	// as much as one that had just begun.
+	@Test
+	void progressBeforeACrashCounts() {
+		startStream("x1");
+		streamFor(200);
+		crashLastRun();
+		Assertions.assertThat(states()).containsExactly(CrashState.PROVEN);
+		startStream("x2");
+		streamFor(20);
+		crashLastRun();
+		Assertions.assertThat(states()).containsExactly(CrashState.PROVEN, CrashState.OPEN);
+	}
+
+	@Test
+	void progressAfterACrashCounts() {
+		startStream("x1");
+		crashLastRun();
+		Assertions.assertThat(states()).containsExactly(CrashState.OPEN);
+		startStream("x2");
+		streamFor(200);
+		Assertions.assertThat(states()).containsExactly(CrashState.PROVEN);
+	}
+
 	// Guards against refusing a request that crashed with its workers in mid stream, as
 	// it ran beside others.
 	@Test
 	void progressCountsAgainstSuspicion() {
 		for (int i = 0; i < 3; i++) {
-			this.f.addWorker("x" + i, "llm", WorkerStage.DECODE);
-			sendPrompt(CRASHING);
-			this.f.workers.reservations.get(this.f.workers.reservations.size() - 1).listener().onReserved("h" + i);
-			this.f.workers.lastRun().respondHead(200);
-			this.f.workers.lastRun().sendEvents("id: 1\ndata: a\n\n");
-			this.f.timer.advance(200);
-			this.f.workers.lastRun().sendEvents("id: 2\ndata: b\n\n");
+			startStream("x" + i);
+			streamFor(200);
 			crashLastRun();
 		}
 		this.f.timer.advance(SETTLING_MS);
@@ -137,6 +180,19 @@
 		Assertions.assertThat(this.f.gateway.quarantine().entries(this.f.timer.now())).isEmpty();
 	}
 
+	// Guards against a check after each response of a worker that goes on breaking them
+	// off.
+	@Test
+	void checksAWorkerOnceASecond() {
+		this.f.gateway.roster().retainEntries(Set.of("p1"), this.f.timer.now());
+		for (int i = 0; i < 10; i++) {
+			sendPlain(new byte[i]);
+			this.f.workers.lastRun().resetConnection();
+			this.f.timer.advance(200);
+		}
+		Assertions.assertThat(this.f.workers.checks).hasSizeBetween(2, 3);
+	}
+
 	// Guards against refusing a request that ran on workers that were shut down.
 	@Test
 	void plannedEndsAreNoCrashes() {
--- a/src/test/java/io/shallotspur/platform/FakeWorker.java
+++ b/src/test/java/io/shallotspur/platform/FakeWorker.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 
 import io.netty.handler.codec.http.HttpHeaders;
@@ -60,6 +61,8 @@
 	volatile Runnable onCrash = () -> {
 	};
 
+	private final AtomicBoolean crashed = new AtomicBoolean();
+
 	private final Queue<Connection> connections = new ConcurrentLinkedQueue<>();
 
 	// Further header fields of all its responses, to requests and to control calls.
@@ -101,8 +104,12 @@
 		this.server.disposeNow();
 	}
 
-	// Ends as a process does: nothing listens any more, and all connections are closed.
+	// Ends as a process does, once: nothing listens any more, and all connections are
+	// closed.
 	private void crash() {
+		if (!this.crashed.compareAndSet(false, true)) {
+			return;
+		}
 		this.server.disposeNow();
 		this.connections.forEach(Connection::dispose);
 		this.onCrash.run();
