--- a/src/test/java/io/shallotspur/quarantine/CrashSuspectsTests.java
+++ b/src/test/java/io/shallotspur/quarantine/CrashSuspectsTests.java
@@ -156,6 +156,19 @@
 		}
 	}
 
+	// Guards against refusing a request for crashes of one that has been found since.
+	@Test
+	void crashesBesideAQuarantinedRequestDoNotCount() {
+		CrashSuspects shared = new CrashSuspects(QuarantineLimits.SHARED_WORKERS);
+		shared.recordCrash("w0", List.of(POISON), 0);
+		shared.recordCrash("w1", List.of(POISON, 1L), 2_000);
+		shared.recordCrash("w2", List.of(POISON, 1L), 4_000);
+		assertThat(shared.isQuarantined(POISON, 4_000)).isTrue();
+		assertThat(shared.recordCrash("w3", List.of(1L), 6_000)).isEmpty();
+		shared.recordCrash("w4", List.of(1L), 8_000);
+		assertThat(shared.recordCrash("w5", List.of(1L), 10_000)).containsExactly(1L);
+	}
+
 	// Guards against two requests that hide behind each other as they always meet.
 	@Test
 	void sixthCrashQuarantinesInAnyCase() {
--- a/src/test/java/io/shallotspur/registry/SharedQuarantineTests.java
+++ b/src/test/java/io/shallotspur/registry/SharedQuarantineTests.java
@@ -66,6 +66,20 @@
 		Assertions.assertThat(this.registry.suspects).hasSize(3);
 	}
 
+	// Guards against a conclusion that all VMs publish which have come to it by merging.
+	@Test
+	void conclusionsArePublishedByObserversOnly() {
+		crash(0, "w0", CRASHING);
+		this.timer.advance(2_000);
+		crash(0, "w1", CRASHING);
+		crash(1, "w2", CRASHING);
+		this.timer.advance(1_000);
+		deliver();
+		this.timer.advance(1_000);
+		Assertions.assertThat(List.of(0, 1, 2)).allMatch(this::isRefusedBy);
+		Assertions.assertThat(this.registry.suspects.keySet()).noneMatch((name) -> name.startsWith("vm-2"));
+	}
+
 	// Guards against the loss of what was observed while the store was unavailable.
 	@Test
 	void publishesAfterTheStoreWasUnavailable() {
