A quarantine stays in the store for as long as a VM knows of it

What would have been seen: publications hang on leases of ten minutes, while a quarantine lasts an hour. A VM that starts later than ten minutes after the last crash knew nothing and sent the request to workers again, which the rule forbids after the third.

Change: a quarantined request of which nothing was published for five minutes is published again, by whichever VM finds that first; checks are a minute apart, half of it at random. SharedQuarantineTests.aQuarantineOutlastsItsLeases: the observer is gone, half an hour passes, a VM that starts refuses the request; at most twelve publications in that time.

--- a/src/main/java/io/shallotspur/platform/PlatformVm.java
+++ b/src/main/java/io/shallotspur/platform/PlatformVm.java
@@ -149,6 +149,7 @@
 		this.watcher.start();
 		this.registration.start();
 		this.engineStats.start();
+		this.sharedQuarantine.start();
 		this.loadSampler.start();
 		this.gateway.startClockSampling();
 		if (this.settings.orders().fenced()) {
--- a/src/main/java/io/shallotspur/registry/SharedQuarantine.java
+++ b/src/main/java/io/shallotspur/registry/SharedQuarantine.java
@@ -1,6 +1,7 @@
 package io.shallotspur.registry;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -26,7 +27,8 @@
  * <p>
  * Invariants: what was observed is published until the store has accepted it, also after
  * the store was unavailable; a VM publishes only its own observations, so the number of
- * calls grows with the number of crashes, not with that of the VMs that hear of them.
+ * calls grows with the number of crashes, not with that of the VMs that hear of them; a
+ * quarantine that any VM knows of stays in the store.
  */
 public final class SharedQuarantine {
 
@@ -47,6 +49,9 @@
 
 	private static final long LEASE_RENEWAL_MS = 300_000;
 
+	// How often it is checked whether a publication is about to be removed, ms.
+	private static final long REVIEW_MS = 60_000;
+
 	private final Registry registry;
 
 	private final RequestQuarantine quarantine;
@@ -62,6 +67,9 @@
 	// Observations that the store has not accepted yet, by fingerprint.
 	private final Map<Long, SuspectEntry> pending = new LinkedHashMap<>();
 
+	// When something about a quarantined request was last published by any VM.
+	private final Map<Long, Long> lastPublishedAt = new HashMap<>();
+
 	// Requests that this VM has published something about.
 	private final Set<Long> published = new HashSet<>();
 
@@ -95,6 +103,35 @@
 		quarantine.setChangeListener(this::collect);
 	}
 
+	/**
+	 * Starts to publish again what the store would lose with its leases.
+	 */
+	public void start() {
+		scheduleReview();
+	}
+
+	// The random part keeps VMs from publishing the same again at the same moment.
+	private void scheduleReview() {
+		this.timer.schedule((long) (REVIEW_MS * (0.5 + this.random.getAsDouble())), this::review);
+	}
+
+	private void review() {
+		if (this.stopped) {
+			return;
+		}
+		long now = this.clock.getAsLong();
+		List<SuspectEntry> quarantined = this.quarantine.entries(now)
+			.stream()
+			.filter(SuspectEntry::quarantined)
+			.toList();
+		this.lastPublishedAt.keySet().retainAll(quarantined.stream().map(SuspectEntry::fingerprint).toList());
+		quarantined.stream()
+			.filter((e) -> now - this.lastPublishedAt.getOrDefault(e.fingerprint(), 0L) >= LEASE_RENEWAL_MS)
+			.forEach(this::add);
+		scheduleIfPending(GATHER_MS);
+		scheduleReview();
+	}
+
 	/**
 	 * Stops publishing.
 	 */
@@ -105,6 +142,7 @@
 	void onPublished(List<SuspectReport> reports) {
 		collect();
 		long now = this.clock.getAsLong();
+		reports.forEach((r) -> this.lastPublishedAt.put(r.fingerprint(), now));
 		Set<Long> causes = this.quarantine.merge(reports.stream().map((r) -> entry(r, now)).toList(), now);
 		// All VMs come to the same conclusion, and only those with a part in it publish
 		// it.
@@ -182,6 +220,8 @@
 			onFailure(batch, "lease lost");
 			return;
 		}
+		long now = this.clock.getAsLong();
+		batch.forEach((e) -> this.lastPublishedAt.put(e.fingerprint(), now));
 		Logger.info("[quarantine] published requests={}", batch.size());
 		this.scheduled = false;
 		scheduleIfPending(MIN_INTERVAL_MS);
--- a/src/test/java/io/shallotspur/registry/SharedQuarantineTests.java
+++ b/src/test/java/io/shallotspur/registry/SharedQuarantineTests.java
@@ -1,7 +1,10 @@
 package io.shallotspur.registry;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
+import java.util.Set;
 
 import com.codahale.metrics.MetricRegistry;
 import org.assertj.core.api.Assertions;
@@ -125,6 +128,35 @@
 		Assertions.assertThat(isRefusedBy(1)).isTrue();
 	}
 
+	// The VM that observed the crashes is gone, and the leases of its publications end. A
+	// VM that starts later would send the request to workers again.
+	@Test
+	void aQuarantineOutlastsItsLeases() {
+		for (int i = 0; i < 3; i++) {
+			crash(0, "w" + i, CRASHING);
+			this.timer.advance(1_000);
+			deliver();
+		}
+		this.vms.remove(0).shared.stop();
+		Set<String> delivered = new HashSet<>(this.registry.suspects.keySet());
+		for (int minute = 0; minute < 30; minute++) {
+			this.timer.advance(60_000);
+			Map.copyOf(this.registry.suspects)
+				.forEach((name, r) -> this.vms.stream()
+					.filter((v) -> !delivered.contains(name))
+					.forEach((v) -> v.shared.onPublished(r)));
+			delivered.addAll(this.registry.suspects.keySet());
+		}
+		List<SuspectReport> latest = List.copyOf(this.registry.suspects.values())
+			.get(this.registry.suspects.size() - 1);
+		Assertions.assertThat(this.registry.suspects).hasSizeBetween(3 + 3, 3 + 12);
+		this.registry.suspects.clear();
+		this.registry.suspects.put("latest", latest);
+		this.vms.add(new Vm(3));
+		deliver();
+		Assertions.assertThat(isRefusedBy(2)).isTrue();
+	}
+
 	@Test
 	void publishesAgainWhatARestoredStoreLacks() {
 		for (int i = 0; i < 3; i++) {
@@ -173,6 +205,7 @@
 		private Vm(int number) {
 			this.shared = new SharedQuarantine(SharedQuarantineTests.this.registry, this.gateway.quarantine(),
 					SharedQuarantineTests.this.timer, SharedQuarantineTests.this.timer::now, () -> 0.5, "vm-" + number);
+			this.shared.start();
 		}
 
 	}
