A publication of the quarantine cannot lapse before it is repeated

A lease was used again for five minutes of its ten, and a quarantine is published again five to six and a half minutes after its last publication: for a minute and a half the store could lack it. A lease is used again for two and a half minutes now.

--- a/src/main/java/io/shallotspur/registry/SharedQuarantine.java
+++ b/src/main/java/io/shallotspur/registry/SharedQuarantine.java
@@ -47,7 +47,12 @@
 	// store removes them with their lease, in ms.
 	private static final long LEASE_MS = 600_000;
 
-	private static final long LEASE_RENEWAL_MS = 300_000;
+	// A lease is used for further publications only while most of its time is left, ms.
+	private static final long LEASE_REUSE_MS = 150_000;
+
+	// A quarantine is published again after this time: with the interval of the reviews,
+	// before the lease of its latest publication can have ended, ms.
+	private static final long REPUBLISH_MS = 300_000;
 
 	// How often it is checked whether a publication is about to be removed, ms.
 	private static final long REVIEW_MS = 60_000;
@@ -126,7 +131,7 @@
 			.toList();
 		this.lastPublishedAt.keySet().retainAll(quarantined.stream().map(SuspectEntry::fingerprint).toList());
 		quarantined.stream()
-			.filter((e) -> now - this.lastPublishedAt.getOrDefault(e.fingerprint(), 0L) >= LEASE_RENEWAL_MS)
+			.filter((e) -> now - this.lastPublishedAt.getOrDefault(e.fingerprint(), 0L) >= REPUBLISH_MS)
 			.forEach(this::add);
 		scheduleIfPending(GATHER_MS);
 		scheduleReview();
@@ -199,7 +204,7 @@
 
 	private Mono<Long> currentLease() {
 		long now = this.clock.getAsLong();
-		if (this.lease != 0 && now - this.leaseOpenedAt < LEASE_RENEWAL_MS) {
+		if (this.lease != 0 && now - this.leaseOpenedAt < LEASE_REUSE_MS) {
 			return Mono.just(this.lease);
 		}
 		return this.registry.openLease(LEASE_MS).doOnNext((l) -> {
