--- a/src/test/java/io/shallotspur/registry/SharedQuarantineTests.java
+++ b/src/test/java/io/shallotspur/registry/SharedQuarantineTests.java
@@ -59,7 +59,7 @@
 		Assertions.assertThat(List.of(0, 1, 2)).allMatch(this::isRefusedBy);
 	}
 
-	// Guards against as many publications as there are VMs that hear of a crash.
+	// Guards against a publication by each VM that receives the publication of another.
 	@Test
 	void onlyObserversPublish() {
 		for (int i = 0; i < 3; i++) {
