--- a/src/main/java/io/shallotspur/gateway/RelayMetrics.java
+++ b/src/main/java/io/shallotspur/gateway/RelayMetrics.java
@@ -108,6 +108,11 @@
 		this.registry.counter("relay.retried").inc();
 	}
 
+	// The retry budget was exhausted.
+	void retryDenied() {
+		this.registry.counter("relay.retry-denied").inc();
+	}
+
 	void callerDisconnected() {
 		this.registry.counter("relay.caller-gone").inc();
 	}
--- a/src/main/java/io/shallotspur/gateway/RelayTask.java
+++ b/src/main/java/io/shallotspur/gateway/RelayTask.java
@@ -231,7 +231,8 @@
 		this.gateway.metrics.attemptEnded(end);
 		recordFailure(end, now);
 		NextStep next = this.history.nextStep(end, mayRetry(end, now));
-		log(now, "attempt=" + end + " seen=\"" + reason + "\" next=" + next + fingerprintField(end));
+		log(now, "attempt=" + end + " seen=\"" + reason + "\" next=" + next + budgetField(end, now)
+				+ ((end == AttemptOutcome.UNKNOWN) ? fingerprintField() : ""));
 		endAttempt();
 		switch (next) {
 			case RETRY -> {
@@ -243,10 +244,15 @@
 		}
 	}
 
-	// Requests that broke off while they may have been running, recognizable when they
-	// are sent again.
-	private String fingerprintField(AttemptOutcome end) {
-		return (end == AttemptOutcome.UNKNOWN) ? " fingerprint=" + Long.toHexString(this.fingerprint.value()) : "";
+	// Makes requests that broke off while they may have been running recognizable when
+	// they are sent again.
+	private String fingerprintField() {
+		return " fingerprint=" + Long.toHexString(this.fingerprint.value());
+	}
+
+	private String budgetField(AttemptOutcome end, long now) {
+		return (end != AttemptOutcome.NOT_SENT)
+				? " budget=" + this.gateway.retryBudget.state(this.upstream, this.gateway.entryVms, now) : "";
 	}
 
 	private void recordFailure(AttemptOutcome end, long now) {
@@ -282,8 +288,15 @@
 		}
 		// A request that never left this VM put no load on a worker and does not use the
 		// retry budget.
-		return end == AttemptOutcome.NOT_SENT
-				|| this.gateway.retryBudget.tryAcquire(this.upstream, this.gateway.entryVms, now);
+		return end == AttemptOutcome.NOT_SENT || takeFromBudget(now);
+	}
+
+	private boolean takeFromBudget(long now) {
+		boolean taken = this.gateway.retryBudget.tryAcquire(this.upstream, this.gateway.entryVms, now);
+		if (!taken) {
+			this.gateway.metrics.retryDenied();
+		}
+		return taken;
 	}
 
 	// The memory that the request needs, in tokens; timestamps relative to the arrival
@@ -366,9 +379,10 @@
 		if (this.finished) {
 			return;
 		}
-		cancelAttempt();
 		this.gateway.metrics.callerDisconnected();
-		log(this.gateway.clock.getAsLong(), "caller-gone");
+		String request = (this.attempt != null) ? fingerprintField() : "";
+		log(this.gateway.clock.getAsLong(), "caller-gone" + request);
+		cancelAttempt();
 		finish();
 	}
 
--- a/src/main/java/io/shallotspur/gateway/UpstreamRetryBudget.java
+++ b/src/main/java/io/shallotspur/gateway/UpstreamRetryBudget.java
@@ -48,6 +48,21 @@
 		return true;
 	}
 
+	/**
+	 * Describes the budget of an upstream for the log.
+	 * @param upstream the upstream
+	 * @param vms the VMs that share the budget
+	 * @param now the present time in milliseconds
+	 * @return retries and first attempts in the window, this VM's part of the slack, and
+	 * how many VMs share it: all known ones and those that callers are directed to
+	 */
+	String state(String upstream, EntryVmDirectory vms, long now) {
+		Window w = window(upstream, now);
+		double slack = Math.round(10 * slackShare(vms, now)) / 10.0;
+		return w.retries.size() + "/" + w.firstAttempts.size() + "+" + slack + " vms=" + vms.count(now) + "/"
+				+ vms.servingCountAllRegions(now);
+	}
+
 	private double slackShare(EntryVmDirectory vms, long now) {
 		double shareOfAll = this.settings.retrySlack() / (Math.max(1, vms.count(now)) + UNKNOWN_VMS);
 		if (vms.isStandby(now)) {
--- a/src/main/java/io/shallotspur/gateway/WorkerCrashDetector.java
+++ b/src/main/java/io/shallotspur/gateway/WorkerCrashDetector.java
@@ -6,6 +6,8 @@
 import java.util.Set;
 import java.util.WeakHashMap;
 
+import org.tinylog.Logger;
+
 /**
  * Finds out whether a worker has crashed when requests that were running on it break off.
  * Connections also break when they are reset, or when a worker spoils a response; then
@@ -62,14 +64,16 @@
 
 	private void check(WorkerState w, Interruption i) {
 		this.gateway.metrics.crashChecked();
-		this.gateway.workerPort.checkListening(w.info(), (listening) -> onChecked(w, i, listening));
+		this.gateway.workerPort.checkListening(w.info(), (seen) -> onChecked(w, i, seen));
 	}
 
-	private void onChecked(WorkerState w, Interruption i, boolean listening) {
+	private void onChecked(WorkerState w, Interruption i, ListenState seen) {
 		long now = this.gateway.clock.getAsLong();
+		Logger.info("[quarantine] worker checked worker={} seen={} running={}", w.info().id(), seen.code(),
+				i.running.size());
 		i.checking = false;
 		i.nextCheckAt = now + MIN_CHECK_INTERVAL_MS;
-		if (!listening) {
+		if (seen == ListenState.REFUSES) {
 			i.crashed = true;
 			w.markUnreachable(now);
 			this.gateway.quarantine.recordCrash(w.info(), i.running, i.progressed, now);
--- a/src/main/java/io/shallotspur/gateway/WorkerPort.java
+++ b/src/main/java/io/shallotspur/gateway/WorkerPort.java
@@ -46,11 +46,11 @@
 	void cancelReservation(WorkerInfo worker, String reservation);
 
 	/**
-	 * Checks whether the process of a worker still listens, without sending it a request.
+	 * Checks whether a process listens at the address of a worker, without sending it a
+	 * request.
 	 * @param worker the worker
-	 * @param callback receives {@code false} only if a connection was refused, which
-	 * means that the process has ended
+	 * @param callback receives how the address responds
 	 */
-	void checkListening(WorkerInfo worker, Consumer<Boolean> callback);
+	void checkListening(WorkerInfo worker, Consumer<ListenState> callback);
 
 }
--- a/src/main/java/io/shallotspur/platform/HttpWorkerPort.java
+++ b/src/main/java/io/shallotspur/platform/HttpWorkerPort.java
@@ -28,6 +28,7 @@
 import io.shallotspur.gateway.ExchangeFailure;
 import io.shallotspur.gateway.ExchangeListener;
 import io.shallotspur.gateway.KvSource;
+import io.shallotspur.gateway.ListenState;
 import io.shallotspur.gateway.PrefillListener;
 import io.shallotspur.gateway.RelayRequest;
 import io.shallotspur.gateway.ReservationListener;
@@ -238,17 +239,18 @@
 	}
 
 	@Override
-	public void checkListening(WorkerInfo worker, Consumer<Boolean> callback) {
+	public void checkListening(WorkerInfo worker, Consumer<ListenState> callback) {
 		this.connectionChecks.host(worker.host())
 			.port(worker.port())
 			.connect()
 			.doOnNext(DisposableChannel::dispose)
-			.subscribe((c) -> callback.accept(true), (ex) -> callback.accept(!isRefused(ex)));
+			.subscribe((c) -> callback.accept(ListenState.ACCEPTS), (ex) -> callback.accept(listenState(ex)));
 	}
 
 	// A timeout is a ConnectException, too, but means that nothing has responded.
-	private static boolean isRefused(Throwable ex) {
-		return ex instanceof ConnectException && !(ex instanceof ConnectTimeoutException);
+	private static ListenState listenState(Throwable ex) {
+		boolean refused = ex instanceof ConnectException && !(ex instanceof ConnectTimeoutException);
+		return refused ? ListenState.REFUSES : ListenState.NO_RESPONSE;
 	}
 
 	private HttpClient.ResponseReceiver<?> send(WorkerCall call, String stage, SendState state) {
--- a/src/test/java/io/shallotspur/gateway/FakeWorkers.java
+++ b/src/test/java/io/shallotspur/gateway/FakeWorkers.java
@@ -51,9 +51,9 @@
 	}
 
 	@Override
-	public void checkListening(WorkerInfo worker, Consumer<Boolean> callback) {
+	public void checkListening(WorkerInfo worker, Consumer<ListenState> callback) {
 		this.checks.add(worker.id());
-		callback.accept(!this.ended.contains(worker.id()));
+		callback.accept(this.ended.contains(worker.id()) ? ListenState.REFUSES : ListenState.ACCEPTS);
 	}
 
 	@Override
--- a/src/test/java/io/shallotspur/gateway/NopWorkers.java
+++ b/src/test/java/io/shallotspur/gateway/NopWorkers.java
@@ -28,7 +28,7 @@
 	}
 
 	@Override
-	public void checkListening(WorkerInfo worker, Consumer<Boolean> callback) {
+	public void checkListening(WorkerInfo worker, Consumer<ListenState> callback) {
 	}
 
 	@Override
