--- a/src/test/java/io/shallotspur/gateway/FakeWorkers.java
+++ b/src/test/java/io/shallotspur/gateway/FakeWorkers.java
@@ -24,6 +24,9 @@
 
 	final Set<String> ended = new HashSet<>();
 
+	// Ids of the workers whose addresses do not respond to a check.
+	final Set<String> silent = new HashSet<>();
+
 	final List<String> releasedHandles = new ArrayList<>();
 
 	@Override
@@ -53,7 +56,14 @@
 	@Override
 	public void checkListening(WorkerInfo worker, Consumer<ListenState> callback) {
 		this.checks.add(worker.id());
-		callback.accept(this.ended.contains(worker.id()) ? ListenState.REFUSES : ListenState.ACCEPTS);
+		callback.accept(listenState(worker.id()));
+	}
+
+	private ListenState listenState(String id) {
+		if (this.silent.contains(id)) {
+			return ListenState.NO_RESPONSE;
+		}
+		return this.ended.contains(id) ? ListenState.REFUSES : ListenState.ACCEPTS;
 	}
 
 	@Override
--- a/src/test/java/io/shallotspur/gateway/GatewayFixture.java
+++ b/src/test/java/io/shallotspur/gateway/GatewayFixture.java
@@ -102,6 +102,14 @@
 		return w;
 	}
 
+	// Another process listens at the address at once, under an id of its own.
+	WorkerInfo replace(WorkerInfo w) {
+		WorkerInfo next = new WorkerInfo("n" + (++this.nextId), w.upstream(), w.host(), w.port(), w.hall(), w.slots(),
+				w.stage(), false, 0, w.startedAt() + 1);
+		this.gateway.roster().updateEntry(next, this.timer.now());
+		return next;
+	}
+
 	void restart(WorkerInfo w) {
 		this.gateway.roster()
 			.updateEntry(new WorkerInfo(w.id(), w.upstream(), w.host(), w.port(), w.hall(), w.slots(), w.stage(), false,
--- a/src/test/java/io/shallotspur/gateway/RequestQuarantineTests.java
+++ b/src/test/java/io/shallotspur/gateway/RequestQuarantineTests.java
@@ -21,6 +21,15 @@
 
 	private static final long SETTLING_MS = 1_000;
 
+	// Between the end of a run and the crash of its worker.
+	private static final long CRASH_DELAY_MS = 40;
+
+	// A check of a worker that a caller has left is done by then.
+	private static final long LATE_CHECK_MS = 500;
+
+	// The entry of a worker that has ended is removed by then.
+	private static final long ENTRY_LAPSE_MS = 3_600;
+
 	private static final byte[] CRASHING = "crashing".getBytes();
 
 	private final GatewayFixture f = new GatewayFixture().configured();
@@ -202,6 +211,195 @@
 		Assertions.assertThat(this.f.gateway.quarantine().entries(this.f.timer.now())).isEmpty();
 	}
 
+	private void assertRefused() {
+		this.f.timer.advance(SETTLING_MS);
+		int runs = this.f.workers.runs.size();
+		FakeCaller caller = sendPlain(CRASHING).caller();
+		Assertions.assertThat(this.f.workers.runs).hasSize(runs);
+		Assertions.assertThat(caller.status).isEqualTo(503);
+	}
+
+	private void assertNoSuspects() {
+		Assertions.assertThat(this.f.gateway.quarantine().entries(this.f.timer.now())).isEmpty();
+	}
+
+	// Guards against a request that crashes one worker after the other, as its callers
+	// leave shortly before.
+	@Test
+	void countsARequestWhoseCallerHasLeft() {
+		for (int i = 0; i < 3; i++) {
+			sendPlain(CRASHING).disconnect().run();
+			WorkerInfo w = this.f.workers.lastRun().call.worker();
+			this.f.timer.advance(CRASH_DELAY_MS);
+			this.f.workers.ended.add(w.id());
+			this.f.timer.advance(LATE_CHECK_MS);
+			this.f.gateway.roster().entryRemoved(w.id(), this.f.timer.now());
+		}
+		assertRefused();
+	}
+
+	// Guards against a caller that leaves while others go on: only theirs would count.
+	@Test
+	void countsARequestWhoseCallerHasLeftAmongTheOthers() {
+		this.f.gateway.roster().retainEntries(Set.of("p1"), this.f.timer.now());
+		sendPlain("innocent".getBytes());
+		sendPlain(CRASHING).disconnect().run();
+		this.f.timer.advance(CRASH_DELAY_MS);
+		this.f.workers.ended.add("p1");
+		this.f.workers.runs.get(0).resetConnection();
+		this.f.timer.advance(LATE_CHECK_MS);
+		Assertions.assertThat(this.f.gateway.quarantine().entries(this.f.timer.now()))
+			.extracting(SuspectEntry::fingerprint)
+			.containsExactlyInAnyOrder(this.f.fingerprint("unsafe", CRASHING),
+					this.f.fingerprint("unsafe", "innocent".getBytes()));
+	}
+
+	// Guards against a request that crashes workers whose supervisor starts them again at
+	// once: their addresses accept connections.
+	@Test
+	void countsWorkersThatAreReplacedAtOnce() {
+		for (int i = 0; i < 3; i++) {
+			sendPlain(CRASHING);
+			WorkerInfo w = this.f.workers.lastRun().call.worker();
+			this.f.workers.lastRun().resetConnection();
+			this.f.timer.advance(CHECK_MS);
+			this.f.replace(w);
+			this.f.timer.advance(CHECK_MS);
+			this.f.gateway.roster().entryRemoved(w.id(), this.f.timer.now());
+		}
+		assertRefused();
+	}
+
+	// Guards against waiting for the registry: the new process says itself that it is not
+	// the one that was addressed.
+	@Test
+	void countsAWorkerWhoseSuccessorRejectsARequest() {
+		this.f.gateway.roster().retainEntries(Set.of("p1"), this.f.timer.now());
+		sendPlain(CRASHING);
+		this.f.workers.lastRun().resetConnection();
+		this.f.timer.advance(CHECK_MS);
+		sendPlain("innocent".getBytes());
+		this.f.workers.lastRun().rejectReplaced();
+		Assertions.assertThat(this.f.gateway.quarantine().entries(this.f.timer.now()))
+			.extracting(SuspectEntry::fingerprint)
+			.containsExactly(this.f.fingerprint("unsafe", CRASHING));
+	}
+
+	// Guards against a request that crashes workers whose addresses fall silent, as a
+	// firewall drops what nobody listens for.
+	@Test
+	void countsWorkersThatFallSilentAndLoseTheirEntries() {
+		for (int i = 0; i < 3; i++) {
+			sendPlain(CRASHING);
+			WorkerInfo w = this.f.workers.lastRun().call.worker();
+			this.f.workers.silent.add(w.id());
+			this.f.workers.lastRun().resetConnection();
+			this.f.timer.advance(ENTRY_LAPSE_MS);
+			this.f.gateway.roster().entryRemoved(w.id(), this.f.timer.now());
+			this.f.timer.advance(CHECK_MS);
+		}
+		assertRefused();
+	}
+
+	// Guards against suspecting requests whose connections a network failure has reset:
+	// their worker is alive.
+	@Test
+	void workersThatFallSilentAndKeepTheirEntriesAreNoCrashes() {
+		for (int i = 0; i < 3; i++) {
+			sendPlain(CRASHING);
+			this.f.workers.silent.add(this.f.workers.lastRun().call.worker().id());
+			this.f.workers.lastRun().resetConnection();
+			this.f.timer.advance(2 * ENTRY_LAPSE_MS);
+		}
+		assertNoSuspects();
+	}
+
+	// Guards against suspecting requests that broke off at a worker that leaves without
+	// an announcement and still serves.
+	@Test
+	void workersThatLoseTheirEntriesAndListenAreNoCrashes() {
+		for (int i = 0; i < 3; i++) {
+			sendPlain(CRASHING);
+			this.f.workers.lastRun().resetConnection();
+			this.f.timer.advance(CHECK_MS);
+			this.f.gateway.roster().entryRemoved(this.f.workers.lastRun().call.worker().id(), this.f.timer.now());
+			this.f.timer.advance(CHECK_MS);
+		}
+		assertNoSuspects();
+	}
+
+	// Guards against suspecting each request whose caller leaves.
+	@Test
+	void callersThatLeaveWorkersThatLiveAreNoSuspects() {
+		for (int i = 0; i < 4; i++) {
+			sendPlain(CRASHING).disconnect().run();
+			this.f.timer.advance(LATE_CHECK_MS);
+		}
+		assertNoSuspects();
+	}
+
+	// Guards against suspecting a request that gave up at a worker behind a cut link.
+	@Test
+	void callersThatLeaveWorkersThatAreCutOffAreNoSuspects() {
+		for (int i = 0; i < 3; i++) {
+			sendPlain(CRASHING).disconnect().run();
+			WorkerInfo w = this.f.workers.lastRun().call.worker();
+			this.f.workers.silent.add(w.id());
+			this.f.timer.advance(ENTRY_LAPSE_MS);
+			this.f.gateway.roster().entryRemoved(w.id(), this.f.timer.now());
+			this.f.timer.advance(LATE_CHECK_MS);
+		}
+		assertNoSuspects();
+	}
+
+	// Guards against suspecting a request that has left a worker which responded to
+	// others for longer than a crash takes.
+	@Test
+	void aWorkerThatResponsedSinceClearsCallersThatHadLeft() {
+		this.f.gateway.roster().retainEntries(Set.of("p1"), this.f.timer.now());
+		sendPlain(CRASHING).disconnect().run();
+		sendPlain("innocent".getBytes());
+		this.f.timer.advance(2 * LATE_CHECK_MS);
+		this.f.workers.lastRun().respond(200, "fine");
+		this.f.replace(this.f.workers.lastRun().call.worker());
+		assertNoSuspects();
+	}
+
+	// Guards against suspecting a request that has completed at another worker meanwhile.
+	@Test
+	void completionElsewhereClearsARequestThatBrokeOff() {
+		sendPlain(CRASHING);
+		WorkerInfo w = this.f.workers.lastRun().call.worker();
+		this.f.workers.lastRun().resetConnection();
+		this.f.timer.advance(CHECK_MS);
+		sendPlain(CRASHING);
+		this.f.workers.lastRun().respond(200, "fine");
+		this.f.replace(w);
+		assertNoSuspects();
+	}
+
+	// Guards against a new connection for each caller that leaves.
+	@Test
+	void checksAWorkerOnceASecondForCallersThatLeave() {
+		this.f.gateway.roster().retainEntries(Set.of("p1"), this.f.timer.now());
+		for (int i = 0; i < 10; i++) {
+			sendPlain(new byte[i]).disconnect().run();
+			this.f.timer.advance(200);
+		}
+		Assertions.assertThat(this.f.workers.checks).hasSizeLessThanOrEqualTo(2);
+	}
+
+	// Guards against a new connection to a worker at which other requests go on: their
+	// connections tell of its end.
+	@Test
+	void doesNotCheckAWorkerWithOtherRequests() {
+		this.f.gateway.roster().retainEntries(Set.of("p1"), this.f.timer.now());
+		sendPlain("innocent".getBytes());
+		sendPlain(CRASHING).disconnect().run();
+		this.f.timer.advance(LATE_CHECK_MS);
+		Assertions.assertThat(this.f.workers.checks).isEmpty();
+	}
+
 	// Guards against a new connection for each of the responses that a worker breaks off.
 	@Test
 	void checksAWorkerOnceForAllThatBreaksOffTogether() {
