--- /dev/null
+++ b/src/test/java/io/shallotspur/gateway/SimulatedFleet.java
@@ -0,0 +1,198 @@
+package io.shallotspur.gateway;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.SplittableRandom;
+import java.util.function.Consumer;
+import java.util.function.Predicate;
+
+/**
+ * The retry budgets of all VMs of a fleet in virtual time. Each VM learns of changes of
+ * the registrations with a delay of its own and retries as often as its budget allows.
+ */
+final class SimulatedFleet {
+
+	static final long WINDOW_MS = 10_000;
+
+	static final double SLACK = 56;
+
+	// How long a registration outlives its VM, and how often it is renewed, ms.
+	private static final long LEASE_MS = 3_000;
+
+	private static final long STEP_MS = 100;
+
+	private static final long MIN_DELAY_MS = 50;
+
+	private static final long MAX_DELAY_MS = 1_500;
+
+	private static final String UPSTREAM = "plain";
+
+	private static final GatewaySettings SETTINGS = new GatewaySettings("vm", "hall", 0.2, SLACK, WINDOW_MS);
+
+	private final SplittableRandom random;
+
+	private final PriorityQueue<Event> events = new PriorityQueue<>(Comparator.comparingLong(Event::at));
+
+	private final Map<String, EntryVm> registered = new HashMap<>();
+
+	private final Deque<Long> retries = new ArrayDeque<>();
+
+	private final List<Vm> vms = new ArrayList<>();
+
+	private long now;
+
+	private int startCount;
+
+	private int maxInWindow;
+
+	// Which VMs receive requests whose attempts fail.
+	private Predicate<Vm> fails = (v) -> true;
+
+	SimulatedFleet(long seed) {
+		this.random = new SplittableRandom(seed);
+	}
+
+	Vm start(int number, int regions) {
+		EntryVm self = new EntryVm(number + "/" + this.startCount++, "10.0.0." + number + ":80",
+				"region-" + number % regions, "hall-" + number % 3, 1, false);
+		Vm vm = new Vm(self);
+		this.vms.add(vm);
+		vm.directory.registerSelf(self);
+		this.registered.values().forEach((v) -> later(delay(), () -> vm.directory.register(v)));
+		register(vm);
+		return vm;
+	}
+
+	void register(Vm vm) {
+		this.registered.put(vm.self.key(), vm.self);
+		tellOthers(vm, (d) -> d.register(vm.self));
+	}
+
+	// The store removes the registration; the VM goes on.
+	void deregister(Vm vm) {
+		this.registered.remove(vm.self.key());
+		tellOthers(vm, (d) -> d.deregister(vm.self.key(), this.now));
+	}
+
+	private void tellOthers(Vm vm, Consumer<EntryVmDirectory> change) {
+		this.vms.stream()
+			.filter((v) -> v != vm)
+			.forEach((v) -> v.laterInOrder(delay(), () -> change.accept(v.directory)));
+	}
+
+	void setOverloaded(Vm vm, boolean overloaded) {
+		vm.self = vm.self.withOverloaded(overloaded);
+		vm.directory.registerSelf(vm.self);
+		register(vm);
+	}
+
+	// The process ends at once; its registration ends with its lease.
+	void kill(Vm vm) {
+		this.vms.remove(vm);
+		later(LEASE_MS, () -> deregister(vm));
+	}
+
+	// The process gives up its registration and ends some seconds later.
+	void stop(Vm vm, long graceMs) {
+		deregister(vm);
+		later(graceMs, () -> this.vms.remove(vm));
+	}
+
+	void failOnly(Predicate<Vm> which) {
+		this.fails = which;
+	}
+
+	List<Vm> vms() {
+		return List.copyOf(this.vms);
+	}
+
+	/**
+	 * Lets time pass, in which each VM retries whenever its budget allows it.
+	 * @param ms the time in milliseconds
+	 */
+	void run(long ms) {
+		for (long end = this.now + ms; this.now < end; this.now += STEP_MS) {
+			while (!this.events.isEmpty() && this.events.peek().at() <= this.now) {
+				this.events.poll().action().run();
+			}
+			for (Vm vm : vms()) {
+				vm.retryWhileAllowed();
+			}
+		}
+	}
+
+	private void recordRetry() {
+		this.retries.add(this.now);
+		while (this.retries.peekFirst() <= this.now - WINDOW_MS) {
+			this.retries.removeFirst();
+		}
+		this.maxInWindow = Math.max(this.maxInWindow, this.retries.size());
+	}
+
+	void startMeasuring() {
+		this.maxInWindow = 0;
+	}
+
+	/**
+	 * Returns the highest number of retries of all VMs in any window since the start or
+	 * {@link #startMeasuring}.
+	 * @return the number of retries
+	 */
+	int maxInWindow() {
+		return this.maxInWindow;
+	}
+
+	private long delay() {
+		return this.random.nextLong(MIN_DELAY_MS, MAX_DELAY_MS);
+	}
+
+	private void later(long ms, Runnable action) {
+		this.events.add(new Event(this.now + ms, action));
+	}
+
+	private record Event(long at, Runnable action) {
+
+	}
+
+	/**
+	 * One start of a VM.
+	 */
+	final class Vm {
+
+		private EntryVm self;
+
+		private final EntryVmDirectory directory = new EntryVmDirectory();
+
+		private final UpstreamRetryBudget budget = new UpstreamRetryBudget(SETTINGS);
+
+		private long lastChangeAt;
+
+		private Vm(EntryVm self) {
+			this.self = self;
+		}
+
+		boolean isStandby() {
+			return this.directory.isStandby(SimulatedFleet.this.now);
+		}
+
+		private void laterInOrder(long ms, Runnable change) {
+			this.lastChangeAt = Math.max(this.lastChangeAt, SimulatedFleet.this.now + ms);
+			SimulatedFleet.this.events.add(new Event(this.lastChangeAt, change));
+		}
+
+		private void retryWhileAllowed() {
+			while (SimulatedFleet.this.fails.test(this)
+					&& this.budget.tryAcquire(UPSTREAM, this.directory, SimulatedFleet.this.now)) {
+				recordRetry();
+			}
+		}
+
+	}
+
+}
