--- a/src/test/java/io/shallotspur/gateway/RetryBudgetFleetTests.java
+++ b/src/test/java/io/shallotspur/gateway/RetryBudgetFleetTests.java
@@ -19,6 +19,8 @@
 
 	private static final long GRACE_MS = 7_600;
 
+	private static final int REQUESTS_PER_STEP = 15;
+
 	private static final double USED_FRACTION = 0.85;
 
 	private static SimulatedFleet fleet(int vms, int regions, long seed) {
@@ -133,6 +135,50 @@
 		assertWithinSlack(f);
 	}
 
+	private static SimulatedFleet fleetWithTraffic(long seed) {
+		SimulatedFleet f = fleet(8, 1, seed);
+		f.setRequestsPerStep(REQUESTS_PER_STEP);
+		f.failOnly((v) -> false);
+		f.run(SETTLED_MS);
+		f.failOnly((v) -> true);
+		return f;
+	}
+
+	// Guards against a VM that spends the ratio of the requests it had before the window,
+	// and others that take over its callers and spend that of theirs.
+	@ParameterizedTest
+	@ValueSource(longs = { 1, 2, 3, 4, 5 })
+	void vmsWithTrafficThatAreStoppedTwoAtATimeUnderErrors(long seed) {
+		SimulatedFleet f = fleetWithTraffic(seed);
+		List<SimulatedFleet.Vm> all = f.vms();
+		f.run(4_000);
+		for (int i = 0; i < 8; i += 2) {
+			f.stop(all.get(i), GRACE_MS);
+			f.stop(all.get(i + 1), GRACE_MS);
+			f.run(600);
+		}
+		for (int i = 0; i < 8; i++) {
+			f.start(i, 1);
+			f.run(600);
+		}
+		f.run(SETTLED_MS);
+		Assertions.assertThat(f.maxExcess()).isLessThanOrEqualTo(0);
+	}
+
+	// Guards against all VMs spending what they had in reserve, and the processes that
+	// follow them spending their own.
+	@ParameterizedTest
+	@ValueSource(longs = { 1, 2, 3, 4, 5 })
+	void vmsWithTrafficThatAreAllKilledUnderErrors(long seed) {
+		SimulatedFleet f = fleetWithTraffic(seed);
+		f.run(2_000);
+		f.vms().forEach(f::kill);
+		f.run(1_000);
+		IntStream.range(0, 8).forEach((i) -> f.start(i, 1));
+		f.run(SETTLED_MS);
+		Assertions.assertThat(f.maxExcess()).isLessThanOrEqualTo(0);
+	}
+
 	// Guards against VMs that are added and take parts before the others have reduced
 	// theirs.
 	@ParameterizedTest
--- a/src/test/java/io/shallotspur/gateway/SimulatedFleet.java
+++ b/src/test/java/io/shallotspur/gateway/SimulatedFleet.java
@@ -11,6 +11,7 @@
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
+import java.util.stream.LongStream;
 
 /**
  * The retry budgets of all VMs of a fleet in virtual time. Each VM learns of changes of
@@ -43,6 +44,11 @@
 
 	private final Deque<Long> retries = new ArrayDeque<>();
 
+	// Requests of callers in the last two windows.
+	private final Deque<Long> requests = new ArrayDeque<>();
+
+	private int requestsPerStep;
+
 	private final List<Vm> vms = new ArrayList<>();
 
 	private long now;
@@ -51,6 +57,8 @@
 
 	private int maxInWindow;
 
+	private double maxExcess = Double.NEGATIVE_INFINITY;
+
 	// Which VMs receive requests whose attempts fail.
 	private Predicate<Vm> fails = (v) -> true;
 
@@ -114,6 +122,11 @@
 		this.fails = which;
 	}
 
+	// Requests that callers send each 100 ms to the VMs that they are directed to.
+	void setRequestsPerStep(int n) {
+		this.requestsPerStep = n;
+	}
+
 	List<Vm> vms() {
 		return List.copyOf(this.vms);
 	}
@@ -127,10 +140,47 @@
 			while (!this.events.isEmpty() && this.events.peek().at() <= this.now) {
 				this.events.poll().action().run();
 			}
+			sendRequests();
 			for (Vm vm : vms()) {
 				vm.retryWhileAllowed();
 			}
+			updateExcess();
+		}
+	}
+
+	private void sendRequests() {
+		for (int i = 0; i < this.requestsPerStep; i++) {
+			this.requests.add(this.now);
+			List<Vm> serving = this.vms.stream().filter((v) -> !v.isStandby()).toList();
+			if (!serving.isEmpty()) {
+				serving.get(this.random.nextInt(serving.size())).budget.recordFirstAttempt(UPSTREAM, this.now);
+			}
 		}
+		while (!this.requests.isEmpty() && this.requests.peekFirst() <= this.now - 2 * WINDOW_MS) {
+			this.requests.removeFirst();
+		}
+	}
+
+	// The operator's rule: the requests of the window, of the one before it or of the one
+	// half a window before it, whichever has most.
+	private void updateExcess() {
+		long most = LongStream.of(0, WINDOW_MS / 2, WINDOW_MS)
+			.map((ms) -> requestsInWindow(this.now - ms))
+			.max()
+			.getAsLong();
+		this.maxExcess = Math.max(this.maxExcess, this.retries.size() - SETTINGS.retryRatio() * most - SLACK);
+	}
+
+	private long requestsInWindow(long end) {
+		return this.requests.stream().filter((at) -> at > end - WINDOW_MS && at <= end).count();
+	}
+
+	/**
+	 * Returns by how many retries a window exceeded the rule at most.
+	 * @return the number of retries, negative if none exceeded it
+	 */
+	double maxExcess() {
+		return this.maxExcess;
 	}
 
 	private void recordRetry() {
