Retries of any period are bounded by the requests of that period, not by those of the window before

Cause: a VM spent the ratio of the last ten seconds of requests as the failure began, stopped, and the VMs that took over its callers spent the ratio of theirs. Each kept to its own window, and the sum did not.

Change: RetryAccount bounds the retries of every period up to the window by the ratio of the requests of that period and the slack.

--- a/src/main/java/io/shallotspur/gateway/UpstreamRetryBudget.java
+++ b/src/main/java/io/shallotspur/gateway/UpstreamRetryBudget.java
@@ -1,32 +1,35 @@
 package io.shallotspur.gateway;
 
-import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.Map;
 
 /**
- * Bounds the retries of this VM to each upstream in a sliding window, so that all VMs
- * together stay within the operator's retry budget. Not thread-safe.
+ * Bounds the retries of this VM to each upstream, so that all VMs together stay within
+ * the operator's retry budget in any window. Not thread-safe.
  * <p>
  * When a worker fails, all VMs retry their requests to it at the same moment; without a
  * common bound these retries overload the remaining workers. A VM cannot ask the others
  * at that moment, so each one uses its own part: the ratio of its own requests, and its
  * {@link SettledShare} of the slack.
  * <p>
- * Invariant: in any window at most {@code ratio * requests + slack share} retries.
+ * Invariant: in any period up to the length of the window, at most
+ * {@code ratio * requests + slack share + 1} retries, with the requests of that period. A
+ * bound for periods of the whole length would not do: a VM could spend the ratio of
+ * requests from before the window and then hand over its callers to others, which spend
+ * that of theirs.
  */
 final class UpstreamRetryBudget {
 
 	private final GatewaySettings settings;
 
-	private final Map<String, Window> byUpstream = new HashMap<>();
+	private final Map<String, RetryAccount> byUpstream = new HashMap<>();
 
 	UpstreamRetryBudget(GatewaySettings settings) {
 		this.settings = settings;
 	}
 
 	void recordFirstAttempt(String upstream, long now) {
-		window(upstream, now).firstAttempts.add(now);
+		account(upstream).recordFirstAttempt(now);
 	}
 
 	/**
@@ -37,14 +40,7 @@
 	 * @return whether the request may be sent again
 	 */
 	boolean tryAcquire(String upstream, double slackShare, long now) {
-		Window window = window(upstream, now);
-		double maxRetries = this.settings.retryRatio() * window.firstAttempts.size()
-				+ slackShare * this.settings.retrySlack();
-		if (window.retries.size() + 1 > maxRetries) {
-			return false;
-		}
-		window.retries.add(now);
-		return true;
+		return account(upstream).tryRetry(slackShare * this.settings.retrySlack(), now);
 	}
 
 	/**
@@ -52,34 +48,20 @@
 	 * @param upstream the upstream
 	 * @param slackShare the share of the slack that this VM may spend, from 0 to 1
 	 * @param now the present time in milliseconds
-	 * @return retries and first attempts in the window, and this VM's part of the slack
+	 * @return the retries that the ratio has not covered in the window, and this VM's
+	 * part of the slack
 	 */
 	String state(String upstream, double slackShare, long now) {
-		Window w = window(upstream, now);
-		double slack = Math.round(10 * slackShare * this.settings.retrySlack()) / 10.0;
-		return w.retries.size() + "/" + w.firstAttempts.size() + "+" + slack;
+		return tenths(account(upstream).uncovered(now)) + "/" + tenths(slackShare * this.settings.retrySlack());
 	}
 
-	private Window window(String upstream, long now) {
-		Window window = this.byUpstream.computeIfAbsent(upstream, (u) -> new Window());
-		long cutoff = now - this.settings.retryWindowMs();
-		removeBefore(window.firstAttempts, cutoff);
-		removeBefore(window.retries, cutoff);
-		return window;
+	private static double tenths(double value) {
+		return Math.round(10 * value) / 10.0;
 	}
 
-	private static void removeBefore(ArrayDeque<Long> times, long cutoff) {
-		while (!times.isEmpty() && times.peekFirst() < cutoff) {
-			times.removeFirst();
-		}
-	}
-
-	private static final class Window {
-
-		private final ArrayDeque<Long> firstAttempts = new ArrayDeque<>();
-
-		private final ArrayDeque<Long> retries = new ArrayDeque<>();
-
+	private RetryAccount account(String upstream) {
+		return this.byUpstream.computeIfAbsent(upstream,
+				(u) -> new RetryAccount(this.settings.retryRatio(), this.settings.retryWindowMs()));
 	}
 
 }
