A request whose caller has left counts among those that ran at a worker as it crashed

What callers saw: a request that crashes each worker that begins to run it went on doing so for as long as its callers left within a tenth of a second; each time, what ran beside it broke off, and a worker was missing for three seconds.

Cause: a crash counted for requests that broke off at the worker. A request whose caller has left was forgotten as its connection was closed, 36 to 100 ms before the worker ended, and a worker without another request of this VM was not looked at again.

Change: UnsettledRuns keeps runs that broke off or were cancelled until the worker has responded to something half a second later, the request has completed elsewhere or six seconds have passed; a worker is checked 300 ms after a cancellation, at most once a second, unless other requests of the VM are there, whose connections would tell. Cancelled prefills count likewise.

countsARequestWhoseCallerHasLeft and the one among others failed before.

--- a/src/main/java/io/shallotspur/gateway/PrefillStep.java
+++ b/src/main/java/io/shallotspur/gateway/PrefillStep.java
@@ -77,6 +77,7 @@
 
 	@Override
 	public void onReady(String handle) {
+		this.worker.recordSignOfLife(this.gateway.clock.getAsLong());
 		KvSource source = new KvSource(this.worker.info(), handle);
 		if (this.finished) {
 			this.gateway.releaseKvCache(source);
@@ -90,9 +91,12 @@
 
 	@Override
 	public void onRefused(String reason, boolean instanceReplaced) {
+		long now = this.gateway.clock.getAsLong();
 		if (instanceReplaced) {
-			this.gateway.roster.instanceReplaced(this.worker.info().id(), WorkerStage.PREFILL,
-					this.gateway.clock.getAsLong());
+			this.gateway.roster.instanceReplaced(this.worker.info().id(), WorkerStage.PREFILL, now);
+		}
+		else {
+			this.worker.recordSignOfLife(now);
 		}
 		if (!this.finished) {
 			finish();
@@ -103,7 +107,7 @@
 	@Override
 	public void onFailure(ExchangeFailure failure) {
 		if (!this.finished) {
-			cancel();
+			stop();
 			// After a timeout or a failed connection, the next prompts are sent elsewhere
 			// for a while.
 			long now = this.gateway.clock.getAsLong();
@@ -116,9 +120,14 @@
 	}
 
 	void cancel() {
-		if (this.finished) {
-			return;
+		if (!this.finished) {
+			stop();
+			this.gateway.crashDetector.onCancelled(this.worker, this.fingerprint, false,
+					this.gateway.clock.getAsLong());
 		}
+	}
+
+	private void stop() {
 		finish();
 		if (this.exchange != null) {
 			this.exchange.cancel();
--- a/src/main/java/io/shallotspur/gateway/RelayTask.java
+++ b/src/main/java/io/shallotspur/gateway/RelayTask.java
@@ -152,8 +152,12 @@
 		}
 		WorkerState w = this.attempt.worker();
 		this.gateway.updateWorkerStatus(w, head.workerStatus(), this.attemptStartedAt);
+		long now = this.gateway.clock.getAsLong();
 		if (head.instanceReplaced()) {
-			this.gateway.roster.instanceReplaced(w.info().id(), this.placing.stage(), this.gateway.clock.getAsLong());
+			this.gateway.roster.instanceReplaced(w.info().id(), this.placing.stage(), now);
+		}
+		else {
+			w.recordSignOfLife(now);
 		}
 	}
 
@@ -167,6 +171,9 @@
 	@Override
 	public void onEvent(byte[] event) {
 		long now = this.gateway.clock.getAsLong();
+		if (this.attempt != null) {
+			this.attempt.worker().recordSignOfLife(now);
+		}
 		this.progress.recordEvent(event, this.attemptStartedAt, this.gateway.engineTimes(this.upstream), now);
 		if (this.attemptProgress.recordEvent(now)) {
 			this.gateway.quarantine.recordProgress(this.fingerprint, now);
@@ -213,6 +220,7 @@
 				.recordResponse(now - this.progress.firstByteAt(), p, receivedTokens());
 		}
 		this.gateway.quarantine.recordCompletion(this.fingerprint, now);
+		this.gateway.crashDetector.onCompleted(this.fingerprint);
 		log(now, "answered status=" + head.status() + timingFields());
 		endAttempt();
 		finish();
@@ -392,7 +400,10 @@
 	private void cancelAttempt() {
 		this.placing.cancel();
 		if (this.attempt != null) {
+			long now = this.gateway.clock.getAsLong();
 			this.attempt.cancel();
+			this.gateway.crashDetector.onCancelled(this.attempt.worker(), this.fingerprint,
+					this.attemptProgress.hasProgressed(now), now);
 			endAttempt();
 		}
 	}
--- a/src/main/java/io/shallotspur/gateway/RequestQuarantine.java
+++ b/src/main/java/io/shallotspur/gateway/RequestQuarantine.java
@@ -66,10 +66,10 @@
 	 * @param worker the worker
 	 * @param running the fingerprints of the requests of this VM that were running on it
 	 * @param progressed those of them that had made progress there
-	 * @param now the present time in milliseconds
+	 * @param at the time of the crash, in milliseconds
 	 */
-	void recordCrash(WorkerInfo worker, Collection<Long> running, Set<Long> progressed, long now) {
-		Set<Long> causes = this.suspects.recordCrash(worker.instanceName(), running, progressed, now);
+	void recordCrash(WorkerInfo worker, Collection<Long> running, Set<Long> progressed, long at) {
+		Set<Long> causes = this.suspects.recordCrash(worker.instanceName(), running, progressed, at);
 		this.metrics.workerCrashed();
 		Logger.info("[quarantine] worker crashed worker={} running={} progressed={}", worker.id(), hex(running),
 				hex(progressed));
--- a/src/main/java/io/shallotspur/gateway/ReservationQueue.java
+++ b/src/main/java/io/shallotspur/gateway/ReservationQueue.java
@@ -231,11 +231,13 @@
 
 					@Override
 					public void onReserved(String reservation) {
+						worker.recordSignOfLife(ReservationQueue.this.gateway.clock.getAsLong());
 						onResponse(ticket, worker, tokens, reservation, null);
 					}
 
 					@Override
 					public void onNoCapacity() {
+						worker.recordSignOfLife(ReservationQueue.this.gateway.clock.getAsLong());
 						onResponse(ticket, worker, tokens, null, null);
 					}
 
--- a/src/main/java/io/shallotspur/gateway/WorkerCrashDetector.java
+++ b/src/main/java/io/shallotspur/gateway/WorkerCrashDetector.java
@@ -1,21 +1,25 @@
 package io.shallotspur.gateway;
 
-import java.util.HashSet;
 import java.util.LinkedHashSet;
-import java.util.Map;
+import java.util.List;
 import java.util.Set;
-import java.util.WeakHashMap;
+import java.util.stream.Collectors;
 
 import org.tinylog.Logger;
 
+import io.shallotspur.quarantine.UnsettledRun;
+import io.shallotspur.quarantine.UnsettledRuns;
+
 /**
- * Finds out whether a worker has crashed when requests that were running on it break off.
+ * Finds out whether a worker has crashed after runs there ended without a response.
+ * <p>
  * Connections also break when they are reset, or when a worker spoils a response; then
  * the worker still accepts connections. A worker whose address does not respond at all is
- * not taken to have crashed: it may have lost power or the network. Not thread-safe;
+ * not taken to have crashed: it may have lost power or the network. Runs that were
+ * cancelled count, too: the crash may come after the cancellation. Not thread-safe;
  * confined to the gateway's thread.
  * <p>
- * Invariant: each instance of a worker is reported at most once, and never if its end was
+ * Invariant: each start of a worker is reported at most once, and never if its end was
  * announced.
  */
 final class WorkerCrashDetector {
@@ -24,13 +28,16 @@
 	// notices some of them later than others, ms.
 	private static final long GATHER_MS = 100;
 
+	// A crash follows a cancelled run within about 100 ms, ms.
+	private static final long CANCELLED_CHECK_MS = 300;
+
 	// Bounds the checks of a worker that breaks off responses but has not crashed, ms.
 	private static final long MIN_CHECK_INTERVAL_MS = 1_000;
 
 	private final Gateway gateway;
 
-	// Entries end with the state of their worker.
-	private final Map<WorkerState, Interruption> interruptions = new WeakHashMap<>();
+	// Workers that may have runs without a response.
+	private final Set<WorkerState> watched = new LinkedHashSet<>();
 
 	WorkerCrashDetector(Gateway gateway) {
 		this.gateway = gateway;
@@ -44,59 +51,97 @@
 	 * @param now the present time in milliseconds
 	 */
 	void onInterrupted(WorkerState w, LazyFingerprint fingerprint, boolean progressed, long now) {
-		if (!w.isActive(now)) {
-			return;
-		}
-		Interruption i = this.interruptions.computeIfAbsent(w, (x) -> new Interruption());
-		if (i.crashed) {
-			return;
-		}
-		i.running.add(fingerprint.value());
-		if (progressed) {
-			i.progressed.add(fingerprint.value());
+		if (mayCrash(w, now)) {
+			watch(w, new UnsettledRun(fingerprint.value(), true, progressed, now), now);
+			scheduleCheck(w, now + GATHER_MS, now);
 		}
-		if (!i.checking) {
-			i.checking = true;
-			long delayMs = Math.max(now + GATHER_MS, i.nextCheckAt) - now;
-			this.gateway.timer.schedule(delayMs, () -> check(w, i));
+	}
+
+	/**
+	 * Records that a request was cancelled while it may have been running.
+	 * @param w the worker
+	 * @param fingerprint the request
+	 * @param progressed whether it had made progress there
+	 * @param now the present time in milliseconds
+	 */
+	void onCancelled(WorkerState w, LazyFingerprint fingerprint, boolean progressed, long now) {
+		if (mayCrash(w, now)) {
+			watch(w, new UnsettledRun(fingerprint.value(), false, progressed, now), now);
+			scheduleCheck(w, now + CANCELLED_CHECK_MS, now);
 		}
 	}
 
-	private void check(WorkerState w, Interruption i) {
-		this.gateway.metrics.crashChecked();
-		this.gateway.workerPort.checkListening(w.info(), (seen) -> onChecked(w, i, seen));
+	private static boolean mayCrash(WorkerState w, long now) {
+		return w.isActive(now) && !w.crashEvidence().crashed;
 	}
 
-	private void onChecked(WorkerState w, Interruption i, ListenState seen) {
-		long now = this.gateway.clock.getAsLong();
-		Logger.info("[quarantine] worker checked worker={} seen={} running={}", w.info().id(), seen.code(),
-				i.running.size());
-		i.checking = false;
-		i.nextCheckAt = now + MIN_CHECK_INTERVAL_MS;
-		if (seen == ListenState.REFUSES) {
-			i.crashed = true;
-			w.markUnreachable(now);
-			this.gateway.quarantine.recordCrash(w.info(), i.running, i.progressed, now);
-		}
-		i.running.clear();
-		i.progressed.clear();
+	private void watch(WorkerState w, UnsettledRun run, long now) {
+		this.watched.removeIf((x) -> x.crashEvidence().runs.isEmpty(now));
+		w.crashEvidence().runs.add(run);
+		this.watched.add(w);
 	}
 
 	/**
-	 * The requests that broke off at one instance of a worker and are not attributed yet.
+	 * Records that a request has completed, so that it did not cause a crash before.
+	 * @param fingerprint the request
 	 */
-	private static final class Interruption {
-
-		private final Set<Long> running = new LinkedHashSet<>();
-
-		private final Set<Long> progressed = new HashSet<>();
+	void onCompleted(LazyFingerprint fingerprint) {
+		if (!this.watched.isEmpty()) {
+			this.watched.forEach((w) -> w.crashEvidence().runs.remove(fingerprint.value()));
+		}
+	}
 
-		private long nextCheckAt = Long.MIN_VALUE;
+	private void scheduleCheck(WorkerState w, long at, long now) {
+		CrashEvidence e = w.crashEvidence();
+		long due = Math.max(at, e.nextCheckAt);
+		if (due < e.checkDueAt) {
+			e.cancelCheck.run();
+			e.checkDueAt = due;
+			e.cancelCheck = this.gateway.timer.schedule(due - now, () -> check(w));
+		}
+	}
 
-		private boolean checking;
+	private void check(WorkerState w) {
+		CrashEvidence e = w.crashEvidence();
+		long now = this.gateway.clock.getAsLong();
+		e.checkDueAt = Long.MAX_VALUE;
+		List<UnsettledRun> unchecked = e.runs.endedAfter(e.acceptedAt, now);
+		boolean brokenOff = unchecked.stream().anyMatch(UnsettledRun::brokenOff);
+		// Other requests there would have broken off with a crash.
+		if (!unchecked.isEmpty() && (brokenOff || w.activeRequests() == 0)) {
+			e.nextCheckAt = now + MIN_CHECK_INTERVAL_MS;
+			this.gateway.metrics.crashChecked();
+			this.gateway.workerPort.checkListening(w.info(), (seen) -> onChecked(w, seen));
+		}
+	}
 
-		private boolean crashed;
+	private void onChecked(WorkerState w, ListenState seen) {
+		CrashEvidence e = w.crashEvidence();
+		long now = this.gateway.clock.getAsLong();
+		Logger.info("[quarantine] worker checked worker={} seen={} runs={}", w.info().id(), seen.code(),
+				e.runs.endedAfter(Long.MIN_VALUE, now).size());
+		if (seen == ListenState.REFUSES) {
+			reportCrash(w, e.runs.endedAfter(e.acceptedAt, now), now);
+			w.markUnreachable(now);
+		}
+		else {
+			e.acceptedAt = now;
+		}
+	}
 
+	private void reportCrash(WorkerState w, List<UnsettledRun> runs, long now) {
+		CrashEvidence e = w.crashEvidence();
+		if (!e.crashed && !runs.isEmpty()) {
+			e.crashed = true;
+			Set<Long> progressed = runs.stream()
+				.filter(UnsettledRun::progressed)
+				.map(UnsettledRun::fingerprint)
+				.collect(Collectors.toSet());
+			long at = runs.stream().filter(UnsettledRun::brokenOff).mapToLong(UnsettledRun::endedAt).min().orElse(now);
+			this.gateway.quarantine.recordCrash(w.info(), UnsettledRuns.fingerprints(runs), progressed, at);
+		}
+		e.runs.clear();
+		this.watched.remove(w);
 	}
 
 }
--- a/src/main/java/io/shallotspur/gateway/WorkerState.java
+++ b/src/main/java/io/shallotspur/gateway/WorkerState.java
@@ -62,6 +62,8 @@
 
 	private final WorkerRateLimiter limit = new WorkerRateLimiter();
 
+	private final CrashEvidence crashEvidence = new CrashEvidence();
+
 	private final Set<Runnable> terminationListeners = new LinkedHashSet<>();
 
 	private final Set<Runnable> noticeListeners = new LinkedHashSet<>();
@@ -215,6 +217,15 @@
 		this.loadReportedAt = now;
 	}
 
+	CrashEvidence crashEvidence() {
+		return this.crashEvidence;
+	}
+
+	// The worker has responded to something, so it had not crashed a moment before.
+	void recordSignOfLife(long now) {
+		this.crashEvidence.runs.recordSignOfLife(now);
+	}
+
 	WorkerRateLimiter limit() {
 		return this.limit;
 	}
