A worker that is replaced at once or falls silent has crashed, too

What callers saw on machines where a supervisor starts a worker again at once, or where a firewall drops what nobody listens for: a request that crashes its workers was never refused.

Runs that were cancelled at a silent worker, and workers that lose their entries but listen, do not count: those may be cut links and unannounced departures.

--- a/src/main/java/io/shallotspur/gateway/WorkerCrashDetector.java
+++ b/src/main/java/io/shallotspur/gateway/WorkerCrashDetector.java
@@ -13,16 +13,18 @@
 /**
  * Finds out whether a worker has crashed after runs there ended without a response.
  * <p>
- * Connections also break when they are reset, or when a worker spoils a response; then
- * the worker still accepts connections. A worker whose address does not respond at all is
- * not taken to have crashed: it may have lost power or the network. Runs that were
- * cancelled count, too: the crash may come after the cancellation. Not thread-safe;
- * confined to the gateway's thread.
+ * Connections also break when they are reset, or when a worker spoils a response; a
+ * worker that has ended refuses connections, or another process has taken its place. A
+ * supervisor may start that process at once, so that the address accepts connections
+ * throughout. An address that does not respond may be behind a cut link; only if the
+ * worker loses its entry as well, the runs that broke off count. Runs that were cancelled
+ * count, too: the crash may come after the cancellation. Not thread-safe; confined to the
+ * gateway's thread.
  * <p>
  * Invariant: each start of a worker is reported at most once, and never if its end was
  * announced.
  */
-final class WorkerCrashDetector {
+final class WorkerCrashDetector implements WorkerEndListener {
 
 	// All connections to a crashed worker break within a few ms; a late event loop
 	// notices some of them later than others, ms.
@@ -41,6 +43,7 @@
 
 	WorkerCrashDetector(Gateway gateway) {
 		this.gateway = gateway;
+		gateway.roster.setEndListener(this);
 	}
 
 	/**
@@ -110,16 +113,22 @@
 		// Other requests there would have broken off with a crash.
 		if (!unchecked.isEmpty() && (brokenOff || w.activeRequests() == 0)) {
 			e.nextCheckAt = now + MIN_CHECK_INTERVAL_MS;
-			this.gateway.metrics.crashChecked();
-			this.gateway.workerPort.checkListening(w.info(), (seen) -> onChecked(w, seen));
+			askAddress(w, (seen, at) -> onChecked(w, seen, at));
 		}
 	}
 
-	private void onChecked(WorkerState w, ListenState seen) {
+	private void askAddress(WorkerState w, CheckListener listener) {
+		this.gateway.metrics.crashChecked();
+		this.gateway.workerPort.checkListening(w.info(), (seen) -> {
+			long now = this.gateway.clock.getAsLong();
+			Logger.info("[quarantine] worker checked worker={} seen={} runs={}", w.info().id(), seen.code(),
+					w.crashEvidence().runs.endedAfter(Long.MIN_VALUE, now).size());
+			listener.onChecked(seen, now);
+		});
+	}
+
+	private void onChecked(WorkerState w, ListenState seen, long now) {
 		CrashEvidence e = w.crashEvidence();
-		long now = this.gateway.clock.getAsLong();
-		Logger.info("[quarantine] worker checked worker={} seen={} runs={}", w.info().id(), seen.code(),
-				e.runs.endedAfter(Long.MIN_VALUE, now).size());
 		if (seen == ListenState.REFUSES) {
 			reportCrash(w, e.runs.endedAfter(e.acceptedAt, now), now);
 			w.markUnreachable(now);
@@ -129,6 +138,30 @@
 		}
 	}
 
+	@Override
+	public void onReplaced(WorkerState w) {
+		long now = this.gateway.clock.getAsLong();
+		if (w.isActive(now)) {
+			reportCrash(w, w.crashEvidence().runs.latest(now), now);
+		}
+	}
+
+	@Override
+	public void onEntryRemoved(WorkerState w) {
+		long now = this.gateway.clock.getAsLong();
+		boolean brokenOff = w.crashEvidence().runs.latest(now).stream().anyMatch(UnsettledRun::brokenOff);
+		if (w.isRemoved(now) && !w.info().draining() && !w.hasStatedLeaving() && brokenOff) {
+			askAddress(w, (seen, at) -> onCheckedWithoutEntry(w, seen, at));
+		}
+	}
+
+	// A worker that leaves without an announcement still accepts connections.
+	private void onCheckedWithoutEntry(WorkerState w, ListenState seen, long now) {
+		if (seen != ListenState.ACCEPTS) {
+			reportCrash(w, w.crashEvidence().runs.latest(now).stream().filter(UnsettledRun::brokenOff).toList(), now);
+		}
+	}
+
 	private void reportCrash(WorkerState w, List<UnsettledRun> runs, long now) {
 		CrashEvidence e = w.crashEvidence();
 		if (!e.crashed && !runs.isEmpty()) {
@@ -144,4 +177,13 @@
 		this.watched.remove(w);
 	}
 
+	/**
+	 * Receives the result of a check.
+	 */
+	private interface CheckListener {
+
+		void onChecked(ListenState seen, long now);
+
+	}
+
 }
--- a/src/main/java/io/shallotspur/gateway/WorkerDirectory.java
+++ b/src/main/java/io/shallotspur/gateway/WorkerDirectory.java
@@ -36,12 +36,25 @@
 	// Workers that are no longer used, in the order of their removal.
 	private final Map<String, WorkerState> removed = new LinkedHashMap<>();
 
+	// The latest worker at each address.
+	private final Map<String, String> idByAddress = new HashMap<>();
+
+	private @Nullable WorkerEndListener endListener;
+
 	private final Map<String, OutlierDetector> outlierDetectors = new HashMap<>();
 
 	// Announced stage changes by worker. While it changes, a worker refuses requests, and
 	// a refused prefill is the only attempt that some routes have.
 	private final Map<String, WorkerStage> announcedStages = new HashMap<>();
 
+	/**
+	 * Sets the listener for workers that may have ended.
+	 * @param listener the listener
+	 */
+	void setEndListener(WorkerEndListener listener) {
+		this.endListener = listener;
+	}
+
 	/**
 	 * Applies a worker's entry in the registry. After a restart under the same id, the
 	 * state of the earlier instance is discarded and its requests in progress end as in a
@@ -56,6 +69,10 @@
 			return;
 		}
 		boolean sameInstance = known != null && info.mayBeSameInstance(known.info());
+		if (known == null) {
+			notifyOfPredecessor(info);
+		}
+		this.idByAddress.put(info.address(), info.id());
 		boolean inUse = this.byId.containsKey(info.id());
 		this.removed.remove(info.id());
 		this.byId.put(info.id(), sameInstance ? known : new WorkerState(info, now));
@@ -63,6 +80,7 @@
 			known.update(info, now);
 		}
 		else if (known != null) {
+			notifyOfReplacement(known);
 			known.terminate();
 			outlierDetector(known.info().upstream()).removeWorker(info.id());
 		}
@@ -71,6 +89,21 @@
 		}
 	}
 
+	// A process that starts at the address of another one shows that the other has ended,
+	// before its entry expires.
+	private void notifyOfPredecessor(WorkerInfo info) {
+		WorkerState predecessor = this.byId.get(this.idByAddress.getOrDefault(info.address(), ""));
+		if (predecessor != null && !predecessor.info().isRestartOf(info)) {
+			notifyOfReplacement(predecessor);
+		}
+	}
+
+	private void notifyOfReplacement(WorkerState s) {
+		if (this.endListener != null) {
+			this.endListener.onReplaced(s);
+		}
+	}
+
 	private @Nullable WorkerState state(String id) {
 		WorkerState s = this.byId.get(id);
 		return (s != null) ? s : this.removed.get(id);
@@ -108,6 +141,9 @@
 		WorkerState s = this.byId.get(id);
 		if (s != null) {
 			s.scheduleRemoval(graceEnd);
+			if (this.endListener != null) {
+				this.endListener.onEntryRemoved(s);
+			}
 		}
 	}
 
@@ -132,6 +168,7 @@
 	void instanceReplaced(String id, WorkerStage expectedStage, long now) {
 		WorkerState s = this.byId.get(id);
 		if (s != null && s.info().stage() == expectedStage) {
+			notifyOfReplacement(s);
 			entryRemoved(id, now);
 		}
 	}
@@ -266,6 +303,7 @@
 				return false;
 			}
 			outlierDetector(s.info().upstream()).removeWorker(s.info().id());
+			this.idByAddress.remove(s.info().address(), s.info().id());
 			rememberRemoved(s, now);
 			return true;
 		});
