Own interface: a request whose caller has left counts among those that were decoding

crashingRequestWhoseCallerLeavesIsQuarantinedAfterTwoCrashes failed before (no refusal after two crashes); callerThatLeftLongBeforeACrashIsNoSuspect passes before and after.

--- a/src/main/java/io/shallotspur/cell/CrashIsolation.java
+++ b/src/main/java/io/shallotspur/cell/CrashIsolation.java
@@ -1,10 +1,14 @@
 package io.shallotspur.cell;
 
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 
 import io.shallotspur.quarantine.CrashSuspects;
+import io.shallotspur.quarantine.UnsettledRun;
+import io.shallotspur.quarantine.UnsettledRuns;
 
 /**
  * Marks the requests of a cell that may be causing worker crashes, so that suspects are
@@ -18,6 +22,9 @@
 
 	private final JobLifecycle lifecycle;
 
+	// Requests that were cancelled while they were decoding, by worker.
+	private final Map<String, UnsettledRuns> cancelledRuns = new HashMap<>();
+
 	CrashIsolation(CellSettings settings, CrashSuspects crashSuspects, JobLifecycle lifecycle) {
 		this.settings = settings;
 		this.crashSuspects = crashSuspects;
@@ -39,8 +46,22 @@
 	}
 
 	/**
-	 * Records the crash of a decode worker. Only the requests that were decoding there
-	 * become suspects.
+	 * Records that a request is being cancelled. If it was decoding, its worker may still
+	 * crash because of it.
+	 * @param j the request, which still has its worker
+	 * @param now the current time in milliseconds
+	 */
+	void recordCancellation(Job j, long now) {
+		if (j.stage == JobStage.DECODING && j.decodeWorker != null) {
+			this.cancelledRuns.values().removeIf((r) -> r.isEmpty(now));
+			this.cancelledRuns.computeIfAbsent(j.decodeWorker.id(), (id) -> new UnsettledRuns())
+				.add(new UnsettledRun(j.request.fingerprint(), false, false, now));
+		}
+	}
+
+	/**
+	 * Records the crash of a decode worker. Only the requests that were decoding there,
+	 * or were cancelled shortly before, become suspects.
 	 * @param workerId the worker
 	 * @param jobsOnWorker the requests that had reserved a slot on it, were being
 	 * transferred to it or were decoding there
@@ -51,6 +72,11 @@
 		jobsOnWorker.stream()
 			.filter((j) -> j.stage == JobStage.DECODING)
 			.forEach((j) -> decoding.add(this.lifecycle.recordCrash(j)));
+		UnsettledRuns cancelled = this.cancelledRuns.remove(workerId);
+		if (cancelled != null) {
+			decoding
+				.addAll(UnsettledRuns.fingerprints(cancelled.endedAfter(now - UnsettledRuns.CRASH_DELAY_MS - 1, now)));
+		}
 		if (!decoding.isEmpty()) {
 			this.crashSuspects.recordCrash(workerId, decoding, now);
 		}
--- a/src/main/java/io/shallotspur/cell/StdCellScheduler.java
+++ b/src/main/java/io/shallotspur/cell/StdCellScheduler.java
@@ -151,6 +151,7 @@
 		else if (event instanceof CellEvent.CallerGone e) {
 			Job j = this.jobs.findById(e.requestId());
 			if (j != null) {
+				this.crashIsolation.recordCancellation(j, now);
 				this.lifecycle.abort(j, now);
 			}
 		}
@@ -290,6 +291,7 @@
 	private void onTimer(Job j, long now) {
 		DecodeWorker d = j.decodeWorker;
 		if (now >= j.request.deadlineAt()) {
+			this.crashIsolation.recordCancellation(j, now);
 			this.lifecycle.refuse(j, RefusalCode.DEADLINE_PASSED, "The deadline of the request has passed.", 0, now);
 		}
 		else if (j.stage == JobStage.QUEUED) {
--- a/src/test/java/io/shallotspur/cell/CellFailureTests.java
+++ b/src/test/java/io/shallotspur/cell/CellFailureTests.java
@@ -4,7 +4,9 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Stream;
 
 import org.junit.jupiter.api.Test;
 
@@ -202,6 +204,50 @@
 		assertNoResourcesHeld(sim);
 	}
 
+	// Guards against a request that crashes one worker after the other, as its caller
+	// leaves shortly before.
+	@Test
+	void crashingRequestWhoseCallerLeavesIsQuarantinedAfterTwoCrashes() {
+		CellSimulation sim = cell(2, 4);
+		for (int i = 0; i < 2; i++) {
+			sim.submit(sim.request("bad", "a", 0, 5400), 60);
+			while (decodingWorker(sim).isEmpty()) {
+				sim.runUntil(sim.now + 10);
+			}
+			String worker = decodingWorker(sim).orElseThrow();
+			sim.deliver(new CellEvent.CallerGone("bad"));
+			sim.runUntil(sim.now + 40);
+			sim.crash(worker);
+			sim.runUntil(sim.now + 1_000);
+		}
+		sim.submit(sim.request("bad", "a", 0, 5400), 60);
+		assertThat(sim.refusals.get("bad").code()).isEqualTo(RefusalCode.QUARANTINED);
+	}
+
+	private static Optional<String> decodingWorker(CellSimulation sim) {
+		return Stream.of("d1", "d2", "d3", "d4").filter((d) -> !sim.attemptsOn(d).isEmpty()).findFirst();
+	}
+
+	// Guards against suspecting a request whose caller left a worker that crashed for
+	// another reason much later.
+	@Test
+	void callerThatLeftLongBeforeACrashIsNoSuspect() {
+		CellSimulation sim = cell(2, 4);
+		for (int i = 0; i < 3; i++) {
+			sim.submit(sim.request("r", "a", 0, 5400), 60);
+			while (decodingWorker(sim).isEmpty()) {
+				sim.runUntil(sim.now + 10);
+			}
+			String worker = decodingWorker(sim).orElseThrow();
+			sim.deliver(new CellEvent.CallerGone("r"));
+			sim.runUntil(sim.now + 600);
+			sim.crash(worker);
+			sim.runUntil(sim.now + 1_000);
+		}
+		sim.submit(sim.request("r", "a", 0, 5400), 60);
+		assertThat(sim.refusals).isEmpty();
+	}
+
 	@Test
 	void suspectsRunOneAtATimePerWorker() {
 		// A worker crashed with several requests on it. If two of them ran on the same
