A crash that is heard of late has the time at which its runs ended

The registry's news of several replacements came in one batch, and the crashes got the time of the batch. Crashes of several workers within 100 ms are taken for one event, such as a rack that loses power, so none of them counted: 9 workers ended under one request, 3 later than the bound.

replacementsThatAreHeardOfTogetherAreCrashesOfTheirOwn failed before. Among runs at a silent address, those that were cancelled count if others broke off there.

--- a/src/main/java/io/shallotspur/gateway/WorkerCrashDetector.java
+++ b/src/main/java/io/shallotspur/gateway/WorkerCrashDetector.java
@@ -16,8 +16,8 @@
  * Connections also break when they are reset, or when a worker spoils a response; a
  * worker that has ended refuses connections, or another process has taken its place. A
  * supervisor may start that process at once, so that the address accepts connections
- * throughout. An address that does not respond may be behind a cut link; only if the
- * worker loses its entry as well, the runs that broke off count. Runs that were cancelled
+ * throughout. An address that does not respond may be behind a cut link; it has crashed
+ * only if runs broke off there and its entry is gone as well. Runs that were cancelled
  * count, too: the crash may come after the cancellation. Not thread-safe; confined to the
  * gateway's thread.
  * <p>
@@ -130,7 +130,7 @@
 	private void onChecked(WorkerState w, ListenState seen, long now) {
 		CrashEvidence e = w.crashEvidence();
 		if (seen == ListenState.REFUSES) {
-			reportCrash(w, e.runs.endedAfter(e.acceptedAt, now), now);
+			reportCrash(w, e.runs.endedAfter(e.acceptedAt, now));
 			w.markUnreachable(now);
 		}
 		else {
@@ -142,7 +142,7 @@
 	public void onReplaced(WorkerState w) {
 		long now = this.gateway.clock.getAsLong();
 		if (w.isActive(now)) {
-			reportCrash(w, w.crashEvidence().runs.latest(now), now);
+			reportCrash(w, w.crashEvidence().runs.latest(now));
 		}
 	}
 
@@ -158,11 +158,11 @@
 	// A worker that leaves without an announcement still accepts connections.
 	private void onCheckedWithoutEntry(WorkerState w, ListenState seen, long now) {
 		if (seen != ListenState.ACCEPTS) {
-			reportCrash(w, w.crashEvidence().runs.latest(now).stream().filter(UnsettledRun::brokenOff).toList(), now);
+			reportCrash(w, w.crashEvidence().runs.latest(now));
 		}
 	}
 
-	private void reportCrash(WorkerState w, List<UnsettledRun> runs, long now) {
+	private void reportCrash(WorkerState w, List<UnsettledRun> runs) {
 		CrashEvidence e = w.crashEvidence();
 		if (!e.crashed && !runs.isEmpty()) {
 			e.crashed = true;
@@ -170,13 +170,20 @@
 				.filter(UnsettledRun::progressed)
 				.map(UnsettledRun::fingerprint)
 				.collect(Collectors.toSet());
-			long at = runs.stream().filter(UnsettledRun::brokenOff).mapToLong(UnsettledRun::endedAt).min().orElse(now);
-			this.gateway.quarantine.recordCrash(w.info(), UnsettledRuns.fingerprints(runs), progressed, at);
+			this.gateway.quarantine.recordCrash(w.info(), UnsettledRuns.fingerprints(runs), progressed,
+					crashTime(runs));
 		}
 		e.runs.clear();
 		this.watched.remove(w);
 	}
 
+	// News of several crashes may come together, so the time of the news would make them
+	// look like one event, such as a rack that loses power.
+	private static long crashTime(List<UnsettledRun> runs) {
+		long lastEndAt = runs.stream().mapToLong(UnsettledRun::endedAt).max().orElseThrow();
+		return runs.stream().filter(UnsettledRun::brokenOff).mapToLong(UnsettledRun::endedAt).min().orElse(lastEndAt);
+	}
+
 	/**
 	 * Receives the result of a check.
 	 */
--- a/src/test/java/io/shallotspur/gateway/RequestQuarantineTests.java
+++ b/src/test/java/io/shallotspur/gateway/RequestQuarantineTests.java
@@ -271,6 +271,28 @@
 		assertRefused();
 	}
 
+	// Guards against taking crashes for one event, such as a rack that loses power, as
+	// the
+	// registry tells of them at once.
+	@Test
+	void replacementsThatAreHeardOfTogetherAreCrashesOfTheirOwn() {
+		for (int i = 0; i < 3; i++) {
+			GatewayFixture.Call crashing = sendPlain(CRASHING);
+			WorkerInfo w = this.f.workers.lastRun().call.worker();
+			GatewayFixture.Call innocent = sendPlain(("innocent " + i).getBytes());
+			WorkerInfo other = this.f.workers.lastRun().call.worker();
+			crashing.disconnect().run();
+			this.f.timer.advance(LATE_CHECK_MS);
+			innocent.disconnect().run();
+			this.f.timer.advance(LATE_CHECK_MS);
+			this.f.replace(w);
+			this.f.replace(other);
+			this.f.gateway.roster().entryRemoved(w.id(), this.f.timer.now());
+			this.f.gateway.roster().entryRemoved(other.id(), this.f.timer.now());
+		}
+		assertRefused();
+	}
+
 	// Guards against waiting for the registry: the new process says itself that it is not
 	// the one that was addressed.
 	@Test
