--- a/src/main/java/io/shallotspur/gateway/WorkerCrashDetector.java
+++ b/src/main/java/io/shallotspur/gateway/WorkerCrashDetector.java
@@ -140,9 +140,8 @@
 
 	@Override
 	public void onReplaced(WorkerState w) {
-		long now = this.gateway.clock.getAsLong();
-		if (w.isActive(now)) {
-			reportCrash(w, w.crashEvidence().runs.latest(now));
+		if (!w.info().draining() && !w.hasStatedLeaving()) {
+			reportCrash(w, w.crashEvidence().runs.latest(this.gateway.clock.getAsLong()));
 		}
 	}
 
--- a/src/main/java/io/shallotspur/gateway/WorkerDirectory.java
+++ b/src/main/java/io/shallotspur/gateway/WorkerDirectory.java
@@ -36,7 +36,7 @@
 	// Workers that are no longer used, in the order of their removal.
 	private final Map<String, WorkerState> removed = new LinkedHashMap<>();
 
-	// The latest worker at each address.
+	// The latest worker at each address, also if it is no longer used.
 	private final Map<String, String> idByAddress = new HashMap<>();
 
 	private @Nullable WorkerEndListener endListener;
@@ -92,7 +92,7 @@
 	// A process that starts at the address of another one shows that the other has ended,
 	// before its entry expires.
 	private void notifyOfPredecessor(WorkerInfo info) {
-		WorkerState predecessor = this.byId.get(this.idByAddress.getOrDefault(info.address(), ""));
+		WorkerState predecessor = state(this.idByAddress.getOrDefault(info.address(), ""));
 		if (predecessor != null && !predecessor.info().isRestartOf(info)) {
 			notifyOfReplacement(predecessor);
 		}
@@ -303,7 +303,6 @@
 				return false;
 			}
 			outlierDetector(s.info().upstream()).removeWorker(s.info().id());
-			this.idByAddress.remove(s.info().address(), s.info().id());
 			rememberRemoved(s, now);
 			return true;
 		});
@@ -312,9 +311,13 @@
 	private void rememberRemoved(WorkerState s, long now) {
 		this.removed.put(s.info().id(), s);
 		Iterator<WorkerState> eldestFirst = this.removed.values().iterator();
-		while (eldestFirst.hasNext()
-				&& (eldestFirst.next().isRemoved(now - REMOVED_RETENTION_MS) || this.removed.size() > MAX_REMOVED)) {
+		while (eldestFirst.hasNext()) {
+			WorkerState eldest = eldestFirst.next();
+			if (!eldest.isRemoved(now - REMOVED_RETENTION_MS) && this.removed.size() <= MAX_REMOVED) {
+				return;
+			}
 			eldestFirst.remove();
+			this.idByAddress.remove(eldest.info().address(), eldest.info().id());
 		}
 	}
 
--- a/src/test/java/io/shallotspur/gateway/RequestQuarantineTests.java
+++ b/src/test/java/io/shallotspur/gateway/RequestQuarantineTests.java
@@ -324,6 +324,22 @@
 		assertRefused();
 	}
 
+	// Guards against a crashing request whose caller leaves and whose workers' addresses
+	// fall silent: that another process starts there shows that they have ended.
+	@Test
+	void countsCallersThatLeftASilentWorkerOnceAnotherProcessIsThere() {
+		for (int i = 0; i < 3; i++) {
+			sendPlain(CRASHING).disconnect().run();
+			WorkerInfo w = this.f.workers.lastRun().call.worker();
+			this.f.workers.silent.add(w.id());
+			this.f.timer.advance(ENTRY_LAPSE_MS);
+			this.f.gateway.roster().entryRemoved(w.id(), this.f.timer.now());
+			this.f.timer.advance(LATE_CHECK_MS);
+			this.f.replace(w);
+		}
+		assertRefused();
+	}
+
 	// Guards against suspecting requests whose connections a network failure has reset:
 	// their worker is alive.
 	@Test
