Soak: workers that restart at once or fall silent, callers that leave, failing workers and a check of the retry budget

Crashing requests now end their workers in three ways, and the callers of half of them leave about when the crash comes. In half of the runs the plain workers fail nine in ten requests while all VMs are stopped and started in series, and RetryWindow counts what reaches workers again in any window. One seed in five leaves VMs and store alone, as the bounds with a deadline are checked only then.

--- a/src/test/java/io/shallotspur/platform/soak/CrashingCaller.java
+++ b/src/test/java/io/shallotspur/platform/soak/CrashingCaller.java
@@ -7,6 +7,8 @@
 import java.net.http.HttpResponse;
 import java.time.Duration;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
@@ -24,6 +26,10 @@
 	// In ms. Some crash their worker at once, others after some events of their stream.
 	private static final int MAX_CRASH_DELAY_MS = 80;
 
+	// In ms. Callers of some of these requests leave about as long after sending them as
+	// the crash takes.
+	private static final int MAX_PATIENCE_MS = 120;
+
 	private static final String KEY = "lasting-0";
 
 	private final List<VmProcess> vms;
@@ -51,6 +57,14 @@
 		return Math.floorMod(body.hashCode(), MAX_CRASH_DELAY_MS);
 	}
 
+	static CrashStyle crashStyle(String body) {
+		return CrashStyle.values()[Math.floorMod(body.hashCode() >> 4, CrashStyle.values().length)];
+	}
+
+	private static boolean callerLeaves(String body) {
+		return Math.floorMod(body.hashCode() >> 8, 2) == 0;
+	}
+
 	void sendRepeatedly(Fault f) throws InterruptedException {
 		InvariantChecker.RequestKind[] kinds = InvariantChecker.RequestKind.values();
 		InvariantChecker.RequestKind kind = kinds[(int) (f.atMs() % kinds.length)];
@@ -76,6 +90,10 @@
 		if (kind.stream) {
 			request.header("X-Token-Count", "900,100").header("X-Length-Hint", "60").header("X-Prompt-Prefix", "a:900");
 		}
+		if (callerLeaves(body)) {
+			sendAndLeave(request.build());
+			return;
+		}
 		try {
 			HttpResponse<String> r = this.client.send(request.build(), HttpResponse.BodyHandlers.ofString());
 			this.checker.onResponse(id, r.statusCode(), r.body());
@@ -85,4 +103,10 @@
 		}
 	}
 
+	private void sendAndLeave(HttpRequest request) throws InterruptedException {
+		CompletableFuture<?> response = this.client.sendAsync(request, HttpResponse.BodyHandlers.discarding());
+		Thread.sleep(MAX_PATIENCE_MS / 2 + ThreadLocalRandom.current().nextInt(MAX_PATIENCE_MS / 2));
+		response.cancel(true);
+	}
+
 }
--- a/src/test/java/io/shallotspur/platform/soak/Fault.java
+++ b/src/test/java/io/shallotspur/platform/soak/Fault.java
@@ -80,7 +80,10 @@
 		/**
 		 * A caller sends a request again and again that crashes each worker that runs it.
 		 */
-		CRASHING_REQUEST;
+		CRASHING_REQUEST,
+
+		/** The plain workers fail most requests. */
+		WORKERS_FAIL;
 
 		// Kinds after these are planned separately, so that adding a kind does not change
 		// the other faults of a seed.
--- a/src/test/java/io/shallotspur/platform/soak/FaultInjector.java
+++ b/src/test/java/io/shallotspur/platform/soak/FaultInjector.java
@@ -116,6 +116,7 @@
 			case WORKER_LIMITED -> limitWorker(f);
 			case WORKER_LEAVES -> this.workers.get(f.target()).leave(f.forMs());
 			case CRASHING_REQUEST -> this.crashingCaller.sendRepeatedly(f);
+			case WORKERS_FAIL -> failPlainWorkers(f);
 			case WORKER_PAUSES -> this.workers.get(f.target()).refuseWithPause(f.forMs());
 		}
 	}
@@ -173,6 +174,12 @@
 		w.setRateLimit(Double.POSITIVE_INFINITY);
 	}
 
+	private void failPlainWorkers(Fault f) throws InterruptedException {
+		this.workers.forEach((w) -> w.setFailing(true));
+		Thread.sleep(f.forMs());
+		this.workers.forEach((w) -> w.setFailing(false));
+	}
+
 	private void makeStoreUnavailable(Fault f) throws InterruptedException {
 		this.store.setUnavailable(true);
 		Thread.sleep(f.forMs());
--- a/src/test/java/io/shallotspur/platform/soak/FaultPlan.java
+++ b/src/test/java/io/shallotspur/platform/soak/FaultPlan.java
@@ -25,6 +25,14 @@
 	// In ms. What reaches workers is checked from three seconds after the third crash.
 	private static final long MIN_CRASHING_DURATION_MS = 6_000;
 
+	// One in so many seeds leaves VMs and store alone: invariants with a deadline are
+	// checked only then.
+	private static final int CALM_SEEDS = 5;
+
+	private static final long FAILURE_DURATION_MS = 8_000;
+
+	private static final long ROLL_GAP_MS = 600;
+
 	private FaultPlan() {
 	}
 
@@ -72,6 +80,21 @@
 		return l;
 	}
 
+	// In half of the runs, plain workers fail most requests while the VMs are stopped and
+	// started one after the other.
+	private static List<Fault> planFailures(long seed, long lengthMs, int vms) {
+		SplittableRandom r = new SplittableRandom(seed * 37);
+		List<Fault> l = new ArrayList<>();
+		if (r.nextBoolean()) {
+			long atMs = r.nextInt((int) lengthMs);
+			l.add(new Fault(Fault.Kind.WORKERS_FAIL, atMs, FAILURE_DURATION_MS, 0));
+			for (int vm = 0; vm < vms; vm++) {
+				l.add(new Fault(Fault.Kind.VM_TERM, atMs + FAILURE_DURATION_MS / 4 + vm * ROLL_GAP_MS, 0, vm));
+			}
+		}
+		return l;
+	}
+
 	/**
 	 * Creates a plan. Faults overlap; some are repeated at the same target.
 	 * @param seed the seed
@@ -101,6 +124,10 @@
 		l.addAll(planRateLimits(seed, lengthMs, workers));
 		l.addAll(planStatements(seed, lengthMs, workers));
 		l.addAll(planCrashingRequests(seed, lengthMs));
+		l.addAll(planFailures(seed, lengthMs, vms));
+		if (Math.floorMod(seed, CALM_SEEDS) == CALM_SEEDS - 1) {
+			l.removeIf((f) -> f.kind().disturbsVms());
+		}
 		l.sort(Comparator.comparingLong(Fault::atMs));
 		return l;
 	}
--- a/src/test/java/io/shallotspur/platform/soak/InvariantChecker.java
+++ b/src/test/java/io/shallotspur/platform/soak/InvariantChecker.java
@@ -46,6 +46,8 @@
 
 	private final WorkerStatements statements = new WorkerStatements();
 
+	private final Map<String, RetryWindow> retryWindows = new ConcurrentHashMap<>();
+
 	private final CrashingRequests crashingRequests = new CrashingRequests();
 
 	private final Map<String, Long> fencingTokens = new ConcurrentHashMap<>();
@@ -65,9 +67,26 @@
 	 */
 	void onRequestSent(String id, RequestKind kind, String key, long nowMs) {
 		this.credentials.put(id, new Credentials(key, nowMs));
+		retryWindow(kind.upstream()).onSent(nowMs);
 		onRequestSent(id, kind);
 	}
 
+	private RetryWindow retryWindow(String upstream) {
+		return this.retryWindows.computeIfAbsent(upstream, (u) -> new RetryWindow());
+	}
+
+	/**
+	 * Called when a request reaches a worker to be run there, also if the worker rejects
+	 * it.
+	 * @param id the request id
+	 * @param upstream the upstream of the worker
+	 * @param nowMs the current time in milliseconds
+	 */
+	void onRunRequested(String id, String upstream, long nowMs) {
+		retryWindow(upstream).onReceived(id, nowMs)
+			.ifPresent((violation) -> addViolation(violation + " upstream=" + upstream + " id=" + id));
+	}
+
 	/**
 	 * Called when a caller chooses a VM for a request.
 	 * @param id the request id
@@ -318,8 +337,9 @@
 
 	String summary() {
 		long runs = this.workersByRequest.values().stream().mapToInt(List::size).sum();
-		return this.crashingRequests.summary() + " sent=" + this.kindByRequest.size() + " runs=" + runs + " refused="
-				+ this.refusalStatuses.size() + " orders=" + this.fencingTokens.size();
+		List<Integer> repeats = this.retryWindows.values().stream().map(RetryWindow::mostRepeats).toList();
+		return this.crashingRequests.summary() + " repeats=" + repeats + " sent=" + this.kindByRequest.size() + " runs="
+				+ runs + " refused=" + this.refusalStatuses.size() + " orders=" + this.fencingTokens.size();
 	}
 
 	private record Credentials(String key, long sentAtMs) {
@@ -346,6 +366,10 @@
 			this.stream = stream;
 		}
 
+		String upstream() {
+			return this.stream ? "llm" : "plain";
+		}
+
 	}
 
 }
--- a/src/test/java/io/shallotspur/platform/soak/LoopbackProxy.java
+++ b/src/test/java/io/shallotspur/platform/soak/LoopbackProxy.java
@@ -2,11 +2,13 @@
 
 import java.io.IOException;
 import java.io.InputStream;
+import java.io.InterruptedIOException;
 import java.io.OutputStream;
 import java.net.BindException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.nio.channels.SocketChannel;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ThreadLocalRandom;
@@ -28,12 +30,22 @@
 
 	private static final int PORT_COUNT = 8_000;
 
+	// Connections that fill the queue of a listener of which none are accepted.
+	private static final int SILENT_QUEUE = 4;
+
+	private static final int QUEUE = 256;
+
+	private static final int BIND_ATTEMPTS = 50;
+
 	private final int port;
 
 	private volatile ServerSocket listener;
 
 	private final Set<Socket> openSockets = ConcurrentHashMap.newKeySet();
 
+	// Connections that fill the queue of a port that is silent.
+	private final Set<SocketChannel> queued = ConcurrentHashMap.newKeySet();
+
 	private volatile int targetPort;
 
 	private volatile Mode mode = Mode.PASS;
@@ -57,7 +69,7 @@
 	}
 
 	private static ServerSocket bind(int port) throws IOException {
-		return new ServerSocket(port, 256, InetAddress.getLoopbackAddress());
+		return new ServerSocket(port, QUEUE, InetAddress.getLoopbackAddress());
 	}
 
 	int port() {
@@ -73,11 +85,61 @@
 		reset();
 	}
 
+	/**
+	 * Resets all connections and does not respond to new ones, as when a firewall drops
+	 * what no process listens for: the queue of new connections is full.
+	 */
+	void fallSilent() {
+		close(this.listener);
+		reset();
+		try {
+			this.listener = bindOnceFree(1);
+			for (int i = 0; i < SILENT_QUEUE; i++) {
+				SocketChannel c = SocketChannel.open();
+				c.configureBlocking(false);
+				c.connect(this.listener.getLocalSocketAddress());
+				this.queued.add(c);
+			}
+		}
+		catch (IOException ex) {
+			// The port then refuses connections, which is checked as well.
+			System.out.println("[soak] port=" + this.port + " does not fall silent: " + ex);
+		}
+	}
+
+	// A listener that was closed while it waited for connections holds the port for a
+	// moment.
+	private ServerSocket bindOnceFree(int queue) throws IOException {
+		BindException inUse = null;
+		for (int i = 0; i < BIND_ATTEMPTS; i++) {
+			try {
+				return new ServerSocket(this.port, queue, InetAddress.getLoopbackAddress());
+			}
+			catch (BindException ex) {
+				inUse = ex;
+				pause();
+			}
+		}
+		throw inUse;
+	}
+
+	private static void pause() throws IOException {
+		try {
+			Thread.sleep(POLL_MS);
+		}
+		catch (InterruptedException ex) {
+			throw new InterruptedIOException("interrupted while the port was in use");
+		}
+	}
+
 	/**
 	 * Accepts connections again.
 	 */
 	void acceptAgain() throws IOException {
-		this.listener = bind(this.port);
+		close(this.listener);
+		this.queued.forEach(LoopbackProxy::close);
+		this.queued.clear();
+		this.listener = bindOnceFree(QUEUE);
 		startDaemon(this::acceptConnections);
 	}
 
--- a/src/test/java/io/shallotspur/platform/soak/SoakWorker.java
+++ b/src/test/java/io/shallotspur/platform/soak/SoakWorker.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
@@ -48,6 +49,13 @@
 	// Until a worker that was crashed by a request is back.
 	private static final Duration DOWN_TIME = Duration.ofMillis(700);
 
+	// The same for a worker whose address does not respond meanwhile: longer than its
+	// entry lasts.
+	private static final Duration SILENT_TIME = Duration.ofMillis(2_500);
+
+	// Nine in ten of the requests at workers that fail.
+	private static final int FAILED_PERCENT = 90;
+
 	// The pause that a refusal asks for.
 	private static final Duration PAUSE = Duration.ofMillis(2_500);
 
@@ -72,6 +80,8 @@
 
 	private volatile Incarnation current;
 
+	private volatile boolean failing;
+
 	// Keys of removed entries, which a restore of the store from a snapshot may bring
 	// back.
 	private final Set<String> removedKeys = ConcurrentHashMap.newKeySet();
@@ -108,6 +118,14 @@
 		this.checker.onRateLimitChanged(incarnation.id, perSecond, InvariantChecker.nowMs());
 	}
 
+	/**
+	 * Makes a plain worker fail most requests, or no longer.
+	 * @param failing whether it fails them
+	 */
+	void setFailing(boolean failing) {
+		this.failing = failing;
+	}
+
 	LoopbackProxy proxy() {
 		return this.proxy;
 	}
@@ -124,17 +142,28 @@
 		Mono.delay(Duration.ofMillis(1_500), Schedulers.boundedElastic()).subscribe((t) -> deregister(old));
 	}
 
-	// The process ends while it runs a request and is back after some time as a new
-	// incarnation.
+	// The process ends while it runs a request and is back as a new incarnation, at once
+	// or after some time.
 	private synchronized void crashRunning(Incarnation old, String body) {
 		if (this.current != old || old.crashed) {
 			return;
 		}
 		old.crashed = true;
-		this.proxy.refuseConnections();
+		CrashStyle style = CrashingCaller.crashStyle(body);
+		switch (style) {
+			case REFUSES -> this.proxy.refuseConnections();
+			case FALLS_SILENT -> this.proxy.fallSilent();
+			case RESTARTS_AT_ONCE -> {
+				this.proxy.reset();
+				restart(old);
+			}
+		}
 		this.checker.onCrashedByRequest(body, InvariantChecker.nowMs());
 		Schedulers.boundedElastic().schedule(old.server::disposeNow);
-		Mono.delay(DOWN_TIME, Schedulers.boundedElastic()).subscribe((t) -> comeBack(old));
+		if (style != CrashStyle.RESTARTS_AT_ONCE) {
+			Duration down = (style == CrashStyle.FALLS_SILENT) ? SILENT_TIME : DOWN_TIME;
+			Mono.delay(down, Schedulers.boundedElastic()).subscribe((t) -> comeBack(old));
+		}
 		Mono.delay(Duration.ofMillis(1_500), Schedulers.boundedElastic()).subscribe((t) -> deregister(old));
 	}
 
@@ -286,6 +315,10 @@
 		private Publisher<Void> respond(HttpServerRequest q, HttpServerResponse s, String body) {
 			HttpHeaders h = q.requestHeaders();
 			s.header("X-Request-Id", h.get("X-Request-Id", ""));
+			if (!q.uri().startsWith("/api/") && !"prefill".equals(h.get("X-Stage"))) {
+				SoakWorker.this.checker.onRunRequested(h.get("X-Request-Id", ""), SoakWorker.this.upstream,
+						InvariantChecker.nowMs());
+			}
 			if (!h.get("X-Expect-Instance", this.id).equals(this.id)) {
 				return s.status(421).send();
 			}
@@ -394,11 +427,17 @@
 			SoakWorker.this.checker.onCredentialsReceived(id, h.get("X-Tenant"), h.get("Authorization"));
 			return Mono.delay(Duration.ofMillis(5 + Math.floorMod(id.hashCode(), 60)))
 				.doFinally((x) -> this.runningRequests.decrementAndGet())
-				.then(Mono.defer(() -> Mono.from(s.header("X-Server-Stamp", "stamp-" + this.id)
+				.then(Mono.defer(() -> Mono.from(s.status(plainStatus())
+					.header("X-Server-Stamp", "stamp-" + this.id)
 					.header("X-Server-Load", this.runningRequests.get() + ",0," + SLOTS)
 					.sendString(Mono.just(plainResponse(id, this.id))))));
 		}
 
+		private int plainStatus() {
+			boolean fails = SoakWorker.this.failing && ThreadLocalRandom.current().nextInt(100) < FAILED_PERCENT;
+			return fails ? 500 : 200;
+		}
+
 		private Publisher<Void> prefill(String id, HttpServerResponse s) {
 			String handle = this.id + "-" + this.sequence.incrementAndGet();
 			SoakWorker.this.caches.put(handle, id);
--- a/src/test/java/io/shallotspur/platform/soak/VmProcess.java
+++ b/src/test/java/io/shallotspur/platform/soak/VmProcess.java
@@ -84,9 +84,9 @@
 				[store]
 				address = "127.0.0.1:%d"
 				[bounds]
-				retry_ratio = 0.2
-				retry_slack = 40
-				retry_window_s = 10
+				retry_ratio = %s
+				retry_slack = %d
+				retry_window_s = %d
 				locate_ttl_max_s = 5
 				grace_s = %d
 				worker_drain_ms = 2000
@@ -97,7 +97,8 @@
 				level = "info"
 				lines_per_s = 1000
 				""".formatted(this.number, this.number % 2, this.ports[0], this.ports[1], this.ports[2], this.ports[3],
-				this.storePort, TERMINATION_GRACE_S, SoakKeys.REVOKED_KEY_GRACE_MS);
+				this.storePort, RetryWindow.RATIO, RetryWindow.SLACK, RetryWindow.WINDOW_MS / 1_000,
+				TERMINATION_GRACE_S, SoakKeys.REVOKED_KEY_GRACE_MS);
 	}
 
 	boolean isAlive() {
