The time that a caller takes to send the body is not handed to the worker

What callers saw: a request whose body came slowly could be worked on, and sent again, after its caller had given up.

A body that took 0.7 s gave the worker 0.7 s more than the caller had.

--- a/src/main/java/io/shallotspur/gateway/Gateway.java
+++ b/src/main/java/io/shallotspur/gateway/Gateway.java
@@ -227,12 +227,14 @@
 	 * Handles a request.
 	 * @param request the request
 	 * @param response the response to the caller
+	 * @param arrivedAt when the head of the request arrived, on the gateway's clock in
+	 * milliseconds
 	 * @return to be run when the caller disconnects
 	 */
-	public Runnable handle(RelayRequest request, CallerResponse response) {
+	public Runnable handle(RelayRequest request, CallerResponse response, long arrivedAt) {
 		this.inProgress++;
-		RequestAdmission admission = new RequestAdmission(this, request, response, this.clock.getAsLong());
-		admission.start();
+		RequestAdmission admission = new RequestAdmission(this, request, response, arrivedAt);
+		admission.start(this.clock.getAsLong());
 		return admission::callerDisconnected;
 	}
 
--- a/src/main/java/io/shallotspur/gateway/RequestAdmission.java
+++ b/src/main/java/io/shallotspur/gateway/RequestAdmission.java
@@ -61,8 +61,8 @@
 		this.arrivedAt = arrivedAt;
 	}
 
-	void start() {
-		route(true, this.arrivedAt);
+	void start(long now) {
+		route(true, now);
 	}
 
 	// The store is queried at most once per request; the configuration known afterwards
--- a/src/main/java/io/shallotspur/platform/CallerIngress.java
+++ b/src/main/java/io/shallotspur/platform/CallerIngress.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.LongSupplier;
 
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
@@ -59,16 +60,19 @@
 
 	private final Gateway gateway;
 
+	private final LongSupplier clock;
+
 	private final Set<Channel> connections = new HashSet<>();
 
 	private final Set<Channel> activeConnections = new HashSet<>();
 
 	private boolean draining;
 
-	CallerIngress(Endpoint listen, VmEventLoop loop, Gateway gateway) {
+	CallerIngress(Endpoint listen, VmEventLoop loop, Gateway gateway, LongSupplier clock) {
 		this.listen = listen;
 		this.loop = loop;
 		this.gateway = gateway;
+		this.clock = clock;
 	}
 
 	Mono<? extends DisposableServer> bind() {
@@ -119,13 +123,15 @@
 		if (length != null && length.matches("\\d{1,18}") && Long.parseLong(length) > limits.maxBodyBytes()) {
 			return refuse(response, res, CONTENT_TOO_LARGE);
 		}
+		// The caller's time runs while it sends the body.
+		long arrivedAt = this.clock.getAsLong();
 		ByteArrayOutputStream body = new ByteArrayOutputStream();
 		return req.receive()
 			.asByteArray()
 			.doOnNext(body::writeBytes)
 			.takeUntil((b) -> body.size() > limits.maxBodyBytes())
 			.then(Mono.defer(() -> (body.size() > limits.maxBodyBytes()) ? refuse(response, res, CONTENT_TOO_LARGE)
-					: relay(req, res, body.toByteArray(), response)));
+					: relay(req, res, body.toByteArray(), response, arrivedAt)));
 	}
 
 	private static int headerBytes(HttpServerRequest req) {
@@ -136,7 +142,8 @@
 		return n;
 	}
 
-	private Mono<Void> relay(HttpServerRequest req, HttpServerResponse res, byte[] body, HttpCallerResponse response) {
+	private Mono<Void> relay(HttpServerRequest req, HttpServerResponse res, byte[] body, HttpCallerResponse response,
+			long arrivedAt) {
 		RelayRequest r;
 		try {
 			r = RequestDecoder.decode(req.method().name(), req.uri(), req.requestHeaders(), body);
@@ -149,18 +156,18 @@
 			this.activeConnections.add(c.channel());
 			// On a busy VM, the caller may have closed its connection before its request
 			// is read. The close is read separately, after the request.
-			this.loop.executeAfterNextRead(() -> dispatch(c.channel(), r, response));
+			this.loop.executeAfterNextRead(() -> dispatch(c.channel(), r, response, arrivedAt));
 		});
 		return response.completion();
 	}
 
-	private void dispatch(Channel c, RelayRequest r, HttpCallerResponse response) {
+	private void dispatch(Channel c, RelayRequest r, HttpCallerResponse response, long arrivedAt) {
 		if (!c.isActive()) {
 			this.activeConnections.remove(c);
 			this.gateway.callerLeftUnread(r);
 			return;
 		}
-		Runnable onDisconnect = this.gateway.handle(r, response);
+		Runnable onDisconnect = this.gateway.handle(r, response, arrivedAt);
 		ChannelFutureListener closeListener = (f) -> onDisconnect.run();
 		c.closeFuture().addListener(closeListener);
 		response.onDone(() -> {
--- a/src/main/java/io/shallotspur/platform/PlatformVm.java
+++ b/src/main/java/io/shallotspur/platform/PlatformVm.java
@@ -119,7 +119,7 @@
 		this.loadSampler = new VmLoadSampler(this.loop, this.clock, this.gateway::inProgress,
 				this.registration::setOverloaded);
 		this.gateway.entryVms().registerSelf(self);
-		this.ingress = new CallerIngress(s.callers(), this.loop, this.gateway);
+		this.ingress = new CallerIngress(s.callers(), this.loop, this.gateway, this.clock);
 	}
 
 	/**
--- a/src/test/java/io/shallotspur/gateway/GatewayFixture.java
+++ b/src/test/java/io/shallotspur/gateway/GatewayFixture.java
@@ -187,7 +187,7 @@
 		RelayRequest r = new RelayRequest("r" + (++this.nextId), "POST", "/" + route + "/x", "shop.example", List.of(),
 				body, waitMs, prompt, lastEventId, keyHash);
 		FakeCaller c = new FakeCaller();
-		return new Call(c, this.gateway.handle(r, c));
+		return new Call(c, this.gateway.handle(r, c, this.timer.now()));
 	}
 
 	record Call(FakeCaller caller, Runnable disconnect) {
--- a/src/test/java/io/shallotspur/registry/RevocationModelTests.java
+++ b/src/test/java/io/shallotspur/registry/RevocationModelTests.java
@@ -219,7 +219,7 @@
 			String id = "q" + this.sentAt.size();
 			this.sentAt.put(id, now());
 			this.gateway.handle(new RelayRequest(id, "GET", "/x", "h", List.of(), new byte[0], 1_500, null, null,
-					BearerKey.hash("key")), new NopResponse());
+					BearerKey.hash("key")), new NopResponse(), this.timer.now());
 		}
 
 		private void revoke() {
