Soak: no two VMs of a run draw the same port

The kept log: vm-2 could not bind 127.0.0.1:19238 for its whole start, as vm-1 had it for its callers; the ports of a VM were free again while those of the next were drawn. Ports that were drawn are remembered now.

--- a/src/test/java/io/shallotspur/platform/soak/SoakRun.java
+++ b/src/test/java/io/shallotspur/platform/soak/SoakRun.java
@@ -6,8 +6,10 @@
 import java.net.ServerSocket;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -57,6 +59,9 @@
 
 	private final List<SoakCaller> callers = new ArrayList<>();
 
+	// Ports of the VMs, which are free while a VM is down.
+	private final Set<Integer> chosenPorts = new HashSet<>();
+
 	private final ExecutorService faultExecutor = Executors.newCachedThreadPool();
 
 	private final FaultInjector injector = new FaultInjector(this.vms, this.workers, this.storeProxies, this.store,
@@ -87,12 +92,16 @@
 
 	// Chooses ports below the ephemeral range. An ephemeral port could be assigned to an
 	// outgoing connection while the VM is down, and the VM could not restart.
-	private static int[] chooseFreePorts() throws IOException {
+	private int[] chooseFreePorts() throws IOException {
 		List<ServerSocket> sockets = new ArrayList<>();
 		while (sockets.size() < PORTS_PER_VM) {
 			int port = FIRST_PORT + ThreadLocalRandom.current().nextInt(PORT_COUNT);
+			if (this.chosenPorts.contains(port)) {
+				continue;
+			}
 			try {
 				sockets.add(new ServerSocket(port, 1, InetAddress.getLoopbackAddress()));
+				this.chosenPorts.add(port);
 			}
 			catch (BindException ex) {
 				// The port is in use; the loop tries another one.
