--- a/src/test/java/io/shallotspur/gateway/RequestQuarantineTests.java
+++ b/src/test/java/io/shallotspur/gateway/RequestQuarantineTests.java
@@ -309,7 +309,7 @@
 	}
 
 	// Guards against a request that crashes workers whose addresses fall silent, as a
-	// firewall drops what nobody listens for.
+	// firewall drops connections to closed ports.
 	@Test
 	void countsWorkersThatFallSilentAndLoseTheirEntries() {
 		for (int i = 0; i < 3; i++) {
--- a/src/test/java/io/shallotspur/gateway/RetryBudgetFleetTests.java
+++ b/src/test/java/io/shallotspur/gateway/RetryBudgetFleetTests.java
@@ -42,7 +42,7 @@
 		assertWithinSlack(f);
 	}
 
-	// Guards against retries that the operator allows and nobody makes.
+	// Guards against a budget that is not used where it is needed.
 	@ParameterizedTest
 	@CsvSource({ "8,1", "8,2", "30,1", "30,3", "95,1", "95,3" })
 	void slackIsUsedWhereTheFailuresAre(int vms, int regions) {
