A renewal that is answered after a VM has given up its registration is ignored

Found on reading the change again.

aRenewalThatIsAnsweredAfterTheEndIsIgnored failed before: heard "renewed" after "deregistered".

--- a/src/main/java/io/shallotspur/registry/VmRegistration.java
+++ b/src/main/java/io/shallotspur/registry/VmRegistration.java
@@ -174,7 +174,7 @@
 	}
 
 	private void onRenewed(boolean exists, long l, long sentAt) {
-		if (l != this.lease) {
+		if (l != this.lease || this.deregistered) {
 			return;
 		}
 		if (exists) {
--- a/src/test/java/io/shallotspur/registry/FakeRegistry.java
+++ b/src/test/java/io/shallotspur/registry/FakeRegistry.java
@@ -70,6 +70,10 @@
 
 	boolean leaseExists = true;
 
+	// Run while a renewal is on its way.
+	Runnable onRenewal = () -> {
+	};
+
 	boolean storeDown;
 
 	@Nullable Long revokedLease;
@@ -115,6 +119,7 @@
 	@Override
 	public Mono<Boolean> renewLease(long lease) {
 		this.renewals++;
+		this.onRenewal.run();
 		return this.storeDown ? unavailableError() : Mono.just(this.leaseExists);
 	}
 
--- a/src/test/java/io/shallotspur/registry/VmRegistrationTests.java
+++ b/src/test/java/io/shallotspur/registry/VmRegistrationTests.java
@@ -87,6 +87,17 @@
 			.containsExactly("registered 3000", "renewed 3000", "registered 3000", "deregistered");
 	}
 
+	// Guards against a VM that has given up its registration and takes the late answer to
+	// a renewal for a sign that it still has it.
+	@Test
+	void aRenewalThatIsAnsweredAfterTheEndIsIgnored() {
+		List<String> heard = listen();
+		this.registration.start();
+		this.registry.onRenewal = () -> this.registration.deregister().block();
+		this.timer.advance(1_000);
+		Assertions.assertThat(heard).containsExactly("registered 3000", "deregistered");
+	}
+
 	// A second start must not double the renewals, because calls are billed.
 	@Test
 	void aSecondStartDoesNotDoubleTheRenewals() {
