--- a/src/main/java/io/shallotspur/gateway/Gateway.java
+++ b/src/main/java/io/shallotspur/gateway/Gateway.java
@@ -424,6 +424,26 @@
 		}
 	}
 
+	/**
+	 * Records that a worker could not be reached. The log line tells how many workers of
+	 * its upstream this VM does not reach: a VM that has lost its network path reaches
+	 * none, while other VMs reach them all.
+	 * @param w the worker
+	 * @param seen what was seen
+	 * @param now the present time in milliseconds
+	 */
+	void workerNotReached(WorkerState w, String seen, long now) {
+		boolean news = w.isReachable(now);
+		w.markUnreachable(now);
+		if (news) {
+			this.metrics.workerNotReached();
+			String upstream = w.info().upstream();
+			Logger.info("[path] worker not reached worker={} upstream={} unreachable={}/{} seen=\"{}\"", w.info().id(),
+					upstream, this.roster.unreachableCount(upstream, now), this.roster.activeCount(upstream, now),
+					seen);
+		}
+	}
+
 	void onCapacityFreed(String upstream, String worker) {
 		ReservationQueue queue = this.reservationQueues.get(upstream);
 		if (queue != null) {
--- a/src/main/java/io/shallotspur/gateway/PrefillStep.java
+++ b/src/main/java/io/shallotspur/gateway/PrefillStep.java
@@ -111,7 +111,7 @@
 			// After a timeout or a failed connection, the next prompts are sent elsewhere
 			// for a while.
 			long now = this.gateway.clock.getAsLong();
-			this.worker.markUnreachable(now);
+			this.gateway.workerNotReached(this.worker, failure.reason(), now);
 			if (failure.sent()) {
 				this.gateway.crashDetector.onInterrupted(this.worker, this.fingerprint, false, now);
 			}
--- a/src/main/java/io/shallotspur/gateway/RelayMetrics.java
+++ b/src/main/java/io/shallotspur/gateway/RelayMetrics.java
@@ -92,6 +92,10 @@
 		this.registry.counter("relay.sent-during-pause").inc();
 	}
 
+	void workerNotReached() {
+		this.registry.counter("path.worker-not-reached").inc();
+	}
+
 	void crashChecked() {
 		this.registry.counter("relay.crash-checked").inc();
 	}
--- a/src/main/java/io/shallotspur/gateway/RelayTask.java
+++ b/src/main/java/io/shallotspur/gateway/RelayTask.java
@@ -237,7 +237,7 @@
 		long now = this.gateway.clock.getAsLong();
 		this.history = this.history.with(end);
 		this.gateway.metrics.attemptEnded(end);
-		recordFailure(end, now);
+		recordFailure(end, reason, now);
 		NextStep next = this.history.nextStep(end, mayRetry(end, now));
 		log(now, "attempt=" + end + " seen=\"" + reason + "\" next=" + next + budgetField(end, now)
 				+ ((end == AttemptOutcome.UNKNOWN) ? fingerprintField() : ""));
@@ -266,7 +266,7 @@
 				+ " vms=" + this.gateway.entryVms.count(now) + "/" + this.gateway.entryVms.servingCountAllRegions(now);
 	}
 
-	private void recordFailure(AttemptOutcome end, long now) {
+	private void recordFailure(AttemptOutcome end, String seen, long now) {
 		if (this.attempt == null) {
 			return;
 		}
@@ -283,7 +283,7 @@
 			this.gateway.roster.outlierDetector(this.upstream).recordFailure(w.info().id(), now);
 		}
 		if (end == AttemptOutcome.NOT_SENT) {
-			w.markUnreachable(now);
+			this.gateway.workerNotReached(w, seen, now);
 		}
 	}
 
--- a/src/main/java/io/shallotspur/gateway/ReservationQueue.java
+++ b/src/main/java/io/shallotspur/gateway/ReservationQueue.java
@@ -293,7 +293,7 @@
 		if (failure != null) {
 			this.gateway.roster.outlierDetector(this.upstream).recordFailure(worker.info().id(), now);
 			worker.recordOutcome(true);
-			worker.markUnreachable(now);
+			this.gateway.workerNotReached(worker, failure.reason(), now);
 		}
 	}
 
--- a/src/main/java/io/shallotspur/gateway/WorkerDirectory.java
+++ b/src/main/java/io/shallotspur/gateway/WorkerDirectory.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Stream;
 
 import org.jspecify.annotations.Nullable;
 
@@ -207,13 +208,37 @@
 	 */
 	public List<WorkerInfo> activeWorkers(String upstream, long now) {
 		removeExpired(now);
-		return this.byId.values()
-			.stream()
-			.filter((s) -> s.info().upstream().equals(upstream) && s.isActive(now) && s.isReachable(now))
+		return active(upstream, now).filter((s) -> s.isReachable(now))
 			.map((s) -> s.info().withStage(this.announcedStages.getOrDefault(s.info().id(), s.info().stage())))
 			.toList();
 	}
 
+	/**
+	 * Returns the number of workers of an upstream that accept requests, whether or not
+	 * they can be reached.
+	 * @param upstream the upstream
+	 * @param now the present time in milliseconds
+	 * @return the number of workers
+	 */
+	long activeCount(String upstream, long now) {
+		return active(upstream, now).count();
+	}
+
+	/**
+	 * Returns the number of workers of an upstream that accept requests but cannot be
+	 * reached from this VM.
+	 * @param upstream the upstream
+	 * @param now the present time in milliseconds
+	 * @return the number of workers
+	 */
+	long unreachableCount(String upstream, long now) {
+		return active(upstream, now).filter((s) -> !s.isReachable(now)).count();
+	}
+
+	private Stream<WorkerState> active(String upstream, long now) {
+		return this.byId.values().stream().filter((s) -> s.info().upstream().equals(upstream) && s.isActive(now));
+	}
+
 	/**
 	 * Returns all known workers, including those that are draining.
 	 * @return a copy of their ids
