--- a/src/test/java/io/shallotspur/platform/FakeStore.java
+++ b/src/test/java/io/shallotspur/platform/FakeStore.java
@@ -134,11 +134,22 @@
 		return this.items.keySet().stream().anyMatch((k) -> k.startsWith(prefix));
 	}
 
+	/** Copies the entries with a prefix to another store, without their leases. */
+	void copyEntries(String prefix, FakeStore target) {
+		entries(prefix).forEach((key, item) -> target.put(key, item.path("value").asText(), 0));
+	}
+
+	private synchronized Map<String, ObjectNode> entries(String prefix) {
+		Map<String, ObjectNode> found = new TreeMap<>(this.items);
+		found.keySet().removeIf((k) -> !k.startsWith(prefix));
+		return found;
+	}
+
 	public synchronized void put(String key, String json) {
 		put(key, Base64.getEncoder().encodeToString(json.getBytes(StandardCharsets.UTF_8)), 0);
 	}
 
-	private void put(String key, String value, long ofLease) {
+	private synchronized void put(String key, String value, long ofLease) {
 		ObjectNode n = JSON.createObjectNode()
 			.put("key", key)
 			.put("value", value)
--- a/src/test/java/io/shallotspur/platform/FakeWorker.java
+++ b/src/test/java/io/shallotspur/platform/FakeWorker.java
@@ -90,10 +90,19 @@
 	}
 
 	String entry(String upstream, String state) {
+		return entry(upstream, state, this.server.port());
+	}
+
+	// The entry as seen by a VM that reaches the worker at another port.
+	String entry(String upstream, String state, int port) {
 		return """
 				{"service":"%s","address":"127.0.0.1:%d","zone":"hall-a","version":"v1","slots":6,"state":"%s",
-				"cold_remaining_ms":0,%s"models":[],"sequence_number":1}""".formatted(upstream, this.server.port(),
-				state, this.stage.isEmpty() ? "" : "\"stage\":\"" + this.stage + "\",");
+				"cold_remaining_ms":0,%s"models":[],"sequence_number":1}""".formatted(upstream, port, state,
+				this.stage.isEmpty() ? "" : "\"stage\":\"" + this.stage + "\",");
+	}
+
+	int port() {
+		return this.server.port();
 	}
 
 	WorkerInfo info(WorkerStage stage) {
--- a/src/test/java/io/shallotspur/platform/soak/LoopbackProxy.java
+++ b/src/test/java/io/shallotspur/platform/soak/LoopbackProxy.java
@@ -16,7 +16,7 @@
 /**
  * Forwards connections to a local port and simulates network faults. Thread-safe.
  */
-final class LoopbackProxy {
+public final class LoopbackProxy {
 
 	private static final int BUFFER_SIZE = 16 << 10;
 
@@ -50,7 +50,7 @@
 
 	private volatile Mode mode = Mode.PASS;
 
-	LoopbackProxy(int targetPort) throws IOException {
+	public LoopbackProxy(int targetPort) throws IOException {
 		this.targetPort = targetPort;
 		this.listener = bindFreePort();
 		this.port = this.listener.getLocalPort();
@@ -72,7 +72,7 @@
 		return new ServerSocket(port, QUEUE, InetAddress.getLoopbackAddress());
 	}
 
-	int port() {
+	public int port() {
 		return this.port;
 	}
 
@@ -80,7 +80,7 @@
 	 * Resets all connections and refuses new ones, as when the target's process has
 	 * ended.
 	 */
-	void refuseConnections() {
+	public void refuseConnections() {
 		close(this.listener);
 		reset();
 	}
@@ -89,9 +89,30 @@
 	 * Resets all connections and does not respond to new ones, as when a firewall drops
 	 * what no process listens for: the queue of new connections is full.
 	 */
-	void fallSilent() {
-		close(this.listener);
+	public void fallSilent() {
 		reset();
+		dropNewConnections();
+	}
+
+	/**
+	 * Does not respond to new connections and holds back what is sent on open ones, as
+	 * behind a cut link.
+	 */
+	public void cut() {
+		this.mode = Mode.SILENT;
+		dropNewConnections();
+	}
+
+	/**
+	 * Ends a cut.
+	 */
+	public void heal() throws IOException {
+		this.mode = Mode.PASS;
+		acceptAgain();
+	}
+
+	private void dropNewConnections() {
+		close(this.listener);
 		try {
 			this.listener = bindOnceFree(1);
 			for (int i = 0; i < SILENT_QUEUE; i++) {
@@ -135,7 +156,7 @@
 	/**
 	 * Accepts connections again.
 	 */
-	void acceptAgain() throws IOException {
+	public void acceptAgain() throws IOException {
 		close(this.listener);
 		this.queued.forEach(LoopbackProxy::close);
 		this.queued.clear();
@@ -147,7 +168,7 @@
 		this.targetPort = port;
 	}
 
-	void mode(Mode next) {
+	public void mode(Mode next) {
 		this.mode = next;
 	}
 
@@ -158,7 +179,7 @@
 		this.openSockets.forEach(LoopbackProxy::reset);
 	}
 
-	void stop() {
+	public void stop() {
 		reset();
 		close(this.listener);
 	}
@@ -255,7 +276,7 @@
 	 * What happens to forwarded data: delivered, delayed, delivered to the target only,
 	 * or held back in both directions.
 	 */
-	enum Mode {
+	public enum Mode {
 
 		PASS, DELAY, ONE_WAY, SILENT
 
