--- a/src/main/java/io/shallotspur/gateway/RelayTask.java
+++ b/src/main/java/io/shallotspur/gateway/RelayTask.java
@@ -56,9 +56,12 @@
 
 	private final LongConsumer onPathLost = this::pathLost;
 
-	// Workers to which the request could not be sent.
+	// Workers to which the request could not be sent, and those of them that it was
+	// tried to be sent to once more, through another VM.
 	private final Set<WorkerState> unsentWorkers = new HashSet<>();
 
+	private final Set<WorkerState> retriedWorkers = new HashSet<>();
+
 	private AttemptHistory history = AttemptHistory.NONE;
 
 	private @Nullable Attempt attempt;
@@ -299,7 +302,7 @@
 	// All workers have been tried directly.
 	private boolean tryOtherPaths(String reason, long now) {
 		WorkerPath path = (this.attempt != null) ? this.attempt.worker().path() : null;
-		if (path == null || (!path.isChecking() && this.unsentWorkers.stream().noneMatch(this.gateway.paths::isLost))) {
+		if (path == null || (!path.isChecking() && this.unsentWorkers.stream().noneMatch(this::mayTryThroughVm))) {
 			return false;
 		}
 		log(now, "attempt=" + AttemptOutcome.NOT_SENT + " seen=\"" + reason + "\" next=CHECK_PATH");
@@ -313,13 +316,22 @@
 		return true;
 	}
 
+	private boolean mayTryThroughVm(WorkerState w) {
+		return w.path().tunnelVm() != null && !this.retriedWorkers.contains(w);
+	}
+
 	// Workers that this VM could not connect, but another VM can, are tried once more.
 	private void onPathChecked() {
 		if (this.finished) {
 			return;
 		}
 		long now = this.gateway.clock.getAsLong();
-		this.unsentWorkers.removeIf((w) -> this.gateway.paths.isLost(w) && this.placing.allowAgain(w));
+		for (WorkerState w : this.unsentWorkers) {
+			if (mayTryThroughVm(w)) {
+				this.retriedWorkers.add(w);
+				this.placing.allowAgain(w);
+			}
+		}
 		if (mayRetry(AttemptOutcome.NOT_SENT, now)) {
 			this.gateway.metrics.retried();
 			this.placing.start(now);
--- a/src/main/java/io/shallotspur/gateway/RequestPlacement.java
+++ b/src/main/java/io/shallotspur/gateway/RequestPlacement.java
@@ -200,10 +200,9 @@
 	/**
 	 * Allows another attempt at a worker that has not received the request.
 	 * @param worker the worker
-	 * @return whether it had been tried
 	 */
-	boolean allowAgain(WorkerState worker) {
-		return this.triedWorkers.remove(worker.info().id());
+	void allowAgain(WorkerState worker) {
+		this.triedWorkers.remove(worker.info().id());
 	}
 
 	boolean hasCandidates(long now) {
--- a/src/main/java/io/shallotspur/gateway/WorkerPaths.java
+++ b/src/main/java/io/shallotspur/gateway/WorkerPaths.java
@@ -254,10 +254,10 @@
 			// The next interval begins with those that were not checked in this one.
 			this.lost.remove(w);
 			this.lost.add(w);
-			this.gateway.workerPort.checkListening(w.info(), (seen) -> onReturnCheck(w, seen));
 			if (w.path().tunnelVm() == null) {
 				askPeers(w, ListenState.NO_RESPONSE, now);
 			}
+			this.gateway.workerPort.checkListening(w.info(), (seen) -> onReturnCheck(w, seen));
 		}
 	}
 
