A VM without any path to the workers refuses at once, and says why

What callers saw: with no VM in between, requests waited 860 ms for one connect timeout after the other, prompts 1,800 ms, and were then told that the workers were full, though none was asked. Cause: a worker that could not be connected was left alone for a second, and all at once were tried again, since an outage of all was taken for a mistake. Change: a worker that neither this VM nor up to eight others could connect, and that has sent nothing for 600 ms, is unreachable until a check every 500 ms finds a path; if all of them are, requests and waiting prompts are refused with workers-unreachable.

--- a/src/main/java/io/shallotspur/gateway/Candidates.java
+++ b/src/main/java/io/shallotspur/gateway/Candidates.java
@@ -43,6 +43,18 @@
 		return this.gateway.roster.candidates(this.upstream, Set.of(stage), excluded, now);
 	}
 
+	/**
+	 * Tells whether there are workers, but no network path to any of them.
+	 * @param stage the required stage
+	 * @param excluded ids of workers to leave out
+	 * @param now the present time in milliseconds
+	 * @return {@code false} also if there is no worker
+	 */
+	boolean areUnreachable(WorkerStage stage, Set<String> excluded, long now) {
+		List<WorkerState> workers = all(stage, excluded, now);
+		return !workers.isEmpty() && workers.stream().allMatch((w) -> w.path().isUnreachable());
+	}
+
 	/**
 	 * Returns the workers that accept another request of this VM now.
 	 * @param stage the required stage
--- a/src/main/java/io/shallotspur/gateway/Gateway.java
+++ b/src/main/java/io/shallotspur/gateway/Gateway.java
@@ -368,7 +368,11 @@
 			startPause(w, notice.pauseMs(), now);
 		}
 		w.notifyOfNotice();
-		ReservationQueue queue = this.reservationQueues.get(w.info().upstream());
+		rejectUnservable(w.info().upstream(), now);
+	}
+
+	void rejectUnservable(String upstream, long now) {
+		ReservationQueue queue = this.reservationQueues.get(upstream);
 		if (queue != null) {
 			queue.rejectUnservable(now);
 		}
--- a/src/main/java/io/shallotspur/gateway/PendingRequest.java
+++ b/src/main/java/io/shallotspur/gateway/PendingRequest.java
@@ -26,6 +26,9 @@
 	// none or the time is not known, ms.
 	long sendWaitMs(long now);
 
+	// Whether there are workers that may run it, but no network path to any of them.
+	boolean hasNoPath(long now);
+
 	// The workers that may run it.
 	List<WorkerState> candidates(long now);
 
--- a/src/main/java/io/shallotspur/gateway/RefusalReason.java
+++ b/src/main/java/io/shallotspur/gateway/RefusalReason.java
@@ -40,6 +40,11 @@
 	 */
 	WORKERS_LIMITED,
 
+	/**
+	 * Neither this VM nor another one that it has asked can connect any of the workers.
+	 */
+	WORKERS_UNREACHABLE,
+
 	/** The request has crashed workers and is in quarantine. */
 	CRASHES_WORKERS,
 
--- a/src/main/java/io/shallotspur/gateway/RequestPlacement.java
+++ b/src/main/java/io/shallotspur/gateway/RequestPlacement.java
@@ -113,6 +113,9 @@
 		if (first.isEmpty()) {
 			this.callback.onRefused(RefusalReason.NO_WORKER, now);
 		}
+		else if (hasNoPath(now)) {
+			this.callback.onRefused(RefusalReason.WORKERS_UNREACHABLE, now);
+		}
 		else if (limitWait > 0 && limitWait > (reserves ? waitDeadline() - now : maxLimitWaitMs(now))) {
 			this.callback.onRefused(RefusalReason.WORKERS_LIMITED, now);
 		}
@@ -274,8 +277,19 @@
 	@Override
 	public void onRejected(long now) {
 		this.ticket = null;
-		boolean workersKnown = !this.candidates.all(stage(), this.triedWorkers, now).isEmpty();
-		this.callback.onRefused(workersKnown ? RefusalReason.WORKERS_FULL : RefusalReason.NO_WORKER, now);
+		this.callback.onRefused(rejectionReason(now), now);
+	}
+
+	private RefusalReason rejectionReason(long now) {
+		if (this.candidates.all(stage(), this.triedWorkers, now).isEmpty()) {
+			return RefusalReason.NO_WORKER;
+		}
+		return hasNoPath(now) ? RefusalReason.WORKERS_UNREACHABLE : RefusalReason.WORKERS_FULL;
+	}
+
+	@Override
+	public boolean hasNoPath(long now) {
+		return this.candidates.areUnreachable(stage(), this.triedWorkers, now);
 	}
 
 	private void prefillOrSend(WorkerState w, long now) {
--- a/src/main/java/io/shallotspur/gateway/ReservationQueue.java
+++ b/src/main/java/io/shallotspur/gateway/ReservationQueue.java
@@ -141,17 +141,18 @@
 
 	/**
 	 * Rejects the requests that no worker may be sent in time, because all have left,
-	 * asked for pauses or have a rate limit.
+	 * asked for pauses, have a rate limit or cannot be reached.
 	 * @param now the present time in milliseconds
 	 */
 	void rejectUnservable(long now) {
 		for (ReservationTicket ticket : new ArrayList<>(this.queue)) {
 			// A worker that may be sent one of them may be sent the others.
-			if (!ticket.request().candidates(now).isEmpty()) {
+			boolean noPath = ticket.request().hasNoPath(now);
+			if (!noPath && !ticket.request().candidates(now).isEmpty()) {
 				return;
 			}
 			long waitMs = ticket.request().sendWaitMs(now);
-			if (waitMs > ticket.request().waitDeadline() - now) {
+			if (noPath || waitMs > ticket.request().waitDeadline() - now) {
 				cancel(ticket);
 				ticket.request().onRejected(now);
 			}
--- a/src/main/java/io/shallotspur/gateway/WorkerPath.java
+++ b/src/main/java/io/shallotspur/gateway/WorkerPath.java
@@ -22,6 +22,8 @@
 
 	private boolean lost;
 
+	private boolean unreachable;
+
 	private @Nullable EntryVm tunnelVm;
 
 	private int successfulChecks;
@@ -35,6 +37,7 @@
 	// The worker has responded on a direct connection.
 	void recordContact(long now) {
 		this.lastContactAt = now;
+		this.unreachable = false;
 		this.silentSince = (this.attempts > 0) ? now : NONE;
 	}
 
@@ -74,11 +77,27 @@
 	boolean lose(@Nullable EntryVm vm) {
 		boolean news = !this.lost;
 		this.lost = true;
+		this.unreachable = vm == null;
 		this.tunnelVm = vm;
 		this.successfulChecks = news ? 0 : this.successfulChecks;
 		return news;
 	}
 
+	/**
+	 * Records that neither this VM nor another one that was asked could connect the
+	 * worker.
+	 * @return whether this is news
+	 */
+	boolean markUnreachable() {
+		boolean news = !this.unreachable;
+		this.unreachable = true;
+		return news;
+	}
+
+	boolean isUnreachable() {
+		return this.unreachable;
+	}
+
 	void regain(long now) {
 		this.lost = false;
 		this.tunnelVm = null;
--- a/src/main/java/io/shallotspur/gateway/WorkerPaths.java
+++ b/src/main/java/io/shallotspur/gateway/WorkerPaths.java
@@ -51,6 +51,9 @@
 
 	private final Set<WorkerState> lost = new LinkedHashSet<>();
 
+	// Workers to which there is no path at all.
+	private final Set<WorkerState> unreachable = new LinkedHashSet<>();
+
 	private long lostAt = Long.MIN_VALUE;
 
 	private long nextReturnCheckAt;
@@ -73,8 +76,7 @@
 		}
 		EntryVm vm = p.tunnelVm();
 		if (vm != null && !this.gateway.entryVms.isRegistered(vm)) {
-			p.lose(null);
-			askPeers(w, ListenState.NO_RESPONSE, now);
+			loseTunnel(w, now);
 		}
 		return Optional.ofNullable(p.tunnelVm());
 	}
@@ -160,8 +162,16 @@
 	 */
 	void connectFailed(WorkerState w, long now) {
 		if (w.path().isLost()) {
-			w.path().lose(null);
+			loseTunnel(w, now);
+		}
+		else {
+			askPeers(w, ListenState.NO_RESPONSE, now);
 		}
+	}
+
+	private void loseTunnel(WorkerState w, long now) {
+		w.path().lose(null);
+		this.unreachable.add(w);
 		askPeers(w, ListenState.NO_RESPONSE, now);
 	}
 
@@ -188,15 +198,31 @@
 	private void startPeerCheck(WorkerState w, ListenState directlySeen) {
 		List<EntryVm> vms = peers(w);
 		if (vms.isEmpty()) {
-			w.path().checkEnded(directlySeen);
+			onPeersChecked(w, null, directlySeen);
 			return;
 		}
-		new PeerCheck(this.gateway.workerPort, w.info(), vms, (vm, seen) -> {
-			if (vm != null) {
-				lose(w, vm);
-			}
-			w.path().checkEnded(seen);
-		}).start();
+		new PeerCheck(this.gateway.workerPort, w.info(), vms, (vm, seen) -> onPeersChecked(w, vm, seen)).start();
+	}
+
+	private void onPeersChecked(WorkerState w, @Nullable EntryVm vm, ListenState seen) {
+		long now = this.gateway.clock.getAsLong();
+		if (vm != null) {
+			lose(w, vm);
+		}
+		else if (!w.path().hasContactSince(now - SILENCE_MS)) {
+			markUnreachable(w, seen, now);
+		}
+		w.path().checkEnded(seen);
+	}
+
+	// Open connections may still work while new ones are refused, or dropped because too
+	// many are opened at once.
+	private void markUnreachable(WorkerState w, ListenState seen, long now) {
+		if (w.path().markUnreachable()) {
+			Logger.info("[path] none worker={} upstream={} seen={}", w.info().id(), w.info().upstream(), seen.code());
+		}
+		this.unreachable.add(w);
+		this.gateway.rejectUnservable(w.info().upstream(), now);
 	}
 
 	// A VM in the worker's hall adds no traffic between halls.
@@ -242,6 +268,8 @@
 				w.path().postponeCheck(now + SILENCE_CHECK_INTERVAL_MS);
 			}
 		}
+		this.unreachable.removeIf((w) -> !w.path().isUnreachable() || !this.gateway.roster.isCurrent(w, now));
+		this.unreachable.stream().limit(MAX_CHECKS).toList().forEach((w) -> recheck(w, now));
 		this.lost.removeIf((w) -> !this.gateway.roster.isCurrent(w, now));
 		if (now >= this.nextReturnCheckAt && !this.lost.isEmpty()) {
 			this.nextReturnCheckAt = now + CHECK_INTERVAL_MS;
@@ -249,14 +277,19 @@
 		}
 	}
 
+	private void recheck(WorkerState w, long now) {
+		if (w.path().mayCheck(now)) {
+			this.unreachable.remove(w);
+			this.unreachable.add(w);
+			noResponse(w, now);
+		}
+	}
+
 	private void checkReturn(long now) {
 		for (WorkerState w : this.lost.stream().limit(MAX_CHECKS).toList()) {
 			// The next interval begins with those that were not checked in this one.
 			this.lost.remove(w);
 			this.lost.add(w);
-			if (w.path().tunnelVm() == null) {
-				askPeers(w, ListenState.NO_RESPONSE, now);
-			}
 			this.gateway.workerPort.checkListening(w.info(), (seen) -> onReturnCheck(w, seen));
 		}
 	}
--- a/src/main/java/io/shallotspur/gateway/WorkerState.java
+++ b/src/main/java/io/shallotspur/gateway/WorkerState.java
@@ -213,7 +213,7 @@
 	}
 
 	boolean isReachable(long now) {
-		return now >= this.unreachableUntil;
+		return now >= this.unreachableUntil && !this.path.isUnreachable();
 	}
 
 	void requestStarted() {
--- a/src/test/java/io/shallotspur/gateway/WorkerPathsTests.java
+++ b/src/test/java/io/shallotspur/gateway/WorkerPathsTests.java
@@ -291,4 +291,98 @@
 		}
 	}
 
+	private void loseTheOtherVm() {
+		this.f.gateway.entryVms().deregister("vms/b", 0);
+	}
+
+	private void findAllUnreachable() {
+		loseTheOtherVm();
+		cutAll();
+		this.f.call("unsafe");
+		for (int i = 0; i < this.plain.size(); i++) {
+			refuseLastRun();
+		}
+	}
+
+	// Guards against callers that wait for one connect timeout after the other at a VM
+	// that cannot serve them.
+	@Test
+	void refusesAtOnceWhenThereIsNoPathToAnyWorker() {
+		findAllUnreachable();
+		int sent = this.f.workers.runs.size();
+		GatewayFixture.Call c = this.f.call("unsafe");
+		Assertions.assertThat(c.caller().refusal)
+			.satisfies((r) -> Assertions.assertThat(r.reason()).isEqualTo(RefusalReason.WORKERS_UNREACHABLE))
+			.satisfies((r) -> Assertions.assertThat(r.status()).isEqualTo(503));
+		Assertions.assertThat(this.f.workers.runs).hasSize(sent);
+	}
+
+	// Guards against prompts that wait for a place at workers that cannot be reached, and
+	// are told that these were full.
+	@Test
+	void refusesAtOnceWhatWaitsForAPlace() {
+		loseTheOtherVm();
+		WorkerInfo d = this.f.addWorker("d1", "llm", WorkerStage.DECODE);
+		GatewayFixture.Call c = this.f.callWithPrompt("once", 3_000);
+		cut(d);
+		this.f.workers.reservations.get(0).listener().onFailure(new ExchangeFailure(true, "timeout"));
+		Assertions.assertThat(c.caller().refusal)
+			.satisfies((r) -> Assertions.assertThat(r.reason()).isEqualTo(RefusalReason.WORKERS_UNREACHABLE));
+	}
+
+	// Guards against a VM that goes on refusing when its workers can be reached again.
+	@Test
+	void servesAgainSoonAfterAWorkerCanBeReached() {
+		findAllUnreachable();
+		this.f.timer.advance(2_000);
+		this.f.workers.silent.clear();
+		this.f.timer.advance(750);
+		GatewayFixture.Call c = this.f.call("unsafe");
+		this.f.workers.lastRun().respond(200, "fine");
+		Assertions.assertThat(c.caller().status).isEqualTo(200);
+	}
+
+	// Guards against a VM that goes on refusing when another VM has come that reaches the
+	// workers.
+	@Test
+	void servesAgainSoonAfterAnotherVmHasCome() {
+		findAllUnreachable();
+		this.f.gateway.entryVms().register(vm("vms/c", "hall-b"));
+		this.f.timer.advance(750);
+		GatewayFixture.Call c = this.f.call("unsafe");
+		this.f.workers.lastRun().respond(200, "fine");
+		Assertions.assertThat(c.caller().status).isEqualTo(200);
+	}
+
+	// Guards against refusals while open connections to the workers still work and only
+	// new ones are refused.
+	@Test
+	void aWorkerThatStillRespondsIsNotUnreachable() {
+		loseTheOtherVm();
+		GatewayFixture.Call first = this.f.call("unsafe");
+		this.f.workers.lastRun().respond(200, "fine");
+		WorkerInfo w = this.f.workers.lastRun().call.worker();
+		cutAll();
+		Assertions.assertThat(first.caller().status).isEqualTo(200);
+		this.plain.stream()
+			.filter((p) -> p != w)
+			.forEach((p) -> this.f.gateway.roster.entryRemoved(p.id(), this.f.timer.now()));
+		this.f.call("unsafe");
+		refuseLastRun();
+		this.f.call("unsafe");
+		this.f.workers.lastRun().respond(200, "fine");
+		Assertions.assertThat(this.f.workers.runs).hasSize(3);
+	}
+
+	// Guards against a path that is taken for back because a tunnel worked.
+	@Test
+	void aResponseThroughAnotherVmIsNoContactOfThisOne() {
+		WorkerInfo d = this.f.addWorker("d1", "llm", WorkerStage.DECODE);
+		loseAll();
+		cut(d);
+		this.f.callWithPrompt("once", 3_000);
+		this.f.workers.reservations.get(0).listener().onReserved("h");
+		Assertions.assertThat(this.f.gateway.paths.tunnelVm(d)).isPresent();
+	}
+
 }
