Connections to workers and tunnels that fall silent are noticed by keepalive probes

Cause: only the store's connections had TCP keepalive; a request on a worker's connection that had gone silent waited for its deadline, and a VM that lost power left its tunnels open at the other side for two minutes. Change: one place (SilentConnections) with the times that the store's connections had: closed after three seconds, longer than a worker pauses. NIO sockets set no TCP_USER_TIMEOUT, so that the count of probes decides.

--- a/src/main/java/io/shallotspur/adapter/tunnel/TunnelServer.java
+++ b/src/main/java/io/shallotspur/adapter/tunnel/TunnelServer.java
@@ -18,6 +18,8 @@
 import reactor.core.publisher.Mono;
 import reactor.netty.ChannelBindException;
 
+import io.shallotspur.adapter.http.SilentConnections;
+
 /**
  * Connects other VMs to workers that they cannot reach themselves. Confined to its event
  * loop, which must have one thread.
@@ -74,11 +76,11 @@
 	 * @return the bound address; signals a {@link ChannelBindException} if it is in use
 	 */
 	public Mono<InetSocketAddress> bind(String host, int port) {
-		ServerBootstrap b = new ServerBootstrap().group(this.loop)
+		ServerBootstrap b = SilentConnections.detect(new ServerBootstrap())
+			.group(this.loop)
 			.channel(NioServerSocketChannel.class)
 			.option(ChannelOption.SO_REUSEADDR, true)
 			.childOption(ChannelOption.TCP_NODELAY, true)
-			.childOption(ChannelOption.SO_KEEPALIVE, true)
 			.childHandler(new ChannelInitializer<SocketChannel>() {
 
 				@Override
--- a/src/main/java/io/shallotspur/adapter/tunnel/TunnelServerHandler.java
+++ b/src/main/java/io/shallotspur/adapter/tunnel/TunnelServerHandler.java
@@ -19,6 +19,8 @@
 import org.jspecify.annotations.Nullable;
 import org.tinylog.Logger;
 
+import io.shallotspur.adapter.http.SilentConnections;
+
 /**
  * The side of a tunnel that faces the VM that asked for it. Confined to the tunnel's
  * event loop.
@@ -71,7 +73,8 @@
 			return;
 		}
 		ctx.channel().config().setAutoRead(false);
-		new Bootstrap().group(ctx.channel().eventLoop())
+		SilentConnections.detect(new Bootstrap())
+			.group(ctx.channel().eventLoop())
 			.channel(NioSocketChannel.class)
 			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, TunnelServer.CONNECT_TIMEOUT_MS)
 			.option(ChannelOption.TCP_NODELAY, true)
--- a/src/main/java/io/shallotspur/platform/HttpWorkerPort.java
+++ b/src/main/java/io/shallotspur/platform/HttpWorkerPort.java
@@ -25,6 +25,7 @@
 import reactor.netty.resources.ConnectionProvider;
 import reactor.netty.tcp.TcpClient;
 
+import io.shallotspur.adapter.http.SilentConnections;
 import io.shallotspur.adapter.tunnel.TunnelClient;
 import io.shallotspur.adapter.tunnel.TunnelRequest;
 import io.shallotspur.adapter.tunnel.TunnelStatus;
@@ -98,13 +99,13 @@
 			.build();
 		this.workerClient = new WorkerClient(client(this.pool), client(ConnectionProvider.newConnection()),
 				unknownFields);
-		this.connectionChecks = TcpClient.newConnection()
+		this.connectionChecks = SilentConnections.detect(TcpClient.newConnection())
 			.runOn(loop.resources(), false)
 			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS);
 	}
 
 	private HttpClient client(ConnectionProvider connections) {
-		return HttpClient.create(connections)
+		return SilentConnections.detect(HttpClient.create(connections))
 			.runOn(this.loop.resources(), false)
 			.disableRetry(true)
 			.followRedirect(false)
--- a/src/main/java/io/shallotspur/platform/StoreClient.java
+++ b/src/main/java/io/shallotspur/platform/StoreClient.java
@@ -10,10 +10,8 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelOption;
-import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
-import jdk.net.ExtendedSocketOptions;
 import org.jspecify.annotations.Nullable;
 import org.tinylog.Logger;
 import reactor.core.publisher.Mono;
@@ -21,6 +19,7 @@
 import reactor.netty.http.client.HttpClientResponse;
 import reactor.netty.resources.ConnectionProvider;
 
+import io.shallotspur.adapter.http.SilentConnections;
 import io.shallotspur.cfg.Endpoint;
 import io.shallotspur.exc.StoreUnavailableException;
 import io.shallotspur.registry.EraTracker;
@@ -48,14 +47,6 @@
 	// failed silently.
 	private static final int MAX_CONNECTIONS = 3;
 
-	// TCP keepalive, times in seconds. A watch waits for seconds without traffic; with
-	// these probes a connection that has failed silently is detected after three seconds.
-	private static final int KEEPALIVE_IDLE_S = 1;
-
-	private static final int KEEPALIVE_INTERVAL_S = 1;
-
-	private static final int MAX_KEEPALIVE_PROBES = 2;
-
 	private final HttpClient client;
 
 	private final VmEventLoop loop;
@@ -71,16 +62,13 @@
 			.maxConnections(MAX_CONNECTIONS)
 			.pendingAcquireTimeout(Duration.ofMillis(ACQUIRE_TIMEOUT_MS))
 			.build();
-		this.client = HttpClient.create(pool)
+		// A watch waits for seconds without traffic.
+		this.client = SilentConnections.detect(HttpClient.create(pool))
 			.runOn(loop.resources(), false)
 			.baseUrl("http://" + store)
 			.disableRetry(true)
 			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
-			.option(ChannelOption.TCP_NODELAY, true)
-			.option(ChannelOption.SO_KEEPALIVE, true)
-			.option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), KEEPALIVE_IDLE_S)
-			.option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), KEEPALIVE_INTERVAL_S)
-			.option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), MAX_KEEPALIVE_PROBES);
+			.option(ChannelOption.TCP_NODELAY, true);
 	}
 
 	/**
