The VM in between is replaced before it is gone

Cause: a VM that drains refused tunnels from its SIGTERM on, though it is asked until the others have heard of it, and a tunnel that failed left its worker without a path until other VMs had answered. Change: tunnels are opened as long as late callers are served; a VM that has left the registry is used until another one is found; after a failure the latest other VM that reached a worker is used.

--- a/src/main/java/io/shallotspur/gateway/WorkerPath.java
+++ b/src/main/java/io/shallotspur/gateway/WorkerPath.java
@@ -77,7 +77,7 @@
 	boolean lose(@Nullable EntryVm vm) {
 		boolean news = !this.lost;
 		this.lost = true;
-		this.unreachable = vm == null;
+		this.unreachable &= vm == null;
 		this.tunnelVm = vm;
 		this.successfulChecks = news ? 0 : this.successfulChecks;
 		return news;
--- a/src/main/java/io/shallotspur/gateway/WorkerPaths.java
+++ b/src/main/java/io/shallotspur/gateway/WorkerPaths.java
@@ -76,7 +76,8 @@
 		}
 		EntryVm vm = p.tunnelVm();
 		if (vm != null && !this.gateway.entryVms.isRegistered(vm)) {
-			loseTunnel(w, now);
+			// It is draining, and still opens tunnels for a while.
+			askPeers(w, ListenState.NO_RESPONSE, now);
 		}
 		return Optional.ofNullable(p.tunnelVm());
 	}
@@ -169,9 +170,12 @@
 		}
 	}
 
+	// Until others have answered, the VM is used that was the last one to reach a worker.
 	private void loseTunnel(WorkerState w, long now) {
-		w.path().lose(null);
-		this.unreachable.add(w);
+		EntryVm failed = w.path().tunnelVm();
+		EntryVm next = this.latestTunnelVm;
+		boolean usable = next != null && !next.equals(failed) && this.gateway.entryVms.isRegistered(next);
+		w.path().lose(usable ? next : null);
 		askPeers(w, ListenState.NO_RESPONSE, now);
 	}
 
@@ -221,6 +225,9 @@
 		if (w.path().markUnreachable()) {
 			Logger.info("[path] none worker={} upstream={} seen={}", w.info().id(), w.info().upstream(), seen.code());
 		}
+		if (w.path().isLost()) {
+			w.path().lose(null);
+		}
 		this.unreachable.add(w);
 		this.gateway.rejectUnservable(w.info().upstream(), now);
 	}
@@ -236,12 +243,17 @@
 	private void lose(WorkerState w, EntryVm vm) {
 		long now = this.gateway.clock.getAsLong();
 		this.latestTunnelVm = vm;
+		boolean sameVm = vm.equals(w.path().tunnelVm());
 		if (w.path().lose(vm)) {
 			this.gateway.metrics.pathLost();
 			Logger.warn("[path] lost worker={} upstream={} through={} lost={}", w.info().id(), w.info().upstream(),
 					vm.key(), this.lost.size() + 1);
 			this.gateway.timer.schedule(SILENCE_MS, () -> interruptSilentAttempts(w));
 		}
+		else if (!sameVm) {
+			Logger.info("[path] other VM worker={} upstream={} through={}", w.info().id(), w.info().upstream(),
+					vm.key());
+		}
 		this.lost.add(w);
 		if (this.lostAt == Long.MIN_VALUE || now - this.lostAt > SAME_LOSS_MS) {
 			this.lostAt = now;
--- a/src/main/java/io/shallotspur/platform/PlatformVm.java
+++ b/src/main/java/io/shallotspur/platform/PlatformVm.java
@@ -198,6 +198,7 @@
 		Logger.info("[run] stopping in-progress={}", this.gateway.inProgress());
 		this.loop.execute(() -> beginDrain(lateDeadline, drainDeadline));
 		sleep(lateDeadline - start);
+		this.loop.execute(this.tunnels::drain);
 		// The listening socket stays open until just before the end. Callers with a
 		// cached address would otherwise be refused while the last streams still run
 		// here. While the store is unavailable they keep the address, because other VMs
@@ -264,7 +265,6 @@
 		this.draining = true;
 		this.gateway.drain(lateDeadline, drainDeadline);
 		this.stages.stop();
-		this.tunnels.drain();
 		this.ingress.closeAfterResponses();
 		this.registration.deregister().timeout(Duration.ofMillis(EXIT_MARGIN_MS)).onErrorComplete().subscribe();
 	}
--- a/src/test/java/io/shallotspur/gateway/WorkerPathsTests.java
+++ b/src/test/java/io/shallotspur/gateway/WorkerPathsTests.java
@@ -236,6 +236,35 @@
 		}
 	}
 
+	// Guards against requests that are refused in the moment in which the VM in between
+	// drains and another one is asked for.
+	@Test
+	void goesOnThroughADrainingVmUntilAnotherOneIsFound() {
+		loseAll();
+		this.f.gateway.entryVms().deregister("vms/b", 0);
+		this.f.workers.seenByVms.put("vms/b", ListenState.ACCEPTS);
+		for (WorkerInfo w : this.plain) {
+			Assertions.assertThat(this.f.gateway.paths.tunnelVm(w)).isPresent();
+		}
+	}
+
+	// Guards against requests that are refused, or sent directly, as soon as a tunnel has
+	// failed, though another VM is known to reach workers.
+	@Test
+	void usesTheLatestOtherVmWhenATunnelFails() {
+		this.f.gateway.entryVms().register(vm("vms/c", "hall-a"));
+		this.f.workers.seenByVms.put("vms/c", ListenState.NO_RESPONSE);
+		loseAll();
+		this.f.workers.seenByVms.put("vms/c", ListenState.ACCEPTS);
+		this.f.workers.seenByVms.put("vms/b", ListenState.NO_RESPONSE);
+		this.f.timer.advance(600);
+		this.f.call("unsafe");
+		refuseLastRun();
+		WorkerInfo w = this.f.workers.runs.get(this.f.workers.runs.size() - 2).call.worker();
+		Assertions.assertThat(this.f.gateway.paths.tunnelVm(w))
+			.hasValueSatisfying((vm) -> Assertions.assertThat(vm.key()).isEqualTo("vms/c"));
+	}
+
 	// Guards against a VM that gives up because most VMs have lost their paths, too.
 	@Test
 	void findsTheOneVmAmongManyThatReachesTheWorker() {
