--- a/src/test/java/io/shallotspur/platform/FakeWorker.java
+++ b/src/test/java/io/shallotspur/platform/FakeWorker.java
@@ -1,6 +1,7 @@
 package io.shallotspur.platform;
 
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.List;
 import java.util.Map;
 import java.util.Queue;
@@ -11,6 +12,7 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 
+import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpHeaders;
 import org.jspecify.annotations.Nullable;
 import org.reactivestreams.Publisher;
@@ -201,6 +203,15 @@
 		return s.header("X-Request-Id", "other").header("X-Server-Stamp", "x").sendString(Mono.just("not yours"));
 	}
 
+	// Sends the second event of a stream some time after the first.
+	Publisher<Void> slowStream(HttpServerResponse s, Duration pause) {
+		Flux<String> events = Flux.just("id: 1\ndata: a\n\n")
+			.concatWith(Mono.just("id: 2\ndata: b\n\n").delaySubscription(pause));
+		return s.header("X-Server-Stamp", "stamp-" + this.id)
+			.header("Content-Type", "text/event-stream")
+			.send(events.map((e) -> Unpooled.copiedBuffer(e, StandardCharsets.US_ASCII)), (b) -> true);
+	}
+
 	// Ends the stream in the middle of an event.
 	static Publisher<Void> truncatedStream(HttpServerResponse s) {
 		s.header("X-Server-Stamp", "x").header("Content-Type", "text/event-stream");
--- a/src/test/java/io/shallotspur/platform/LostPathTests.java
+++ b/src/test/java/io/shallotspur/platform/LostPathTests.java
@@ -2,8 +2,11 @@
 
 import java.io.IOException;
 import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 
 import org.assertj.core.api.Assertions;
@@ -100,4 +103,69 @@
 		Assertions.assertThat(served(this.vm, "/model/x")).isEqualTo(REQUESTS);
 	}
 
+	// Guards against a VM that goes on calling workers through another one, or not at
+	// all, when its paths are back.
+	@Test
+	void callsWorkersDirectlyWhenThePathsAreBack() throws Throwable {
+		loseAllPaths(LoopbackProxy::cut);
+		for (LoopbackProxy p : this.paths) {
+			p.heal();
+		}
+		await(() -> metrics().contains("path_regained_total 2.0"));
+		double through = counter("path_sent_through_vm_total");
+		Assertions.assertThat(served(this.vm, "/unsafe/x")).isEqualTo(REQUESTS);
+		Assertions.assertThat(counter("path_sent_through_vm_total")).isEqualTo(through);
+	}
+
+	private double counter(String name) {
+		return metrics().lines()
+			.filter((l) -> l.startsWith(name + " "))
+			.mapToDouble((l) -> Double.parseDouble(l.substring(name.length() + 1)))
+			.findAny()
+			.orElse(0);
+	}
+
+	// Guards against a worker that goes on with a request whose caller has left, because
+	// the connection ends at the VM in between.
+	@Test
+	void closesTheWorkersConnectionWhenTheCallerLeaves() throws Throwable {
+		loseAllPaths(LoopbackProxy::refuseConnections);
+		this.p1.nextBehaviours.add(this.p1::noResponse);
+		this.p2.nextBehaviours.add(this.p2::noResponse);
+		int before = this.p1.receivedRequests.size() + this.p2.receivedRequests.size();
+		CompletableFuture<?> c = this.client.sendAsync(request("/safe/x").build(),
+				HttpResponse.BodyHandlers.ofString());
+		await(() -> this.p1.receivedRequests.size() + this.p2.receivedRequests.size() == before + 1);
+		c.cancel(true);
+		await(() -> this.p1.closedConnections.get() + this.p2.closedConnections.get() == 1);
+	}
+
+	// Guards against a request that is broken off because the VM in between is told to
+	// leave.
+	@Test
+	void theVmInBetweenFinishesItsTunnelsBeforeItEnds() throws Throwable {
+		loseAllPaths(LoopbackProxy::refuseConnections);
+		this.d1.nextBehaviours.add((s) -> this.d1.slowStream(s, Duration.ofMillis(4_500)));
+		CompletableFuture<HttpResponse<String>> c = this.client
+			.sendAsync(request("/model/x").setHeader("X-Deadline-Ms", "9000")
+				.POST(HttpRequest.BodyPublishers.ofString("p"))
+				.build(), HttpResponse.BodyHandlers.ofString());
+		await(() -> this.d1.receivedRequests.size() == 1);
+		Thread t = new Thread(this.otherVm::drain);
+		t.start();
+		Assertions.assertThat(c.join().body()).endsWith("id: 2\ndata: b\n\n");
+		t.join();
+	}
+
+	// Guards against calls that go on through a VM that has ended without a word.
+	@Test
+	void refusesAtOnceWhenTheOnlyOtherVmHasEnded() throws Throwable {
+		loseAllPaths(LoopbackProxy::refuseConnections);
+		this.otherVm.close();
+		served(this.vm, "/unsafe/x");
+		HttpResponse<String> r = send(request("/unsafe/x").POST(HttpRequest.BodyPublishers.ofString("p")).build());
+		Assertions.assertThat(r.statusCode()).isEqualTo(503);
+		Assertions.assertThat(metrics()).contains("relay_refused_workers_unreachable");
+	}
+
 }
