A lost path ends only what can go on, and a draining VM in between is kept while no other one is found

Cause: the loss of a path ended every silent attempt, and a check that found no VM also dropped the one in use. Change: attempts that must not be repeated wait on; only a tunnel that failed is dropped.

--- a/src/main/java/io/shallotspur/gateway/RelayTask.java
+++ b/src/main/java/io/shallotspur/gateway/RelayTask.java
@@ -140,10 +140,14 @@
 		}
 	}
 
-	// The response would come on a connection that has fallen silent.
+	// The response would come on a connection that has fallen silent. It may still come
+	// if the path is back soon, which is the only hope of a request that must not be sent
+	// again.
 	private void pathLost(long silentSince) {
 		Attempt a = this.attempt;
-		if (a != null && this.attemptIsDirect && this.lastReceivedAt <= silentSince) {
+		boolean repeatable = this.history.with(AttemptOutcome.UNKNOWN)
+			.allowsAnotherAttempt(this.route.maxAttempts(), this.route.repeatable());
+		if (a != null && repeatable && this.attemptIsDirect && this.lastReceivedAt <= silentSince) {
 			a.onFailure(new ExchangeFailure(true, "path to the worker lost"));
 		}
 	}
--- a/src/main/java/io/shallotspur/gateway/WorkerPaths.java
+++ b/src/main/java/io/shallotspur/gateway/WorkerPaths.java
@@ -213,7 +213,7 @@
 		if (vm != null) {
 			lose(w, vm);
 		}
-		else if (!w.path().hasContactSince(now - SILENCE_MS)) {
+		else if (w.path().tunnelVm() == null && !w.path().hasContactSince(now - SILENCE_MS)) {
 			markUnreachable(w, seen, now);
 		}
 		w.path().checkEnded(seen);
@@ -225,9 +225,6 @@
 		if (w.path().markUnreachable()) {
 			Logger.info("[path] none worker={} upstream={} seen={}", w.info().id(), w.info().upstream(), seen.code());
 		}
-		if (w.path().isLost()) {
-			w.path().lose(null);
-		}
 		this.unreachable.add(w);
 		this.gateway.rejectUnservable(w.info().upstream(), now);
 	}
