Paths, unsent attempts and notices of workers have classes of their own

Cause: Gateway and RelayTask had grown by the handling of paths beyond what one can read at once. Change: AttemptPath, UnsentAttempts and WorkerNotices, and what concerns reach moves to WorkerPaths; no decision changes, but that each part of a response counts as a sign of life.

--- a/src/main/java/io/shallotspur/gateway/Gateway.java
+++ b/src/main/java/io/shallotspur/gateway/Gateway.java
@@ -64,6 +64,8 @@
 
 	final WorkerPaths paths = new WorkerPaths(this);
 
+	final WorkerNotices notices = new WorkerNotices(this);
+
 	private final ConfigFreshness configFreshness;
 
 	private ConfigSource configSource = Runnable::run;
@@ -355,20 +357,7 @@
 	 * @param notice what it stated in its response
 	 */
 	public void onNotice(WorkerInfo worker, WorkerNotice notice) {
-		this.roster.instance(worker).ifPresent((w) -> applyNotice(w, notice, this.clock.getAsLong()));
-	}
-
-	private void applyNotice(WorkerState w, WorkerNotice notice, long now) {
-		if (notice.leaving() && w.markLeaving()) {
-			this.metrics.leavingStated();
-			Logger.info("[relay] worker={} states that it is leaving registry-leaving={}", w.info().id(),
-					w.info().draining());
-		}
-		if (notice.pauseMs() > 0) {
-			startPause(w, notice.pauseMs(), now);
-		}
-		w.notifyOfNotice();
-		rejectUnservable(w.info().upstream(), now);
+		this.notices.apply(worker, notice);
 	}
 
 	void rejectUnservable(String upstream, long now) {
@@ -378,45 +367,6 @@
 		}
 	}
 
-	private void startPause(WorkerState w, long pauseMs, long now) {
-		if (w.pauseUntil(now + pauseMs, now)) {
-			this.metrics.pauseStarted();
-			this.log.write(now, () -> "worker=" + w.info().id() + " asks for a pause pause-ms=" + pauseMs);
-		}
-	}
-
-	/**
-	 * Cancels a reservation that will not be used, unless its worker has asked for a
-	 * pause: the reservation then expires.
-	 * @param worker the worker
-	 * @param reservation the reservation
-	 */
-	void cancelReservation(WorkerInfo worker, String reservation) {
-		if (mayRelease(worker, reservation)) {
-			this.workerPort.cancelReservation(worker, reservation);
-		}
-	}
-
-	/**
-	 * Releases a KV cache that will not be fetched, unless its worker has asked for a
-	 * pause: the KV cache then expires.
-	 * @param source the KV cache
-	 */
-	void releaseKvCache(KvSource source) {
-		if (mayRelease(source.worker(), source.handle())) {
-			this.workerPort.releaseKvCache(source);
-		}
-	}
-
-	private boolean mayRelease(WorkerInfo worker, String name) {
-		long now = this.clock.getAsLong();
-		if (this.roster.pauseRemainingMs(worker, now) == 0) {
-			return true;
-		}
-		this.log.write(now, () -> "worker=" + worker.id() + " pauses; left to expire: " + name);
-		return false;
-	}
-
 	// Records that a request, or the prefill of its prompt, is sent to a worker.
 	void recordSent(WorkerState w, long now) {
 		this.workerAvailability.recordSent(w, now);
@@ -433,33 +383,6 @@
 		}
 	}
 
-	/**
-	 * Records that a worker could not be reached. The log line tells how many workers of
-	 * its upstream this VM does not reach: a VM that has lost its network path reaches
-	 * none, while other VMs reach them all.
-	 * @param w the worker
-	 * @param seen what was seen
-	 * @param now the present time in milliseconds
-	 */
-	void workerNotReached(WorkerState w, String seen, long now) {
-		boolean news = w.isReachable(now);
-		w.markUnreachable(now);
-		if (news) {
-			this.metrics.workerNotReached();
-			String upstream = w.info().upstream();
-			Logger.info("[path] worker not reached worker={} upstream={} unreachable={}/{} seen=\"{}\"", w.info().id(),
-					upstream, this.roster.unreachableCount(upstream, now), this.roster.activeCount(upstream, now),
-					seen);
-		}
-	}
-
-	// The worker is well; this VM had lost its path to it.
-	void forgetFailures(WorkerState w) {
-		w.forgetFailures();
-		this.roster.outlierDetector(w.info().upstream()).addWorker(w.info().id());
-		onCapacityFreed(w.info().upstream(), w.info().id());
-	}
-
 	/**
 	 * Returns the network paths of this VM to the workers.
 	 * @return chooses the path of each call
--- a/src/main/java/io/shallotspur/gateway/PrefillStep.java
+++ b/src/main/java/io/shallotspur/gateway/PrefillStep.java
@@ -83,7 +83,7 @@
 		this.gateway.paths.recordResponse(this.worker, this.direct, this.gateway.clock.getAsLong());
 		KvSource source = new KvSource(this.worker.info(), handle);
 		if (this.finished) {
-			this.gateway.releaseKvCache(source);
+			this.gateway.notices.releaseKvCache(source);
 			return;
 		}
 		finish();
@@ -114,7 +114,7 @@
 			// After a timeout or a failed connection, the next prompts are sent elsewhere
 			// for a while.
 			long now = this.gateway.clock.getAsLong();
-			this.gateway.workerNotReached(this.worker, failure.reason(), now);
+			this.gateway.paths.notReached(this.worker, failure.reason(), now);
 			if (failure.sent()) {
 				this.gateway.paths.noResponse(this.worker, now);
 			}
--- a/src/main/java/io/shallotspur/gateway/PromptPrefill.java
+++ b/src/main/java/io/shallotspur/gateway/PromptPrefill.java
@@ -163,7 +163,7 @@
 		if (taken == null || isValid(taken, now)) {
 			return taken;
 		}
-		this.gateway.releaseKvCache(taken);
+		this.gateway.notices.releaseKvCache(taken);
 		return null;
 	}
 
@@ -181,7 +181,7 @@
 			this.step = null;
 		}
 		if (this.source != null) {
-			this.gateway.releaseKvCache(this.source);
+			this.gateway.notices.releaseKvCache(this.source);
 			this.source = null;
 		}
 	}
--- a/src/main/java/io/shallotspur/gateway/RelayTask.java
+++ b/src/main/java/io/shallotspur/gateway/RelayTask.java
@@ -1,9 +1,5 @@
 package io.shallotspur.gateway;
 
-import java.util.HashSet;
-import java.util.Set;
-import java.util.function.LongConsumer;
-
 import org.jspecify.annotations.Nullable;
 
 import io.shallotspur.route.Customer;
@@ -54,13 +50,9 @@
 
 	private final AttemptProgress attemptProgress = new AttemptProgress();
 
-	private final LongConsumer onPathLost = this::pathLost;
-
-	// Workers to which the request could not be sent, and those of them that it was
-	// tried to be sent to once more, through another VM.
-	private final Set<WorkerState> unsentWorkers = new HashSet<>();
+	private final AttemptPath path;
 
-	private final Set<WorkerState> retriedWorkers = new HashSet<>();
+	private final UnsentAttempts unsent = new UnsentAttempts();
 
 	private AttemptHistory history = AttemptHistory.NONE;
 
@@ -68,10 +60,6 @@
 
 	private long attemptStartedAt;
 
-	private boolean attemptIsDirect;
-
-	private long lastReceivedAt;
-
 	private Runnable cancelDeadline = () -> {
 	};
 
@@ -95,6 +83,7 @@
 		this.progress = new ResponseProgress((spec != null) ? spec.engine() : null, this.request.lastEventId());
 		this.placing = new RequestPlacement(gateway, admitted, this.fingerprint, this.upstream, spec, this, arrivedAt,
 				this.deadline);
+		this.path = new AttemptPath(gateway.paths, this::pathIsSilent);
 		this.retryDelay = new RetryDelay(gateway, this.request, this.route, this.fingerprint, this.placing, arrivedAt);
 	}
 
@@ -124,31 +113,20 @@
 		this.attempt = a;
 		this.prefillsAtWorker = call.kvSource() == null && this.request.prompt() != null;
 		w.adjustActivePrefills(this.prefillsAtWorker ? 1 : 0);
-		choosePath(w, now);
-		a.send(this.gateway.workerPort, call.withLastEventId(this.progress.lastEventId()));
-	}
-
-	private void choosePath(WorkerState w, long now) {
-		this.lastReceivedAt = now;
-		this.attemptIsDirect = this.gateway.paths.isDirect(w);
-		if (this.attemptIsDirect) {
-			this.gateway.paths.attemptStarted(w, now);
-			w.addPathLossListener(this.onPathLost);
-		}
-		else {
+		if (this.path.start(w, now)) {
 			this.gateway.metrics.sentThroughVm();
 		}
+		a.send(this.gateway.workerPort, call.withLastEventId(this.progress.lastEventId()));
 	}
 
 	// The response would come on a connection that has fallen silent. It may still come
 	// if the path is back soon, which is the only hope of a request that must not be sent
 	// again.
-	private void pathLost(long silentSince) {
-		Attempt a = this.attempt;
+	private void pathIsSilent() {
 		boolean repeatable = this.history.with(AttemptOutcome.UNKNOWN)
 			.allowsAnotherAttempt(this.route.maxAttempts(), this.route.repeatable());
-		if (a != null && repeatable && this.attemptIsDirect && this.lastReceivedAt <= silentSince) {
-			a.onFailure(new ExchangeFailure(true, "path to the worker lost"));
+		if (this.attempt != null && repeatable) {
+			this.attempt.onFailure(new ExchangeFailure(true, "path to the worker lost"));
 		}
 	}
 
@@ -198,15 +176,10 @@
 			this.gateway.roster.instanceReplaced(w.info().id(), this.placing.stage(), now);
 		}
 		else {
-			received(w, now);
+			this.path.received(now);
 		}
 	}
 
-	private void received(WorkerState w, long now) {
-		this.lastReceivedAt = now;
-		this.gateway.paths.recordResponse(w, this.attemptIsDirect, now);
-	}
-
 	@Override
 	public void onResponseStart(ResponseHead head) {
 		this.responseStarted = true;
@@ -217,9 +190,7 @@
 	@Override
 	public void onEvent(byte[] event) {
 		long now = this.gateway.clock.getAsLong();
-		if (this.attempt != null) {
-			received(this.attempt.worker(), now);
-		}
+		this.path.received(now);
 		this.progress.recordEvent(event, this.attemptStartedAt, this.gateway.engineTimes(this.upstream), now);
 		if (this.attemptProgress.recordEvent(now)) {
 			this.gateway.quarantine.recordProgress(this.fingerprint, now);
@@ -229,7 +200,7 @@
 
 	@Override
 	public void onBytes(byte[] bytes) {
-		this.lastReceivedAt = this.gateway.clock.getAsLong();
+		this.path.received(this.gateway.clock.getAsLong());
 		this.response.write(bytes);
 	}
 
@@ -305,14 +276,14 @@
 
 	// All workers have been tried directly.
 	private boolean tryOtherPaths(String reason, long now) {
-		WorkerPath path = (this.attempt != null) ? this.attempt.worker().path() : null;
-		if (path == null || (!path.isChecking() && this.unsentWorkers.stream().noneMatch(this::mayTryThroughVm))) {
+		WorkerPath p = (this.attempt != null) ? this.attempt.worker().path() : null;
+		if (p == null || (!p.isChecking() && !this.unsent.mayGoThroughVm())) {
 			return false;
 		}
 		log(now, "attempt=" + AttemptOutcome.NOT_SENT + " seen=\"" + reason + "\" next=CHECK_PATH");
 		endAttempt();
-		if (path.isChecking()) {
-			path.addCheckListener((seen) -> onPathChecked());
+		if (p.isChecking()) {
+			p.addCheckListener((seen) -> onPathChecked());
 		}
 		else {
 			onPathChecked();
@@ -320,22 +291,13 @@
 		return true;
 	}
 
-	private boolean mayTryThroughVm(WorkerState w) {
-		return w.path().tunnelVm() != null && !this.retriedWorkers.contains(w);
-	}
-
 	// Workers that this VM could not connect, but another VM can, are tried once more.
 	private void onPathChecked() {
 		if (this.finished) {
 			return;
 		}
 		long now = this.gateway.clock.getAsLong();
-		for (WorkerState w : this.unsentWorkers) {
-			if (mayTryThroughVm(w)) {
-				this.retriedWorkers.add(w);
-				this.placing.allowAgain(w);
-			}
-		}
+		this.unsent.allowAgain(this.placing);
 		if (mayRetry(AttemptOutcome.NOT_SENT, now)) {
 			this.gateway.metrics.retried();
 			this.placing.start(now);
@@ -376,8 +338,8 @@
 			this.gateway.roster.outlierDetector(this.upstream).recordFailure(w.info().id(), now);
 		}
 		if (end == AttemptOutcome.NOT_SENT) {
-			this.unsentWorkers.add(w);
-			this.gateway.workerNotReached(w, seen, now);
+			this.unsent.add(w);
+			this.gateway.paths.notReached(w, seen, now);
 			this.gateway.paths.connectFailed(w, now);
 		}
 	}
@@ -507,10 +469,7 @@
 		if (this.attempt != null) {
 			WorkerState w = this.attempt.worker();
 			w.requestEnded();
-			if (this.attemptIsDirect) {
-				this.gateway.paths.attemptEnded(w);
-				w.removePathLossListener(this.onPathLost);
-			}
+			this.path.end();
 			w.recordDuration(this.gateway.clock.getAsLong() - this.attemptStartedAt);
 			prefillFinished();
 			this.attempt = null;
--- a/src/main/java/io/shallotspur/gateway/RequestPlacement.java
+++ b/src/main/java/io/shallotspur/gateway/RequestPlacement.java
@@ -413,7 +413,7 @@
 		}
 		if (this.reservation != null && this.target != null) {
 			this.target.limit().releaseReservation();
-			this.gateway.cancelReservation(this.target.info(), this.reservation);
+			this.gateway.notices.cancelReservation(this.target.info(), this.reservation);
 			this.reservation = null;
 		}
 		this.target = null;
--- a/src/main/java/io/shallotspur/gateway/ReservationQueue.java
+++ b/src/main/java/io/shallotspur/gateway/ReservationQueue.java
@@ -285,7 +285,7 @@
 	private void onReserved(ReservationTicket ticket, WorkerState worker, String reservation, long now) {
 		if (ticket.isClosed()) {
 			worker.limit().releaseReservation();
-			this.gateway.cancelReservation(worker.info(), reservation);
+			this.gateway.notices.cancelReservation(worker.info(), reservation);
 			return;
 		}
 		ticket.close();
@@ -299,7 +299,7 @@
 		if (failure != null) {
 			this.gateway.roster.outlierDetector(this.upstream).recordFailure(worker.info().id(), now);
 			worker.recordOutcome(true);
-			this.gateway.workerNotReached(worker, failure.reason(), now);
+			this.gateway.paths.notReached(worker, failure.reason(), now);
 			this.gateway.paths.noResponse(worker, now);
 		}
 	}
--- a/src/main/java/io/shallotspur/gateway/WorkerCrashDetector.java
+++ b/src/main/java/io/shallotspur/gateway/WorkerCrashDetector.java
@@ -131,7 +131,7 @@
 		CrashEvidence e = w.crashEvidence();
 		if (seen == ListenState.REFUSES) {
 			reportCrash(w, e.runs.endedAfter(e.acceptedAt, now));
-			this.gateway.workerNotReached(w, seen.code(), now);
+			this.gateway.paths.notReached(w, seen.code(), now);
 		}
 		else {
 			e.acceptedAt = now;
--- a/src/main/java/io/shallotspur/gateway/WorkerPaths.java
+++ b/src/main/java/io/shallotspur/gateway/WorkerPaths.java
@@ -128,6 +128,26 @@
 		}
 	}
 
+	/**
+	 * Records that a worker could not be reached. The log line tells how many workers of
+	 * its upstream this VM does not reach: a VM that has lost its network path reaches
+	 * none, while other VMs reach them all.
+	 * @param w the worker
+	 * @param seen what was seen
+	 * @param now the present time in milliseconds
+	 */
+	void notReached(WorkerState w, String seen, long now) {
+		boolean news = w.isReachable(now);
+		w.markUnreachable(now);
+		if (news) {
+			this.gateway.metrics.workerNotReached();
+			String upstream = w.info().upstream();
+			Logger.info("[path] worker not reached worker={} upstream={} unreachable={}/{} seen=\"{}\"", w.info().id(),
+					upstream, this.gateway.roster.unreachableCount(upstream, now),
+					this.gateway.roster.activeCount(upstream, now), seen);
+		}
+	}
+
 	/**
 	 * Finds out how the address of a worker responds: to this VM or, if it does not
 	 * accept a connection, to other VMs.
@@ -256,7 +276,14 @@
 			this.lostAt = now;
 		}
 		this.nextReturnCheckAt = Math.max(this.nextReturnCheckAt, now + CHECK_INTERVAL_MS);
-		this.gateway.forgetFailures(w);
+		forgetFailures(w);
+	}
+
+	// The worker is well; this VM had lost its path to it.
+	private void forgetFailures(WorkerState w) {
+		w.forgetFailures();
+		this.gateway.roster.outlierDetector(w.info().upstream()).addWorker(w.info().id());
+		this.gateway.onCapacityFreed(w.info().upstream(), w.info().id());
 	}
 
 	private void interruptSilentAttempts(WorkerState w) {
