--- a/src/test/java/io/shallotspur/adapter/tunnel/TunnelTests.java
+++ b/src/test/java/io/shallotspur/adapter/tunnel/TunnelTests.java
@@ -103,6 +103,15 @@
 		return text.toString();
 	}
 
+	private Call startCall() throws IOException, InterruptedException {
+		Mono<String> body = get().cache();
+		body.subscribe((b) -> {
+		}, (ex) -> {
+		});
+		Socket s = connection();
+		return new Call(readRequest(s), s, body);
+	}
+
 	private static void write(Socket s, String text) throws IOException {
 		s.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
 		s.getOutputStream().flush();
@@ -114,65 +123,47 @@
 
 	@Test
 	void passesTheRequestAndTheResponseOn() throws Exception {
-		Mono<String> body = get().cache();
-		body.subscribe();
-		Socket s = connection();
-		Assertions.assertThat(readRequest(s)).startsWith("GET /x HTTP/1.1\r\n").contains("192.0.2.1:99");
-		write(s, HEAD + "Content-Length: 4\r\n\r\nfine");
-		Assertions.assertThat(body.block(TIMEOUT)).isEqualTo("fine");
+		Call call = startCall();
+		Assertions.assertThat(call.request()).startsWith("GET /x HTTP/1.1\r\n").contains("192.0.2.1:99");
+		write(call.worker(), HEAD + "Content-Length: 4\r\n\r\nfine");
+		Assertions.assertThat(call.body().block(TIMEOUT)).isEqualTo("fine");
 	}
 
 	@Test
 	void passesALargeResponseOn() throws Exception {
-		Mono<String> body = get().cache();
-		body.subscribe();
-		Socket s = connection();
-		readRequest(s);
-		write(s, HEAD + "Content-Length: 3000000\r\n\r\n" + "x".repeat(3_000_000));
-		Assertions.assertThat(body.block(TIMEOUT)).hasSize(3_000_000);
+		Call call = startCall();
+		write(call.worker(), HEAD + "Content-Length: 3000000\r\n\r\n" + "x".repeat(3_000_000));
+		Assertions.assertThat(call.body().block(TIMEOUT)).hasSize(3_000_000);
 	}
 
 	// Guards against a whole response without a length that is taken as broken off.
 	@Test
 	void aResponseMayEndWithItsConnection() throws Exception {
-		Mono<String> body = get().cache();
-		body.subscribe();
-		Socket s = connection();
-		readRequest(s);
-		write(s, HEAD + "Connection: close\r\n\r\nwhole");
-		s.close();
-		Assertions.assertThat(body.block(TIMEOUT)).isEqualTo("whole");
+		Call call = startCall();
+		write(call.worker(), HEAD + "Connection: close\r\n\r\nwhole");
+		call.worker().close();
+		Assertions.assertThat(call.body().block(TIMEOUT)).isEqualTo("whole");
 	}
 
 	// Guards against half a response that looks whole, because the other VM has ended and
 	// its connections were closed as properly as a worker's.
 	@Test
 	void aTunnelThatBreaksOffDoesNotLookLikeTheEndOfTheResponse() throws Exception {
-		Mono<String> body = get().cache();
-		body.subscribe((b) -> {
-		}, (ex) -> {
-		});
-		Socket s = connection();
-		readRequest(s);
-		write(s, HEAD + "Connection: close\r\n\r\nhalf");
+		Call call = startCall();
+		write(call.worker(), HEAD + "Connection: close\r\n\r\nhalf");
 		onLoop(this.server::close);
-		Assertions.assertThatThrownBy(() -> body.block(TIMEOUT)).hasRootCauseInstanceOf(IOException.class);
+		Assertions.assertThatThrownBy(() -> call.body().block(TIMEOUT)).hasRootCauseInstanceOf(IOException.class);
 	}
 
 	// Guards against half a response that looks whole, because the worker's reset reaches
 	// the caller's VM as a proper close.
 	@Test
 	void aResetByTheWorkerDoesNotLookLikeTheEndOfTheResponse() throws Exception {
-		Mono<String> body = get().cache();
-		body.subscribe((b) -> {
-		}, (ex) -> {
-		});
-		Socket s = connection();
-		readRequest(s);
-		write(s, HEAD + "Connection: close\r\n\r\nhalf");
-		s.setSoLinger(true, 0);
-		s.close();
-		Assertions.assertThatThrownBy(() -> body.block(TIMEOUT)).hasRootCauseInstanceOf(IOException.class);
+		Call call = startCall();
+		write(call.worker(), HEAD + "Connection: close\r\n\r\nhalf");
+		call.worker().setSoLinger(true, 0);
+		call.worker().close();
+		Assertions.assertThatThrownBy(() -> call.body().block(TIMEOUT)).hasRootCauseInstanceOf(IOException.class);
 	}
 
 	// Guards against a worker that goes on with a request whose caller has left.
@@ -203,14 +194,11 @@
 
 	@Test
 	void aDrainingVmOpensNoTunnelAndKeepsThoseItHas() throws Exception {
-		Mono<String> body = get().cache();
-		body.subscribe();
-		Socket s = connection();
-		readRequest(s);
+		Call call = startCall();
 		onLoop(this.server::drain);
 		Assertions.assertThat(check("vms/b", "w")).isEqualTo(TunnelStatus.UNAVAILABLE);
-		write(s, HEAD + "Content-Length: 4\r\n\r\nfine");
-		Assertions.assertThat(body.block(TIMEOUT)).isEqualTo("fine");
+		write(call.worker(), HEAD + "Content-Length: 4\r\n\r\nfine");
+		Assertions.assertThat(call.body().block(TIMEOUT)).isEqualTo("fine");
 	}
 
 	// Guards against a request that is reported as sent although the tunnel was refused.
@@ -221,4 +209,11 @@
 		Assertions.assertThat(this.accepted).isEmpty();
 	}
 
+	/**
+	 * A call whose request has reached the worker.
+	 */
+	private record Call(String request, Socket worker, Mono<String> body) {
+
+	}
+
 }
--- a/src/test/java/io/shallotspur/platform/LostPathTests.java
+++ b/src/test/java/io/shallotspur/platform/LostPathTests.java
@@ -83,14 +83,18 @@
 		}
 	}
 
+	private void assertServedLikeAtTheOtherVm() {
+		Assertions.assertThat(served(this.otherVm, "/unsafe/x")).isEqualTo(REQUESTS);
+		Assertions.assertThat(served(this.vm, "/unsafe/x")).isEqualTo(REQUESTS);
+		Assertions.assertThat(served(this.vm, "/model/x")).isEqualTo(REQUESTS);
+	}
+
 	// Guards against a VM that still draws callers, but serves none of them, because its
 	// connections to all workers are refused.
 	@Test
 	void servesCallersWhileItsConnectionsToWorkersAreRefused() throws Throwable {
 		loseAllPaths(LoopbackProxy::refuseConnections);
-		Assertions.assertThat(served(this.otherVm, "/unsafe/x")).isEqualTo(REQUESTS);
-		Assertions.assertThat(served(this.vm, "/unsafe/x")).isEqualTo(REQUESTS);
-		Assertions.assertThat(served(this.vm, "/model/x")).isEqualTo(REQUESTS);
+		assertServedLikeAtTheOtherVm();
 	}
 
 	// Guards against a VM that still draws callers, but serves none of them, because its
@@ -98,9 +102,7 @@
 	@Test
 	void servesCallersWhileItsConnectionsToWorkersHang() throws Throwable {
 		loseAllPaths(LoopbackProxy::cut);
-		Assertions.assertThat(served(this.otherVm, "/unsafe/x")).isEqualTo(REQUESTS);
-		Assertions.assertThat(served(this.vm, "/unsafe/x")).isEqualTo(REQUESTS);
-		Assertions.assertThat(served(this.vm, "/model/x")).isEqualTo(REQUESTS);
+		assertServedLikeAtTheOtherVm();
 	}
 
 	// Guards against a VM that goes on calling workers through another one, or not at
