--- a/src/test/java/io/shallotspur/platform/FakeStore.java
+++ b/src/test/java/io/shallotspur/platform/FakeStore.java
@@ -10,7 +10,9 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.UnaryOperator;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -47,6 +49,8 @@
 
 	private final DisposableServer server;
 
+	private final List<DisposableServer> views = new CopyOnWriteArrayList<>();
+
 	private final AtomicInteger ranges = new AtomicInteger();
 
 	private long revision = 1;
@@ -66,12 +70,16 @@
 	private Snapshot snapshot = new Snapshot(Map.of(), List.of(), Set.of(), 1);
 
 	public FakeStore() {
-		this.server = HttpServer.create()
+		this.server = bind(UnaryOperator.identity());
+	}
+
+	private DisposableServer bind(UnaryOperator<String> view) {
+		return HttpServer.create()
 			.host("127.0.0.1")
 			.port(0)
-			.route((r) -> r.get("/api/kv-range", this::listItems)
-				.get("/api/kv-key", this::key)
-				.get("/api/kv-watch", this::watch)
+			.route((r) -> r.get("/api/kv-range", (q, s) -> listItems(q, s, view))
+				.get("/api/kv-key", (q, s) -> key(q, s, view))
+				.get("/api/kv-watch", (q, s) -> watch(q, s, view))
 				.post("/api/kv-lease", this::openLease)
 				.post("/api/kv-keep/{id}", this::renewLease)
 				.delete("/api/kv-lease-end/{id}", this::endLease)
@@ -79,6 +87,25 @@
 			.bindNow();
 	}
 
+	/**
+	 * Adds an address at which the workers' entries look different.
+	 * @param view what a worker's entry looks like there
+	 */
+	public Endpoint addView(UnaryOperator<String> view) {
+		DisposableServer s = bind(view);
+		this.views.add(s);
+		return new Endpoint("127.0.0.1", s.port());
+	}
+
+	private static JsonNode viewed(ObjectNode item, UnaryOperator<String> view) {
+		if (!item.path("key").asText().startsWith(PlatformNames.WORKER_PREFIX) || !item.has("value")) {
+			return item;
+		}
+		String value = new String(Base64.getDecoder().decode(item.path("value").asText()), StandardCharsets.UTF_8);
+		byte[] seen = view.apply(value).getBytes(StandardCharsets.UTF_8);
+		return item.deepCopy().put("value", Base64.getEncoder().encodeToString(seen));
+	}
+
 	public Endpoint address() {
 		return new Endpoint("127.0.0.1", this.server.port());
 	}
@@ -167,6 +194,7 @@
 
 	public void stop() {
 		this.server.disposeNow();
+		this.views.forEach((v) -> v.disposeNow());
 	}
 
 	// While the store is unavailable, lease calls are answered with 503. A grant or a
@@ -242,12 +270,13 @@
 		return all;
 	}
 
-	private synchronized Publisher<Void> key(HttpServerRequest q, HttpServerResponse s) {
+	private synchronized Publisher<Void> key(HttpServerRequest q, HttpServerResponse s, UnaryOperator<String> view) {
 		ObjectNode item = this.items.get(param(q, "key", ""));
-		return (item != null) ? send(s, 200, item) : send(s, 404, JSON.createObjectNode());
+		return (item != null) ? send(s, 200, viewed(item, view)) : send(s, 404, JSON.createObjectNode());
 	}
 
-	private synchronized Publisher<Void> listItems(HttpServerRequest q, HttpServerResponse s) {
+	private synchronized Publisher<Void> listItems(HttpServerRequest q, HttpServerResponse s,
+			UnaryOperator<String> view) {
 		this.ranges.incrementAndGet();
 		String after = param(q, "after", "");
 		ObjectNode out = JSON.createObjectNode();
@@ -259,20 +288,20 @@
 				if (more) {
 					break;
 				}
-				l.add(e.getValue());
+				l.add(viewed(e.getValue(), view));
 			}
 		}
 		out.put("truncated", more).put("store_revision", this.revision);
 		return send(s, 200, out);
 	}
 
-	private Publisher<Void> watch(HttpServerRequest q, HttpServerResponse s) {
+	private Publisher<Void> watch(HttpServerRequest q, HttpServerResponse s, UnaryOperator<String> view) {
 		long after = Long.parseLong(param(q, "after", "0"));
 		long end = System.nanoTime() + Duration.ofMillis(Long.parseLong(param(q, "wait_ms", "0"))).toNanos();
-		return poll(s, after, end);
+		return poll(s, after, end, view);
 	}
 
-	private Mono<Void> poll(HttpServerResponse s, long after, long end) {
+	private Mono<Void> poll(HttpServerResponse s, long after, long end, UnaryOperator<String> view) {
 		synchronized (this) {
 			expire();
 			if (after < this.oldestRevision || after > this.revision) {
@@ -282,11 +311,13 @@
 			if (any || this.unavailable || System.nanoTime() > end) {
 				ObjectNode out = JSON.createObjectNode().put("store_revision", this.revision);
 				ArrayNode l = out.putArray("events");
-				this.events.stream().filter((e) -> e.path("revision").asLong() > after).forEach(l::add);
+				this.events.stream()
+					.filter((e) -> e.path("revision").asLong() > after)
+					.forEach((e) -> l.add(viewed(e, view)));
 				return Mono.from(send(s, 200, out));
 			}
 		}
-		return Mono.delay(POLL).then(Mono.defer(() -> poll(s, after, end)));
+		return Mono.delay(POLL).then(Mono.defer(() -> poll(s, after, end, view)));
 	}
 
 	private synchronized Publisher<Void> send(HttpServerResponse s, int status, JsonNode body) {
--- a/src/test/java/io/shallotspur/platform/soak/Fault.java
+++ b/src/test/java/io/shallotspur/platform/soak/Fault.java
@@ -83,7 +83,10 @@
 		CRASHING_REQUEST,
 
 		/** The plain workers fail most requests. */
-		WORKERS_FAIL;
+		WORKERS_FAIL,
+
+		/** One VM loses its network path to workers. */
+		WORKERS_CUT_OFF;
 
 		// Kinds after these are planned separately, so that adding a kind does not change
 		// the other faults of a seed.
--- a/src/test/java/io/shallotspur/platform/soak/FaultInjector.java
+++ b/src/test/java/io/shallotspur/platform/soak/FaultInjector.java
@@ -103,12 +103,12 @@
 			case ALL_KILL -> killAll(0);
 			case WORKER_CRASH -> this.workers.get(f.target()).crash();
 			case WORKER_DRAIN -> this.workers.get(f.target()).drain();
-			case WORKER_RESET -> this.workers.get(f.target()).proxy().reset();
-			case WORKER_ONE_WAY -> applyMode(f, this.workers.get(f.target()).proxy(), LoopbackProxy.Mode.ONE_WAY);
-			case WORKER_SILENT -> applyMode(f, this.workers.get(f.target()).proxy(), LoopbackProxy.Mode.SILENT);
-			case WORKER_DELAY -> applyMode(f, this.workers.get(f.target()).proxy(), LoopbackProxy.Mode.DELAY);
+			case WORKER_RESET -> this.workers.get(f.target()).proxies().reset();
+			case WORKER_ONE_WAY -> applyMode(f, this.workers.get(f.target()).proxies(), LoopbackProxy.Mode.ONE_WAY);
+			case WORKER_SILENT -> applyMode(f, this.workers.get(f.target()).proxies(), LoopbackProxy.Mode.SILENT);
+			case WORKER_DELAY -> applyMode(f, this.workers.get(f.target()).proxies(), LoopbackProxy.Mode.DELAY);
 			case STORE_RESET -> this.storeProxies.get(f.target()).reset();
-			case STORE_SILENT -> applyMode(f, this.storeProxies.get(f.target()), LoopbackProxy.Mode.SILENT);
+			case STORE_SILENT -> silenceStore(f, this.storeProxies.get(f.target()));
 			case STORE_AWAY -> makeStoreUnavailable(f);
 			case STORE_FORGETS -> this.store.dropHistory();
 			case CONFIGURATION -> this.publishConfiguration.run();
@@ -117,6 +117,7 @@
 			case WORKER_LEAVES -> this.workers.get(f.target()).leave(f.forMs());
 			case CRASHING_REQUEST -> this.crashingCaller.sendRepeatedly(f);
 			case WORKERS_FAIL -> failPlainWorkers(f);
+			case WORKERS_CUT_OFF -> cutOff(f);
 			case WORKER_PAUSES -> this.workers.get(f.target()).refuseWithPause(f.forMs());
 		}
 	}
@@ -197,7 +198,27 @@
 		this.rewriteLostEntries.run();
 	}
 
-	private static void applyMode(Fault f, LoopbackProxy p, LoopbackProxy.Mode mode) throws InterruptedException {
+	private static void silenceStore(Fault f, LoopbackProxy p) throws InterruptedException {
+		p.mode(LoopbackProxy.Mode.SILENT);
+		Thread.sleep(f.forMs());
+		p.mode(LoopbackProxy.Mode.PASS);
+	}
+
+	// The VM loses its way to all workers, or to those of one upstream.
+	private void cutOff(Fault f) throws IOException, InterruptedException {
+		String vm = this.vms.get(f.target()).callerAddress();
+		WorkerProxies.Cut how = (f.forMs() % 2 == 0) ? WorkerProxies.Cut.HANGS : WorkerProxies.Cut.REFUSED;
+		List<SoakWorker> lost = this.workers.stream().filter((w) -> f.forMs() % 3 > 0 || w.isPlain()).toList();
+		this.checker.onVmCut(vm, InvariantChecker.nowMs());
+		lost.forEach((w) -> w.proxies().cut(f.target(), how));
+		Thread.sleep(f.forMs());
+		this.checker.onVmHealed(vm, InvariantChecker.nowMs());
+		for (SoakWorker w : lost) {
+			w.proxies().heal(f.target());
+		}
+	}
+
+	private static void applyMode(Fault f, WorkerProxies p, LoopbackProxy.Mode mode) throws InterruptedException {
 		p.mode(mode);
 		Thread.sleep(f.forMs());
 		p.mode(LoopbackProxy.Mode.PASS);
--- a/src/test/java/io/shallotspur/platform/soak/FaultPlan.java
+++ b/src/test/java/io/shallotspur/platform/soak/FaultPlan.java
@@ -33,6 +33,9 @@
 
 	private static final long ROLL_GAP_MS = 600;
 
+	// In ms. Callers must be served from three seconds after the beginning on.
+	private static final long MIN_CUT_DURATION_MS = 5_000;
+
 	private FaultPlan() {
 	}
 
@@ -95,6 +98,16 @@
 		return l;
 	}
 
+	private static List<Fault> planCuts(long seed, long lengthMs, int vms) {
+		SplittableRandom r = new SplittableRandom(seed * 41);
+		List<Fault> l = new ArrayList<>();
+		for (int n = r.nextInt(3); n > 0; n--) {
+			long durationMs = MIN_CUT_DURATION_MS + r.nextInt((int) MIN_CUT_DURATION_MS);
+			l.add(new Fault(Fault.Kind.WORKERS_CUT_OFF, r.nextInt((int) lengthMs / 2), durationMs, r.nextInt(vms)));
+		}
+		return l;
+	}
+
 	/**
 	 * Creates a plan. Faults overlap; some are repeated at the same target.
 	 * @param seed the seed
@@ -125,6 +138,7 @@
 		l.addAll(planStatements(seed, lengthMs, workers));
 		l.addAll(planCrashingRequests(seed, lengthMs));
 		l.addAll(planFailures(seed, lengthMs, vms));
+		l.addAll(planCuts(seed, lengthMs, vms));
 		if (Math.floorMod(seed, CALM_SEEDS) == CALM_SEEDS - 1) {
 			l.removeIf((f) -> f.kind().disturbsVms());
 		}
--- a/src/test/java/io/shallotspur/platform/soak/InvariantChecker.java
+++ b/src/test/java/io/shallotspur/platform/soak/InvariantChecker.java
@@ -52,6 +52,9 @@
 
 	private final Map<String, Long> fencingTokens = new ConcurrentHashMap<>();
 
+	// By the address of the VM.
+	private final Map<String, CutVm> cutVms = new ConcurrentHashMap<>();
+
 	private final List<String> violations = new CopyOnWriteArrayList<>();
 
 	InvariantChecker(SoakKeys keys) {
@@ -186,6 +189,44 @@
 		}
 	}
 
+	/**
+	 * Called when a VM loses its network path to workers. What these state on their
+	 * responses may not reach it.
+	 * @param vm the address of the VM
+	 * @param nowMs the current time in milliseconds
+	 */
+	void onVmCut(String vm, long nowMs) {
+		this.cutVms.put(vm, new CutVm(vm, nowMs));
+		onVmDisturbed(vm, nowMs);
+		onVmInterrupted(vm);
+	}
+
+	/**
+	 * Called when a VM has its paths again.
+	 * @param vm the address of the VM
+	 * @param nowMs the current time in milliseconds
+	 */
+	void onVmHealed(String vm, long nowMs) {
+		CutVm cut = this.cutVms.remove(vm);
+		boolean undisturbed = this.activeDisturbances.get() == 0
+				&& this.lastDisturbanceEndedAt.get() + RECOVERY_MS < cut.startedAtMs();
+		if (undisturbed) {
+			cut.violation().ifPresent(this::addViolation);
+		}
+		onVmDisturbed(vm, nowMs);
+		onVmInterrupted(vm);
+	}
+
+	/**
+	 * Called when a caller has its answer or none any more.
+	 * @param id the request id
+	 * @param served whether a worker has answered it with success
+	 */
+	void onEnded(String id, boolean served) {
+		Credentials c = this.credentials.get(id);
+		this.cutVms.values().forEach((cut) -> cut.onEnded(this.vmByRequest.get(id), c.sentAtMs(), served));
+	}
+
 	static long nowMs() {
 		return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
 	}
--- a/src/test/java/io/shallotspur/platform/soak/SoakCaller.java
+++ b/src/test/java/io/shallotspur/platform/soak/SoakCaller.java
@@ -134,6 +134,7 @@
 				.flatMap((v) -> r.headers().firstValue("X-Server-Stamp"))
 				.ifPresent((stamp) -> this.checker.onLeavingPassedOn(id, stamp.substring("stamp-".length()),
 						InvariantChecker.nowMs()));
+			this.checker.onEnded(id, r.statusCode() == 200);
 			if (r.statusCode() == 200) {
 				this.successCount.incrementAndGet();
 			}
@@ -142,6 +143,7 @@
 			// The connection failed or was closed early. No invariant applies to a
 			// request without a complete response.
 			this.addressesExpireAt = 0;
+			this.checker.onEnded(id, false);
 		}
 	}
 
--- a/src/test/java/io/shallotspur/platform/soak/SoakRun.java
+++ b/src/test/java/io/shallotspur/platform/soak/SoakRun.java
@@ -80,16 +80,26 @@
 		Map<String, String> caches = new ConcurrentHashMap<>();
 		String[] stages = { "", "", "", "prefill", "prefill", "prefill", "decode", "decode", "decode" };
 		for (int i = 0; i < stages.length; i++) {
-			this.workers.add(new SoakWorker(stages[i].isEmpty() ? "plain" : "llm", i, stages[i], this.store,
+			this.workers.add(new SoakWorker(stages[i].isEmpty() ? "plain" : "llm", i, stages[i], vms, this.store,
 					this.checker, caches));
 		}
 		for (int i = 0; i < vms; i++) {
-			LoopbackProxy p = new LoopbackProxy(this.store.address().port());
+			int vm = i;
+			LoopbackProxy p = new LoopbackProxy(this.store.addView((entry) -> viewOf(entry, vm)).port());
 			this.storeProxies.add(p);
 			this.vms.add(new VmProcess(i, dir, chooseFreePorts(), p.port()));
 		}
 	}
 
+	// The workers' entries have the addresses at which this VM reaches them.
+	private String viewOf(String entry, int vm) {
+		String view = entry;
+		for (SoakWorker w : this.workers) {
+			view = view.replace(":" + w.proxies().port(0) + "\"", ":" + w.proxies().port(vm) + "\"");
+		}
+		return view;
+	}
+
 	// Chooses ports below the ephemeral range. An ephemeral port could be assigned to an
 	// outgoing connection while the VM is down, and the VM could not restart.
 	private int[] chooseFreePorts() throws IOException {
--- a/src/test/java/io/shallotspur/platform/soak/SoakWorker.java
+++ b/src/test/java/io/shallotspur/platform/soak/SoakWorker.java
@@ -71,7 +71,7 @@
 
 	private final InvariantChecker checker;
 
-	private final LoopbackProxy proxy;
+	private final WorkerProxies proxies;
 
 	// The request that each KV cache belongs to; shared by all workers.
 	private final Map<String, String> caches;
@@ -86,7 +86,7 @@
 	// back.
 	private final Set<String> removedKeys = ConcurrentHashMap.newKeySet();
 
-	SoakWorker(String upstream, int number, String stage, FakeStore store, InvariantChecker checker,
+	SoakWorker(String upstream, int number, String stage, int vms, FakeStore store, InvariantChecker checker,
 			Map<String, String> caches) throws IOException {
 		this.upstream = upstream;
 		this.number = number;
@@ -94,7 +94,7 @@
 		this.checker = checker;
 		this.caches = caches;
 		this.current = new Incarnation(stage);
-		this.proxy = new LoopbackProxy(this.current.server.port());
+		this.proxies = new WorkerProxies(vms, this.current.server.port());
 		register("ready");
 	}
 
@@ -126,8 +126,12 @@
 		this.failing = failing;
 	}
 
-	LoopbackProxy proxy() {
-		return this.proxy;
+	boolean isPlain() {
+		return this.upstream.equals("plain");
+	}
+
+	WorkerProxies proxies() {
+		return this.proxies;
 	}
 
 	/**
@@ -137,7 +141,7 @@
 	synchronized void crash() {
 		Incarnation old = this.current;
 		old.server.disposeNow();
-		this.proxy.reset();
+		this.proxies.reset();
 		restart(old);
 		Mono.delay(Duration.ofMillis(1_500), Schedulers.boundedElastic()).subscribe((t) -> deregister(old));
 	}
@@ -151,10 +155,10 @@
 		old.crashed = true;
 		CrashStyle style = CrashingCaller.crashStyle(body);
 		switch (style) {
-			case REFUSES -> this.proxy.refuseConnections();
-			case FALLS_SILENT -> this.proxy.fallSilent();
+			case REFUSES -> this.proxies.refuseConnections();
+			case FALLS_SILENT -> this.proxies.fallSilent();
 			case RESTARTS_AT_ONCE -> {
-				this.proxy.reset();
+				this.proxies.reset();
 				restart(old);
 			}
 		}
@@ -169,7 +173,7 @@
 
 	private synchronized void comeBack(Incarnation old) {
 		try {
-			this.proxy.acceptAgain();
+			this.proxies.acceptAgain();
 			restart(old);
 		}
 		catch (IOException ex) {
@@ -238,7 +242,7 @@
 	private synchronized void restart(Incarnation old) {
 		if (this.current == old) {
 			this.current = new Incarnation(old.initialStage);
-			this.proxy.targetPort(this.current.server.port());
+			this.proxies.targetPort(this.current.server.port());
 			register("ready");
 		}
 	}
@@ -248,13 +252,13 @@
 				"""
 						{"service":"%s","address":"127.0.0.1:%d","zone":"hall-%d","version":"v1","slots":%d,"state":"%s",
 						"cold_remaining_ms":0,%s"models":[],"sequence_number":1}"""
-					.formatted(this.upstream, this.proxy.port(), this.number % 2, SLOTS, state,
+					.formatted(this.upstream, this.proxies.port(0), this.number % 2, SLOTS, state,
 							this.current.stage.isEmpty() ? "" : "\"stage\":\"" + this.current.stage + "\","));
 	}
 
 	void stop() {
 		this.current.server.disposeNow();
-		this.proxy.stop();
+		this.proxies.stop();
 	}
 
 	/**
