Tests of paths do not depend on the pace of the machine, and two of them guard what they say

Seen while mechanisms were switched off one by one beside other work: TunnelTests.tellsHowTheWorkersAddress- Responds and LostPathTests.refusesAtOnceWhenTheOnlyOtherVmHasEnded failed once each without a reason in the switched-off code. Traced: a listener that is closed while it waits accepts one connection more (as the soak's proxy says); and 20 requests may be over before other VMs are asked again after half a second, so that no refusal says workers-unreachable yet. Both wait for the condition now, with the same checks. Two switch-offs failed no test: the bound of one extra try a worker (the test had no time pass between checks) and the number of VMs asked (by chance of the order the right one came first); both tests now have what they need.

--- a/src/test/java/io/shallotspur/adapter/tunnel/TunnelTests.java
+++ b/src/test/java/io/shallotspur/adapter/tunnel/TunnelTests.java
@@ -177,11 +177,21 @@
 		Assertions.assertThat(s.getInputStream().read()).isEqualTo(-1);
 	}
 
+	// A listener that is closed while it waits for connections accepts for a moment more.
+	private void awaitRefused() {
+		long end = System.nanoTime() + TIMEOUT.toNanos();
+		TunnelStatus status = check("vms/b", "w");
+		while (status == TunnelStatus.CONNECTED && System.nanoTime() < end) {
+			status = check("vms/b", "w");
+		}
+		Assertions.assertThat(status).isEqualTo(TunnelStatus.REFUSED);
+	}
+
 	@Test
 	void tellsHowTheWorkersAddressResponds() throws IOException {
 		Assertions.assertThat(check("vms/b", "w")).isEqualTo(TunnelStatus.CONNECTED);
 		this.worker.close();
-		Assertions.assertThat(check("vms/b", "w")).isEqualTo(TunnelStatus.REFUSED);
+		awaitRefused();
 	}
 
 	// Guards against a request that is passed to whatever listens at the address of a VM
--- a/src/test/java/io/shallotspur/gateway/WorkerPathsTests.java
+++ b/src/test/java/io/shallotspur/gateway/WorkerPathsTests.java
@@ -88,16 +88,18 @@
 		Assertions.assertThat(c.caller().status).isEqualTo(200);
 	}
 
-	// Guards against an endless series of attempts through VMs that cannot open a tunnel.
+	// Guards against an endless series of attempts through VMs that say that they reach
+	// the worker and cannot open a tunnel.
 	@Test
 	void triesEachWorkerOnceThroughAnotherVm() {
-		cutAll();
-		GatewayFixture.Call c = this.f.call("unsafe");
+		cut(this.f.addWorker("d1", "llm", WorkerStage.DECODE));
+		GatewayFixture.Call c = this.f.call("once", 14_000, null);
 		for (int i = 0; i < 20 && !c.caller().completed; i++) {
+			this.f.timer.advance(600);
 			refuseLastRun();
 		}
 		Assertions.assertThat(c.caller().status).isEqualTo(503);
-		Assertions.assertThat(this.f.workers.runs.size()).isLessThanOrEqualTo(2 * this.plain.size());
+		Assertions.assertThat(this.f.workers.runs.size()).isLessThanOrEqualTo(2);
 	}
 
 	// Guards against a worker that is down and is taken for a lost path.
@@ -288,6 +290,8 @@
 			this.f.gateway.entryVms().register(vm("vms/cut" + i, "hall-a"));
 			this.f.workers.seenByVms.put("vms/cut" + i, ListenState.NO_RESPONSE);
 		}
+		this.f.gateway.entryVms().deregister("vms/b", 0);
+		this.f.gateway.entryVms().register(vm("vms/c", "hall-b"));
 		cutAll();
 		GatewayFixture.Call c = this.f.call("unsafe");
 		refuseLastRun();
--- a/src/test/java/io/shallotspur/platform/LostPathTests.java
+++ b/src/test/java/io/shallotspur/platform/LostPathTests.java
@@ -164,10 +164,13 @@
 	void refusesAtOnceWhenTheOnlyOtherVmHasEnded() throws Throwable {
 		loseAllPaths(LoopbackProxy::refuseConnections);
 		this.otherVm.close();
-		served(this.vm, "/unsafe/x");
+		// Until other VMs may be asked again, the workers' refusals are all that is seen.
+		await(() -> {
+			Assertions.assertThat(served(this.vm, "/unsafe/x")).isZero();
+			return metrics().contains("relay_refused_workers_unreachable");
+		});
 		HttpResponse<String> r = send(request("/unsafe/x").POST(HttpRequest.BodyPublishers.ofString("p")).build());
 		Assertions.assertThat(r.statusCode()).isEqualTo(503);
-		Assertions.assertThat(metrics()).contains("relay_refused_workers_unreachable");
 	}
 
 }
