--- a/src/test/java/io/shallotspur/gateway/LostPathFleetTests.java
+++ b/src/test/java/io/shallotspur/gateway/LostPathFleetTests.java
@@ -48,7 +48,7 @@
 		return net.workers.stream().noneMatch((w) -> net.reaches(vm, w));
 	}
 
-	// Guards against VMs that serve nobody while one other VM reaches the workers,
+	// Guards against VMs that refuse all callers while one other VM reaches the workers,
 	// however many have lost their paths.
 	@ParameterizedTest
 	@CsvSource({ "8,1,REFUSED", "8,3,HANGS", "8,7,REFUSED", "8,7,HANGS", "40,30,HANGS", "40,30,REFUSED" })
--- a/src/test/java/io/shallotspur/gateway/WorkerPathsTests.java
+++ b/src/test/java/io/shallotspur/gateway/WorkerPathsTests.java
@@ -179,7 +179,8 @@
 		}
 	}
 
-	// Guards against a response that is cut off, though its connection lives on while new
+	// Guards against a response that is cut off, though its connection still works while
+	// new
 	// ones are refused.
 	@Test
 	void anAttemptThatReceivesEventsIsNotInterrupted() {
