A request of any size goes through a tunnel

Found on reading the change: a request's body is written in one buffer, which became one frame, and the other side refuses frames beyond a megabyte. Callers of a VM with lost paths would have had 502 for large bodies. Change: what is sent is split into frames of 64 KB, as much as is read from a socket at once. Result: TunnelTests.passesALargeRequestOn (3 MB) failed before, passes now.

--- a/src/main/java/io/shallotspur/adapter/tunnel/TunnelClientHandler.java
+++ b/src/main/java/io/shallotspur/adapter/tunnel/TunnelClientHandler.java
@@ -94,6 +94,16 @@
 		ctx.fireChannelInactive();
 	}
 
+	// The whole body of a request may come in one buffer.
+	@Override
+	public void write(ChannelHandlerContext ctx, Object msg, ChannelPromise promise) {
+		ByteBuf bytes = (ByteBuf) msg;
+		while (bytes.readableBytes() > TunnelCodec.MAX_FRAME_BYTES) {
+			ctx.write(bytes.readRetainedSlice(TunnelCodec.MAX_FRAME_BYTES));
+		}
+		ctx.write(bytes, promise);
+	}
+
 	@Override
 	public void close(ChannelHandlerContext ctx, ChannelPromise promise) {
 		cancelTimeout();
--- a/src/main/java/io/shallotspur/adapter/tunnel/TunnelCodec.java
+++ b/src/main/java/io/shallotspur/adapter/tunnel/TunnelCodec.java
@@ -30,8 +30,8 @@
 
 	private static final int LENGTH_BYTES = 4;
 
-	// In bytes; the largest part that is read from a socket at once is 64 KB.
-	private static final int MAX_FRAME_BYTES = 1 << 20;
+	/** In bytes; as much as is read from a socket at once. */
+	static final int MAX_FRAME_BYTES = 64 << 10;
 
 	private TunnelCodec() {
 	}
@@ -42,7 +42,7 @@
 	 * @param tunnel the handler of the frames
 	 */
 	static void install(ChannelPipeline p, ChannelHandler tunnel) {
-		p.addFirst(new LengthFieldBasedFrameDecoder(MAX_FRAME_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES),
+		p.addFirst(new LengthFieldBasedFrameDecoder(LENGTH_BYTES + MAX_FRAME_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES),
 				new LengthFieldPrepender(LENGTH_BYTES), tunnel);
 	}
 
--- a/src/test/java/io/shallotspur/adapter/tunnel/TunnelTests.java
+++ b/src/test/java/io/shallotspur/adapter/tunnel/TunnelTests.java
@@ -22,6 +22,7 @@
 import reactor.core.Disposable;
 import reactor.core.publisher.Mono;
 import reactor.core.scheduler.Schedulers;
+import reactor.netty.ByteBufMono;
 import reactor.netty.http.client.HttpClient;
 import reactor.netty.resources.ConnectionProvider;
 import reactor.netty.resources.LoopResources;
@@ -136,6 +137,27 @@
 		Assertions.assertThat(call.body().block(TIMEOUT)).hasSize(3_000_000);
 	}
 
+	// Guards against a request that breaks off because its body does not fit into a
+	// frame.
+	@Test
+	void passesALargeRequestOn() throws Exception {
+		byte[] content = new byte[3_000_000];
+		Mono<String> body = client().headers((h) -> h.set("Content-Length", content.length))
+			.post()
+			.uri("http://192.0.2.1:99/x")
+			.send(ByteBufMono.fromString(Mono.just("x".repeat(content.length))))
+			.responseContent()
+			.aggregate()
+			.asString()
+			.cache();
+		body.subscribe();
+		Socket s = connection();
+		readRequest(s);
+		Assertions.assertThat(s.getInputStream().readNBytes(content.length)).hasSize(content.length);
+		write(s, HEAD + "Content-Length: 4\r\n\r\nfine");
+		Assertions.assertThat(body.block(TIMEOUT)).isEqualTo("fine");
+	}
+
 	// Guards against a whole response without a length that is taken as broken off.
 	@Test
 	void aResponseMayEndWithItsConnection() throws Exception {
