The number of VMs that are asked for a path has a test that fails with fewer; verification in the postmortem

Cause: with MAX_VMS of 4 the test passed, as another worker answered directly. Change: it looks at which VM was asked and whether the request went through it.

--- a/src/test/java/io/shallotspur/gateway/WorkerPathsTests.java
+++ b/src/test/java/io/shallotspur/gateway/WorkerPathsTests.java
@@ -297,6 +297,8 @@
 		GatewayFixture.Call c = this.f.call("unsafe");
 		refuseLastRun();
 		this.f.workers.lastRun().respond(200, "fine");
+		Assertions.assertThat(this.f.workers.checksThroughVms).contains("vms/c>p1");
+		Assertions.assertThat(count("path.sent-through-vm")).isEqualTo(1);
 		Assertions.assertThat(c.caller().status).isEqualTo(200);
 	}
 
