--- a/src/test/java/io/shallotspur/gateway/WorkerPathsTests.java
+++ b/src/test/java/io/shallotspur/gateway/WorkerPathsTests.java
@@ -261,7 +261,7 @@
 	void goesOnThroughADrainingVmUntilAnotherOneIsFound() {
 		loseAll();
 		this.f.gateway.entryVms().deregister("vms/b", 0);
-		this.f.workers.seenByVms.put("vms/b", ListenState.ACCEPTS);
+		Assertions.assertThat(this.f.gateway.entryVms().tunnelVms(this.f.timer.now())).isEmpty();
 		for (WorkerInfo w : this.plain) {
 			Assertions.assertThat(this.f.gateway.paths.tunnelVm(w)).isPresent();
 		}
@@ -271,16 +271,14 @@
 	// failed, though another VM is known to reach workers.
 	@Test
 	void usesTheLatestOtherVmWhenATunnelFails() {
+		WorkerState first = this.f.gateway.roster.instance(this.plain.get(0)).orElseThrow();
+		WorkerState second = this.f.gateway.roster.instance(this.plain.get(1)).orElseThrow();
+		this.f.gateway.paths.connectFailed(first, this.f.timer.now());
 		this.f.gateway.entryVms().register(vm("vms/c", "hall-a"));
-		this.f.workers.seenByVms.put("vms/c", ListenState.NO_RESPONSE);
-		loseAll();
-		this.f.workers.seenByVms.put("vms/c", ListenState.ACCEPTS);
 		this.f.workers.seenByVms.put("vms/b", ListenState.NO_RESPONSE);
-		this.f.timer.advance(600);
-		this.f.call("unsafe");
-		refuseLastRun();
-		WorkerInfo w = this.f.workers.runs.get(this.f.workers.runs.size() - 2).call.worker();
-		Assertions.assertThat(this.f.gateway.paths.tunnelVm(w))
+		this.f.gateway.paths.connectFailed(second, this.f.timer.now());
+		this.f.gateway.paths.connectFailed(first, this.f.timer.now());
+		Assertions.assertThat(this.f.gateway.paths.tunnelVm(first.info()))
 			.hasValueSatisfying((vm) -> Assertions.assertThat(vm.key()).isEqualTo("vms/c"));
 	}
 
