Logs tell the version of each worker and which stream a request takes up

Cause: neither could be seen, so that a VM's own continuation at another version could not be told from that of a caller. Change: the entry's version is kept in WorkerInfo and logged with the worker; the Resumes field is decoded and logged. Nothing decides by either yet.

--- a/src/main/java/io/shallotspur/gateway/RelayMetrics.java
+++ b/src/main/java/io/shallotspur/gateway/RelayMetrics.java
@@ -33,6 +33,10 @@
 		countForCustomer("requests", customer);
 	}
 
+	void resumedByCaller() {
+		this.registry.counter("stream.resumed-by-caller").inc();
+	}
+
 	void firstByte(String route, long ms) {
 		this.registry.timer("relay.first." + route).update(ms, TimeUnit.MILLISECONDS);
 	}
--- a/src/main/java/io/shallotspur/gateway/RelayRequest.java
+++ b/src/main/java/io/shallotspur/gateway/RelayRequest.java
@@ -17,11 +17,14 @@
  * or {@link Long#MAX_VALUE} if it sends none
  * @param prompt prompt and output lengths stated by the request, or {@code null}
  * @param lastEventId the event after which a stream resumes, or {@code null}
+ * @param resumedRequest the id of the request that brought the first event of the stream
+ * that this one resumes, or {@code null} if the caller names none
  * @param keyHash the hash of the caller's key, or {@code null} if it sent none or a
  * malformed one
  */
 public record RelayRequest(String id, String method, String target, String host, List<HeaderField> headers, byte[] body,
-		long callerTimeoutMs, @Nullable PromptInfo prompt, @Nullable String lastEventId, @Nullable String keyHash) {
+		long callerTimeoutMs, @Nullable PromptInfo prompt, @Nullable String lastEventId,
+		@Nullable String resumedRequest, @Nullable String keyHash) {
 
 	/**
 	 * Creates a request; the list is copied.
--- a/src/main/java/io/shallotspur/gateway/RelayTask.java
+++ b/src/main/java/io/shallotspur/gateway/RelayTask.java
@@ -95,6 +95,11 @@
 		if (this.request.prompt() != null) {
 			this.gateway.engineTimes(this.upstream).recordRequest(this.request.prompt());
 		}
+		if (this.request.lastEventId() != null) {
+			this.gateway.metrics.resumedByCaller();
+			log(now, "resumes stream-of=" + this.request.resumedRequest() + " after-event="
+					+ this.request.lastEventId());
+		}
 		this.placing.start(now);
 	}
 
@@ -486,7 +491,8 @@
 	}
 
 	private void log(long now, String text) {
-		String worker = (this.attempt != null) ? this.attempt.worker().info().id() : "none";
+		WorkerInfo w = (this.attempt != null) ? this.attempt.worker().info() : null;
+		String worker = (w != null) ? w.id() + " version=" + w.version() : "none";
 		this.gateway.log.write(now,
 				() -> "id=" + this.request.id() + " route=" + this.route.name() + " upstream=" + this.upstream
 						+ " customer=" + this.admitted.customerName() + " worker=" + worker + " config="
--- a/src/main/java/io/shallotspur/gateway/WorkerInfo.java
+++ b/src/main/java/io/shallotspur/gateway/WorkerInfo.java
@@ -13,9 +13,10 @@
  * @param draining whether it accepts no new requests
  * @param warmUpMs remaining time of slow operation after its start, in milliseconds
  * @param startedAt when it started, in Unix milliseconds; 0 if it does not report it
+ * @param version the version of its software
  */
 public record WorkerInfo(String id, String upstream, String host, int port, String hall, int slots, WorkerStage stage,
-		boolean draining, long warmUpMs, long startedAt) {
+		boolean draining, long warmUpMs, long startedAt, String version) {
 
 	/**
 	 * Returns a copy with another stage.
@@ -24,7 +25,7 @@
 	 */
 	public WorkerInfo withStage(WorkerStage other) {
 		return new WorkerInfo(this.id, this.upstream, this.host, this.port, this.hall, this.slots, other, this.draining,
-				this.warmUpMs, this.startedAt);
+				this.warmUpMs, this.startedAt, this.version);
 	}
 
 	/**
@@ -33,7 +34,7 @@
 	 */
 	public WorkerInfo asDraining() {
 		return new WorkerInfo(this.id, this.upstream, this.host, this.port, this.hall, this.slots, this.stage, true,
-				this.warmUpMs, this.startedAt);
+				this.warmUpMs, this.startedAt, this.version);
 	}
 
 	/**
--- a/src/main/java/io/shallotspur/platform/PlatformNames.java
+++ b/src/main/java/io/shallotspur/platform/PlatformNames.java
@@ -72,6 +72,9 @@
 
 	static final String LAST_EVENT_ID = "Last-Event-Id";
 
+	/** The id of the request that brought the first event of a resumed stream. */
+	static final String RESUMED_REQUEST = "Resumes";
+
 	/** The priority at the worker, 0 to 9; 0 is the highest. */
 	static final String PRIORITY = "X-Request-Priority";
 
--- a/src/main/java/io/shallotspur/platform/RequestDecoder.java
+++ b/src/main/java/io/shallotspur/platform/RequestDecoder.java
@@ -36,7 +36,7 @@
 			throw new InputException("The request has no id or host, or its path does not start with a slash.", target);
 		}
 		return new RelayRequest(id, method, target, host, PlatformNames.forwardedHeaders(h), body, remainingMs(h),
-				prompt(h), h.get(PlatformNames.LAST_EVENT_ID), keyHash(h));
+				prompt(h), h.get(PlatformNames.LAST_EVENT_ID), h.get(PlatformNames.RESUMED_REQUEST), keyHash(h));
 	}
 
 	// A request with two Authorization headers has no customer, because another component
--- a/src/main/java/io/shallotspur/platform/StoreEntryCodec.java
+++ b/src/main/java/io/shallotspur/platform/StoreEntryCodec.java
@@ -114,7 +114,6 @@
 	private static RegistryChange worker(String id, JsonNode v) throws InputException {
 		StoreEntryFields f = new StoreEntryFields(v, PlatformNames.WORKER_PREFIX + id);
 		Endpoint e = f.endpoint("address");
-		f.text("version");
 		f.nonNegativeLong("sequence_number");
 		boolean draining = switch (f.text("state")) {
 			case "ready" -> false;
@@ -126,7 +125,7 @@
 		long startedAt = f.has(PlatformNames.STARTED_AT) ? f.nonNegativeLong(PlatformNames.STARTED_AT) : 0;
 		return new RegistryChange.WorkerUpdated(
 				new WorkerInfo(id, f.text("service"), e.host(), e.port(), f.text("zone"), f.positiveInt("slots"), stage,
-						draining, f.nonNegativeLong("cold_remaining_ms"), startedAt));
+						draining, f.nonNegativeLong("cold_remaining_ms"), startedAt, f.text("version")));
 	}
 
 	static RegistryChange.LeaderElected leader(JsonNode item, long era) throws InputException {
--- a/src/main/java/io/shallotspur/registry/ChangeApplier.java
+++ b/src/main/java/io/shallotspur/registry/ChangeApplier.java
@@ -227,8 +227,8 @@
 		else {
 			this.departures.remove(w.id());
 		}
-		Logger.info("[registry] worker={} upstream={} stage={} leaving={} outdated={} point={}", w.id(), w.upstream(),
-				w.stage(), w.draining(), outdated, position);
+		Logger.info("[registry] worker={} upstream={} version={} stage={} leaving={} outdated={} point={}", w.id(),
+				w.upstream(), w.version(), w.stage(), w.draining(), outdated, position);
 	}
 
 	// An unreadable entry replaces the worker's former entry, so the worker is removed.
--- a/src/test/java/io/shallotspur/gateway/GatewayFixture.java
+++ b/src/test/java/io/shallotspur/gateway/GatewayFixture.java
@@ -104,7 +104,12 @@
 	}
 
 	WorkerInfo addWorker(String id, String upstream, WorkerStage stage) {
-		WorkerInfo w = new WorkerInfo(id, upstream, "10.0.0." + (++this.nextId), 80, "hall-a", 6, stage, false, 0, 1);
+		return addWorker(id, upstream, stage, "v1");
+	}
+
+	WorkerInfo addWorker(String id, String upstream, WorkerStage stage, String version) {
+		WorkerInfo w = new WorkerInfo(id, upstream, "10.0.0." + (++this.nextId), 80, "hall-a", 6, stage, false, 0, 1,
+				version);
 		this.gateway.roster().updateEntry(w, this.timer.now());
 		return w;
 	}
@@ -112,7 +117,7 @@
 	// Another process listens at the address at once, under an id of its own.
 	WorkerInfo replace(WorkerInfo w) {
 		WorkerInfo next = new WorkerInfo("n" + (++this.nextId), w.upstream(), w.host(), w.port(), w.hall(), w.slots(),
-				w.stage(), false, 0, w.startedAt() + 1);
+				w.stage(), false, 0, w.startedAt() + 1, w.version());
 		this.gateway.roster().updateEntry(next, this.timer.now());
 		return next;
 	}
@@ -120,7 +125,7 @@
 	void restart(WorkerInfo w) {
 		this.gateway.roster()
 			.updateEntry(new WorkerInfo(w.id(), w.upstream(), w.host(), w.port(), w.hall(), w.slots(), w.stage(), false,
-					0, w.startedAt() + 1), this.timer.now());
+					0, w.startedAt() + 1, w.version()), this.timer.now());
 	}
 
 	void stateLeaving(WorkerInfo w) {
@@ -134,7 +139,7 @@
 	void drain(WorkerInfo w) {
 		this.gateway.roster()
 			.updateEntry(new WorkerInfo(w.id(), w.upstream(), w.host(), w.port(), w.hall(), w.slots(), w.stage(), true,
-					0, w.startedAt()), this.timer.now());
+					0, w.startedAt(), w.version()), this.timer.now());
 	}
 
 	Call call(String route) {
@@ -149,6 +154,10 @@
 		return call(route, 14_000, new PromptInfo(tokens, 1_190, 400), lastEventId);
 	}
 
+	Call callResuming(String route, int tokens, String lastEventId, @Nullable String resumedRequest) {
+		return call(route, 14_000, new byte[0], new PromptInfo(tokens, 1_190, 400), lastEventId, resumedRequest, null);
+	}
+
 	Call call(String route, long waitMs, @Nullable PromptInfo prompt) {
 		return call(route, waitMs, prompt, null);
 	}
@@ -170,7 +179,7 @@
 	}
 
 	Call callWithBody(String route, byte[] body, @Nullable PromptInfo prompt) {
-		return call(route, (prompt != null) ? 14_000 : 1_500, body, prompt, null, null);
+		return call(route, (prompt != null) ? 14_000 : 1_500, body, prompt, null, null, null);
 	}
 
 	long fingerprint(String route, byte[] body) {
@@ -179,18 +188,18 @@
 
 	private Call call(String route, long waitMs, @Nullable PromptInfo prompt, @Nullable String lastEventId,
 			@Nullable String keyHash) {
-		return call(route, waitMs, new byte[0], prompt, lastEventId, keyHash);
+		return call(route, waitMs, new byte[0], prompt, lastEventId, null, keyHash);
 	}
 
 	private Call call(String route, long waitMs, byte[] body, @Nullable PromptInfo prompt, @Nullable String lastEventId,
-			@Nullable String keyHash) {
+			@Nullable String resumedRequest, @Nullable String keyHash) {
 		RelayRequest r = new RelayRequest("r" + (++this.nextId), "POST", "/" + route + "/x", "shop.example", List.of(),
-				body, waitMs, prompt, lastEventId, keyHash);
+				body, waitMs, prompt, lastEventId, resumedRequest, keyHash);
 		FakeCaller c = new FakeCaller();
-		return new Call(c, this.gateway.handle(r, c, this.timer.now()));
+		return new Call(r.id(), c, this.gateway.handle(r, c, this.timer.now()));
 	}
 
-	record Call(FakeCaller caller, Runnable disconnect) {
+	record Call(String id, FakeCaller caller, Runnable disconnect) {
 
 	}
 
--- a/src/test/java/io/shallotspur/gateway/ObservedCrashes.java
+++ b/src/test/java/io/shallotspur/gateway/ObservedCrashes.java
@@ -19,7 +19,7 @@
 	 * @param now the present time in milliseconds
 	 */
 	public static void record(Gateway gateway, String worker, List<Long> running, long now) {
-		WorkerInfo w = new WorkerInfo(worker, "up", "10.0.0.1", 80, "hall-a", 6, WorkerStage.PLAIN, false, 0, 0);
+		WorkerInfo w = new WorkerInfo(worker, "up", "10.0.0.1", 80, "hall-a", 6, WorkerStage.PLAIN, false, 0, 0, "v1");
 		gateway.quarantine().recordCrash(w, running, Set.of(), now);
 	}
 
--- a/src/test/java/io/shallotspur/gateway/PrefillTests.java
+++ b/src/test/java/io/shallotspur/gateway/PrefillTests.java
@@ -226,7 +226,8 @@
 	}
 
 	private static WorkerState worker(String id, String hall) {
-		return new WorkerState(new WorkerInfo(id, "llm", "10.0.0.1", 80, hall, 6, WorkerStage.PREFILL, false, 0, 0), 0);
+		return new WorkerState(
+				new WorkerInfo(id, "llm", "10.0.0.1", 80, hall, 6, WorkerStage.PREFILL, false, 0, 0, "v1"), 0);
 	}
 
 	private static @Nullable WorkerState select(List<WorkerState> prefill) {
--- a/src/test/java/io/shallotspur/gateway/RelayTests.java
+++ b/src/test/java/io/shallotspur/gateway/RelayTests.java
@@ -182,7 +182,8 @@
 	void sendsNothingToADrainingWorker() {
 		for (String id : List.of("p1", "p2")) {
 			this.f.gateway.roster()
-				.updateEntry(new WorkerInfo(id, "plain", "10.0.0.9", 80, "hall-a", 6, WorkerStage.PLAIN, true, 0, 0),
+				.updateEntry(
+						new WorkerInfo(id, "plain", "10.0.0.9", 80, "hall-a", 6, WorkerStage.PLAIN, true, 0, 0, "v1"),
 						this.f.timer.now());
 		}
 		this.f.call("safe");
--- a/src/test/java/io/shallotspur/gateway/SimulatedPaths.java
+++ b/src/test/java/io/shallotspur/gateway/SimulatedPaths.java
@@ -51,7 +51,7 @@
 		this.random = new Random(seed);
 		for (int i = 0; i < workerCount; i++) {
 			this.workers.add(new WorkerInfo("w" + i, "plain", "10.1.0." + i, 80, "hall-" + i % 3, 50, WorkerStage.PLAIN,
-					false, 0, 1));
+					false, 0, 1, "v1"));
 		}
 		for (int i = 0; i < vmCount; i++) {
 			this.vms.add(new Vm(i));
@@ -188,7 +188,7 @@
 			String id = "r" + SimulatedPaths.this.nextRequest++;
 			SimulatedPaths.this.callers.put(id, c);
 			this.gateway.handle(new RelayRequest(id, "POST", "/" + route + "/x", "shop.example", List.of(), new byte[0],
-					800, null, null, null), c, SimulatedPaths.this.timer.now());
+					800, null, null, null, null), c, SimulatedPaths.this.timer.now());
 			return c;
 		}
 
--- a/src/test/java/io/shallotspur/gateway/WorkerDirectoryTests.java
+++ b/src/test/java/io/shallotspur/gateway/WorkerDirectoryTests.java
@@ -16,7 +16,7 @@
 	private final WorkerDirectory directory = new WorkerDirectory();
 
 	private static WorkerInfo worker(WorkerStage stage) {
-		return new WorkerInfo("w1", "llm", "10.0.0.1", 80, "hall-a", 8, stage, false, 0, 0);
+		return new WorkerInfo("w1", "llm", "10.0.0.1", 80, "hall-a", 8, stage, false, 0, 0, "v1");
 	}
 
 	private List<WorkerState> candidates(WorkerStage stage) {
@@ -117,7 +117,7 @@
 	}
 
 	private static WorkerInfo workerStartedAt(long at) {
-		return new WorkerInfo("w1", "llm", "10.0.0.1", 80, "hall-a", 8, WorkerStage.DECODE, false, 0, at);
+		return new WorkerInfo("w1", "llm", "10.0.0.1", 80, "hall-a", 8, WorkerStage.DECODE, false, 0, at, "v1");
 	}
 
 }
--- a/src/test/java/io/shallotspur/gateway/WorkerNoticeModelTests.java
+++ b/src/test/java/io/shallotspur/gateway/WorkerNoticeModelTests.java
@@ -81,7 +81,8 @@
 		}
 
 		private WorkerInfo info(long startedAt) {
-			return new WorkerInfo("p1", "plain", "10.0.0.1", 80, "hall-a", 6, WorkerStage.PLAIN, false, 0, startedAt);
+			return new WorkerInfo("p1", "plain", "10.0.0.1", 80, "hall-a", 6, WorkerStage.PLAIN, false, 0, startedAt,
+					"v1");
 		}
 
 		private long now() {
--- a/src/test/java/io/shallotspur/gateway/WorkerNoticeTests.java
+++ b/src/test/java/io/shallotspur/gateway/WorkerNoticeTests.java
@@ -58,7 +58,8 @@
 
 	@Test
 	void statementOfAnUnknownWorkerIsIgnored() {
-		this.f.stateLeaving(new WorkerInfo("p9", "plain", "10.0.0.9", 80, "hall-a", 6, WorkerStage.PLAIN, false, 0, 1));
+		this.f.stateLeaving(
+				new WorkerInfo("p9", "plain", "10.0.0.9", 80, "hall-a", 6, WorkerStage.PLAIN, false, 0, 1, "v1"));
 		this.f.call("safe");
 		Assertions.assertThat(this.f.workers.runs).hasSize(1);
 	}
@@ -255,8 +256,10 @@
 	// report when it started.
 	@Test
 	void entryWithAnotherAddressDescribesANewInstance() {
-		WorkerInfo first = new WorkerInfo("p7", "other", "10.0.0.7", 80, "hall-a", 6, WorkerStage.PLAIN, false, 0, 0);
-		WorkerInfo second = new WorkerInfo("p7", "other", "10.0.0.8", 80, "hall-a", 6, WorkerStage.PLAIN, false, 0, 0);
+		WorkerInfo first = new WorkerInfo("p7", "other", "10.0.0.7", 80, "hall-a", 6, WorkerStage.PLAIN, false, 0, 0,
+				"v1");
+		WorkerInfo second = new WorkerInfo("p7", "other", "10.0.0.8", 80, "hall-a", 6, WorkerStage.PLAIN, false, 0, 0,
+				"v1");
 		WorkerDirectory roster = this.f.gateway.roster();
 		roster.updateEntry(first, this.f.timer.now());
 		this.f.stateLeaving(first);
--- a/src/test/java/io/shallotspur/platform/FakeWorker.java
+++ b/src/test/java/io/shallotspur/platform/FakeWorker.java
@@ -108,7 +108,7 @@
 	}
 
 	WorkerInfo info(WorkerStage stage) {
-		return new WorkerInfo(this.id, "llm", "127.0.0.1", this.server.port(), "hall-a", 6, stage, false, 0, 0);
+		return new WorkerInfo(this.id, "llm", "127.0.0.1", this.server.port(), "hall-a", 6, stage, false, 0, 0, "v1");
 	}
 
 	void stop() {
--- a/src/test/java/io/shallotspur/registry/RegistryWatcherTests.java
+++ b/src/test/java/io/shallotspur/registry/RegistryWatcherTests.java
@@ -43,7 +43,7 @@
 
 	private static RegistryChange worker(String id) {
 		return new RegistryChange.WorkerUpdated(
-				new WorkerInfo(id, "up", "10.0.0.1", 80, "hall-a", 6, WorkerStage.PLAIN, false, 0, 0));
+				new WorkerInfo(id, "up", "10.0.0.1", 80, "hall-a", 6, WorkerStage.PLAIN, false, 0, 0, "v1"));
 	}
 
 	private static RegistryChange config(long version) {
@@ -305,7 +305,7 @@
 
 	private static RegistryChange leaving(String id) {
 		return new RegistryChange.WorkerUpdated(
-				new WorkerInfo(id, "up", "10.0.0.1", 80, "hall-a", 6, WorkerStage.PLAIN, true, 0, 0));
+				new WorkerInfo(id, "up", "10.0.0.1", 80, "hall-a", 6, WorkerStage.PLAIN, true, 0, 0, "v1"));
 	}
 
 	private List<String> activeWorkers() {
--- a/src/test/java/io/shallotspur/registry/RevocationModelTests.java
+++ b/src/test/java/io/shallotspur/registry/RevocationModelTests.java
@@ -177,7 +177,8 @@
 			this.registry.setRestoreListener((e) -> reader.onStoreRestored(STALE_MS));
 			this.gateway.configure(table());
 			this.gateway.roster()
-				.updateEntry(new WorkerInfo("w", "up", "10.0.0.1", 80, "hall-a", 6, WorkerStage.PLAIN, false, 0, 0),
+				.updateEntry(
+						new WorkerInfo("w", "up", "10.0.0.1", 80, "hall-a", 6, WorkerStage.PLAIN, false, 0, 0, "v1"),
 						this.timer.now());
 		}
 
@@ -218,7 +219,7 @@
 		private void request() {
 			String id = "q" + this.sentAt.size();
 			this.sentAt.put(id, now());
-			this.gateway.handle(new RelayRequest(id, "GET", "/x", "h", List.of(), new byte[0], 1_500, null, null,
+			this.gateway.handle(new RelayRequest(id, "GET", "/x", "h", List.of(), new byte[0], 1_500, null, null, null,
 					BearerKey.hash("key")), new NopResponse(), this.timer.now());
 		}
 
--- a/src/test/java/io/shallotspur/registry/WorkerDrainModelTests.java
+++ b/src/test/java/io/shallotspur/registry/WorkerDrainModelTests.java
@@ -188,7 +188,7 @@
 
 		private static RegistryChange worker(String id, boolean leaving) {
 			return new RegistryChange.WorkerUpdated(
-					new WorkerInfo(id, "up", "10.0.0.1", 80, "hall-a", 6, WorkerStage.PLAIN, leaving, 0, 0));
+					new WorkerInfo(id, "up", "10.0.0.1", 80, "hall-a", 6, WorkerStage.PLAIN, leaving, 0, 0, "v1"));
 		}
 
 		private void perform(Step s) {
--- a/src/test/java/io/shallotspur/stage/StageRebalancerTests.java
+++ b/src/test/java/io/shallotspur/stage/StageRebalancerTests.java
@@ -103,7 +103,7 @@
 	}
 
 	private static WorkerInfo worker(String id, String hall, WorkerStage stage) {
-		return new WorkerInfo(id, "llm", "10.0.1.1", 80, hall, 48, stage, false, 0, 0);
+		return new WorkerInfo(id, "llm", "10.0.1.1", 80, hall, 48, stage, false, 0, 0, "v1");
 	}
 
 	// Three prefill workers are 25 % utilized while requests wait for memory at the three
