--- a/src/test/java/io/shallotspur/platform/FakeWorker.java
+++ b/src/test/java/io/shallotspur/platform/FakeWorker.java
@@ -72,6 +72,9 @@
 
 	private final DisposableServer server;
 
+	// The version of its software.
+	volatile String version = "v1";
+
 	private final String id;
 
 	private final String stage;
@@ -98,9 +101,9 @@
 	// The entry as seen by a VM that reaches the worker at another port.
 	String entry(String upstream, String state, int port) {
 		return """
-				{"service":"%s","address":"127.0.0.1:%d","zone":"hall-a","version":"v1","slots":6,"state":"%s",
-				"cold_remaining_ms":0,%s"models":[],"sequence_number":1}""".formatted(upstream, port, state,
-				this.stage.isEmpty() ? "" : "\"stage\":\"" + this.stage + "\",");
+				{"service":"%s","address":"127.0.0.1:%d","zone":"hall-a","version":"%s","slots":6,"state":"%s",
+				"cold_remaining_ms":0,%s"models":[],"sequence_number":1}""".formatted(upstream, port, this.version,
+				state, this.stage.isEmpty() ? "" : "\"stage\":\"" + this.stage + "\",");
 	}
 
 	int port() {
