KV caches are used by the version that wrote them only

Now the prompt is prefilled at a worker of the same version or at the decode worker itself, and a cache whose decode worker has left is not passed on to another version. Two tests that failed before.

--- a/src/main/java/io/shallotspur/gateway/PromptPrefill.java
+++ b/src/main/java/io/shallotspur/gateway/PromptPrefill.java
@@ -102,7 +102,7 @@
 	}
 
 	private void start(boolean retry, long now) {
-		List<WorkerState> workers = this.candidates.available(WorkerStage.PREFILL, this.triedWorkers, now);
+		List<WorkerState> workers = compatible(this.candidates.available(WorkerStage.PREFILL, this.triedWorkers, now));
 		Optional<WorkerState> selected = PrefillSelector.select(this.prompt, workers, this.decodeWorker, wouldStall(),
 				this.gateway.settings.hall(), this.gateway.random, now);
 		if (selected.isEmpty() || (retry && !this.owner.mayRetryPrefill(now))) {
@@ -113,6 +113,14 @@
 		}
 	}
 
+	// A KV cache that another version has written may not be readable.
+	private List<WorkerState> compatible(List<WorkerState> prefillWorkers) {
+		WorkerState d = this.decodeWorker;
+		return prefillWorkers.stream()
+			.filter((w) -> d != null && w.info().version().equals(d.info().version()))
+			.toList();
+	}
+
 	private void send(WorkerState w, long now) {
 		this.attempted = true;
 		this.triedWorkers.add(w.info().id());
@@ -154,13 +162,15 @@
 
 	/**
 	 * Takes the KV cache, which the caller has to use.
+	 * @param w the decode worker that is to use it
 	 * @param now the present time in milliseconds
-	 * @return the KV cache, or {@code null} if there is none or it has expired
+	 * @return the KV cache, or {@code null} if there is none, it has expired or it was
+	 * written by another version than the decode worker's
 	 */
-	@Nullable KvSource takeSource(long now) {
+	@Nullable KvSource takeSource(WorkerState w, long now) {
 		KvSource taken = this.source;
 		this.source = null;
-		if (taken == null || isValid(taken, now)) {
+		if (taken == null || (isValid(taken, now) && taken.worker().version().equals(w.info().version()))) {
 			return taken;
 		}
 		this.gateway.notices.releaseKvCache(taken);
--- a/src/main/java/io/shallotspur/gateway/RequestPlacement.java
+++ b/src/main/java/io/shallotspur/gateway/RequestPlacement.java
@@ -383,7 +383,7 @@
 			worker.limit().releaseReservation();
 		}
 		this.triedWorkers.add(worker.info().id());
-		KvSource source = (this.prefill != null) ? this.prefill.takeSource(now) : null;
+		KvSource source = (this.prefill != null) ? this.prefill.takeSource(worker, now) : null;
 		WorkerCall call = new WorkerCall(this.request, worker.info(), Math.max(1, this.deadline - now), priority(),
 				null, source, this.reservation, this.admitted.customerName());
 		this.target = null;
--- a/src/test/java/io/shallotspur/gateway/StreamVersionRelayTests.java
+++ b/src/test/java/io/shallotspur/gateway/StreamVersionRelayTests.java
@@ -112,4 +112,36 @@
 		Assertions.assertThat(waiting).allSatisfy((c) -> Assertions.assertThat(c.caller().responseCount).isZero());
 	}
 
+	// Guards against a worker that reads a KV cache which another version has written.
+	@Test
+	void prefillsAtTheVersionOfTheDecodeWorkerOnly() {
+		addDecodeWorker("a", "v1");
+		this.f.addWorker("f1", "llm", WorkerStage.PREFILL, "v2");
+		this.f.callWithPrompt("once", 3_000);
+		reserve();
+		Assertions.assertThat(this.f.workers.prefills).isEmpty();
+		Assertions.assertThat(this.f.workers.lastRun().call.kvSource()).isNull();
+		this.f.addWorker("f2", "llm", WorkerStage.PREFILL, "v1");
+		this.f.callWithPrompt("once", 3_000);
+		reserve();
+		Assertions.assertThat(this.f.workers.prefills.get(0).call.worker().id()).isEqualTo("f2");
+	}
+
+	// Guards against a KV cache that reaches another version, as the decode worker it was
+	// made for has left meanwhile.
+	@Test
+	void doesNotPassAKvCacheOnToAnotherVersion() {
+		WorkerInfo a = this.f.addWorker("a", "llm", WorkerStage.DECODE, "v1");
+		this.f.addWorker("f1", "llm", WorkerStage.PREFILL, "v1");
+		this.f.callWithPrompt("once", 3_000);
+		reserve();
+		this.f.drain(a);
+		addDecodeWorker("b", "v2");
+		this.f.workers.prefills.get(0).listener.onReady("kv");
+		reserve();
+		Assertions.assertThat(this.f.workers.lastRun().call.worker().id()).isEqualTo("b");
+		Assertions.assertThat(this.f.workers.lastRun().call.kvSource()).isNull();
+		Assertions.assertThat(this.f.workers.releasedHandles).containsExactly("kv");
+	}
+
 }
