A stream whose origin is told again stays known

What callers saw: a stream could be taken up once and not a second time (origin-unknown). Cause: the comparison with what was known compared an origin with an Optional of it, so that the second word of the same origin was taken for another stream of the same id.

StreamFleet: VMs, workers of up to three versions, a store and callers that resume at any VM, with kills of one, several and all VMs, cuts from the store and from other VMs, resets, an absent and a restored store, lost answers.

--- a/src/main/java/io/shallotspur/gateway/StreamOrigins.java
+++ b/src/main/java/io/shallotspur/gateway/StreamOrigins.java
@@ -49,10 +49,11 @@
 		}
 		Entry previous = this.byRequest.remove(known.request());
 		boolean valid = previous != null && previous.expiresAt() > now;
-		StreamOrigin origin = (!valid || known.origin().equals(previous.origin())) ? known.origin() : null;
+		Optional<StreamOrigin> origin = Optional.of(known.origin())
+			.filter((o) -> !valid || previous.origin().equals(Optional.of(o)));
 		long expiresAt = now + known.ttlMs();
-		this.byRequest.put(known.request(), new Entry(Optional.ofNullable(origin),
-				valid ? Math.max(previous.expiresAt(), expiresAt) : expiresAt, unshared));
+		this.byRequest.put(known.request(),
+				new Entry(origin, valid ? Math.max(previous.expiresAt(), expiresAt) : expiresAt, unshared));
 		removeExpired(now);
 	}
 
--- a/src/test/java/io/shallotspur/gateway/StreamOriginsTests.java
+++ b/src/test/java/io/shallotspur/gateway/StreamOriginsTests.java
@@ -38,6 +38,14 @@
 		Assertions.assertThat(this.origins.find("a", NOW)).isEmpty();
 	}
 
+	// Guards against a stream that cannot be resumed a second time.
+	@Test
+	void findsAStreamThatIsToldAgain() {
+		add("a", V1);
+		this.origins.add(new KnownOrigin("a", V1, 800), NOW);
+		Assertions.assertThat(this.origins.find("a", NOW + 700)).contains(V1);
+	}
+
 	// Guards against memory that grows with the number of streams.
 	@Test
 	void forgetsTheEldestStreams() {
--- /dev/null
+++ b/src/test/java/io/shallotspur/registry/StreamFleet.java
@@ -0,0 +1,673 @@
+package io.shallotspur.registry;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import java.util.function.Supplier;
+
+import com.codahale.metrics.MetricRegistry;
+import org.jspecify.annotations.Nullable;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+
+import io.shallotspur.exc.PeerException;
+import io.shallotspur.exc.StoreUnavailableException;
+import io.shallotspur.gateway.CallerResponse;
+import io.shallotspur.gateway.DecisionLog;
+import io.shallotspur.gateway.EntryVm;
+import io.shallotspur.gateway.Exchange;
+import io.shallotspur.gateway.ExchangeFailure;
+import io.shallotspur.gateway.ExchangeListener;
+import io.shallotspur.gateway.Gateway;
+import io.shallotspur.gateway.GatewayPorts;
+import io.shallotspur.gateway.GatewaySettings;
+import io.shallotspur.gateway.HeaderField;
+import io.shallotspur.gateway.ManualTimer;
+import io.shallotspur.gateway.NopWorkers;
+import io.shallotspur.gateway.RelayMetrics;
+import io.shallotspur.gateway.RelayRefusal;
+import io.shallotspur.gateway.RelayRequest;
+import io.shallotspur.gateway.ResponseAuthenticity;
+import io.shallotspur.gateway.ResponseHead;
+import io.shallotspur.gateway.WorkerCall;
+import io.shallotspur.gateway.WorkerInfo;
+import io.shallotspur.gateway.WorkerStage;
+import io.shallotspur.gateway.WorkerStatus;
+import io.shallotspur.origin.OriginExchange;
+import io.shallotspur.port.PeerMessage;
+import io.shallotspur.port.PeerNetwork;
+import io.shallotspur.route.IngressLimits;
+import io.shallotspur.route.Route;
+import io.shallotspur.route.RouteKind;
+import io.shallotspur.route.RouteTable;
+import io.shallotspur.route.RouteTarget;
+import io.shallotspur.route.UpstreamSpec;
+
+/**
+ * VMs, workers of several versions, a store and callers that resume their streams, in
+ * virtual time. Checks what callers receive. Not thread-safe.
+ */
+final class StreamFleet {
+
+	private static final String UPSTREAM = "llm";
+
+	private static final int EVENTS = 30;
+
+	private static final long EVENT_INTERVAL_MS = 60;
+
+	// What is checked with a deadline is checked only this long after the last
+	// disturbance of a VM and the store.
+	private static final long IN_TOUCH_MS = 3_000;
+
+	private static final long STALE_MS = 2_500;
+
+	private static final int MAX_TRIES = 3;
+
+	final ManualTimer timer = new ManualTimer();
+
+	final List<Vm> vms = new ArrayList<>();
+
+	/** The live workers. */
+	final Map<String, WorkerInfo> workers = new LinkedHashMap<>();
+
+	/** Streams that held events of two versions, or events that are not in order. */
+	final List<String> violations = new ArrayList<>();
+
+	int completed;
+
+	int resumedInTouch;
+
+	int resumedInTouchServed;
+
+	int begunInTouch;
+
+	int begunInTouchServed;
+
+	private final Random random;
+
+	private final Store store = new Store();
+
+	private final List<Run> runs = new ArrayList<>();
+
+	private int workerCount;
+
+	private int streamCount;
+
+	StreamFleet(long seed, int vms, int workers) {
+		this.random = new Random(seed);
+		for (int i = 0; i < vms; i++) {
+			this.vms.add(new Vm(i));
+		}
+		for (int i = 0; i < workers; i++) {
+			startWorker("v1");
+		}
+		this.vms.forEach(Vm::start);
+		this.timer.advance(3_000);
+	}
+
+	WorkerInfo startWorker(String version) {
+		String id = "w" + this.workerCount++;
+		WorkerInfo w = new WorkerInfo(id, UPSTREAM, "10.1.0." + this.workerCount % 20, 80, "hall-a", 50,
+				WorkerStage.PLAIN, false, 0, 0, version);
+		this.workers.put(id, w);
+		this.vms.forEach((vm) -> vm.later(() -> vm.seeWorker(w)));
+		return w;
+	}
+
+	// The entry expires some seconds later.
+	void crashWorker(String id) {
+		if (this.workers.remove(id) == null) {
+			return;
+		}
+		this.runs.stream().filter((r) -> r.worker.id().equals(id)).toList().forEach(Run::breakOff);
+		this.timer.schedule(3_000, () -> this.vms.forEach((vm) -> vm.later(() -> vm.seeRemoval(id))));
+	}
+
+	void setStoreAway(boolean yes) {
+		this.store.away = yes;
+		this.store.disturbedAt = this.timer.now();
+		if (!yes) {
+			this.vms.forEach(Vm::resync);
+		}
+	}
+
+	/** Restores the store from a snapshot that is some seconds old. */
+	void restoreStore() {
+		this.store.versions = this.store.snapshot;
+		this.store.era++;
+		this.store.revision = 1;
+		this.store.disturbedAt = this.timer.now();
+		this.vms.forEach(Vm::resync);
+	}
+
+	void takeSnapshot() {
+		this.store.snapshot = this.store.versions;
+	}
+
+	void beginStream() {
+		new Caller("s" + this.streamCount++).send();
+	}
+
+	private @Nullable Vm chooseVm() {
+		List<Vm> alive = this.vms.stream().filter((v) -> v.ready).toList();
+		return alive.isEmpty() ? null : alive.get(this.random.nextInt(alive.size()));
+	}
+
+	private static RouteTable table() {
+		Route r = new Route("r", "h", "/", RouteKind.STREAM, List.of(new RouteTarget(UPSTREAM, 1)), 14_000, 900, 300, 0,
+				2, true, false, true);
+		return new RouteTable(1, List.of(r), List.of(new UpstreamSpec(UPSTREAM, 1_000, null)), IngressLimits.DEFAULT,
+				List.of());
+	}
+
+	/** The versions in the store. */
+	private final class Store {
+
+		private RegistryChange.@Nullable VersionsAnnounced versions;
+
+		private RegistryChange.@Nullable VersionsAnnounced snapshot;
+
+		private long revision = 1;
+
+		private long era = 1;
+
+		private boolean away;
+
+		private long disturbedAt;
+
+		private RegistryChange.VersionsAnnounced current() {
+			RegistryChange.VersionsAnnounced v = this.versions;
+			return (v != null) ? v : new RegistryChange.VersionsAnnounced(UPSTREAM, Set.of(), StorePosition.NONE);
+		}
+
+		private boolean write(Set<String> next, StorePosition expected) {
+			if (!current().position().equals(expected)) {
+				return false;
+			}
+			this.versions = new RegistryChange.VersionsAnnounced(UPSTREAM, next,
+					new StorePosition(this.era, ++this.revision));
+			StreamFleet.this.vms.forEach((vm) -> vm.later(() -> vm.seeVersions()));
+			return true;
+		}
+
+	}
+
+	/** One VM, which may be killed, cut off from the store, or from the other VMs. */
+	final class Vm extends NopWorkers implements VersionRegistry, PeerNetwork {
+
+		private final int number;
+
+		boolean alive;
+
+		private boolean ready;
+
+		private boolean storeCut;
+
+		private boolean peersCut;
+
+		private int starts;
+
+		private long knownEra;
+
+		private long disturbedAt;
+
+		private final Map<Class<?>, Function<PeerMessage, Mono<? extends PeerMessage>>> handlers = new HashMap<>();
+
+		private @Nullable Gateway gateway;
+
+		private @Nullable SharedVersions shared;
+
+		private final List<Caller> callers = new ArrayList<>();
+
+		private Vm(int number) {
+			this.number = number;
+		}
+
+		private String address() {
+			return "10.0.0." + this.number + ":80";
+		}
+
+		private EntryVm entry() {
+			return new EntryVm("vms/" + this.number + "/" + this.starts, address(), "r", "hall-a", 1, false, "",
+					address());
+		}
+
+		void start() {
+			ManualTimer t = StreamFleet.this.timer;
+			this.alive = true;
+			this.starts++;
+			this.knownEra = StreamFleet.this.store.era;
+			this.disturbedAt = t.now();
+			this.handlers.clear();
+			Gateway g = new Gateway(new GatewaySettings("vm-" + this.number, "hall-a", 0.2, 50, 10_000),
+					new GatewayPorts(this, t, t::now, t::now, StreamFleet.this.random::nextDouble, new DecisionLog(0),
+							new RelayMetrics(new MetricRegistry())));
+			g.configure(table());
+			SharedVersions s = new SharedVersions(this, g, t, StreamFleet.this.random::nextDouble, entry().key());
+			g.setVersionSource(s);
+			g.setOriginPeers(new OriginExchange(this, g.entryVms(), g.origins(), t, t::now, new MetricRegistry()));
+			g.entryVms().registerSelf(entry());
+			this.gateway = g;
+			this.shared = s;
+			StreamFleet.this.vms.forEach((vm) -> vm.later(() -> vm.seeVm(entry())));
+			resync();
+		}
+
+		/** Ends the process; its callers' connections break. */
+		void kill() {
+			if (!this.alive) {
+				return;
+			}
+			this.alive = false;
+			this.ready = false;
+			EntryVm old = entry();
+			Gateway g = this.gateway;
+			StreamFleet.this.timer.schedule(3_000, () -> StreamFleet.this.vms.forEach((vm) -> vm.later(() -> {
+				if (vm.gateway != g) {
+					vm.gateway.entryVms().deregister(old.key(), 0);
+				}
+			})));
+			List.copyOf(this.callers).forEach(Caller::onBroken);
+			this.callers.clear();
+			StreamFleet.this.runs.stream().filter((r) -> r.vm == this).toList().forEach(Run::cancel);
+		}
+
+		void setStoreCut(boolean yes) {
+			this.storeCut = yes;
+			this.disturbedAt = StreamFleet.this.timer.now();
+			resync();
+		}
+
+		void setPeersCut(boolean yes) {
+			this.peersCut = yes;
+			this.disturbedAt = StreamFleet.this.timer.now();
+		}
+
+		/** Resets the connections of the callers. */
+		void resetCallers() {
+			this.disturbedAt = StreamFleet.this.timer.now();
+			List<Caller> l = List.copyOf(this.callers);
+			this.callers.clear();
+			l.forEach((c) -> {
+				c.disconnect.run();
+				c.onBroken();
+			});
+		}
+
+		private boolean inTouch() {
+			long since = Math.max(this.disturbedAt, StreamFleet.this.store.disturbedAt);
+			return !this.storeCut && !this.peersCut && !StreamFleet.this.store.away
+					&& StreamFleet.this.timer.now() - since > IN_TOUCH_MS;
+		}
+
+		// News from the store.
+		private void later(Runnable news) {
+			int start = this.starts;
+			StreamFleet.this.timer.schedule(20 + StreamFleet.this.random.nextInt(480), () -> {
+				if (this.alive && this.starts == start && reachesStore()) {
+					news.run();
+				}
+			});
+		}
+
+		private boolean reachesStore() {
+			return !this.storeCut && !StreamFleet.this.store.away;
+		}
+
+		private void seeWorker(WorkerInfo w) {
+			if (StreamFleet.this.workers.containsKey(w.id())) {
+				this.gateway.roster().updateEntry(w, StreamFleet.this.timer.now());
+				this.shared.onWorker(w);
+			}
+		}
+
+		private void seeRemoval(String id) {
+			this.gateway.roster().entryRemoved(id, StreamFleet.this.timer.now());
+		}
+
+		private void seeVm(EntryVm vm) {
+			this.gateway.entryVms().register(vm);
+		}
+
+		private void seeVersions() {
+			noticeEra();
+			RegistryChange.VersionsAnnounced v = StreamFleet.this.store.versions;
+			if (v != null) {
+				this.shared.onAnnounced(v);
+			}
+		}
+
+		private void noticeEra() {
+			if (this.knownEra < StreamFleet.this.store.era) {
+				this.knownEra = StreamFleet.this.store.era;
+				this.shared.onStaleData(STALE_MS);
+				this.shared.onStoreRestored();
+			}
+		}
+
+		private void resync() {
+			later(() -> {
+				seeVersions();
+				this.gateway.roster().retainEntries(StreamFleet.this.workers.keySet(), StreamFleet.this.timer.now());
+				StreamFleet.this.workers.values().forEach(this::seeWorker);
+				StreamFleet.this.vms.stream().filter((vm) -> vm.alive).forEach((vm) -> seeVm(vm.entry()));
+				this.ready = true;
+			});
+		}
+
+		private <T> Mono<T> call(Supplier<T> onArrival) {
+			return Mono.create((sink) -> {
+				boolean lost = StreamFleet.this.random.nextInt(50) == 0;
+				StreamFleet.this.timer.schedule(2, () -> {
+					if (!reachesStore() || !this.alive) {
+						StreamFleet.this.timer.schedule(300,
+								() -> sink.error(new StoreUnavailableException("away", "test")));
+						return;
+					}
+					noticeEra();
+					T result = onArrival.get();
+					StreamFleet.this.timer.schedule(2, () -> {
+						if (lost) {
+							sink.error(new StoreUnavailableException("lost", "test"));
+						}
+						else if (this.alive) {
+							sink.success(result);
+						}
+					});
+				});
+			});
+		}
+
+		@Override
+		public Mono<Boolean> announceVersions(String upstream, Set<String> versions, StorePosition expected) {
+			return call(() -> StreamFleet.this.store.write(versions, expected));
+		}
+
+		@Override
+		public Mono<RegistryChange.VersionsAnnounced> readVersions(String upstream) {
+			return call(StreamFleet.this.store::current);
+		}
+
+		@Override
+		public Mono<PeerMessage> ask(String address, PeerMessage message, long timeoutMs) {
+			Vm target = StreamFleet.this.vms.stream().filter((v) -> v.address().equals(address)).findAny().get();
+			return Mono.create((sink) -> {
+				StreamFleet.this.timer.schedule(timeoutMs, () -> sink.error(new PeerException("no answer", address)));
+				StreamFleet.this.timer.schedule(1, () -> {
+					if (target.alive && !target.peersCut && !this.peersCut) {
+						target.handlers.get(message.getClass())
+							.apply(message)
+							.subscribe((m) -> StreamFleet.this.timer.schedule(1, () -> sink.success(m)));
+					}
+				});
+			});
+		}
+
+		@Override
+		public Flux<PeerMessage> stream(String address, PeerMessage message) {
+			return Flux.never();
+		}
+
+		@Override
+		public void send(String address, PeerMessage message) {
+			throw new UnsupportedOperationException();
+		}
+
+		@Override
+		@SuppressWarnings("unchecked")
+		public <T extends PeerMessage> void onAsk(Class<T> type, Function<T, Mono<? extends PeerMessage>> handler) {
+			this.handlers.put(type, (m) -> handler.apply((T) m));
+		}
+
+		@Override
+		public <T extends PeerMessage> void onStream(Class<T> type, Function<T, Flux<? extends PeerMessage>> handler) {
+		}
+
+		@Override
+		public <T extends PeerMessage> void onSend(Class<T> type, Consumer<T> handler) {
+		}
+
+		@Override
+		public Exchange run(WorkerCall call, ExchangeListener listener) {
+			Run r = new Run(this, call, listener);
+			StreamFleet.this.runs.add(r);
+			StreamFleet.this.timer.schedule(5, r::begin);
+			return r::cancel;
+		}
+
+	}
+
+	/** A request at a worker, which sends an event with its version each interval. */
+	private final class Run {
+
+		private final Vm vm;
+
+		private final WorkerInfo worker;
+
+		private final ExchangeListener listener;
+
+		private int last;
+
+		private boolean ended;
+
+		private Run(Vm vm, WorkerCall call, ExchangeListener listener) {
+			this.vm = vm;
+			this.worker = call.worker();
+			this.listener = listener;
+			this.last = (call.lastEventId() != null) ? Integer.parseInt(call.lastEventId()) : 0;
+		}
+
+		private void begin() {
+			if (this.ended) {
+				return;
+			}
+			if (!StreamFleet.this.workers.containsKey(this.worker.id())) {
+				end();
+				this.listener.onFailure(new ExchangeFailure(false, "refused"));
+				return;
+			}
+			this.listener
+				.onHead(new ResponseHead(200, List.of(), ResponseAuthenticity.SIGNED, false, false, WorkerStatus.NONE));
+			next();
+		}
+
+		private void next() {
+			if (this.ended) {
+				return;
+			}
+			if (this.last == EVENTS) {
+				end();
+				this.listener.onEnd();
+				return;
+			}
+			this.last++;
+			this.listener.onBytes(("id: " + this.last + "\ndata: " + this.worker.version() + "\n\n").getBytes());
+			StreamFleet.this.timer.schedule(EVENT_INTERVAL_MS, this::next);
+		}
+
+		private void breakOff() {
+			if (!this.ended) {
+				end();
+				this.listener.onFailure(new ExchangeFailure(true, "reset"));
+			}
+		}
+
+		private void cancel() {
+			end();
+		}
+
+		private void end() {
+			this.ended = true;
+			StreamFleet.this.runs.remove(this);
+		}
+
+	}
+
+	/** The caller of one stream, which comes back to any VM if the stream breaks off. */
+	private final class Caller {
+
+		private final String name;
+
+		private int tries;
+
+		// The request that brought the first event.
+		private @Nullable String first;
+
+		private @Nullable String version;
+
+		private int received;
+
+		private @Nullable Try current;
+
+		private int receivedBefore;
+
+		private boolean checked;
+
+		private boolean resumes;
+
+		private boolean broken;
+
+		private @Nullable Vm vm;
+
+		private Runnable disconnect = () -> {
+		};
+
+		private Caller(String name) {
+			this.name = name;
+		}
+
+		private String id() {
+			return this.name + "-" + this.tries;
+		}
+
+		private void send() {
+			Vm target = chooseVm();
+			if (target == null) {
+				StreamFleet.this.timer.schedule(100, this::send);
+				return;
+			}
+			this.tries++;
+			if (this.tries > MAX_TRIES) {
+				return;
+			}
+			this.vm = target;
+			this.resumes = this.received > 0;
+			this.receivedBefore = this.received;
+			this.broken = false;
+			this.checked = target.inTouch() && hasWorkers();
+			count(0, 1);
+			target.callers.add(this);
+			RelayRequest r = new RelayRequest(id(), "POST", "/x", "h", List.of(), new byte[0], 14_000, null,
+					this.resumes ? "" + this.received : null, this.first, null);
+			this.disconnect = target.gateway.handle(r, new Try(this), StreamFleet.this.timer.now());
+		}
+
+		private boolean hasWorkers() {
+			return StreamFleet.this.workers.values()
+				.stream()
+				.filter((w) -> !this.resumes || w.version().equals(this.version))
+				.count() >= 2;
+		}
+
+		private void count(int served, int asked) {
+			if (this.checked && this.resumes) {
+				StreamFleet.this.resumedInTouch += asked;
+				StreamFleet.this.resumedInTouchServed += served;
+			}
+			else if (this.checked) {
+				StreamFleet.this.begunInTouch += asked;
+				StreamFleet.this.begunInTouchServed += served;
+			}
+		}
+
+		private void onBroken() {
+			if (!this.broken) {
+				this.broken = true;
+				this.vm.callers.remove(this);
+				StreamFleet.this.timer.schedule(10 + StreamFleet.this.random.nextInt(300), this::send);
+			}
+		}
+
+		private void onEvent(int id, String seen) {
+			if (this.first == null) {
+				this.first = id();
+				this.version = seen;
+			}
+			if (!seen.equals(this.version) || id != this.received + 1) {
+				StreamFleet.this.violations.add(id() + " event " + id + " of " + seen + " after " + this.received
+						+ " of " + this.version + " at " + this.vm.number);
+			}
+			this.received = id;
+			if (this.received == this.receivedBefore + 1) {
+				count(1, 0);
+			}
+		}
+
+		private void onComplete() {
+			this.vm.callers.remove(this);
+			this.broken = true;
+			StreamFleet.this.completed++;
+		}
+
+	}
+
+	/** The response to one try, which ends when its connection does. */
+	private static final class Try implements CallerResponse {
+
+		private final Caller caller;
+
+		private Try(Caller caller) {
+			this.caller = caller;
+			caller.current = this;
+		}
+
+		private boolean isOpen() {
+			return this.caller.current == this && !this.caller.broken;
+		}
+
+		@Override
+		public void send(int status, List<HeaderField> headers, byte[] body) {
+			abort();
+		}
+
+		@Override
+		public void refuse(RelayRefusal refusal) {
+			abort();
+		}
+
+		@Override
+		public void start(int status, List<HeaderField> headers) {
+		}
+
+		@Override
+		public void write(byte[] bytes) {
+			if (isOpen()) {
+				String[] lines = new String(bytes).split("\n");
+				this.caller.onEvent(Integer.parseInt(lines[0].substring("id: ".length())),
+						lines[1].substring("data: ".length()));
+			}
+		}
+
+		@Override
+		public void complete() {
+			if (isOpen()) {
+				this.caller.onComplete();
+			}
+		}
+
+		@Override
+		public void abort() {
+			if (isOpen()) {
+				this.caller.onBroken();
+			}
+		}
+
+	}
+
+}
