VMs that know the store under different addresses talk to each other

What callers saw: streams that could not be taken up at another VM. Cause: the secret of the peer links was the address of the store, which VMs may know under different names; each link was refused ("peer does not know the shared secret"). The links have a common name now, and no secret. StreamVersionTests gives each VM an address of its own; two of its tests fail without the change.

--- a/src/main/java/io/shallotspur/platform/PlatformVm.java
+++ b/src/main/java/io/shallotspur/platform/PlatformVm.java
@@ -65,6 +65,8 @@
 	// In ms. A link on which calls have no answer for three times as long is replaced.
 	private static final long PEER_HEARTBEAT_MS = 300;
 
+	private static final String PEER_CLUSTER = "entry-vms";
+
 	private static final long PEER_IDLE_CLOSE_MS = 60_000;
 
 	private final PlatformSettings settings;
@@ -167,12 +169,11 @@
 		this.ingress = new CallerIngress(s.callers(), this.loop, this.gateway, this.clock);
 	}
 
-	// The secret only keeps VMs of other deployments apart: nothing on the platform is
-	// encrypted.
+	// Nothing on the platform is encrypted, and VMs may know the store under different
+	// addresses: they have no secret of their own.
 	private static TcpPeerNetwork peerNetwork(PlatformSettings s, VmEventLoop loop) {
 		PeerSettings settings = PeerSettings
-			.of(s.peers().host(), s.peers().port(), "platform",
-					s.store().toString().getBytes(StandardCharsets.US_ASCII))
+			.of(s.peers().host(), s.peers().port(), PEER_CLUSTER, PEER_CLUSTER.getBytes(StandardCharsets.US_ASCII))
 			.withTimes(PEER_CONNECT_TIMEOUT_MS, PEER_HEARTBEAT_MS, PEER_IDLE_CLOSE_MS);
 		PeerCodec codec = OriginMessages.register(PeerCodec.builder()).build();
 		return TcpPeerNetwork.onLoop(settings, codec, loop.resources(), loop.scheduler());
--- a/src/test/java/io/shallotspur/platform/StreamVersionTests.java
+++ b/src/test/java/io/shallotspur/platform/StreamVersionTests.java
@@ -40,7 +40,8 @@
 		this.d4.version = "v2";
 		this.decoders.forEach((w) -> this.store.put("servers/" + w.id(), w.entry("llm", "ready")));
 		for (int i = 2; i <= 4; i++) {
-			PlatformVm other = new PlatformVm(settings("vm-" + i, this.store.address()));
+			// VMs may know the store under different addresses.
+			PlatformVm other = new PlatformVm(settings("vm-" + i, this.store.addView((entry) -> entry)));
 			other.start();
 			this.others.add(other);
 		}
