Soak: workers of two versions, callers that resume their streams at any VM

StreamCaller reads event by event, leaves some responses, and resumes with Resumes at any VM when one breaks off or is left; workers name their version in each event and change it with each drain; a KV cache has the version that wrote it. ORDER is checked at callers and workers, LOST over the tries while nothing is disturbed and two workers of the version serve (ServingVersions).

--- a/src/test/java/io/shallotspur/platform/soak/InvariantChecker.java
+++ b/src/test/java/io/shallotspur/platform/soak/InvariantChecker.java
@@ -10,6 +10,8 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 
+import org.jspecify.annotations.Nullable;
+
 /**
  * Records what callers and workers observe and checks the invariants of the system.
  * Thread-safe.
@@ -48,6 +50,10 @@
 
 	private final Map<String, RetryWindow> retryWindows = new ConcurrentHashMap<>();
 
+	private final ServingVersions servingVersions = new ServingVersions();
+
+	private final AtomicInteger disturbedWorkers = new AtomicInteger();
+
 	private final CrashingRequests crashingRequests = new CrashingRequests();
 
 	private final Map<String, Long> fencingTokens = new ConcurrentHashMap<>();
@@ -124,6 +130,40 @@
 	 */
 	void onWorkerDisturbed(String name, boolean begins, long nowMs) {
 		this.statements.onWorkerDisturbed(name, begins, nowMs);
+		this.disturbedWorkers.addAndGet(begins ? 1 : -1);
+	}
+
+	/**
+	 * Called when a decode worker begins or ends to serve.
+	 * @param name the worker's name, without the number of its incarnation
+	 * @param version its version, or {@code null} if it does not serve
+	 * @param nowMs the current time in milliseconds
+	 */
+	void onServing(String name, @Nullable String version, long nowMs) {
+		this.servingVersions.onWorker(name, version, nowMs);
+	}
+
+	/**
+	 * Tells whether a stream that is sent now counts for the share of those that go on.
+	 * @param vm the address of the VM
+	 * @param version the version at which it began, or {@code null} if it begins
+	 * @param nowMs the current time in milliseconds
+	 * @return {@code false} while VMs, the store or workers are disturbed, or too few
+	 * workers serve
+	 */
+	boolean mayCheckStream(String vm, @Nullable String version, long nowMs) {
+		return this.activeDisturbances.get() == 0 && this.lastDisturbanceEndedAt.get() + RECOVERY_MS < nowMs
+				&& this.disturbedWorkers.get() == 0 && !this.cutVms.containsKey(vm)
+				&& this.servingVersions.hasWorkers(version, nowMs);
+	}
+
+	/**
+	 * Called when a stream was tried that counts.
+	 * @param resumed whether it was resumed
+	 * @param served whether it brought an event
+	 */
+	void onStreamTried(boolean resumed, boolean served) {
+		this.servingVersions.onTried(resumed, served);
 	}
 
 	/**
@@ -364,6 +404,7 @@
 	 */
 	List<String> violations() {
 		List<String> l = new ArrayList<>(this.violations);
+		this.servingVersions.violation().ifPresent(l::add);
 		this.workersByRequest.forEach((id, workers) -> {
 			if (workers.size() > 1 && !this.kindByRequest.getOrDefault(id, RequestKind.UNSAFE).repeatable) {
 				l.add("TWICE id=" + id + " by=" + workers);
@@ -380,7 +421,8 @@
 		long runs = this.workersByRequest.values().stream().mapToInt(List::size).sum();
 		List<Integer> repeats = this.retryWindows.values().stream().map(RetryWindow::mostRepeats).toList();
 		return this.crashingRequests.summary() + " repeats=" + repeats + " sent=" + this.kindByRequest.size() + " runs="
-				+ runs + " refused=" + this.refusalStatuses.size() + " orders=" + this.fencingTokens.size();
+				+ runs + " refused=" + this.refusalStatuses.size() + " orders=" + this.fencingTokens.size() + " "
+				+ this.servingVersions.summary();
 	}
 
 	private record Credentials(String key, long sentAtMs) {
--- a/src/test/java/io/shallotspur/platform/soak/SoakRun.java
+++ b/src/test/java/io/shallotspur/platform/soak/SoakRun.java
@@ -31,6 +31,8 @@
 
 	private static final int CALLERS = 12;
 
+	private static final int STREAM_CALLERS = 4;
+
 	private static final int RECOVERED_RESPONSES = 40;
 
 	private static final int FIRST_PORT = 18_000;
@@ -59,6 +61,8 @@
 
 	private final List<SoakCaller> callers = new ArrayList<>();
 
+	private final List<StreamCaller> streamCallers = new ArrayList<>();
+
 	// Ports of the VMs, which are free while a VM is down.
 	private final Set<Integer> chosenPorts = new HashSet<>();
 
@@ -169,7 +173,7 @@
 			if (!await(() -> successCount() >= successesBefore + RECOVERED_RESPONSES)) {
 				this.checker.addViolation("RECOVER served=" + (successCount() - successesBefore) + " after the faults");
 			}
-			this.callers.forEach(SoakCaller::stop);
+			stopCallers();
 			terminateVms();
 			return this.checker.violations();
 		}
@@ -186,12 +190,21 @@
 		for (int i = 0; i < CALLERS; i++) {
 			SoakCaller c = new SoakCaller(i, this.seed, this.vms, this.checker, this.keys);
 			this.callers.add(c);
-			Thread t = new Thread(c, "caller-" + i);
-			t.setDaemon(true);
-			t.start();
+			startThread(c, "caller-" + i);
+		}
+		for (int i = 0; i < STREAM_CALLERS; i++) {
+			StreamCaller c = new StreamCaller(i, this.seed, this.vms, this.checker, this.keys);
+			this.streamCallers.add(c);
+			startThread(c, "stream-caller-" + i);
 		}
 	}
 
+	private static void startThread(Runnable caller, String name) {
+		Thread t = new Thread(caller, name);
+		t.setDaemon(true);
+		t.start();
+	}
+
 	private int successCount() {
 		return this.callers.stream().mapToInt(SoakCaller::successCount).sum();
 	}
@@ -237,8 +250,13 @@
 		}
 	}
 
-	private void stop() throws IOException, InterruptedException {
+	private void stopCallers() {
 		this.callers.forEach(SoakCaller::stop);
+		this.streamCallers.forEach(StreamCaller::stop);
+	}
+
+	private void stop() throws IOException, InterruptedException {
+		stopCallers();
 		for (VmProcess vm : this.vms) {
 			if (vm.isAlive()) {
 				vm.kill();
--- a/src/test/java/io/shallotspur/platform/soak/SoakWorker.java
+++ b/src/test/java/io/shallotspur/platform/soak/SoakWorker.java
@@ -38,6 +38,8 @@
 
 	private static final int SLOTS = 6;
 
+	private static final int VERSIONS = 2;
+
 	private static final Duration EVENT_INTERVAL = Duration.ofMillis(25);
 
 	private static final Duration PREFILL_TIME = Duration.ofMillis(40);
@@ -93,7 +95,8 @@
 		this.store = store;
 		this.checker = checker;
 		this.caches = caches;
-		this.current = new Incarnation(stage);
+		// Two versions serve side by side from the beginning.
+		this.current = new Incarnation(stage, number % VERSIONS);
 		this.proxies = new WorkerProxies(vms, this.current.server.port());
 		register("ready");
 	}
@@ -140,6 +143,7 @@
 	 */
 	synchronized void crash() {
 		Incarnation old = this.current;
+		serving(false);
 		old.server.disposeNow();
 		this.proxies.reset();
 		restart(old);
@@ -153,6 +157,7 @@
 			return;
 		}
 		old.crashed = true;
+		serving(false);
 		CrashStyle style = CrashingCaller.crashStyle(body);
 		switch (style) {
 			case REFUSES -> this.proxies.refuseConnections();
@@ -188,11 +193,13 @@
 	synchronized void drain() {
 		Incarnation old = this.current;
 		old.draining = true;
+		serving(false);
 		register("draining");
 		old.drainingSinceMs = InvariantChecker.nowMs();
 		Mono.delay(DRAIN_TIME, Schedulers.boundedElastic()).subscribe((t) -> {
 			deregister(old);
 			old.server.disposeNow();
+			old.version++;
 			restart(old);
 		});
 	}
@@ -241,19 +248,25 @@
 
 	private synchronized void restart(Incarnation old) {
 		if (this.current == old) {
-			this.current = new Incarnation(old.initialStage);
+			this.current = new Incarnation(old.initialStage, old.version % VERSIONS);
 			this.proxies.targetPort(this.current.server.port());
 			register("ready");
 		}
 	}
 
+	private void serving(boolean yes) {
+		boolean serves = yes && this.current.stage.equals("decode");
+		this.checker.onServing(name(), serves ? this.current.versionName() : null, InvariantChecker.nowMs());
+	}
+
 	synchronized void register(String state) {
+		serving(state.equals("ready"));
 		this.store.put(this.current.key(),
 				"""
-						{"service":"%s","address":"127.0.0.1:%d","zone":"hall-%d","version":"v1","slots":%d,"state":"%s",
+						{"service":"%s","address":"127.0.0.1:%d","zone":"hall-%d","version":"%s","slots":%d,"state":"%s",
 						"cold_remaining_ms":0,%s"models":[],"sequence_number":1}"""
-					.formatted(this.upstream, this.proxies.port(0), this.number % 2, SLOTS, state,
-							this.current.stage.isEmpty() ? "" : "\"stage\":\"" + this.current.stage + "\","));
+					.formatted(this.upstream, this.proxies.port(0), this.number % 2, this.current.versionName(), SLOTS,
+							state, this.current.stage.isEmpty() ? "" : "\"stage\":\"" + this.current.stage + "\","));
 	}
 
 	void stop() {
@@ -298,12 +311,20 @@
 
 		private volatile long drainingSinceMs = Long.MAX_VALUE;
 
-		private Incarnation(String stage) {
+		// The next incarnation after a drain has the next one.
+		private volatile int version;
+
+		private Incarnation(String stage, int version) {
 			this.initialStage = stage;
 			this.stage = stage;
+			this.version = version;
 			this.server = HttpServer.create().host("127.0.0.1").port(0).handle(this::handle).bindNow();
 		}
 
+		private String versionName() {
+			return "v" + this.version;
+		}
+
 		private String key() {
 			return "servers/" + this.id;
 		}
@@ -443,7 +464,7 @@
 		}
 
 		private Publisher<Void> prefill(String id, HttpServerResponse s) {
-			String handle = this.id + "-" + this.sequence.incrementAndGet();
+			String handle = versionName() + "-" + this.id + "-" + this.sequence.incrementAndGet();
 			SoakWorker.this.caches.put(handle, id);
 			return Mono.delay(PREFILL_TIME)
 				.then(Mono.defer(() -> Mono.from(s
@@ -457,6 +478,10 @@
 				if (cachedRequest == null) {
 					return rejectAsFull(s);
 				}
+				if (!source.substring(source.indexOf('/') + 1).startsWith(versionName() + "-")) {
+					SoakWorker.this.checker
+						.addViolation("ORDER id=" + id + " used the KV cache " + source + " at " + versionName());
+				}
 				if (!cachedRequest.equals(id)) {
 					SoakWorker.this.checker.addViolation("MIXED id=" + id + " used the KV cache of " + cachedRequest);
 				}
@@ -470,10 +495,11 @@
 			}
 			SoakWorker.this.checker.onRequestStarted(id, this.id);
 			SoakWorker.this.checker.onCredentialsReceived(id, h.get("X-Tenant"), h.get("Authorization"));
+			String shown = h.contains(StreamCaller.SHOW_VERSION) ? " " + versionName() : "";
 			int after = Integer.parseInt(h.get("Last-Event-Id", "0"));
 			Flux<String> events = Flux.range(after + 1, EVENT_COUNT - after)
 				.delayElements(EVENT_INTERVAL)
-				.map((i) -> "id: " + i + "\ndata: " + id + " " + i + "\n\n")
+				.map((i) -> "id: " + i + "\ndata: " + id + " " + i + shown + "\n\n")
 				.doFinally((x) -> this.runningRequests.decrementAndGet());
 			return s.header("X-Server-Stamp", "stamp-" + this.id)
 				.header("Content-Type", "text/event-stream")
