--- a/src/main/java/io/shallotspur/gateway/EntryVmDirectory.java
+++ b/src/main/java/io/shallotspur/gateway/EntryVmDirectory.java
@@ -7,7 +7,6 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.stream.Collectors;
-import java.util.stream.Stream;
 
 import org.jspecify.annotations.Nullable;
 
@@ -124,7 +123,7 @@
 			byRegion.values().removeIf((l) -> l.size() < MIN_VMS_PER_REGION);
 			byRegion.replaceAll((region, l) -> ServingVmSelector.select(l));
 			long until = this.byKey.values().stream().mapToLong(Registration::until).min().orElse(Long.MAX_VALUE);
-			c = Selection.of(byRegion, ServingVmSelector.select(all), until);
+			c = Selection.of(byRegion, ServingVmSelector.select(all), others(all), until);
 			this.selection = c;
 		}
 		return c;
@@ -136,7 +135,7 @@
 	 * @return the VMs
 	 */
 	List<EntryVm> tunnelVms(long now) {
-		return others(now).filter((v) -> !v.tunnelAddress().isEmpty()).toList();
+		return selection(now).others().stream().filter((v) -> !v.tunnelAddress().isEmpty()).toList();
 	}
 
 	/**
@@ -145,12 +144,12 @@
 	 * @return the addresses
 	 */
 	public List<String> peerAddresses(long now) {
-		return others(now).map(EntryVm::peerAddress).filter((a) -> !a.isEmpty()).toList();
+		return selection(now).peerAddresses();
 	}
 
-	private Stream<EntryVm> others(long now) {
+	private List<EntryVm> others(List<EntryVm> live) {
 		String own = (this.self != null) ? this.self.key() : "";
-		return liveVms(now).stream().filter((v) -> !v.key().equals(own));
+		return live.stream().filter((v) -> !v.key().equals(own)).toList();
 	}
 
 	boolean isRegistered(EntryVm vm) {
@@ -218,19 +217,23 @@
 	 * @param allRegions the selected VMs for callers of any other region
 	 * @param addresses the addresses of the VMs in {@code byRegion}, or in
 	 * {@code allRegions} if no region has enough, in an order that all VMs agree on
+	 * @param others all VMs but this one
+	 * @param peerAddresses the addresses at which they accept messages
 	 * @param until when the first of all registrations expires, in milliseconds
 	 */
 	private record Selection(Map<String, List<EntryVm>> byRegion, List<EntryVm> allRegions, List<String> addresses,
-			long until) {
+			List<EntryVm> others, List<String> peerAddresses, long until) {
 
-		static Selection of(Map<String, List<EntryVm>> byRegion, List<EntryVm> allRegions, long until) {
+		static Selection of(Map<String, List<EntryVm>> byRegion, List<EntryVm> allRegions, List<EntryVm> others,
+				long until) {
 			List<String> ordered = new ArrayList<>();
 			byRegion.keySet()
 				.stream()
 				.sorted()
 				.forEach((r) -> byRegion.get(r).forEach((v) -> ordered.add(v.address())));
 			List<String> all = byRegion.isEmpty() ? allRegions.stream().map(EntryVm::address).toList() : ordered;
-			return new Selection(byRegion, allRegions, all, until);
+			List<String> peers = others.stream().map(EntryVm::peerAddress).filter((a) -> !a.isEmpty()).toList();
+			return new Selection(byRegion, allRegions, all, others, peers, until);
 		}
 
 		List<EntryVm> forRegion(String region) {
