More versions than the registry holds do not stop an upstream

Cause: beyond 64 versions of an upstream nothing further was announced, so that resumable streams could not begin at the rest and a VM that started would not have become ready. They are now announced as any version: nothing is proved, and each stream is told to other VMs. usesAnyNumberOfVersions failed before (VM not complete).

--- a/src/main/java/io/shallotspur/gateway/AnnouncedVersions.java
+++ b/src/main/java/io/shallotspur/gateway/AnnouncedVersions.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
 
@@ -15,6 +16,12 @@
  */
 public final class AnnouncedVersions {
 
+	/**
+	 * Stands for all versions beyond the number that the registry can hold, none of which
+	 * is announced by itself. With it, nothing is proved and each stream is told of.
+	 */
+	public static final String ANY = "*";
+
 	private final Map<String, Set<String>> byUpstream = new HashMap<>();
 
 	private Consumer<String> mixedListener = (upstream) -> {
@@ -35,8 +42,8 @@
 	 */
 	public void update(String upstream, Set<String> versions) {
 		Set<String> previous = this.byUpstream.put(upstream, Set.copyOf(versions));
-		boolean wasMixed = previous != null && previous.size() > 1;
-		if (!wasMixed && versions.size() > 1) {
+		boolean wasMixed = previous != null && areSeveral(previous);
+		if (!wasMixed && areSeveral(versions)) {
 			this.mixedListener.accept(upstream);
 		}
 	}
@@ -50,8 +57,31 @@
 		return this.byUpstream.getOrDefault(upstream, Set.of());
 	}
 
+	/**
+	 * Tells whether streams of an upstream may have begun at several versions.
+	 * @param upstream the upstream
+	 * @return {@code false} also if no version is known
+	 */
+	boolean areMixed(String upstream) {
+		return areSeveral(of(upstream));
+	}
+
+	private static boolean areSeveral(Set<String> announced) {
+		return announced.size() > 1 || announced.contains(ANY);
+	}
+
+	/**
+	 * Returns the only version at which streams may have begun.
+	 * @param announced the announced versions of an upstream
+	 * @return the version; empty if there is none or there are several
+	 */
+	public static Optional<String> only(Set<String> announced) {
+		return areSeveral(announced) ? Optional.empty() : announced.stream().findAny();
+	}
+
 	boolean contains(WorkerInfo w) {
-		return of(w.upstream()).contains(w.version());
+		Set<String> announced = of(w.upstream());
+		return announced.contains(w.version()) || announced.contains(ANY);
 	}
 
 }
--- a/src/main/java/io/shallotspur/gateway/Gateway.java
+++ b/src/main/java/io/shallotspur/gateway/Gateway.java
@@ -195,7 +195,7 @@
 	 * @param now the present time in milliseconds
 	 */
 	void streamBegan(KnownOrigin stream, Route route, long now) {
-		boolean shared = route.targets().size() > 1 || this.versions.of(stream.origin().upstream()).size() > 1;
+		boolean shared = route.targets().size() > 1 || this.versions.areMixed(stream.origin().upstream());
 		this.origins.addOwn(stream, shared, now);
 		if (shared) {
 			this.originPeers.tell(List.of(stream));
--- a/src/main/java/io/shallotspur/gateway/ResumeOrigin.java
+++ b/src/main/java/io/shallotspur/gateway/ResumeOrigin.java
@@ -51,7 +51,7 @@
 		this.cancelTimer = this.gateway.timer.schedule(TIMEOUT_MS, () -> finish(Optional.empty()));
 		// A stream of a route with several upstreams may have begun at any of them.
 		String upstream = this.route.targets().get(0).upstream();
-		if (this.route.targets().size() > 1 || this.gateway.versions.of(upstream).size() > 1) {
+		if (this.route.targets().size() > 1 || this.gateway.versions.areMixed(upstream)) {
 			askPeers();
 		}
 		else {
--- a/src/main/java/io/shallotspur/registry/SharedVersions.java
+++ b/src/main/java/io/shallotspur/registry/SharedVersions.java
@@ -12,6 +12,7 @@
 
 import org.tinylog.Logger;
 
+import io.shallotspur.gateway.AnnouncedVersions;
 import io.shallotspur.gateway.Gateway;
 import io.shallotspur.gateway.GatewayTimer;
 import io.shallotspur.gateway.VersionSource;
@@ -51,7 +52,7 @@
 
 	private static final long REVIEW_MS = 60_000;
 
-	private static final int MAX_VERSIONS = 64;
+	static final int MAX_VERSIONS = 64;
 
 	private final VersionRegistry registry;
 
@@ -107,9 +108,7 @@
 	 * @return {@code false} if streams cannot begin at some workers yet
 	 */
 	public boolean isComplete() {
-		return this.upstreams.entrySet()
-			.stream()
-			.allMatch((e) -> announced(e.getKey()).containsAll(e.getValue().wanted()));
+		return this.upstreams.values().stream().allMatch(Upstream::isStored);
 	}
 
 	private Set<String> announced(String upstream) {
@@ -194,9 +193,9 @@
 		Set<String> versions = new HashSet<>(u.stored);
 		versions.addAll(u.wanted());
 		if (versions.size() > MAX_VERSIONS) {
-			Logger.error("[versions] too many versions, not announced upstream={} versions={}", name, versions);
-			u.scheduled = false;
-			return;
+			Logger.warn("[versions] too many versions upstream={} versions={}", name, versions.size());
+			versions = new HashSet<>(u.stored);
+			versions.add(AnnouncedVersions.ANY);
 		}
 		write(name, versions);
 	}
@@ -248,8 +247,8 @@
 		long sentAt = this.gateway.elapsedMs();
 		this.registry.readVersions(name).subscribe((e) -> {
 			onAnnounced(e);
-			boolean valid = sentAt >= this.staleUntil && e.versions().size() == 1 && u.isStored();
-			onRead(name, callbacks, valid ? e.versions().stream().findAny() : Optional.empty());
+			boolean valid = sentAt >= this.staleUntil && u.isStored();
+			onRead(name, callbacks, valid ? AnnouncedVersions.only(e.versions()) : Optional.empty());
 		}, (ex) -> {
 			Logger.info("[versions] not read upstream={} seen=\"{}\"", name, ex.toString());
 			u.readFailedAt = this.gateway.elapsedMs();
@@ -316,7 +315,7 @@
 		}
 
 		boolean isStored() {
-			return this.stored.containsAll(wanted());
+			return this.stored.contains(AnnouncedVersions.ANY) || this.stored.containsAll(wanted());
 		}
 
 	}
--- a/src/test/java/io/shallotspur/registry/SharedVersionsTests.java
+++ b/src/test/java/io/shallotspur/registry/SharedVersionsTests.java
@@ -10,6 +10,7 @@
 import org.junit.jupiter.api.Test;
 import reactor.core.publisher.Sinks;
 
+import io.shallotspur.gateway.AnnouncedVersions;
 import io.shallotspur.gateway.DecisionLog;
 import io.shallotspur.gateway.Gateway;
 import io.shallotspur.gateway.GatewayPorts;
@@ -194,6 +195,20 @@
 		Assertions.assertThat(this.other.usable()).containsExactly("v2");
 	}
 
+	// Guards against an upstream that cannot be used, as each of its workers has a
+	// version
+	// of its own.
+	@Test
+	void usesAnyNumberOfVersions() {
+		for (int i = 0; i <= SharedVersions.MAX_VERSIONS; i++) {
+			this.one.sees("v" + i);
+		}
+		this.timer.advance(10);
+		Assertions.assertThat(this.one.versions.isComplete()).isTrue();
+		Assertions.assertThat(this.one.usable()).contains(AnnouncedVersions.ANY);
+		Assertions.assertThat(proof(this.one)).isEmpty();
+	}
+
 	/** One VM. */
 	private final class Vm {
 
