--- a/src/main/java/io/shallotspur/gateway/Candidates.java
+++ b/src/main/java/io/shallotspur/gateway/Candidates.java
@@ -61,7 +61,8 @@
 
 	private boolean isEligibleVersion(WorkerInfo w) {
 		String v = this.requiredVersion;
-		return (v != null) ? w.version().equals(v) : (!this.announcedOnly || this.gateway.versions.contains(w));
+		return (v != null) ? w.version().equals(v)
+				: (!this.announcedOnly || this.gateway.origins.versions().contains(w));
 	}
 
 	/**
--- a/src/main/java/io/shallotspur/gateway/Gateway.java
+++ b/src/main/java/io/shallotspur/gateway/Gateway.java
@@ -1,7 +1,6 @@
 package io.shallotspur.gateway;
 
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.LongSupplier;
@@ -67,13 +66,7 @@
 
 	final WorkerNotices notices = new WorkerNotices(this);
 
-	final StreamOrigins origins = new StreamOrigins();
-
-	final AnnouncedVersions versions = new AnnouncedVersions();
-
-	private OriginPeers originPeers = OriginPeers.NONE;
-
-	private VersionSource versionSource = (upstream, callback) -> callback.accept(Optional.empty());
+	final OriginTracker origins;
 
 	private final ConfigFreshness configFreshness;
 
@@ -112,7 +105,7 @@
 		this.quotas = new QuotaLimiter(settings.quotas(), this.clock.getAsLong());
 		this.quarantine = new RequestQuarantine(this.metrics);
 		this.configFreshness = new ConfigFreshness(settings.revokedKeyMs());
-		this.versions.setMixedListener(this::shareOrigins);
+		this.origins = new OriginTracker(this.clock);
 	}
 
 	/**
@@ -148,67 +141,13 @@
 	}
 
 	/**
-	 * Returns the announced versions of the workers.
-	 * @return the versions; kept up to date by the registry watcher
-	 */
-	public AnnouncedVersions versions() {
-		return this.versions;
-	}
-
-	/**
-	 * Sets what proves at which versions streams have begun.
-	 * @param source asks the registry
+	 * Returns what this VM knows of the beginnings of streams.
+	 * @return the tracker
 	 */
-	public void setVersionSource(VersionSource source) {
-		this.versionSource = source;
-	}
-
-	VersionSource versionSource() {
-		return this.versionSource;
-	}
-
-	/**
-	 * Returns where streams began.
-	 * @return the streams that this VM knows of
-	 */
-	public StreamOrigins origins() {
+	public OriginTracker origins() {
 		return this.origins;
 	}
 
-	/**
-	 * Sets the other VMs that remember where streams began.
-	 * @param peers tells and asks them
-	 */
-	public void setOriginPeers(OriginPeers peers) {
-		this.originPeers = peers;
-	}
-
-	OriginPeers originPeers() {
-		return this.originPeers;
-	}
-
-	/**
-	 * Remembers where a stream began that its caller may resume. Other VMs are told
-	 * unless there is only one place where it can have begun.
-	 * @param stream the stream
-	 * @param route its route
-	 * @param now the present time in milliseconds
-	 */
-	void streamBegan(KnownOrigin stream, Route route, long now) {
-		boolean shared = route.targets().size() > 1 || this.versions.areMixed(stream.origin().upstream());
-		this.origins.addOwn(stream, shared, now);
-		if (shared) {
-			this.originPeers.tell(List.of(stream));
-		}
-	}
-
-	private void shareOrigins(String upstream) {
-		List<KnownOrigin> l = this.origins.takeUnshared(upstream, this.clock.getAsLong());
-		if (!l.isEmpty()) {
-			this.originPeers.tell(l);
-		}
-	}
-
 	/**
 	 * Returns the entry VMs.
 	 * @return the VMs; kept up to date by the registry watcher
--- a/src/main/java/io/shallotspur/gateway/OriginRecorder.java
+++ b/src/main/java/io/shallotspur/gateway/OriginRecorder.java
@@ -58,7 +58,7 @@
 
 	private void remember(@Nullable String id, StreamOrigin origin, long now) {
 		if (id != null) {
-			this.gateway.streamBegan(new KnownOrigin(id, origin, ttlMs()), this.route, now);
+			this.gateway.origins.streamBegan(new KnownOrigin(id, origin, ttlMs()), this.route, now);
 		}
 	}
 
--- a/src/main/java/io/shallotspur/gateway/RequestPlacement.java
+++ b/src/main/java/io/shallotspur/gateway/RequestPlacement.java
@@ -25,20 +25,9 @@
  */
 final class RequestPlacement implements PendingRequest, PromptPrefill.Owner {
 
-	// A late response still has some value for the caller, but a request that has waited
-	// for twice its objective while others are served first is refused, so that the
-	// caller can retry after the burst. Callers give up after four objectives; refusing
-	// just before that would be too late.
-	private static final double MAX_WAIT_OBJECTIVES = 2;
-
 	// A call that is sent this long before its reservation expires arrives in time, ms.
 	private static final long RESERVATION_MARGIN_MS = 50;
 
-	// Fraction of the time to its latest start that a request may wait for a rate limit.
-	// While demand exceeds the limits, all requests that are sent wait this long, and a
-	// further small delay must not make their responses late.
-	private static final double LIMIT_WAIT_FRACTION = 0.5;
-
 	private static final int MAX_PRIORITY = 9;
 
 	private final Gateway gateway;
@@ -63,7 +52,7 @@
 
 	private final long deadline;
 
-	private final long firstArrivalAt;
+	private final RequestTiming timing;
 
 	private final Set<String> triedWorkers = new HashSet<>();
 
@@ -77,8 +66,6 @@
 
 	private long reservedAt;
 
-	private long waitStartedAt;
-
 	RequestPlacement(Gateway gateway, AdmittedRequest admitted, LazyFingerprint fingerprint, String upstream,
 			@Nullable UpstreamSpec upstreamSpec, Callback callback, long arrivedAt, long deadline) {
 		this.gateway = gateway;
@@ -98,15 +85,11 @@
 		PromptInfo prompt = this.request.prompt();
 		this.prefill = (this.engine != null && prompt != null) ? new PromptPrefill(gateway, admitted, prompt,
 				fingerprint, upstream, this.engine, this.candidates, this) : null;
-		this.firstArrivalAt = arrivedAt - gateway.requestAges.ageMs(this.route.name(), this.request.callerTimeoutMs());
+		this.timing = new RequestTiming(gateway, admitted, upstream, callback::receivedTokens, arrivedAt, deadline);
 	}
 
 	void start(long now) {
-		// A caller whose response broke off after some seconds waits as long for its next
-		// event as for its first. Measured from the arrival of the request, the maximum
-		// wait would be over, and a response that could continue at another worker would
-		// end.
-		this.waitStartedAt = now;
+		this.timing.waitStarted(now);
 		if (refuseIfQuarantined(now)) {
 			return;
 		}
@@ -120,7 +103,7 @@
 		else if (hasNoPath(now)) {
 			this.callback.onRefused(RefusalReason.WORKERS_UNREACHABLE, now);
 		}
-		else if (limitWait > 0 && limitWait > (reserves ? waitDeadline() - now : maxLimitWaitMs(now))) {
+		else if (limitWait > 0 && limitWait > (reserves ? waitDeadline() - now : this.timing.maxLimitWaitMs(now))) {
 			this.callback.onRefused(RefusalReason.WORKERS_LIMITED, now);
 		}
 		else if (reserves) {
@@ -159,10 +142,6 @@
 			.orElse(OptionalLong.empty());
 	}
 
-	private long maxLimitWaitMs(long now) {
-		return (long) (LIMIT_WAIT_FRACTION * Math.max(0, latestStart() - now));
-	}
-
 	private void waitForLimit(WorkerState w, long now) {
 		this.gateway.metrics.waitedForLimit();
 		this.limitWait = new RateLimitWait(this.gateway, w, new RateLimitWait.Listener() {
@@ -239,9 +218,7 @@
 
 	@Override
 	public int requiredTokens() {
-		PromptInfo p = this.request.prompt();
-		return (p != null)
-				? this.gateway.engineTimes(this.upstream).reservationTokens(p, this.callback.receivedTokens()) : 0;
+		return this.timing.requiredTokens();
 	}
 
 	@Override
@@ -251,26 +228,20 @@
 
 	@Override
 	public long latestStart() {
-		return this.firstArrivalAt + this.route.latencyTargetMs()
-				- this.gateway.engineTimes(this.upstream).timeToFirstEventMs();
+		return this.timing.latestStart();
 	}
 
 	@Override
 	public long waitDeadline() {
-		long maxWaitEnd = this.waitStartedAt + (long) (MAX_WAIT_OBJECTIVES * this.route.latencyTargetMs());
-		return Math.min(this.deadline - generationMs(), maxWaitEnd);
+		return this.timing.waitDeadline();
 	}
 
 	/**
-	 * Returns the expected time to generate the rest of the response. A request that is
-	 * placed with less time left holds memory for seconds, and its caller's deadline
-	 * passes in the middle of the response.
+	 * Returns the expected time to generate the rest of the response.
 	 * @return milliseconds; 0 if the request does not state its length
 	 */
 	long generationMs() {
-		PromptInfo p = this.request.prompt();
-		return (p != null) ? this.gateway.engineTimes(this.upstream)
-			.generationMs(Math.max(0, p.expectedOutputTokens() - this.callback.receivedTokens())) : 0;
+		return this.timing.generationMs();
 	}
 
 	@Override
--- a/src/main/java/io/shallotspur/gateway/ResumeOrigin.java
+++ b/src/main/java/io/shallotspur/gateway/ResumeOrigin.java
@@ -43,21 +43,19 @@
 
 	void start(long now) {
 		Optional<StreamOrigin> known = Optional.ofNullable(this.resumedRequest)
-			.flatMap((id) -> this.gateway.origins.find(id, now));
+			.flatMap((id) -> this.gateway.origins.origins().find(id, now));
 		if (known.isPresent()) {
 			finish(known);
 			return;
 		}
 		this.cancelTimer = this.gateway.timer.schedule(TIMEOUT_MS, () -> finish(Optional.empty()));
-		// A stream of a route with several upstreams may have begun at any of them.
-		String upstream = this.route.targets().get(0).upstream();
-		if (this.route.targets().size() > 1 || this.gateway.versions.areMixed(upstream)) {
+		if (this.gateway.origins.hasSeveralOrigins(this.route)) {
 			askPeers();
+			return;
 		}
-		else {
-			this.gateway.versionSource()
-				.findOnlyVersion(upstream, (version) -> onVersion(version.map((v) -> new StreamOrigin(upstream, v))));
-		}
+		String upstream = this.route.targets().get(0).upstream();
+		this.gateway.origins.findOnlyVersion(upstream,
+				(version) -> onVersion(version.map((v) -> new StreamOrigin(upstream, v))));
 	}
 
 	private void onVersion(Optional<StreamOrigin> proven) {
@@ -74,7 +72,7 @@
 			finish(Optional.empty());
 		}
 		else {
-			this.gateway.originPeers().ask(this.resumedRequest, this::finish);
+			this.gateway.origins.askPeers(this.resumedRequest, this::finish);
 		}
 	}
 
--- a/src/main/java/io/shallotspur/platform/PlatformVm.java
+++ b/src/main/java/io/shallotspur/platform/PlatformVm.java
@@ -148,15 +148,16 @@
 		this.sharedVersions = new SharedVersions(registry, this.gateway, this.loop,
 				() -> ThreadLocalRandom.current().nextDouble(), this.self.key());
 		this.watcher.setSharedVersions(this.sharedVersions);
-		this.gateway.setVersionSource(this.sharedVersions);
+		this.gateway.origins().setVersionSource(this.sharedVersions);
 		this.watcher.setStaleDataListener((ms) -> {
 			reader.onStoreRestored(ms);
 			this.sharedVersions.onStaleData(ms);
 		});
 		this.peers = peerNetwork(s, this.loop);
-		this.gateway.setOriginPeers(new OriginExchange(this.peers, this.gateway.entryVms(), this.gateway.origins(),
-				this.loop, this.clock, this.metrics.registry()));
-		this.metrics.registry().gauge("origin.streams", () -> this.gateway.origins()::size);
+		this.gateway.origins()
+			.setPeers(new OriginExchange(this.peers, this.gateway.entryVms(), this.gateway.origins().origins(),
+					this.loop, this.clock, this.metrics.registry()));
+		this.metrics.registry().gauge("origin.streams", () -> this.gateway.origins().origins()::size);
 		this.watcher.addRestoreListener(this.registration::onStoreRestored);
 		this.watcher.addRestoreListener((ms) -> this.metrics.registry().counter("store.restored").inc());
 		this.metrics.registry().gauge("store.era", () -> registry::era);
--- a/src/main/java/io/shallotspur/registry/SharedVersions.java
+++ b/src/main/java/io/shallotspur/registry/SharedVersions.java
@@ -112,7 +112,7 @@
 	}
 
 	private Set<String> announced(String upstream) {
-		return this.gateway.versions().of(upstream);
+		return this.gateway.origins().versions().of(upstream);
 	}
 
 	private Upstream upstream(String name) {
@@ -141,7 +141,7 @@
 		Set<String> usable = new HashSet<>(announced(e.upstream()));
 		usable.retainAll(u.wanted());
 		usable.addAll(e.versions());
-		this.gateway.versions().update(e.upstream(), usable);
+		this.gateway.origins().versions().update(e.upstream(), usable);
 		Logger.info("[versions] announced upstream={} versions={} point={}", e.upstream(), e.versions(), e.position());
 		if (!u.isStored()) {
 			scheduleAnnouncement(e.upstream());
--- a/src/test/java/io/shallotspur/gateway/GatewayFixture.java
+++ b/src/test/java/io/shallotspur/gateway/GatewayFixture.java
@@ -62,10 +62,11 @@
 						() -> this.timer.now() + this.wallClockOffsetMs, random, new DecisionLog(0),
 						new RelayMetrics(this.metrics)));
 		registerLongAgo();
-		this.gateway.versions().update("llm", Set.of("v1"));
+		this.gateway.origins().versions().update("llm", Set.of("v1"));
 		// As if no other VM knew of further versions.
-		this.gateway.setVersionSource(
-				(upstream, callback) -> callback.accept(this.gateway.versions().of(upstream).stream().findAny()));
+		this.gateway.origins()
+			.setVersionSource((upstream, callback) -> callback
+				.accept(this.gateway.origins().versions().of(upstream).stream().findAny()));
 	}
 
 	// So that the VM has its share of the retry slack.
@@ -122,9 +123,9 @@
 	}
 
 	private void announce(String upstream, String version) {
-		Set<String> versions = new HashSet<>(this.gateway.versions().of(upstream));
+		Set<String> versions = new HashSet<>(this.gateway.origins().versions().of(upstream));
 		versions.add(version);
-		this.gateway.versions().update(upstream, versions);
+		this.gateway.origins().versions().update(upstream, versions);
 	}
 
 	// Another process listens at the address at once, under an id of its own.
--- a/src/test/java/io/shallotspur/gateway/ResumeOriginTests.java
+++ b/src/test/java/io/shallotspur/gateway/ResumeOriginTests.java
@@ -28,8 +28,8 @@
 
 	@BeforeEach
 	void start() {
-		this.f.gateway.setOriginPeers(this.peers);
-		this.f.gateway.setVersionSource((upstream, callback) -> this.proofs.add(callback));
+		this.f.gateway.origins().setPeers(this.peers);
+		this.f.gateway.origins().setVersionSource((upstream, callback) -> this.proofs.add(callback));
 		this.f.addWorker("a", "llm", WorkerStage.DECODE, "v1");
 	}
 
@@ -103,7 +103,7 @@
 		this.f.workers.lastRun().respondHead(200);
 		this.f.workers.lastRun().sendEvents(GatewayFixture.EVENTS);
 		Assertions.assertThat(this.peers.told).isEmpty();
-		this.f.gateway.versions().update("llm", Set.of("v1", "v2"));
+		this.f.gateway.origins().versions().update("llm", Set.of("v1", "v2"));
 		Assertions.assertThat(this.peers.told).extracting(KnownOrigin::request).containsExactly(c.id());
 	}
 
@@ -126,10 +126,10 @@
 	// of, so that the registry would prove a wrong one.
 	@Test
 	void beginsStreamsAtAnnouncedVersionsOnly() {
-		this.f.gateway.versions().update("llm", Set.of("v9"));
+		this.f.gateway.origins().versions().update("llm", Set.of("v9"));
 		Call c = this.f.callWithPrompt("resume", 100);
 		assertRefused(c, RefusalReason.NO_WORKER);
-		this.f.gateway.versions().update("llm", Set.of("v9", "v1"));
+		this.f.gateway.origins().versions().update("llm", Set.of("v9", "v1"));
 		this.f.callWithPrompt("resume", 100);
 		Assertions.assertThat(reservedVersion()).isEqualTo("v1");
 	}
--- a/src/test/java/io/shallotspur/registry/SharedVersionsTests.java
+++ b/src/test/java/io/shallotspur/registry/SharedVersionsTests.java
@@ -234,7 +234,7 @@
 		}
 
 		private Set<String> usable() {
-			return this.gateway.versions().of("llm");
+			return this.gateway.origins().versions().of("llm");
 		}
 
 	}
--- a/src/test/java/io/shallotspur/registry/StreamFleet.java
+++ b/src/test/java/io/shallotspur/registry/StreamFleet.java
@@ -250,8 +250,10 @@
 							new RelayMetrics(new MetricRegistry())));
 			g.configure(table());
 			SharedVersions s = new SharedVersions(this, g, t, StreamFleet.this.random::nextDouble, entry().key());
-			g.setVersionSource(s);
-			g.setOriginPeers(new OriginExchange(this, g.entryVms(), g.origins(), t, t::now, new MetricRegistry()));
+			g.origins().setVersionSource(s);
+			g.origins()
+				.setPeers(
+						new OriginExchange(this, g.entryVms(), g.origins().origins(), t, t::now, new MetricRegistry()));
 			g.entryVms().registerSelf(entry());
 			this.gateway = g;
 			this.shared = s;
