A peer link on which calls time out has a test; a live one is asked before it is replaced

What callers would see: streams that cannot be taken up, as VMs tell each other on a link that has fallen silent without a reset. aLinkOnWhichCallsTimeOutIsReplaced fails without the check of the unanswered call (switched off by hand). A link is pinged first, so that one which is alive and whose peer has merely not answered stays.

--- a/src/main/java/io/shallotspur/adapter/peer/ClientLink.java
+++ b/src/main/java/io/shallotspur/adapter/peer/ClientLink.java
@@ -242,7 +242,7 @@
 
 	private void heartbeat() {
 		this.idleMs += this.heartbeatMs;
-		if (!this.open.isEmpty()) {
+		if (!this.open.isEmpty() || this.unanswered) {
 			tryWrite(Frame.of(FrameKind.PING, 0));
 		}
 		else if (this.idleMs >= this.idleCloseMs) {
--- a/src/test/java/io/shallotspur/adapter/peer/TcpPeerNetworkTests.java
+++ b/src/test/java/io/shallotspur/adapter/peer/TcpPeerNetworkTests.java
@@ -158,6 +158,25 @@
 		StepVerifier.create(client.ask(to, new Blob(new byte[500]), TIMEOUT_MS)).expectNextCount(1).verifyComplete();
 	}
 
+	// Guards against messages that are lost for ever on a link that has fallen silent, as
+	// each call has timed out when the silence is noticed.
+	@Test
+	void aLinkOnWhichCallsTimeOutIsReplaced() throws Exception {
+		TcpPeerNetwork server = network(settings("c1", "secret"));
+		server.onAsk(Text.class, Mono::just);
+		try (SilencedRelay relay = new SilencedRelay(Integer.parseInt(start(server).split(":")[1]))) {
+			TcpPeerNetwork client = network(settings("c1", "secret").withTimes(TIMEOUT_MS, 100, 60_000));
+			client.ask(relay.address(), new Text("hi", 0, List.of()), TIMEOUT_MS).block();
+			relay.silenceOpenConnections();
+			StepVerifier.create(client.ask(relay.address(), new Text("hi", 1, List.of()), 50))
+				.verifyError(PeerException.class);
+			assertThat(relay.awaitClosedByClient()).isTrue();
+			StepVerifier.create(client.ask(relay.address(), new Text("hi", 2, List.of()), TIMEOUT_MS))
+				.expectNextCount(1)
+				.verifyComplete();
+		}
+	}
+
 	private static void awaitAsked(TcpPeerNetwork server) {
 		Flux.interval(Duration.ofMillis(5))
 			.filter((i) -> server.traffic().messagesIn(1, 1) > 0)
