A VM that may have missed workers does not remove their version from the registry

What could have happened: a VM that was cut off from the store, or suspended, for longer than two hours has not seen the workers that came meanwhile, and could have removed the version of workers in use as the first thing it did; the registry would then have proved another version. Found by reading. The two hours begin anew after such a time. doesNotRemoveWhatItMayHaveMissed fails without it (switched off).

--- a/src/main/java/io/shallotspur/registry/RegistryWatcher.java
+++ b/src/main/java/io/shallotspur/registry/RegistryWatcher.java
@@ -176,6 +176,7 @@
 	public void setSharedVersions(SharedVersions shared) {
 		this.applier.setVersionListeners(shared::onAnnounced, shared::onWorker);
 		addRestoreListener((ms) -> shared.onStoreRestored());
+		shared.setRegistryUnavailable(this::storeUnavailable);
 	}
 
 	/**
--- a/src/main/java/io/shallotspur/registry/SharedVersions.java
+++ b/src/main/java/io/shallotspur/registry/SharedVersions.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.DoubleSupplier;
 
@@ -52,6 +53,8 @@
 
 	private static final long REVIEW_MS = 60_000;
 
+	private static final long MAX_REVIEW_GAP_MS = 3 * REVIEW_MS;
+
 	static final int MAX_VERSIONS = 64;
 
 	private final VersionRegistry registry;
@@ -70,6 +73,10 @@
 	// snapshot, in gateway.elapsedMs().
 	private long staleUntil = Long.MIN_VALUE / 2;
 
+	private BooleanSupplier registryUnavailable = () -> false;
+
+	private long reviewedAt;
+
 	private boolean stopped;
 
 	/**
@@ -93,6 +100,11 @@
 	 * Starts to remove versions that are no longer used.
 	 */
 	public void start() {
+		this.reviewedAt = this.gateway.elapsedMs();
+		scheduleReview();
+	}
+
+	private void scheduleReview() {
 		this.timer.schedule((long) (REVIEW_MS * (0.5 + this.random.getAsDouble())), this::review);
 	}
 
@@ -119,6 +131,10 @@
 		return this.upstreams.computeIfAbsent(name, (n) -> new Upstream());
 	}
 
+	void setRegistryUnavailable(BooleanSupplier unavailable) {
+		this.registryUnavailable = unavailable;
+	}
+
 	void onWorker(WorkerInfo w) {
 		Upstream u = upstream(w.upstream());
 		u.lastSeen.put(w.version(), this.gateway.elapsedMs());
@@ -270,14 +286,19 @@
 			return;
 		}
 		long now = this.gateway.elapsedMs();
+		// Without the registry, or while suspended, this VM may have missed workers that
+		// came and are used.
+		boolean missedNews = this.registryUnavailable.getAsBoolean() || now - this.reviewedAt > MAX_REVIEW_GAP_MS;
 		boolean first = this.gateway.entryVms().rank(this.ownKey, this.gateway.nowMs()) == 0;
 		this.upstreams.forEach((name, u) -> {
-			this.gateway.roster().versions(name).forEach((v) -> u.lastSeen.put(v, now));
+			Set<String> used = missedNews ? u.wanted() : this.gateway.roster().versions(name);
+			Set.copyOf(used).forEach((v) -> u.lastSeen.put(v, now));
 			if (first) {
 				removeUnused(name, u, now);
 			}
 		});
-		start();
+		this.reviewedAt = now;
+		scheduleReview();
 	}
 
 	private void removeUnused(String name, Upstream u, long now) {
--- a/src/test/java/io/shallotspur/registry/SharedVersionsTests.java
+++ b/src/test/java/io/shallotspur/registry/SharedVersionsTests.java
@@ -195,6 +195,24 @@
 		Assertions.assertThat(this.other.usable()).containsExactly("v2");
 	}
 
+	// Guards against a version that is removed although workers have it, by a VM that was
+	// cut off from the store while they came.
+	@Test
+	void doesNotRemoveWhatItMayHaveMissed() {
+		this.one.versions.start();
+		this.one.sees("v1");
+		this.timer.advance(10);
+		this.one.sees("v2");
+		this.timer.advance(10);
+		this.one.versions.setRegistryUnavailable(() -> true);
+		this.timer.advance(2 * SharedVersions.RETENTION_MS);
+		this.one.versions.setRegistryUnavailable(() -> false);
+		this.timer.advance(SharedVersions.RETENTION_MS / 2);
+		Assertions.assertThat(stored()).containsExactlyInAnyOrder("v1", "v2");
+		this.timer.advance(SharedVersions.RETENTION_MS);
+		Assertions.assertThat(stored()).containsExactly("v2");
+	}
+
 	// Guards against an upstream that cannot be used, as each of its workers has a
 	// version
 	// of its own.
