Two tests of the queue fail without what they guard

Switched off one by one, the refusal of a request whose version has gone while another one is servable, and the count of all workers' slots, were noticed by no test: the one request was in flight, the other one refused was not looked at. Both tests fail then now.

--- a/src/test/java/io/shallotspur/gateway/StreamVersionRelayTests.java
+++ b/src/test/java/io/shallotspur/gateway/StreamVersionRelayTests.java
@@ -76,12 +76,15 @@
 		WorkerInfo a = this.f.addWorker("a", "llm", WorkerStage.DECODE, "v1");
 		WorkerInfo b = this.f.addWorker("b", "llm", WorkerStage.DECODE, "v1");
 		Call broken = startStream();
+		// It is served after requests that can still be on time.
+		this.f.timer.advance(1_000);
 		this.f.workers.lastRun().resetConnection();
 		Assertions.assertThat(this.f.workers.reservations).hasSize(2);
 		addDecodeWorker("c", "v2");
 		this.f.drain(a);
 		this.f.drain(b);
 		Call fresh = this.f.callWithPrompt("resume", 100);
+		this.f.workers.reservations.get(2).listener().onNoCapacity();
 		this.f.workers.reservations.get(1).listener().onNoCapacity();
 		Assertions.assertThat(broken.caller().aborted).isTrue();
 		Assertions.assertThat(fresh.caller().responseCount).isZero();
@@ -110,6 +113,7 @@
 			.toList()
 			.forEach(FakeWorkers.Run::resetConnection);
 		Assertions.assertThat(waiting).allSatisfy((c) -> Assertions.assertThat(c.caller().responseCount).isZero());
+		Assertions.assertThat(broken.caller().aborted).isFalse();
 	}
 
 	// Guards against a worker that reads a KV cache which another version has written.
