--- a/src/test/java/io/shallotspur/gateway/ResumeOriginTests.java
+++ b/src/test/java/io/shallotspur/gateway/ResumeOriginTests.java
@@ -94,6 +94,22 @@
 		Assertions.assertThat(this.peers.told).extracting(KnownOrigin::request).containsExactly(c.id());
 	}
 
+	// Guards against a stream that goes on once only, as the VMs that were told of its
+	// beginning have ended meanwhile.
+	@Test
+	void remembersAStreamThatItHasResumed() {
+		this.f.addWorker("b", "llm", WorkerStage.DECODE, "v2");
+		this.peers.known.put("r0", new StreamOrigin("llm", "v2"));
+		Call c = resume("r0");
+		this.f.workers.reservations.get(0).listener().onReserved("h");
+		this.f.workers.lastRun().respondHead(200);
+		this.f.workers.lastRun().sendEvents("id: 8\ndata: h\n\n");
+		c.disconnect().run();
+		this.peers.known.clear();
+		this.f.callResuming("resume", 100, "8", "r0");
+		Assertions.assertThat(this.f.workers.reservations.get(1).worker().version()).isEqualTo("v2");
+	}
+
 	// Guards against streams that nobody remembers, as they began while there was one
 	// version.
 	@Test
