A VM in between that opens no tunnels is not asked again for reservations

Cause: every failed reservation was taken for a call that had left this VM, and only checked the direct path; the VM in between stayed, as no other one was found. A failed tunnel is now known as not sent, that VM is given up at once, others are asked, and if none reaches the worker the prompt is refused as workers-unreachable. refusesAPromptAtOnceWhenTheOnlyVmInBetweenOpensNoTunnels and tellsWhyPromptsAreRefusedWhenTheOnlyOtherVmHasEnded failed before.

--- a/src/main/java/io/shallotspur/gateway/ReservationQueue.java
+++ b/src/main/java/io/shallotspur/gateway/ReservationQueue.java
@@ -302,8 +302,7 @@
 		if (failure != null) {
 			this.gateway.roster.outlierDetector(this.upstream).recordFailure(worker.info().id(), now);
 			worker.recordOutcome(true);
-			this.gateway.paths.notReached(worker, failure.reason(), now);
-			this.gateway.paths.noResponse(worker, now);
+			this.gateway.paths.reservationFailed(worker, failure, now);
 		}
 	}
 
--- a/src/main/java/io/shallotspur/gateway/WorkerPaths.java
+++ b/src/main/java/io/shallotspur/gateway/WorkerPaths.java
@@ -199,6 +199,23 @@
 		askPeers(w, ListenState.NO_RESPONSE, now);
 	}
 
+	/**
+	 * Handles a reservation call that failed.
+	 * @param w the worker
+	 * @param failure how it failed
+	 * @param now the present time in milliseconds
+	 */
+	void reservationFailed(WorkerState w, ExchangeFailure failure, long now) {
+		notReached(w, failure.reason(), now);
+		if (w.path().isLost() && !failure.sent()) {
+			// The VM in between opens no tunnel, and is not to be asked again.
+			connectFailed(w, now);
+		}
+		else {
+			noResponse(w, now);
+		}
+	}
+
 	/**
 	 * Handles a call that was not answered: the worker is asked for a connection.
 	 * @param w the worker
--- a/src/main/java/io/shallotspur/platform/HttpWorkerPort.java
+++ b/src/main/java/io/shallotspur/platform/HttpWorkerPort.java
@@ -210,12 +210,13 @@
 	@Override
 	public void reserve(WorkerInfo worker, int tokens, long ttlMs, ReservationListener listener) {
 		ObjectNode body = StoreEntryCodec.JSON.createObjectNode().put("tokens", tokens).put("ttl_ms", ttlMs);
-		this.workerClient.post(worker, PlatformNames.RESERVE_PATH, body)
+		SendState state = new SendState();
+		HttpClient client = this.workerClient.expecting(worker).doOnRequest((r, c) -> state.sent = true);
+		WorkerClient.post(client, worker, PlatformNames.RESERVE_PATH, body)
 			.responseSingle((r,
 					content) -> content.asByteArray().defaultIfEmpty(new byte[0]).map((b) -> reservationResponse(r, b)))
 			.timeout(Duration.ofMillis(CONTROL_CALL_TIMEOUT_MS), this.loop.scheduler())
-			.subscribe((h) -> notifyListener(h, listener),
-					(ex) -> listener.onFailure(new ExchangeFailure(true, ex.toString())));
+			.subscribe((h) -> notifyListener(h, listener), (ex) -> listener.onFailure(failure(state, ex)));
 	}
 
 	private static ReservationResponse reservationResponse(HttpClientResponse r, byte[] body) {
--- a/src/main/java/io/shallotspur/platform/WorkerClient.java
+++ b/src/main/java/io/shallotspur/platform/WorkerClient.java
@@ -81,8 +81,20 @@
 	 * @return the call, sent when its response is subscribed to
 	 */
 	HttpClient.ResponseReceiver<?> post(WorkerInfo worker, String path, JsonNode body) {
+		return post(expecting(worker), worker, path, body);
+	}
+
+	/**
+	 * Prepares a call with a JSON body.
+	 * @param client the client, as {@link #expecting} returns it
+	 * @param worker the worker
+	 * @param path the path
+	 * @param body the body
+	 * @return the call, sent when its response is subscribed to
+	 */
+	static HttpClient.ResponseReceiver<?> post(HttpClient client, WorkerInfo worker, String path, JsonNode body) {
 		byte[] bytes = body.toString().getBytes(StandardCharsets.UTF_8);
-		return expecting(worker).headers((h) -> {
+		return client.headers((h) -> {
 			h.set(HttpHeaderNames.CONTENT_TYPE, "application/json");
 			h.set(HttpHeaderNames.CONTENT_LENGTH, bytes.length);
 		}).post().uri(uri(worker, path)).send(Mono.just(Unpooled.wrappedBuffer(bytes)));
--- a/src/test/java/io/shallotspur/gateway/WorkerPathsTests.java
+++ b/src/test/java/io/shallotspur/gateway/WorkerPathsTests.java
@@ -102,6 +102,22 @@
 		Assertions.assertThat(this.f.workers.runs.size()).isLessThanOrEqualTo(2);
 	}
 
+	// Guards against prompts that wait, and are refused as if the workers were full,
+	// while
+	// the only VM in between opens no tunnels any more.
+	@Test
+	void refusesAPromptAtOnceWhenTheOnlyVmInBetweenOpensNoTunnels() {
+		cut(this.f.addWorker("d1", "llm", WorkerStage.DECODE));
+		GatewayFixture.Call c = this.f.callWithPrompt("once", 100);
+		this.f.workers.reservations.get(0).listener().onFailure(new ExchangeFailure(false, "refused"));
+		Assertions.assertThat(this.f.workers.reservations).hasSize(2);
+		this.f.timer.advance(600);
+		this.f.workers.seenByVms.put("vms/b", ListenState.NO_RESPONSE);
+		this.f.workers.reservations.get(1).listener().onFailure(new ExchangeFailure(false, "tunnel unavailable"));
+		Assertions.assertThat(c.caller().refusal).isNotNull();
+		Assertions.assertThat(c.caller().refusal.reason()).isEqualTo(RefusalReason.WORKERS_UNREACHABLE);
+	}
+
 	// Guards against a worker that is down and is taken for a lost path.
 	@Test
 	void aWorkerThatNoVmReachesIsDown() {
--- a/src/test/java/io/shallotspur/platform/LostPathTests.java
+++ b/src/test/java/io/shallotspur/platform/LostPathTests.java
@@ -173,4 +173,22 @@
 		Assertions.assertThat(r.statusCode()).isEqualTo(503);
 	}
 
+	// Guards against prompts that are told that the workers are full, while none of them
+	// can be reached.
+	@Test
+	void tellsWhyPromptsAreRefusedWhenTheOnlyOtherVmHasEnded() throws Throwable {
+		loseAllPaths(LoopbackProxy::refuseConnections);
+		Assertions.assertThat(served(this.vm, "/model/x")).isEqualTo(REQUESTS);
+		this.otherVm.close();
+		await(() -> prompt().body().equals("workers-unreachable"));
+		Assertions.assertThat(prompt().body()).isEqualTo("workers-unreachable");
+	}
+
+	private HttpResponse<String> prompt() {
+		return send(request("/model/x").header("X-Model", "m")
+			.header("X-Token-Count", "100,10")
+			.POST(HttpRequest.BodyPublishers.ofString("p"))
+			.build());
+	}
+
 }
