--- a/src/main/java/io/shallotspur/origin/OriginExchange.java
+++ b/src/main/java/io/shallotspur/origin/OriginExchange.java
@@ -1,6 +1,7 @@
 package io.shallotspur.origin;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -48,6 +49,11 @@
 	// ended, ms.
 	private static final long TIMEOUT_MS = 300;
 
+	// A VM that has ended fails each message until its registration expires, ms.
+	private static final long LOG_INTERVAL_MS = 1_000;
+
+	private static final int MAX_LOGGED = 1_000;
+
 	private final PeerNetwork peers;
 
 	private final EntryVmDirectory vms;
@@ -63,6 +69,9 @@
 	// What is still to be told, by the address of the VM.
 	private final Map<String, List<OriginEntry>> pending = new LinkedHashMap<>();
 
+	// When a failure was last logged, by the address of the VM.
+	private final Map<String, Long> loggedAt = new HashMap<>();
+
 	private boolean scheduled;
 
 	/**
@@ -130,7 +139,21 @@
 
 	private void onNotTold(String address, int count, Throwable ex) {
 		this.metrics.counter("origin.not-told").inc(count);
-		Logger.info("[origin] VM not told vm={} streams={} seen=\"{}\"", address, count, ex.toString());
+		if (mayLog(address)) {
+			Logger.info("[origin] VM not told vm={} streams={} seen=\"{}\"", address, count, ex.toString());
+		}
+	}
+
+	private boolean mayLog(String address) {
+		long now = this.clock.getAsLong();
+		if (now - this.loggedAt.getOrDefault(address, Long.MIN_VALUE / 2) < LOG_INTERVAL_MS) {
+			return false;
+		}
+		if (this.loggedAt.size() >= MAX_LOGGED) {
+			this.loggedAt.clear();
+		}
+		this.loggedAt.put(address, now);
+		return true;
 	}
 
 	@Override
@@ -153,7 +176,9 @@
 			.next()
 			.map(OriginEntry::origin)
 			.onErrorResume((ex) -> {
-				Logger.info("[origin] VM does not respond vm={} seen=\"{}\"", address, ex.toString());
+				if (mayLog(address)) {
+					Logger.info("[origin] VM does not respond vm={} seen=\"{}\"", address, ex.toString());
+				}
 				return Mono.empty();
 			});
 	}
