--- a/src/main/java/io/shallotspur/gateway/OriginTracker.java
+++ b/src/main/java/io/shallotspur/gateway/OriginTracker.java
@@ -16,7 +16,7 @@
 
 	private final LongSupplier clock;
 
-	private final StreamOrigins origins = new StreamOrigins();
+	private final StreamOrigins streams = new StreamOrigins();
 
 	private final AnnouncedVersions versions = new AnnouncedVersions();
 
@@ -41,8 +41,8 @@
 	 * Returns where streams began.
 	 * @return the streams that this VM knows of
 	 */
-	public StreamOrigins origins() {
-		return this.origins;
+	public StreamOrigins streams() {
+		return this.streams;
 	}
 
 	/**
@@ -78,7 +78,7 @@
 	 */
 	void streamBegan(KnownOrigin stream, Route route, long now) {
 		boolean shared = hasSeveralOrigins(route);
-		this.origins.addOwn(stream, shared, now);
+		this.streams.addOwn(stream, shared, now);
 		if (shared) {
 			this.peers.tell(List.of(stream));
 		}
@@ -95,7 +95,7 @@
 	}
 
 	private void tellOfUnshared(String upstream) {
-		List<KnownOrigin> l = this.origins.takeUnshared(upstream, this.clock.getAsLong());
+		List<KnownOrigin> l = this.streams.takeUnshared(upstream, this.clock.getAsLong());
 		if (!l.isEmpty()) {
 			this.peers.tell(l);
 		}
--- a/src/main/java/io/shallotspur/gateway/ResumeOrigin.java
+++ b/src/main/java/io/shallotspur/gateway/ResumeOrigin.java
@@ -43,7 +43,7 @@
 
 	void start(long now) {
 		Optional<StreamOrigin> known = Optional.ofNullable(this.resumedRequest)
-			.flatMap((id) -> this.gateway.origins.origins().find(id, now));
+			.flatMap((id) -> this.gateway.origins.streams().find(id, now));
 		if (known.isPresent()) {
 			finish(known);
 			return;
--- a/src/main/java/io/shallotspur/platform/PlatformVm.java
+++ b/src/main/java/io/shallotspur/platform/PlatformVm.java
@@ -155,9 +155,9 @@
 		});
 		this.peers = peerNetwork(s, this.loop);
 		this.gateway.origins()
-			.setPeers(new OriginExchange(this.peers, this.gateway.entryVms(), this.gateway.origins().origins(),
+			.setPeers(new OriginExchange(this.peers, this.gateway.entryVms(), this.gateway.origins().streams(),
 					this.loop, this.clock, this.metrics.registry()));
-		this.metrics.registry().gauge("origin.streams", () -> this.gateway.origins().origins()::size);
+		this.metrics.registry().gauge("origin.streams", () -> this.gateway.origins().streams()::size);
 		this.watcher.addRestoreListener(this.registration::onStoreRestored);
 		this.watcher.addRestoreListener((ms) -> this.metrics.registry().counter("store.restored").inc());
 		this.metrics.registry().gauge("store.era", () -> registry::era);
--- a/src/test/java/io/shallotspur/registry/StreamFleet.java
+++ b/src/test/java/io/shallotspur/registry/StreamFleet.java
@@ -253,7 +253,7 @@
 			g.origins().setVersionSource(s);
 			g.origins()
 				.setPeers(
-						new OriginExchange(this, g.entryVms(), g.origins().origins(), t, t::now, new MetricRegistry()));
+						new OriginExchange(this, g.entryVms(), g.origins().streams(), t, t::now, new MetricRegistry()));
 			g.entryVms().registerSelf(entry());
 			this.gateway = g;
 			this.shared = s;
