A time of day that is set does not shorten what SharedVersions waits for

What callers could have seen: a stream that goes on at another version, within 2.5 s after a restore of the store. Cause: the end of the period in which the store may lack announcements was counted by the clock that takes a time of day set forward for a suspension; so were the two hours of retention. Both count by the monotonic clock now; only the check for missed news uses the other one, where it is the stricter. aTimeOfDayThatIsSetEndsNoPeriod failed before, passes now.

--- a/src/main/java/io/shallotspur/registry/SharedVersions.java
+++ b/src/main/java/io/shallotspur/registry/SharedVersions.java
@@ -70,11 +70,12 @@
 	private final Map<String, Upstream> upstreams = new HashMap<>();
 
 	// Until then the registry may lack announcements, as it was restored from an older
-	// snapshot, in gateway.elapsedMs().
+	// snapshot, in gateway.nowMs(): a time of day that is set must not end the period.
 	private long staleUntil = Long.MIN_VALUE / 2;
 
 	private BooleanSupplier registryUnavailable = () -> false;
 
+	// In gateway.elapsedMs(), which includes suspensions.
 	private long reviewedAt;
 
 	private boolean stopped;
@@ -137,7 +138,7 @@
 
 	void onWorker(WorkerInfo w) {
 		Upstream u = upstream(w.upstream());
-		u.lastSeen.put(w.version(), this.gateway.elapsedMs());
+		u.lastSeen.put(w.version(), this.gateway.nowMs());
 		if (!u.isStored()) {
 			scheduleAnnouncement(w.upstream());
 		}
@@ -151,7 +152,7 @@
 		forgetRemoved(e, u);
 		u.position = e.position();
 		u.stored = e.versions();
-		long now = this.gateway.elapsedMs();
+		long now = this.gateway.nowMs();
 		e.versions().forEach((v) -> u.lastSeen.putIfAbsent(v, now));
 		// What a restore has lost was announced once, and is about to be again.
 		Set<String> usable = new HashSet<>(announced(e.upstream()));
@@ -187,7 +188,7 @@
 	 * @param staleMs its length in milliseconds
 	 */
 	public void onStaleData(long staleMs) {
-		this.staleUntil = this.gateway.elapsedMs() + staleMs;
+		this.staleUntil = this.gateway.nowMs() + staleMs;
 	}
 
 	private void scheduleAnnouncement(String name) {
@@ -245,7 +246,7 @@
 	@Override
 	public void findOnlyVersion(String name, Consumer<Optional<String>> callback) {
 		Upstream u = upstream(name);
-		if (!u.reading && this.gateway.elapsedMs() - u.readFailedAt < READ_RETRY_MS) {
+		if (!u.reading && this.gateway.nowMs() - u.readFailedAt < READ_RETRY_MS) {
 			callback.accept(Optional.empty());
 			return;
 		}
@@ -260,14 +261,14 @@
 		List<Consumer<Optional<String>>> callbacks = List.copyOf(u.waiting);
 		u.waiting.clear();
 		u.reading = true;
-		long sentAt = this.gateway.elapsedMs();
+		long sentAt = this.gateway.nowMs();
 		this.registry.readVersions(name).subscribe((e) -> {
 			onAnnounced(e);
 			boolean valid = sentAt >= this.staleUntil && u.isStored();
 			onRead(name, callbacks, valid ? AnnouncedVersions.only(e.versions()) : Optional.empty());
 		}, (ex) -> {
 			Logger.info("[versions] not read upstream={} seen=\"{}\"", name, ex.toString());
-			u.readFailedAt = this.gateway.elapsedMs();
+			u.readFailedAt = this.gateway.nowMs();
 			onRead(name, callbacks, Optional.empty());
 		});
 	}
@@ -285,10 +286,11 @@
 		if (this.stopped) {
 			return;
 		}
-		long now = this.gateway.elapsedMs();
+		long now = this.gateway.nowMs();
+		long elapsed = this.gateway.elapsedMs();
 		// Without the registry, or while suspended, this VM may have missed workers that
 		// came and are used.
-		boolean missedNews = this.registryUnavailable.getAsBoolean() || now - this.reviewedAt > MAX_REVIEW_GAP_MS;
+		boolean missedNews = this.registryUnavailable.getAsBoolean() || elapsed - this.reviewedAt > MAX_REVIEW_GAP_MS;
 		boolean first = this.gateway.entryVms().rank(this.ownKey, this.gateway.nowMs()) == 0;
 		this.upstreams.forEach((name, u) -> {
 			Set<String> used = missedNews ? u.wanted() : this.gateway.roster().versions(name);
@@ -297,7 +299,7 @@
 				removeUnused(name, u, now);
 			}
 		});
-		this.reviewedAt = now;
+		this.reviewedAt = elapsed;
 		scheduleReview();
 	}
 
@@ -320,7 +322,7 @@
 		private Set<String> stored = Set.of();
 
 		// When a worker was last seen with each version, or its announcement first, in
-		// gateway.elapsedMs().
+		// gateway.nowMs().
 		private final Map<String, Long> lastSeen = new HashMap<>();
 
 		private boolean scheduled;
--- a/src/test/java/io/shallotspur/registry/SharedVersionsTests.java
+++ b/src/test/java/io/shallotspur/registry/SharedVersionsTests.java
@@ -34,6 +34,9 @@
 
 	private final Vm other = new Vm("b");
 
+	// Offset of the time of day from the monotonic clock, ms.
+	private long wallClockOffsetMs;
+
 	private final List<Optional<String>> proofs = new ArrayList<>();
 
 	private void deliver() {
@@ -157,6 +160,20 @@
 		Assertions.assertThat(proof(this.other)).isEmpty();
 	}
 
+	// Guards against a proof that comes too early after a restore, as the time of day was
+	// set forward.
+	@Test
+	void aTimeOfDayThatIsSetEndsNoPeriod() {
+		this.one.sees("v1");
+		this.timer.advance(10);
+		this.one.versions.onStaleData(2_500);
+		this.one.gateway.elapsedMs();
+		this.wallClockOffsetMs = 2_400_000;
+		Assertions.assertThat(proof(this.one)).isEmpty();
+		this.timer.advance(2_600);
+		Assertions.assertThat(proof(this.one)).contains("v1");
+	}
+
 	// Guards against a store that was restored from before the first announcement.
 	@Test
 	void announcesAnewWhenARestoreHasLostTheEntry() {
@@ -237,8 +254,9 @@
 		private Vm(String key) {
 			this.gateway = new Gateway(new GatewaySettings("vm", "hall-a", 0.2, 50, 10_000),
 					new GatewayPorts(new NopWorkers(), SharedVersionsTests.this.timer,
-							SharedVersionsTests.this.timer::now, SharedVersionsTests.this.timer::now, () -> 0.5,
-							new DecisionLog(0), new RelayMetrics(new MetricRegistry())));
+							SharedVersionsTests.this.timer::now,
+							() -> SharedVersionsTests.this.timer.now() + SharedVersionsTests.this.wallClockOffsetMs,
+							() -> 0.5, new DecisionLog(0), new RelayMetrics(new MetricRegistry())));
 			this.versions = new SharedVersions(SharedVersionsTests.this.registry, this.gateway,
 					SharedVersionsTests.this.timer, () -> 0.5, key);
 		}
