A time of day that is set does not end the time in which a restored store proves nothing

What could have happened: a key that was revoked shortly before a restore is accepted within its 2.5 s. It counts by the monotonic clock now; the age of a proof still counts suspensions. aTimeOfDayThatIsSetProvesNoConfiguration failed before; RevocationModelTests pass.

--- a/src/main/java/io/shallotspur/registry/ConfigReader.java
+++ b/src/main/java/io/shallotspur/registry/ConfigReader.java
@@ -37,7 +37,8 @@
 
 	private long failedAt = Long.MIN_VALUE / 2;
 
-	// Until then the store may return an older configuration than the operator's latest.
+	// Until then the store may return an older configuration than the operator's latest,
+	// in gateway.nowMs(): a time of day that is set must not end the period.
 	private long staleUntil = Long.MIN_VALUE / 2;
 
 	private long versionBeforeRestore;
@@ -62,7 +63,8 @@
 		this.pending.add(callback);
 		if (!this.inFlight) {
 			this.inFlight = true;
-			this.registry.readConfiguration().subscribe((t) -> onConfiguration(t, now), this::onFailure);
+			long monotonicMs = this.gateway.nowMs();
+			this.registry.readConfiguration().subscribe((t) -> onConfiguration(t, now, monotonicMs), this::onFailure);
 		}
 	}
 
@@ -74,7 +76,7 @@
 	 * milliseconds
 	 */
 	public void onStoreRestored(long staleMs) {
-		this.staleUntil = this.gateway.elapsedMs() + staleMs;
+		this.staleUntil = this.gateway.nowMs() + staleMs;
 		this.versionBeforeRestore = currentVersion();
 	}
 
@@ -82,13 +84,13 @@
 		return this.gateway.routeTable().map(RouteTable::version).orElse(0L);
 	}
 
-	private void onConfiguration(RouteTable t, long sentAt) {
+	private void onConfiguration(RouteTable t, long sentAt, long sentAtMonotonicMs) {
 		// If the watch has delivered a newer configuration meanwhile, that one stays in
 		// force. This response may then come from an older snapshot and proves nothing;
 		// the next read decides.
 		boolean newest = t.version() >= currentVersion();
 		this.gateway.configure(t);
-		if (newest && (sentAt >= this.staleUntil || t.version() > this.versionBeforeRestore)) {
+		if (newest && (sentAtMonotonicMs >= this.staleUntil || t.version() > this.versionBeforeRestore)) {
 			this.gateway.configConfirmed(sentAt);
 		}
 		complete();
--- a/src/test/java/io/shallotspur/registry/ConfigReaderTests.java
+++ b/src/test/java/io/shallotspur/registry/ConfigReaderTests.java
@@ -28,9 +28,13 @@
 
 	private final FakeRegistry registry = new FakeRegistry();
 
+	// Offset of the time of day from the monotonic clock, ms.
+	private long wallClockOffsetMs;
+
 	private final Gateway gateway = new Gateway(new GatewaySettings("vm", "hall-a", 0.2, 50, 10_000),
-			new GatewayPorts(new NopWorkers(), this.timer, this.timer::now, this.timer::now, () -> 0.5,
-					new DecisionLog(0), new RelayMetrics(new MetricRegistry())));
+			new GatewayPorts(new NopWorkers(), this.timer, this.timer::now,
+					() -> this.timer.now() + this.wallClockOffsetMs, () -> 0.5, new DecisionLog(0),
+					new RelayMetrics(new MetricRegistry())));
 
 	private final ConfigReader reader = new ConfigReader(this.registry, this.gateway);
 
@@ -61,6 +65,23 @@
 		Assertions.assertThat(this.completed).hasValue(1);
 	}
 
+	// Guards against a revoked key that is accepted after a restore of the store, as the
+	// time of day was set forward.
+	@Test
+	void aTimeOfDayThatIsSetProvesNoConfiguration() {
+		read();
+		respond(4);
+		this.reader.onStoreRestored(2_500);
+		this.wallClockOffsetMs = 2_400_000;
+		read();
+		respond(4);
+		Assertions.assertThat(this.gateway.configAgeMs()).isGreaterThan(2_000_000);
+		this.timer.advance(2_600);
+		read();
+		respond(4);
+		Assertions.assertThat(this.gateway.configAgeMs()).isLessThan(1_000);
+	}
+
 	// A hundred callers arrive during one read. Separate calls would be billed as a
 	// hundred.
 	@Test
