--- a/src/main/java/io/shallotspur/adapter/peer/ClientLink.java
+++ b/src/main/java/io/shallotspur/adapter/peer/ClientLink.java
@@ -252,9 +252,8 @@
 
 	private void silence() {
 		// A peer VM that vanished sends no end of the connection. Calls would hang until
-		// their own timeout, and new ones would be queued to nobody. Calls that have
-		// timed
-		// out are no longer open.
+		// their own timeout, and new ones would be queued for a dead link. Calls that
+		// have timed out are no longer open.
 		if (!this.open.isEmpty() || this.unanswered || !this.welcomed) {
 			close(new PeerException("peer is silent", this.address));
 		}
--- a/src/main/java/io/shallotspur/gateway/OriginPeers.java
+++ b/src/main/java/io/shallotspur/gateway/OriginPeers.java
@@ -15,7 +15,7 @@
 
 		@Override
 		public void tell(List<KnownOrigin> streams) {
-			// Nobody to tell.
+			// There is no other VM.
 		}
 
 		@Override
--- a/src/test/java/io/shallotspur/gateway/ResumeOriginTests.java
+++ b/src/test/java/io/shallotspur/gateway/ResumeOriginTests.java
@@ -110,8 +110,8 @@
 		Assertions.assertThat(this.f.workers.reservations.get(1).worker().version()).isEqualTo("v2");
 	}
 
-	// Guards against streams that nobody remembers, as they began while there was one
-	// version.
+	// Guards against streams without copies at other VMs, because they began while the
+	// upstream had a single version.
 	@Test
 	void tellsOfRunningStreamsWhenAnotherVersionComes() {
 		Call c = this.f.callWithPrompt("resume", 100);
--- a/src/test/java/io/shallotspur/registry/SharedVersionsTests.java
+++ b/src/test/java/io/shallotspur/registry/SharedVersionsTests.java
@@ -73,7 +73,8 @@
 		Assertions.assertThat(stored()).containsExactlyInAnyOrder("v1", "v2");
 	}
 
-	// Guards against a version that nobody can use, as the store was away when it came.
+	// Guards against workers that stay unused because the store was unavailable when they
+	// registered a new version.
 	@Test
 	void announcesWhenTheStoreIsBack() {
 		this.registry.storeDown = true;
