Logs tell the shared parts of prompts at each crash, and answers that end with their connection

X-Prompt-Prefix is decoded once, in platform/, into the ids of the parts that other requests may share (never the last; 32 at most); the line of a crash names their fingerprints for each request. A response that has neither a length nor chunks is marked, counted (relay.ended-with-connection) and named in the line of the answer. No decision changes.

--- a/src/main/java/io/shallotspur/cell/CrashIsolation.java
+++ b/src/main/java/io/shallotspur/cell/CrashIsolation.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 
 import io.shallotspur.quarantine.CrashSuspects;
+import io.shallotspur.quarantine.RequestIdentity;
 import io.shallotspur.quarantine.UnsettledRun;
 import io.shallotspur.quarantine.UnsettledRuns;
 
@@ -55,7 +56,7 @@
 		if (j.stage == JobStage.DECODING && j.decodeWorker != null) {
 			this.cancelledRuns.values().removeIf((r) -> r.isEmpty(now));
 			this.cancelledRuns.computeIfAbsent(j.decodeWorker.id(), (id) -> new UnsettledRuns())
-				.add(new UnsettledRun(j.request.fingerprint(), false, false, now));
+				.add(new UnsettledRun(RequestIdentity.of(j.request.fingerprint()), false, false, now));
 		}
 	}
 
--- a/src/main/java/io/shallotspur/gateway/PrefillStep.java
+++ b/src/main/java/io/shallotspur/gateway/PrefillStep.java
@@ -18,7 +18,7 @@
 
 	private final PromptInfo prompt;
 
-	private final LazyFingerprint fingerprint;
+	private final LazyIdentity identity;
 
 	private final Consumer<Result> callback;
 
@@ -40,15 +40,15 @@
 	 * @param gateway the gateway
 	 * @param worker the prefill worker
 	 * @param prompt the prompt
-	 * @param fingerprint the fingerprint of the request
+	 * @param identity the fingerprints of the request
 	 * @param callback receives the result, once, unless the step is cancelled
 	 */
-	PrefillStep(Gateway gateway, WorkerState worker, PromptInfo prompt, LazyFingerprint fingerprint,
+	PrefillStep(Gateway gateway, WorkerState worker, PromptInfo prompt, LazyIdentity identity,
 			Consumer<Result> callback) {
 		this.gateway = gateway;
 		this.worker = worker;
 		this.prompt = prompt;
-		this.fingerprint = fingerprint;
+		this.identity = identity;
 		this.callback = callback;
 	}
 
@@ -122,7 +122,7 @@
 				this.gateway.paths.connectFailed(this.worker, now);
 			}
 			if (failure.sent()) {
-				this.gateway.crashDetector.onInterrupted(this.worker, this.fingerprint, false, now);
+				this.gateway.crashDetector.onInterrupted(this.worker, this.identity, false, now);
 			}
 			this.callback.accept(new Result(null, failure.reason(), false));
 		}
@@ -131,8 +131,7 @@
 	void cancel() {
 		if (!this.finished) {
 			stop();
-			this.gateway.crashDetector.onCancelled(this.worker, this.fingerprint, false,
-					this.gateway.clock.getAsLong());
+			this.gateway.crashDetector.onCancelled(this.worker, this.identity, false, this.gateway.clock.getAsLong());
 		}
 	}
 
--- a/src/main/java/io/shallotspur/gateway/PromptPrefill.java
+++ b/src/main/java/io/shallotspur/gateway/PromptPrefill.java
@@ -38,7 +38,7 @@
 
 	private final PromptInfo prompt;
 
-	private final LazyFingerprint fingerprint;
+	private final LazyIdentity identity;
 
 	private final String upstream;
 
@@ -65,18 +65,18 @@
 	 * @param gateway the gateway
 	 * @param admitted the request
 	 * @param prompt its prompt
-	 * @param fingerprint its fingerprint
+	 * @param identity its fingerprints
 	 * @param upstream the upstream
 	 * @param engine the engines of the upstream
 	 * @param candidates the workers of the upstream
 	 * @param owner receives the result
 	 */
-	PromptPrefill(Gateway gateway, AdmittedRequest admitted, PromptInfo prompt, LazyFingerprint fingerprint,
-			String upstream, EngineSpec engine, Candidates candidates, Owner owner) {
+	PromptPrefill(Gateway gateway, AdmittedRequest admitted, PromptInfo prompt, LazyIdentity identity, String upstream,
+			EngineSpec engine, Candidates candidates, Owner owner) {
 		this.gateway = gateway;
 		this.route = admitted.route();
 		this.prompt = prompt;
-		this.fingerprint = fingerprint;
+		this.identity = identity;
 		this.upstream = upstream;
 		this.engine = engine;
 		this.candidates = candidates;
@@ -124,7 +124,7 @@
 	private void send(WorkerState w, long now) {
 		this.attempted = true;
 		this.triedWorkers.add(w.info().id());
-		this.step = new PrefillStep(this.gateway, w, this.prompt, this.fingerprint, this::onResult);
+		this.step = new PrefillStep(this.gateway, w, this.prompt, this.identity, this::onResult);
 		this.step.start(this.owner.prefillCall(w.info(), now), timeoutMs());
 	}
 
--- a/src/main/java/io/shallotspur/gateway/RelayMetrics.java
+++ b/src/main/java/io/shallotspur/gateway/RelayMetrics.java
@@ -120,6 +120,10 @@
 		this.registry.counter("relay.worker-crashed").inc();
 	}
 
+	void endedWithConnection() {
+		this.registry.counter("relay.ended-with-connection").inc();
+	}
+
 	void quarantined() {
 		this.registry.counter("relay.quarantined").inc();
 	}
--- a/src/main/java/io/shallotspur/gateway/RelayRequest.java
+++ b/src/main/java/io/shallotspur/gateway/RelayRequest.java
@@ -16,6 +16,8 @@
  * @param callerTimeoutMs the caller's timeout, counted from the arrival, in milliseconds,
  * or {@link Long#MAX_VALUE} if it sends none
  * @param prompt prompt and output lengths stated by the request, or {@code null}
+ * @param sharedPromptParts the ids of the parts of the prompt that other requests may
+ * share, in their order; empty if the request states none
  * @param lastEventId the event after which a stream resumes, or {@code null}
  * @param resumedRequest the id of the request that brought the first event of the stream
  * that this one resumes, or {@code null} if the caller names none
@@ -23,14 +25,15 @@
  * malformed one
  */
 public record RelayRequest(String id, String method, String target, String host, List<HeaderField> headers, byte[] body,
-		long callerTimeoutMs, @Nullable PromptInfo prompt, @Nullable String lastEventId,
+		long callerTimeoutMs, @Nullable PromptInfo prompt, List<String> sharedPromptParts, @Nullable String lastEventId,
 		@Nullable String resumedRequest, @Nullable String keyHash) {
 
 	/**
-	 * Creates a request; the list is copied.
+	 * Creates a request; the lists are copied.
 	 */
 	public RelayRequest {
 		headers = List.copyOf(headers);
+		sharedPromptParts = List.copyOf(sharedPromptParts);
 	}
 
 	/**
--- a/src/main/java/io/shallotspur/gateway/RelayTask.java
+++ b/src/main/java/io/shallotspur/gateway/RelayTask.java
@@ -46,7 +46,7 @@
 
 	private final ResponseProgress progress;
 
-	private final LazyFingerprint fingerprint;
+	private final LazyIdentity identity;
 
 	private final OriginRecorder originRecorder;
 
@@ -76,19 +76,19 @@
 		this.admitted = admitted;
 		this.route = admitted.route();
 		this.request = admitted.request();
-		this.fingerprint = new LazyFingerprint(admitted);
 		this.response = response;
 		this.arrivedAt = arrivedAt;
 		this.deadline = arrivedAt + Math.min(this.request.callerTimeoutMs(), this.route.timeoutMs());
 		StreamOrigin origin = admitted.origin();
 		this.upstream = (origin != null) ? origin.upstream() : this.route.chooseUpstream(gateway.random.next());
+		this.identity = new LazyIdentity(admitted, this.upstream);
 		UpstreamSpec spec = admitted.routeTable().upstream(this.upstream).orElse(null);
 		this.progress = new ResponseProgress((spec != null) ? spec.engine() : null, this.request.lastEventId());
-		this.placing = new RequestPlacement(gateway, admitted, this.fingerprint, this.upstream, spec, this, arrivedAt,
+		this.placing = new RequestPlacement(gateway, admitted, this.identity, this.upstream, spec, this, arrivedAt,
 				this.deadline);
 		this.originRecorder = new OriginRecorder(gateway, admitted, this.placing);
 		this.path = new AttemptPath(gateway.paths, this::pathIsSilent);
-		this.retryDelay = new RetryDelay(gateway, this.request, this.route, this.fingerprint, this.placing, arrivedAt);
+		this.retryDelay = new RetryDelay(gateway, this.request, this.route, this.identity, this.placing, arrivedAt);
 	}
 
 	void start(long now) {
@@ -205,7 +205,7 @@
 		this.path.received(now);
 		this.progress.recordEvent(event, this.attemptStartedAt, this.gateway.engineTimes(this.upstream), now);
 		if (this.attemptProgress.recordEvent(now)) {
-			this.gateway.quarantine.recordProgress(this.fingerprint, now);
+			this.gateway.quarantine.recordProgress(this.identity, now);
 		}
 		this.response.write(event);
 	}
@@ -243,15 +243,19 @@
 		if (!forwarded) {
 			firstByte();
 		}
+		if (head.endsWithConnection()) {
+			this.gateway.metrics.endedWithConnection();
+		}
 		this.gateway.metrics.answered(this.route.name(), this.admitted.customerName(), now - this.arrivedAt);
 		PromptInfo p = this.request.prompt();
 		if (forwarded && p != null && this.request.lastEventId() == null) {
 			this.gateway.engineTimes(this.upstream)
 				.recordResponse(now - this.progress.firstByteAt(), p, receivedTokens());
 		}
-		this.gateway.quarantine.recordCompletion(this.fingerprint, now);
-		this.gateway.crashDetector.onCompleted(this.fingerprint);
-		log(now, "answered status=" + head.status() + timingFields());
+		this.gateway.quarantine.recordCompletion(this.identity, now);
+		this.gateway.crashDetector.onCompleted(this.identity);
+		log(now, "answered status=" + head.status() + (head.endsWithConnection() ? " ended=with-connection" : "")
+				+ timingFields());
 		endAttempt();
 		finish();
 		if (forwarded) {
@@ -322,7 +326,7 @@
 	// Makes requests that broke off while they may have been running recognizable when
 	// they are sent again.
 	private String fingerprintField() {
-		return " fingerprint=" + Long.toHexString(this.fingerprint.value());
+		return " fingerprint=" + Long.toHexString(this.identity.fingerprint());
 	}
 
 	private String budgetField(AttemptOutcome end, long now) {
@@ -340,7 +344,7 @@
 		WorkerState w = this.attempt.worker();
 		w.recordOutcome(true);
 		if (end == AttemptOutcome.UNKNOWN) {
-			this.gateway.crashDetector.onInterrupted(w, this.fingerprint, this.attemptProgress.hasProgressed(now), now);
+			this.gateway.crashDetector.onInterrupted(w, this.identity, this.attemptProgress.hasProgressed(now), now);
 		}
 		if (end == AttemptOutcome.NOT_RUN) {
 			int slots = w.info().slots();
@@ -471,7 +475,7 @@
 		if (this.attempt != null) {
 			long now = this.gateway.clock.getAsLong();
 			this.attempt.cancel();
-			this.gateway.crashDetector.onCancelled(this.attempt.worker(), this.fingerprint,
+			this.gateway.crashDetector.onCancelled(this.attempt.worker(), this.identity,
 					this.attemptProgress.hasProgressed(now), now);
 			endAttempt();
 		}
--- a/src/main/java/io/shallotspur/gateway/RequestPlacement.java
+++ b/src/main/java/io/shallotspur/gateway/RequestPlacement.java
@@ -36,7 +36,7 @@
 
 	private final Route route;
 
-	private final LazyFingerprint fingerprint;
+	private final LazyIdentity identity;
 
 	private final RelayRequest request;
 
@@ -66,12 +66,12 @@
 
 	private long reservedAt;
 
-	RequestPlacement(Gateway gateway, AdmittedRequest admitted, LazyFingerprint fingerprint, String upstream,
+	RequestPlacement(Gateway gateway, AdmittedRequest admitted, LazyIdentity identity, String upstream,
 			@Nullable UpstreamSpec upstreamSpec, Callback callback, long arrivedAt, long deadline) {
 		this.gateway = gateway;
 		this.admitted = admitted;
 		this.route = admitted.route();
-		this.fingerprint = fingerprint;
+		this.identity = identity;
 		this.request = admitted.request();
 		this.upstream = upstream;
 		this.engine = (upstreamSpec != null) ? upstreamSpec.engine() : null;
@@ -83,8 +83,9 @@
 		this.callback = callback;
 		this.deadline = deadline;
 		PromptInfo prompt = this.request.prompt();
-		this.prefill = (this.engine != null && prompt != null) ? new PromptPrefill(gateway, admitted, prompt,
-				fingerprint, upstream, this.engine, this.candidates, this) : null;
+		this.prefill = (this.engine != null && prompt != null)
+				? new PromptPrefill(gateway, admitted, prompt, identity, upstream, this.engine, this.candidates, this)
+				: null;
 		this.timing = new RequestTiming(gateway, admitted, upstream, callback::receivedTokens, arrivedAt, deadline);
 	}
 
@@ -337,7 +338,7 @@
 	// Asked right before anything is sent: the same request may have crashed a worker
 	// elsewhere while this one waited.
 	private boolean refuseIfQuarantined(long now) {
-		if (!this.gateway.quarantine.contains(this.fingerprint, now)) {
+		if (!this.gateway.quarantine.contains(this.identity, now)) {
 			return false;
 		}
 		cancel();
--- a/src/main/java/io/shallotspur/gateway/RequestQuarantine.java
+++ b/src/main/java/io/shallotspur/gateway/RequestQuarantine.java
@@ -7,7 +7,9 @@
 import org.tinylog.Logger;
 
 import io.shallotspur.quarantine.CrashSuspects;
+import io.shallotspur.quarantine.PartFingerprint;
 import io.shallotspur.quarantine.QuarantineLimits;
+import io.shallotspur.quarantine.RequestIdentity;
 import io.shallotspur.quarantine.SuspectEntry;
 
 /**
@@ -38,8 +40,8 @@
 		this.changeListener = listener;
 	}
 
-	boolean contains(LazyFingerprint fingerprint, long now) {
-		return !this.suspects.isEmpty() && contains(fingerprint.value(), now);
+	boolean contains(LazyIdentity identity, long now) {
+		return !this.suspects.isEmpty() && contains(identity.fingerprint(), now);
 	}
 
 	boolean contains(long fingerprint, long now) {
@@ -53,42 +55,43 @@
 
 	/**
 	 * Returns how long a request will still be refused.
-	 * @param fingerprint the fingerprint of the request
+	 * @param identity the fingerprints of the request
 	 * @param now the present time in milliseconds
 	 * @return milliseconds; 0 if it is not in quarantine
 	 */
-	long remainingMs(LazyFingerprint fingerprint, long now) {
-		return this.suspects.quarantineRemainingMs(fingerprint.value(), now);
+	long remainingMs(LazyIdentity identity, long now) {
+		return this.suspects.quarantineRemainingMs(identity.fingerprint(), now);
 	}
 
 	/**
 	 * Records the crash of a worker.
 	 * @param worker the worker
-	 * @param running the fingerprints of the requests of this VM that were running on it
+	 * @param running the requests of this VM that were running on it
 	 * @param progressed those of them that had made progress there
 	 * @param at the time of the crash, in milliseconds
 	 */
-	void recordCrash(WorkerInfo worker, Collection<Long> running, Set<Long> progressed, long at) {
-		Set<Long> causes = this.suspects.recordCrash(worker.instanceName(), running, progressed, at);
+	void recordCrash(WorkerInfo worker, Collection<RequestIdentity> running, Set<Long> progressed, long at) {
+		List<Long> fingerprints = running.stream().map(RequestIdentity::fingerprint).toList();
+		Set<Long> causes = this.suspects.recordCrash(worker.instanceName(), fingerprints, progressed, at);
 		this.metrics.workerCrashed();
-		Logger.info("[quarantine] worker crashed worker={} running={} progressed={}", worker.id(), hex(running),
-				hex(progressed));
+		Logger.info("[quarantine] worker crashed worker={} running={} progressed={} parts={}", worker.id(),
+				hex(fingerprints), hex(progressed), parts(running));
 		logQuarantined(causes, "observed");
 		this.changeListener.run();
 	}
 
 	// A request that makes progress is less likely the cause of the crashes before.
-	void recordProgress(LazyFingerprint fingerprint, long now) {
+	void recordProgress(LazyIdentity identity, long now) {
 		if (!this.suspects.isEmpty()) {
-			this.suspects.recordProgress(fingerprint.value(), now);
+			this.suspects.recordProgress(identity.fingerprint(), now);
 			this.changeListener.run();
 		}
 	}
 
 	// A request that ran to completion did not cause the crashes before.
-	void recordCompletion(LazyFingerprint fingerprint, long now) {
+	void recordCompletion(LazyIdentity identity, long now) {
 		if (!this.suspects.isEmpty()) {
-			this.suspects.recordCompletion(fingerprint.value(), now);
+			this.suspects.recordCompletion(identity.fingerprint(), now);
 			this.changeListener.run();
 		}
 	}
@@ -140,6 +143,11 @@
 		}
 	}
 
+	// The shared parts of each prompt, in the order of the requests.
+	private static List<List<String>> parts(Collection<RequestIdentity> running) {
+		return running.stream().map((r) -> hex(r.parts().stream().map(PartFingerprint::part).toList())).toList();
+	}
+
 	private static List<String> hex(Collection<Long> fingerprints) {
 		return fingerprints.stream().map(Long::toHexString).toList();
 	}
--- a/src/main/java/io/shallotspur/gateway/ResponseHead.java
+++ b/src/main/java/io/shallotspur/gateway/ResponseHead.java
@@ -13,9 +13,11 @@
  * @param instanceReplaced whether the response comes from another instance at the
  * worker's address; a worker that has changed its stage responds in the same way
  * @param workerStatus load and limit that the worker reported with the response
+ * @param endsWithConnection whether the response has neither a length nor chunks, so that
+ * its end cannot be told from a closed connection
  */
 public record ResponseHead(int status, List<HeaderField> headers, ResponseAuthenticity authenticity, boolean notRun,
-		boolean instanceReplaced, WorkerStatus workerStatus) {
+		boolean instanceReplaced, WorkerStatus workerStatus, boolean endsWithConnection) {
 
 	private static final int MIN_SUCCESS_STATUS = 200;
 
@@ -28,6 +30,20 @@
 		headers = List.copyOf(headers);
 	}
 
+	/**
+	 * Creates the head of a response that states where it ends.
+	 * @param status the HTTP status
+	 * @param headers the fields to be relayed
+	 * @param authenticity whether it is the worker's response to this request
+	 * @param notRun whether the worker states that it has not run the request
+	 * @param instanceReplaced whether it comes from another instance
+	 * @param workerStatus load and limit that the worker reported
+	 */
+	public ResponseHead(int status, List<HeaderField> headers, ResponseAuthenticity authenticity, boolean notRun,
+			boolean instanceReplaced, WorkerStatus workerStatus) {
+		this(status, headers, authenticity, notRun, instanceReplaced, workerStatus, false);
+	}
+
 	/**
 	 * Returns whether the status is a success.
 	 * @return {@code true} for 2xx
--- a/src/main/java/io/shallotspur/gateway/RetryDelay.java
+++ b/src/main/java/io/shallotspur/gateway/RetryDelay.java
@@ -15,18 +15,18 @@
 
 	private final Route route;
 
-	private final LazyFingerprint fingerprint;
+	private final LazyIdentity identity;
 
 	private final RequestPlacement placement;
 
 	private final long arrivedAt;
 
-	RetryDelay(Gateway gateway, RelayRequest request, Route route, LazyFingerprint fingerprint,
-			RequestPlacement placement, long arrivedAt) {
+	RetryDelay(Gateway gateway, RelayRequest request, Route route, LazyIdentity identity, RequestPlacement placement,
+			long arrivedAt) {
 		this.gateway = gateway;
 		this.request = request;
 		this.route = route;
-		this.fingerprint = fingerprint;
+		this.identity = identity;
 		this.placement = placement;
 		this.arrivedAt = arrivedAt;
 	}
@@ -40,7 +40,7 @@
 	 */
 	long afterRefusalMs(RefusalReason reason, long now) {
 		if (reason == RefusalReason.CRASHES_WORKERS) {
-			return this.gateway.quarantine.remainingMs(this.fingerprint, now);
+			return this.gateway.quarantine.remainingMs(this.identity, now);
 		}
 		double random = this.gateway.random.next();
 		long remainingMs = this.request.callerTimeoutMs() - (now - this.arrivedAt);
--- a/src/main/java/io/shallotspur/gateway/WorkerCrashDetector.java
+++ b/src/main/java/io/shallotspur/gateway/WorkerCrashDetector.java
@@ -8,7 +8,6 @@
 import org.tinylog.Logger;
 
 import io.shallotspur.quarantine.UnsettledRun;
-import io.shallotspur.quarantine.UnsettledRuns;
 
 /**
  * Finds out whether a worker has crashed after runs there ended without a response.
@@ -49,13 +48,13 @@
 	/**
 	 * Records that a request broke off while it may have been running.
 	 * @param w the worker
-	 * @param fingerprint the request
+	 * @param identity the request
 	 * @param progressed whether it had made progress there
 	 * @param now the present time in milliseconds
 	 */
-	void onInterrupted(WorkerState w, LazyFingerprint fingerprint, boolean progressed, long now) {
+	void onInterrupted(WorkerState w, LazyIdentity identity, boolean progressed, long now) {
 		if (mayCrash(w, now)) {
-			watch(w, new UnsettledRun(fingerprint.value(), true, progressed, now), now);
+			watch(w, new UnsettledRun(identity.value(), true, progressed, now), now);
 			scheduleCheck(w, now + GATHER_MS, now);
 		}
 	}
@@ -63,13 +62,13 @@
 	/**
 	 * Records that a request was cancelled while it may have been running.
 	 * @param w the worker
-	 * @param fingerprint the request
+	 * @param identity the request
 	 * @param progressed whether it had made progress there
 	 * @param now the present time in milliseconds
 	 */
-	void onCancelled(WorkerState w, LazyFingerprint fingerprint, boolean progressed, long now) {
+	void onCancelled(WorkerState w, LazyIdentity identity, boolean progressed, long now) {
 		if (mayCrash(w, now)) {
-			watch(w, new UnsettledRun(fingerprint.value(), false, progressed, now), now);
+			watch(w, new UnsettledRun(identity.value(), false, progressed, now), now);
 			scheduleCheck(w, now + CANCELLED_CHECK_MS, now);
 		}
 	}
@@ -86,11 +85,11 @@
 
 	/**
 	 * Records that a request has completed, so that it did not cause a crash before.
-	 * @param fingerprint the request
+	 * @param identity the request
 	 */
-	void onCompleted(LazyFingerprint fingerprint) {
+	void onCompleted(LazyIdentity identity) {
 		if (!this.watched.isEmpty()) {
-			this.watched.forEach((w) -> w.crashEvidence().runs.remove(fingerprint.value()));
+			this.watched.forEach((w) -> w.crashEvidence().runs.remove(identity.fingerprint()));
 		}
 	}
 
@@ -167,9 +166,9 @@
 			e.crashed = true;
 			Set<Long> progressed = runs.stream()
 				.filter(UnsettledRun::progressed)
-				.map(UnsettledRun::fingerprint)
+				.map((r) -> r.request().fingerprint())
 				.collect(Collectors.toSet());
-			this.gateway.quarantine.recordCrash(w.info(), UnsettledRuns.fingerprints(runs), progressed,
+			this.gateway.quarantine.recordCrash(w.info(), runs.stream().map(UnsettledRun::request).toList(), progressed,
 					crashTime(runs));
 		}
 		e.runs.clear();
--- a/src/main/java/io/shallotspur/platform/PlatformNames.java
+++ b/src/main/java/io/shallotspur/platform/PlatformNames.java
@@ -61,6 +61,12 @@
 	/** Prompt tokens and maximum output tokens, separated by a comma. */
 	static final String TOKEN_COUNTS = "X-Token-Count";
 
+	/**
+	 * The parts of the prompt in their order, as ID:TOKENS separated by commas. Requests
+	 * share parts; the last part belongs to the request or its session.
+	 */
+	static final String PROMPT_PARTS = "X-Prompt-Prefix";
+
 	/** The caller's estimate of the number of output tokens. */
 	static final String LENGTH_HINT = "X-Length-Hint";
 
--- a/src/main/java/io/shallotspur/platform/RequestDecoder.java
+++ b/src/main/java/io/shallotspur/platform/RequestDecoder.java
@@ -1,6 +1,9 @@
 package io.shallotspur.platform;
 
+import java.util.Arrays;
 import java.util.List;
+import java.util.Locale;
+import java.util.regex.Pattern;
 
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -16,6 +19,11 @@
  */
 final class RequestDecoder {
 
+	// Bounds what one request can make a VM remember.
+	private static final int MAX_SHARED_PARTS = 32;
+
+	private static final Pattern PART_ID = Pattern.compile("[0-9a-f]{1,64}");
+
 	private RequestDecoder() {
 	}
 
@@ -36,7 +44,8 @@
 			throw new InputException("The request has no id or host, or its path does not start with a slash.", target);
 		}
 		return new RelayRequest(id, method, target, host, PlatformNames.forwardedHeaders(h), body, remainingMs(h),
-				prompt(h), h.get(PlatformNames.LAST_EVENT_ID), h.get(PlatformNames.RESUMED_REQUEST), keyHash(h));
+				prompt(h), sharedPromptParts(h), h.get(PlatformNames.LAST_EVENT_ID),
+				h.get(PlatformNames.RESUMED_REQUEST), keyHash(h));
 	}
 
 	// A request with two Authorization headers has no customer, because another component
@@ -65,6 +74,21 @@
 		return new PromptInfo(promptTokens, maxOutputTokens, expectedOutputTokens);
 	}
 
+	// A part that is malformed is relayed, and only not recognized again.
+	private static List<String> sharedPromptParts(HttpHeaders h) {
+		String value = h.get(PlatformNames.PROMPT_PARTS);
+		if (value == null) {
+			return List.of();
+		}
+		String[] parts = value.split(",");
+		return Arrays.stream(parts)
+			.limit(Math.min(MAX_SHARED_PARTS, parts.length - 1))
+			.map((p) -> p.split(":", 2)[0].strip().toLowerCase(Locale.ROOT))
+			.filter((id) -> PART_ID.matcher(id).matches())
+			.distinct()
+			.toList();
+	}
+
 	private static double parseNumber(String v, String field) throws InputException {
 		try {
 			return Double.parseDouble(v.strip());
--- a/src/main/java/io/shallotspur/platform/ResponseHeadDecoder.java
+++ b/src/main/java/io/shallotspur/platform/ResponseHeadDecoder.java
@@ -8,6 +8,7 @@
 
 import io.netty.handler.codec.DateFormatter;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpStatusClass;
 import org.jspecify.annotations.Nullable;
@@ -30,6 +31,10 @@
 
 	private static final int MIN_LOAD_FIELDS = 3;
 
+	private static final int NO_CONTENT = 204;
+
+	private static final int NOT_MODIFIED = 304;
+
 	private static final int TOO_MANY_REQUESTS = 429;
 
 	private static final int UNAVAILABLE = 503;
@@ -58,7 +63,13 @@
 		WorkerStatus workerStatus = (otherIncarnation || authenticity == ResponseAuthenticity.MISMATCHED)
 				? WorkerStatus.NONE : workerStatus(h, complete);
 		return new ResponseHead(status, PlatformNames.forwardedHeaders(h), authenticity, notExecuted, otherIncarnation,
-				workerStatus);
+				workerStatus, endsWithConnection(status, h));
+	}
+
+	private static boolean endsWithConnection(int status, HttpHeaders h) {
+		boolean hasBody = status != NO_CONTENT && status != NOT_MODIFIED;
+		return hasBody && !h.contains(HttpHeaderNames.CONTENT_LENGTH)
+				&& !h.containsValue(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED, true);
 	}
 
 	/**
--- a/src/main/java/io/shallotspur/quarantine/RequestFingerprint.java
+++ b/src/main/java/io/shallotspur/quarantine/RequestFingerprint.java
@@ -8,8 +8,8 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * Computes the hash by which a request is recognized when its caller sends it again.
- * Stateless.
+ * Computes the hashes by which a request is recognized when its caller sends it again,
+ * and by which a part of its prompt is recognized in other requests. Stateless.
  * <p>
  * Ids, deadlines and other header fields differ between resends and are not included. The
  * hash is a truncated SHA-256, so that it does not reveal the body where it is stored or
@@ -40,6 +40,35 @@
 		return ByteBuffer.wrap(digest.digest()).getLong();
 	}
 
+	/**
+	 * Computes the fingerprint of a part of a prompt.
+	 * @param upstream the upstream
+	 * @param part the id of the part
+	 * @return the first 64 bits of the hash
+	 */
+	public static long ofPart(String upstream, String part) {
+		return ofFields("part", upstream, part);
+	}
+
+	/**
+	 * Computes the fingerprint of the prompts of one customer with a part.
+	 * @param customer the customer, or {@code null} if the caller is anonymous
+	 * @param upstream the upstream
+	 * @param part the id of the part
+	 * @return the first 64 bits of the hash
+	 */
+	public static long ofPartOfCustomer(@Nullable String customer, String upstream, String part) {
+		return ofFields("part of customer", (customer != null) ? customer : "", upstream, part);
+	}
+
+	private static long ofFields(String... fields) {
+		MessageDigest digest = sha256();
+		for (String field : fields) {
+			update(digest, field);
+		}
+		return ByteBuffer.wrap(digest.digest()).getLong();
+	}
+
 	// The length separates the fields: "ab" and "c" must not equal "a" and "bc".
 	private static void update(MessageDigest digest, String field) {
 		byte[] bytes = field.getBytes(StandardCharsets.UTF_8);
--- a/src/main/java/io/shallotspur/quarantine/UnsettledRun.java
+++ b/src/main/java/io/shallotspur/quarantine/UnsettledRun.java
@@ -3,12 +3,12 @@
 /**
  * A run of a request at a worker that ended without a complete response. Immutable.
  *
- * @param fingerprint the fingerprint of the request
+ * @param request the fingerprints of the request
  * @param brokenOff whether the worker's side ended it; otherwise it was cancelled, as its
  * caller had left or its time was up
  * @param progressed whether it had run for longer than a crash would have taken
  * @param endedAt when it ended, in milliseconds
  */
-public record UnsettledRun(long fingerprint, boolean brokenOff, boolean progressed, long endedAt) {
+public record UnsettledRun(RequestIdentity request, boolean brokenOff, boolean progressed, long endedAt) {
 
 }
--- a/src/main/java/io/shallotspur/quarantine/UnsettledRuns.java
+++ b/src/main/java/io/shallotspur/quarantine/UnsettledRuns.java
@@ -38,8 +38,8 @@
 	 * @param run the run; replaces an earlier one of the same request
 	 */
 	public void add(UnsettledRun run) {
-		this.runs.remove(run.fingerprint());
-		this.runs.put(run.fingerprint(), run);
+		this.runs.remove(run.request().fingerprint());
+		this.runs.put(run.request().fingerprint(), run);
 		if (this.runs.size() > MAX_RUNS) {
 			removeEldest();
 		}
@@ -115,7 +115,7 @@
 	 * @return their fingerprints
 	 */
 	public static List<Long> fingerprints(Collection<UnsettledRun> runs) {
-		return new ArrayList<>(runs.stream().map(UnsettledRun::fingerprint).toList());
+		return new ArrayList<>(runs.stream().map((r) -> r.request().fingerprint()).toList());
 	}
 
 	private void removeExpired(long now) {
--- a/src/test/java/io/shallotspur/gateway/GatewayFixture.java
+++ b/src/test/java/io/shallotspur/gateway/GatewayFixture.java
@@ -208,7 +208,7 @@
 	private Call call(String route, long waitMs, byte[] body, @Nullable PromptInfo prompt, @Nullable String lastEventId,
 			@Nullable String resumedRequest, @Nullable String keyHash) {
 		RelayRequest r = new RelayRequest("r" + (++this.nextId), "POST", "/" + route + "/x", "shop.example", List.of(),
-				body, waitMs, prompt, lastEventId, resumedRequest, keyHash);
+				body, waitMs, prompt, List.of(), lastEventId, resumedRequest, keyHash);
 		FakeCaller c = new FakeCaller();
 		return new Call(r.id(), c, this.gateway.handle(r, c, this.timer.now()));
 	}
--- a/src/test/java/io/shallotspur/gateway/ObservedCrashes.java
+++ b/src/test/java/io/shallotspur/gateway/ObservedCrashes.java
@@ -3,6 +3,8 @@
 import java.util.List;
 import java.util.Set;
 
+import io.shallotspur.quarantine.RequestIdentity;
+
 /**
  * Records crashes of workers and completions at a gateway, for tests of other packages.
  */
@@ -20,7 +22,7 @@
 	 */
 	public static void record(Gateway gateway, String worker, List<Long> running, long now) {
 		WorkerInfo w = new WorkerInfo(worker, "up", "10.0.0.1", 80, "hall-a", 6, WorkerStage.PLAIN, false, 0, 0, "v1");
-		gateway.quarantine().recordCrash(w, running, Set.of(), now);
+		gateway.quarantine().recordCrash(w, running.stream().map(RequestIdentity::of).toList(), Set.of(), now);
 	}
 
 	/**
--- a/src/test/java/io/shallotspur/gateway/SimulatedPaths.java
+++ b/src/test/java/io/shallotspur/gateway/SimulatedPaths.java
@@ -188,7 +188,7 @@
 			String id = "r" + SimulatedPaths.this.nextRequest++;
 			SimulatedPaths.this.callers.put(id, c);
 			this.gateway.handle(new RelayRequest(id, "POST", "/" + route + "/x", "shop.example", List.of(), new byte[0],
-					800, null, null, null, null), c, SimulatedPaths.this.timer.now());
+					800, null, List.of(), null, null, null), c, SimulatedPaths.this.timer.now());
 			return c;
 		}
 
--- a/src/test/java/io/shallotspur/registry/RevocationModelTests.java
+++ b/src/test/java/io/shallotspur/registry/RevocationModelTests.java
@@ -219,8 +219,8 @@
 		private void request() {
 			String id = "q" + this.sentAt.size();
 			this.sentAt.put(id, now());
-			this.gateway.handle(new RelayRequest(id, "GET", "/x", "h", List.of(), new byte[0], 1_500, null, null, null,
-					BearerKey.hash("key")), new NopResponse(), this.timer.now());
+			this.gateway.handle(new RelayRequest(id, "GET", "/x", "h", List.of(), new byte[0], 1_500, null, List.of(),
+					null, null, BearerKey.hash("key")), new NopResponse(), this.timer.now());
 		}
 
 		private void revoke() {
--- a/src/test/java/io/shallotspur/registry/StreamFleet.java
+++ b/src/test/java/io/shallotspur/registry/StreamFleet.java
@@ -565,7 +565,7 @@
 			this.checked = target.inTouch() && hasWorkers();
 			count(0, 1);
 			target.callers.add(this);
-			RelayRequest r = new RelayRequest(id(), "POST", "/x", "h", List.of(), new byte[0], 14_000, null,
+			RelayRequest r = new RelayRequest(id(), "POST", "/x", "h", List.of(), new byte[0], 14_000, null, List.of(),
 					this.resumes ? "" + this.received : null, this.first, null);
 			this.disconnect = target.gateway.handle(r, new Try(this), StreamFleet.this.timer.now());
 		}
