--- a/src/test/java/io/shallotspur/platform/CrashingRequestTests.java
+++ b/src/test/java/io/shallotspur/platform/CrashingRequestTests.java
@@ -5,7 +5,6 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
-import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
 
@@ -81,13 +80,8 @@
 		}
 	}
 
-	// Once is enough: the next one may meet a worker that is just ending.
 	private void awaitInnocentsServed() {
-		AtomicBoolean served = new AtomicBoolean();
-		await(() -> {
-			served.compareAndSet(false, !served.get() && innocentsServed());
-			return served.get();
-		});
+		awaitOnce(this::innocentsServed);
 	}
 
 	private boolean innocentsServed() {
--- a/src/test/java/io/shallotspur/platform/EndToEndFixture.java
+++ b/src/test/java/io/shallotspur/platform/EndToEndFixture.java
@@ -6,6 +6,7 @@
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.time.Duration;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.BooleanSupplier;
 
 import org.assertj.core.api.Assertions;
@@ -129,6 +130,16 @@
 		Assertions.assertThat(done.getAsBoolean()).isTrue();
 	}
 
+	// For a condition that may hold only once, such as a request that is served: the next
+	// one may meet a worker that is just ending.
+	static void awaitOnce(BooleanSupplier done) {
+		AtomicBoolean seen = new AtomicBoolean();
+		await(() -> {
+			seen.compareAndSet(false, !seen.get() && done.getAsBoolean());
+			return seen.get();
+		});
+	}
+
 	String metrics() {
 		return send(
 				HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + this.vm.metricsPort() + "/metrics")).build())
--- a/src/test/java/io/shallotspur/platform/FakeWorker.java
+++ b/src/test/java/io/shallotspur/platform/FakeWorker.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.Stream;
 
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -21,6 +22,7 @@
 import reactor.core.scheduler.Schedulers;
 import reactor.netty.Connection;
 import reactor.netty.DisposableServer;
+import reactor.netty.NettyOutbound;
 import reactor.netty.http.server.HttpServer;
 import reactor.netty.http.server.HttpServerRequest;
 import reactor.netty.http.server.HttpServerResponse;
@@ -59,6 +61,10 @@
 	// A request with this body ends the worker when it begins to run it; null for none.
 	volatile @Nullable String crashingBody;
 
+	// A request with this shared part in its prompt ends the worker when it begins to
+	// write an answer; null for none.
+	volatile @Nullable String crashingPart;
+
 	// Run after the worker has ended in that way.
 	volatile Runnable onCrash = () -> {
 	};
@@ -165,7 +171,7 @@
 			}
 			return s.sendString(Mono.just("{\"kv_handle\":\"kv1\",\"tokens\":1,\"version\":1}"));
 		}
-		if (body.equals(this.crashingBody) && this.crashed.compareAndSet(false, true)) {
+		if ((body.equals(this.crashingBody) || hasCrashingPart(q)) && this.crashed.compareAndSet(false, true)) {
 			Schedulers.boundedElastic().schedule(this::crash);
 			return Mono.never();
 		}
@@ -176,6 +182,12 @@
 		return (b != null) ? b.answer(s) : normalResponse(s);
 	}
 
+	private boolean hasCrashingPart(HttpServerRequest q) {
+		String part = this.crashingPart;
+		String parts = q.requestHeaders().get("X-Prompt-Prefix", "");
+		return part != null && Stream.of(parts.split(",")).anyMatch((p) -> p.startsWith(part + ":"));
+	}
+
 	private Publisher<Void> normalResponse(HttpServerResponse s) {
 		s.header("X-Server-Stamp", "stamp-" + this.id).header("X-Server-Load", "1,0,6");
 		if (this.stage.isEmpty()) {
@@ -215,6 +227,28 @@
 			.send(events.map((e) -> Unpooled.copiedBuffer(e, StandardCharsets.US_ASCII)), (b) -> true);
 	}
 
+	// Sends a stream that has neither a length nor chunks and ends with its connection.
+	Publisher<Void> unframedStream(HttpServerResponse s) {
+		return unframed(s, "id: 1\ndata: a\n\n").then().then(Mono.fromRunnable(() -> close(s)));
+	}
+
+	// Sends the beginning of such a stream, and ends after it.
+	Publisher<Void> unframedStreamOfACrash(HttpServerResponse s) {
+		return unframed(s, "id: 1\ndata: a\n\n").then().then(Mono.fromRunnable(() -> {
+			this.crashed.set(true);
+			Schedulers.boundedElastic().schedule(this::crash);
+		}));
+	}
+
+	private NettyOutbound unframed(HttpServerResponse s, String body) {
+		s.header("X-Server-Stamp", "stamp-" + this.id).header("Content-Type", "text/event-stream");
+		return s.keepAlive(false).chunkedTransfer(false).sendString(Mono.just(body));
+	}
+
+	private static void close(HttpServerResponse s) {
+		s.withConnection((c) -> c.channel().close());
+	}
+
 	// Ends the stream in the middle of an event.
 	static Publisher<Void> truncatedStream(HttpServerResponse s) {
 		s.header("X-Server-Stamp", "x").header("Content-Type", "text/event-stream");
