--- a/src/test/java/io/shallotspur/platform/soak/CrashingCaller.java
+++ b/src/test/java/io/shallotspur/platform/soak/CrashingCaller.java
@@ -12,8 +12,9 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * Sends requests that crash each worker that runs them, again and again, to one VM after
- * the other. Thread-safe.
+ * Sends requests that crash each worker that runs them to one VM after the other: the
+ * same one again and again, or different ones that share a part of their prompts.
+ * Thread-safe.
  */
 final class CrashingCaller {
 
@@ -23,6 +24,8 @@
 
 	private static final long RESEND_MS = 150;
 
+	private static final long PART_RESEND_MS = 250;
+
 	// In ms. Some crash their worker at once, others after some events of their stream.
 	private static final int MAX_CRASH_DELAY_MS = 80;
 
@@ -76,7 +79,27 @@
 		}
 	}
 
+	void sendPart(Fault f) throws InterruptedException {
+		String part = SoakPrompts.crashingPart(f.atMs());
+		InvariantChecker.RequestKind[] kinds = { InvariantChecker.RequestKind.STREAM,
+				InvariantChecker.RequestKind.RESUMABLE_STREAM };
+		long end = System.nanoTime() + Duration.ofMillis(f.forMs()).toNanos();
+		this.checker.onCrashingPart(part, true);
+		for (int i = 0; System.nanoTime() < end; i++) {
+			String body = "prompt " + i + " with " + part;
+			send(this.vms.get(i % this.vms.size()), kinds[i / 2 % kinds.length], body,
+					SoakPrompts.withCrashingPart(part, body));
+			Thread.sleep(PART_RESEND_MS);
+		}
+		this.checker.onCrashingPart(part, false);
+	}
+
 	private void send(VmProcess vm, InvariantChecker.RequestKind kind, String body) throws InterruptedException {
+		send(vm, kind, body, SoakPrompts.sound(body));
+	}
+
+	private void send(VmProcess vm, InvariantChecker.RequestKind kind, String body, String parts)
+			throws InterruptedException {
 		String id = MARK + this.requestCount.incrementAndGet();
 		this.checker.onRequestSent(id, kind, KEY, InvariantChecker.nowMs());
 		this.checker.onVmChosen(id, vm.callerAddress());
@@ -88,7 +111,7 @@
 			.header("X-Deadline-Ms", kind.stream ? "8000" : "1500")
 			.POST(HttpRequest.BodyPublishers.ofString(body));
 		if (kind.stream) {
-			request.header("X-Token-Count", "900,100").header("X-Length-Hint", "60").header("X-Prompt-Prefix", "a:900");
+			request.header("X-Token-Count", "900,100").header("X-Length-Hint", "60").header(SoakPrompts.PARTS, parts);
 		}
 		if (callerLeaves(body)) {
 			sendAndLeave(request.build());
--- a/src/test/java/io/shallotspur/platform/soak/Fault.java
+++ b/src/test/java/io/shallotspur/platform/soak/Fault.java
@@ -85,6 +85,12 @@
 		/** The plain workers fail most requests. */
 		WORKERS_FAIL,
 
+		/**
+		 * Requests come that have nothing in common but a part of their prompts, which
+		 * crashes each worker that begins to write an answer to it.
+		 */
+		CRASHING_PART,
+
 		/** One VM loses its network path to workers. */
 		WORKERS_CUT_OFF;
 
@@ -103,7 +109,8 @@
 		// Invariants with a deadline hold only while neither the VMs nor the store are
 		// disturbed.
 		boolean disturbsVms() {
-			return !name().startsWith("WORKER") && this != CONFIGURATION && this != CRASHING_REQUEST;
+			return !name().startsWith("WORKER") && this != CONFIGURATION && this != CRASHING_REQUEST
+					&& this != CRASHING_PART;
 		}
 
 	}
--- a/src/test/java/io/shallotspur/platform/soak/FaultInjector.java
+++ b/src/test/java/io/shallotspur/platform/soak/FaultInjector.java
@@ -116,6 +116,7 @@
 			case WORKER_LIMITED -> limitWorker(f);
 			case WORKER_LEAVES -> this.workers.get(f.target()).leave(f.forMs());
 			case CRASHING_REQUEST -> this.crashingCaller.sendRepeatedly(f);
+			case CRASHING_PART -> this.crashingCaller.sendPart(f);
 			case WORKERS_FAIL -> failPlainWorkers(f);
 			case WORKERS_CUT_OFF -> cutOff(f);
 			case WORKER_PAUSES -> this.workers.get(f.target()).refuseWithPause(f.forMs());
--- a/src/test/java/io/shallotspur/platform/soak/FaultPlan.java
+++ b/src/test/java/io/shallotspur/platform/soak/FaultPlan.java
@@ -25,6 +25,9 @@
 	// In ms. What reaches workers is checked from three seconds after the third crash.
 	private static final long MIN_CRASHING_DURATION_MS = 6_000;
 
+	// In ms. Sound streams are checked from six seconds after the fifth crash.
+	private static final long MIN_CRASHING_PART_DURATION_MS = 11_000;
+
 	// One in so many seeds leaves VMs and store alone: invariants with a deadline are
 	// checked only then.
 	private static final int CALM_SEEDS = 5;
@@ -98,6 +101,17 @@
 		return l;
 	}
 
+	// In half of the runs, from the beginning.
+	private static List<Fault> planCrashingParts(long seed) {
+		SplittableRandom r = new SplittableRandom(seed * 43);
+		List<Fault> l = new ArrayList<>();
+		if (r.nextBoolean()) {
+			long durationMs = MIN_CRASHING_PART_DURATION_MS + r.nextInt((int) MIN_CRASHING_PART_DURATION_MS / 2);
+			l.add(new Fault(Fault.Kind.CRASHING_PART, r.nextInt((int) MAX_DURATION_MS / 2), durationMs, 0));
+		}
+		return l;
+	}
+
 	private static List<Fault> planCuts(long seed, long lengthMs, int vms) {
 		SplittableRandom r = new SplittableRandom(seed * 41);
 		List<Fault> l = new ArrayList<>();
@@ -139,6 +153,7 @@
 		l.addAll(planCrashingRequests(seed, lengthMs));
 		l.addAll(planFailures(seed, lengthMs, vms));
 		l.addAll(planCuts(seed, lengthMs, vms));
+		l.addAll(planCrashingParts(seed));
 		if (Math.floorMod(seed, CALM_SEEDS) == CALM_SEEDS - 1) {
 			l.removeIf((f) -> f.kind().disturbsVms());
 		}
--- a/src/test/java/io/shallotspur/platform/soak/InvariantChecker.java
+++ b/src/test/java/io/shallotspur/platform/soak/InvariantChecker.java
@@ -56,6 +56,8 @@
 
 	private final CrashingRequests crashingRequests = new CrashingRequests();
 
+	private final SoundStreams soundStreams = new SoundStreams();
+
 	private final Map<String, Long> fencingTokens = new ConcurrentHashMap<>();
 
 	// By the address of the VM.
@@ -164,6 +166,9 @@
 	 */
 	void onStreamTried(boolean resumed, boolean served) {
 		this.servingVersions.onTried(resumed, served);
+		if (!resumed) {
+			this.soundStreams.onTried(this.crashingRequests.hasSettledPart(nowMs()), served);
+		}
 	}
 
 	/**
@@ -194,23 +199,32 @@
 	/**
 	 * Called when a request reaches a worker that crashes each worker that runs it.
 	 * @param id the request id
-	 * @param body the body, the same for each resend
+	 * @param cause the body, the same for each resend, or the part of the prompt
 	 * @param nowMs the current time in milliseconds
 	 */
-	void onCrashingRequestReceived(String id, String body, long nowMs) {
+	void onCrashingRequestReceived(String id, String cause, long nowMs) {
 		long undisturbedSince = (this.activeDisturbances.get() == 0) ? this.lastDisturbanceEndedAt.get()
 				: Long.MAX_VALUE;
-		this.crashingRequests.onReceived(body, undisturbedSince, nowMs)
+		this.crashingRequests.onReceived(cause, undisturbedSince, nowMs)
 			.ifPresent((violation) -> addViolation(violation + " id=" + id));
 	}
 
 	/**
 	 * Called when a worker crashes because of a request that it runs.
-	 * @param body the body of the request
+	 * @param cause the body of the request, or the part of its prompt
 	 * @param nowMs the current time in milliseconds
 	 */
-	void onCrashedByRequest(String body, long nowMs) {
-		this.crashingRequests.onCrash(body, nowMs);
+	void onCrashedByRequest(String cause, long nowMs) {
+		this.crashingRequests.onCrash(cause, nowMs);
+	}
+
+	/**
+	 * Called when requests with a part that crashes workers begin or end to come.
+	 * @param part the id of the part
+	 * @param comes whether they begin
+	 */
+	void onCrashingPart(String part, boolean comes) {
+		this.crashingRequests.onPart(part, comes);
 	}
 
 	void onRequestSent(String id, RequestKind kind) {
@@ -405,6 +419,7 @@
 	List<String> violations() {
 		List<String> l = new ArrayList<>(this.violations);
 		this.servingVersions.violation().ifPresent(l::add);
+		this.soundStreams.violation().ifPresent(l::add);
 		this.workersByRequest.forEach((id, workers) -> {
 			if (workers.size() > 1 && !this.kindByRequest.getOrDefault(id, RequestKind.UNSAFE).repeatable) {
 				l.add("TWICE id=" + id + " by=" + workers);
@@ -422,7 +437,7 @@
 		List<Integer> repeats = this.retryWindows.values().stream().map(RetryWindow::mostRepeats).toList();
 		return this.crashingRequests.summary() + " repeats=" + repeats + " sent=" + this.kindByRequest.size() + " runs="
 				+ runs + " refused=" + this.refusalStatuses.size() + " orders=" + this.fencingTokens.size() + " "
-				+ this.servingVersions.summary();
+				+ this.servingVersions.summary() + " " + this.soundStreams.summary();
 	}
 
 	private record Credentials(String key, long sentAtMs) {
--- a/src/test/java/io/shallotspur/platform/soak/SoakCaller.java
+++ b/src/test/java/io/shallotspur/platform/soak/SoakCaller.java
@@ -84,7 +84,9 @@
 			.header("X-Deadline-Ms", kind.stream ? "8000" : "1500")
 			.POST(HttpRequest.BodyPublishers.ofString("body of " + id));
 		if (kind.stream) {
-			request.header("X-Token-Count", "900,100").header("X-Length-Hint", "60").header("X-Prompt-Prefix", "a:900");
+			request.header("X-Token-Count", "900,100")
+				.header("X-Length-Hint", "60")
+				.header(SoakPrompts.PARTS, SoakPrompts.sound(id));
 		}
 		try {
 			HttpResponse<String> r = this.client.send(request.build(), HttpResponse.BodyHandlers.ofString());
--- a/src/test/java/io/shallotspur/platform/soak/SoakWorker.java
+++ b/src/test/java/io/shallotspur/platform/soak/SoakWorker.java
@@ -4,6 +4,7 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ThreadLocalRandom;
@@ -40,6 +41,9 @@
 
 	private static final int VERSIONS = 2;
 
+	// One in so many responses is unframed.
+	private static final int UNFRAMED_RESPONSES = 10;
+
 	private static final Duration EVENT_INTERVAL = Duration.ofMillis(25);
 
 	private static final Duration PREFILL_TIME = Duration.ofMillis(40);
@@ -152,13 +156,13 @@
 
 	// The process ends while it runs a request and is back as a new incarnation, at once
 	// or after some time.
-	private synchronized void crashRunning(Incarnation old, String body) {
+	private synchronized void crashRunning(Incarnation old, String cause) {
 		if (this.current != old || old.crashed) {
 			return;
 		}
 		old.crashed = true;
 		serving(false);
-		CrashStyle style = CrashingCaller.crashStyle(body);
+		CrashStyle style = CrashingCaller.crashStyle(cause);
 		switch (style) {
 			case REFUSES -> this.proxies.refuseConnections();
 			case FALLS_SILENT -> this.proxies.fallSilent();
@@ -167,7 +171,7 @@
 				restart(old);
 			}
 		}
-		this.checker.onCrashedByRequest(body, InvariantChecker.nowMs());
+		this.checker.onCrashedByRequest(cause, InvariantChecker.nowMs());
 		Schedulers.boundedElastic().schedule(old.server::disposeNow);
 		if (style != CrashStyle.RESTARTS_AT_ONCE) {
 			Duration down = (style == CrashStyle.FALLS_SILENT) ? SILENT_TIME : DOWN_TIME;
@@ -365,28 +369,30 @@
 				SoakWorker.this.checker.onPauseRequested(id, this.id, PAUSE.toMillis(), InvariantChecker.nowMs());
 				return rejectAsFull(s.header("Retry-After", PAUSE_S));
 			}
-			if (CrashingCaller.isCrashing(body)) {
-				SoakWorker.this.checker.onCrashingRequestReceived(id, body, InvariantChecker.nowMs());
-			}
+			Optional<String> cause = crashCause(h, body);
+			cause.ifPresent((c) -> SoakWorker.this.checker.onCrashingRequestReceived(id, c, InvariantChecker.nowMs()));
 			if (this.stage.isEmpty()) {
-				crashIfMarked(body);
-				return CrashingCaller.isCrashing(body) ? Mono.never() : runPlain(id, h, s);
+				cause.ifPresent(this::crashSoon);
+				return cause.isPresent() ? Mono.never() : runPlain(id, h, s);
 			}
 			boolean prefill = "prefill".equals(h.get("X-Stage"));
 			if (prefill != this.stage.equals("prefill")) {
 				return s.status(421).send();
 			}
 			if (!prefill) {
-				crashIfMarked(body);
+				cause.ifPresent(this::crashSoon);
 			}
 			return prefill ? prefill(id, s) : decode(id, h, s);
 		}
 
-		private void crashIfMarked(String body) {
-			if (CrashingCaller.isCrashing(body)) {
-				Schedulers.boundedElastic()
-					.schedule(() -> crashRunning(this, body), CrashingCaller.crashDelayMs(body), TimeUnit.MILLISECONDS);
-			}
+		private static Optional<String> crashCause(HttpHeaders h, String body) {
+			return CrashingCaller.isCrashing(body) ? Optional.of(body)
+					: SoakPrompts.findCrashingPart(h.get(SoakPrompts.PARTS, ""));
+		}
+
+		private void crashSoon(String cause) {
+			Schedulers.boundedElastic()
+				.schedule(() -> crashRunning(this, cause), CrashingCaller.crashDelayMs(cause), TimeUnit.MILLISECONDS);
 		}
 
 		private Publisher<Void> handleControlCall(HttpServerRequest q, HttpServerResponse s, String body) {
@@ -450,12 +456,20 @@
 			}
 			SoakWorker.this.checker.onRequestStarted(id, this.id);
 			SoakWorker.this.checker.onCredentialsReceived(id, h.get("X-Tenant"), h.get("Authorization"));
+			frame(id, s);
 			return Mono.delay(Duration.ofMillis(5 + Math.floorMod(id.hashCode(), 60)))
 				.doFinally((x) -> this.runningRequests.decrementAndGet())
 				.then(Mono.defer(() -> Mono.from(s.status(plainStatus())
 					.header("X-Server-Stamp", "stamp-" + this.id)
 					.header("X-Server-Load", this.runningRequests.get() + ",0," + SLOTS)
-					.sendString(Mono.just(plainResponse(id, this.id))))));
+					.sendString(Flux.just(plainResponse(id, this.id), "")))));
+		}
+
+		// Some responses have neither a length nor chunks and end with their connection.
+		private static void frame(String id, HttpServerResponse s) {
+			if (Math.floorMod(id.hashCode(), UNFRAMED_RESPONSES) == 0) {
+				s.keepAlive(false).chunkedTransfer(false);
+			}
 		}
 
 		private int plainStatus() {
@@ -501,6 +515,7 @@
 				.delayElements(EVENT_INTERVAL)
 				.map((i) -> "id: " + i + "\ndata: " + id + " " + i + shown + "\n\n")
 				.doFinally((x) -> this.runningRequests.decrementAndGet());
+			frame(id, s);
 			return s.header("X-Server-Stamp", "stamp-" + this.id)
 				.header("Content-Type", "text/event-stream")
 				.send(events.map((e) -> Unpooled.copiedBuffer(e, StandardCharsets.UTF_8)), (b) -> true);
--- a/src/test/java/io/shallotspur/platform/soak/StreamCaller.java
+++ b/src/test/java/io/shallotspur/platform/soak/StreamCaller.java
@@ -148,7 +148,7 @@
 				.header("X-Deadline-Ms", "8000")
 				.header("X-Token-Count", "900,100")
 				.header("X-Length-Hint", "60")
-				.header("X-Prompt-Prefix", "a:900")
+				.header(SoakPrompts.PARTS, SoakPrompts.sound(this.name))
 				.header(SHOW_VERSION, "1")
 				.POST(HttpRequest.BodyPublishers.ofString("body of " + this.name));
 			if (this.first != null) {
