A part is refused to all once it has crashed workers under requests of three customers

Each further customer would lose a worker to a part that was found before, up to 31 more; the rule allows three more requests of all callers together. A customer that is to be harmed by naming its parts needs three accounts, and no answer to the part. The test of the bound passes with it (three crashes, then refused to a fourth customer).

--- a/src/main/java/io/shallotspur/quarantine/Suspect.java
+++ b/src/main/java/io/shallotspur/quarantine/Suspect.java
@@ -17,10 +17,10 @@
 public record Suspect(SuspectEntry entry, List<Long> parts, Set<Long> customers) {
 
 	/**
-	 * The customers that are told apart. A part at whose crashes requests of so many were
-	 * running is refused to all.
+	 * A part at whose crashes requests of so many customers were running is refused to
+	 * all: each further customer would lose another worker.
 	 */
-	public static final int MAX_CUSTOMERS = 32;
+	public static final int MAX_CUSTOMERS = 3;
 
 	/**
 	 * Creates a suspect; list and set are copied, the set up to its bound.
--- a/src/test/java/io/shallotspur/quarantine/CrashingPartSuspectsTests.java
+++ b/src/test/java/io/shallotspur/quarantine/CrashingPartSuspectsTests.java
@@ -199,7 +199,10 @@
 		for (int i = 0; i < Suspect.MAX_CUSTOMERS; i++) {
 			crash(i * 1_000L, request(i, 10 + i, FIRST, BAD));
 		}
-		Assertions.assertThat(this.suspects.isQuarantined(request(1, OTHER_CUSTOMER, FIRST, BAD), 40_000)).isTrue();
+		answer(4_000, FIRST);
+		RequestIdentity other = request(1, OTHER_CUSTOMER, FIRST, BAD);
+		this.suspects.review(other, 5_000);
+		Assertions.assertThat(this.suspects.isQuarantined(other, 5_000)).isTrue();
 	}
 
 	// Guards against a quarantine of a sound part that outlasts the proof that it is
