--- a/src/main/java/io/shallotspur/gateway/RelayTask.java
+++ b/src/main/java/io/shallotspur/gateway/RelayTask.java
@@ -50,6 +50,8 @@
 
 	private final LazyIdentity identity;
 
+	private final RelayLog log;
+
 	private final OriginRecorder originRecorder;
 
 	private final AttemptProgress attemptProgress = new AttemptProgress();
@@ -84,6 +86,7 @@
 		StreamOrigin origin = admitted.origin();
 		this.upstream = (origin != null) ? origin.upstream() : this.route.chooseUpstream(gateway.random.next());
 		this.identity = new LazyIdentity(admitted, this.upstream, gateway.partFingerprints);
+		this.log = new RelayLog(gateway, admitted, this.upstream, this.identity, arrivedAt);
 		UpstreamSpec spec = admitted.routeTable().upstream(this.upstream).orElse(null);
 		this.progress = new ResponseProgress((spec != null) ? spec.engine() : null, this.request.lastEventId());
 		this.placing = new RequestPlacement(gateway, admitted, this.identity, this.upstream, spec, this, arrivedAt,
@@ -103,8 +106,8 @@
 		}
 		if (this.request.lastEventId() != null) {
 			this.gateway.metrics.resumedByCaller();
-			log(now, "resumes stream-of=" + this.request.resumedRequest() + " after-event=" + this.request.lastEventId()
-					+ " version=" + this.placing.requiredVersion().orElse("any"));
+			log("resumes stream-of=" + this.request.resumedRequest() + " after-event=" + this.request.lastEventId()
+					+ " version=" + this.placing.requiredVersion().orElse("any"), now);
 		}
 		this.placing.start(now);
 	}
@@ -170,11 +173,6 @@
 		return this.progress.lastEventId();
 	}
 
-	@Override
-	public void log(String text, long now) {
-		log(now, text);
-	}
-
 	@Override
 	public void onHead(ResponseHead head) {
 		if (this.attempt == null) {
@@ -268,8 +266,8 @@
 			this.gateway.engineTimes(this.upstream)
 				.recordResponse(now - this.progress.firstByteAt(), p, receivedTokens());
 		}
-		log(now, "answered status=" + head.status() + (head.endsWithConnection() ? " ended=with-connection" : "")
-				+ timingFields());
+		log("answered status=" + head.status() + (head.endsWithConnection() ? " ended=with-connection" : "")
+				+ timingFields(), now);
 		endAttempt();
 		finish();
 		if (forwarded) {
@@ -291,8 +289,8 @@
 			return;
 		}
 		NextStep next = this.history.nextStep(end, retry);
-		log(now, "attempt=" + end + " seen=\"" + reason + "\" next=" + next + budgetField(end, now)
-				+ ((end == AttemptOutcome.UNKNOWN) ? fingerprintField() : ""));
+		log("attempt=" + end + " seen=\"" + reason + "\" next=" + next + this.log.budgetField(end, now)
+				+ ((end == AttemptOutcome.UNKNOWN) ? this.log.fingerprintField() : ""), now);
 		endAttempt();
 		switch (next) {
 			case RETRY -> {
@@ -310,7 +308,7 @@
 		if (p == null || (!p.isChecking() && !this.unsent.mayGoThroughVm())) {
 			return false;
 		}
-		log(now, "attempt=" + AttemptOutcome.NOT_SENT + " seen=\"" + reason + "\" next=CHECK_PATH");
+		log("attempt=" + AttemptOutcome.NOT_SENT + " seen=\"" + reason + "\" next=CHECK_PATH", now);
 		endAttempt();
 		if (p.isChecking()) {
 			p.addCheckListener((seen) -> onPathChecked());
@@ -337,20 +335,6 @@
 		}
 	}
 
-	// Makes requests that broke off while they may have been running recognizable when
-	// they are sent again.
-	private String fingerprintField() {
-		return " fingerprint=" + Long.toHexString(this.identity.fingerprint());
-	}
-
-	private String budgetField(AttemptOutcome end, long now) {
-		if (end == AttemptOutcome.NOT_SENT) {
-			return "";
-		}
-		return " budget=" + this.gateway.retryBudget.state(this.upstream, this.gateway.retrySlackShare(now), now)
-				+ " vms=" + this.gateway.entryVms.count(now) + "/" + this.gateway.entryVms.servingCountAllRegions(now);
-	}
-
 	private void recordFailure(AttemptOutcome end, String seen, long now) {
 		if (this.attempt == null) {
 			return;
@@ -416,7 +400,7 @@
 			refuseOrAbort(RefusalReason.WORKER_FAILED, now);
 			return;
 		}
-		log(now, "failed status=" + head.status());
+		log("failed status=" + head.status(), now);
 		finish();
 		this.response.send(head.status(), head.headers(), body);
 	}
@@ -450,8 +434,8 @@
 		cancelAttempt();
 		refundQuota(r);
 		this.gateway.metrics.refused(r.reason(), this.admitted.customerName());
-		log(now, "refused status=" + r.status() + " reason=" + r.reason().code() + " retry-after-ms="
-				+ r.retryAfterMs());
+		log("refused status=" + r.status() + " reason=" + r.reason().code() + " retry-after-ms=" + r.retryAfterMs(),
+				now);
 		finish();
 		this.response.refuse(r);
 	}
@@ -468,7 +452,7 @@
 	private void abortResponse(RefusalReason reason, long now) {
 		cancelAttempt();
 		this.gateway.metrics.responseAborted();
-		log(now, "broken-off reason=" + reason.code() + " last-event=" + this.progress.lastEventId());
+		log("broken-off reason=" + reason.code() + " last-event=" + this.progress.lastEventId(), now);
 		finish();
 		this.response.abort();
 	}
@@ -478,8 +462,8 @@
 			return;
 		}
 		this.gateway.metrics.callerDisconnected();
-		String request = (this.attempt != null) ? fingerprintField() : "";
-		log(this.gateway.clock.getAsLong(), "caller-gone" + request);
+		String request = (this.attempt != null) ? this.log.fingerprintField() : "";
+		log("caller-gone" + request, this.gateway.clock.getAsLong());
 		cancelAttempt();
 		finish();
 	}
@@ -515,14 +499,10 @@
 		this.gateway.requestFinished();
 	}
 
-	private void log(long now, String text) {
-		WorkerInfo w = (this.attempt != null) ? this.attempt.worker().info() : null;
-		String worker = (w != null) ? w.id() + " version=" + w.version() : "none";
-		this.gateway.log.write(now,
-				() -> "id=" + this.request.id() + " route=" + this.route.name() + " upstream=" + this.upstream
-						+ " customer=" + this.admitted.customerName() + " worker=" + worker + " config="
-						+ this.admitted.routeTable().version() + " sends=" + this.history.sentCount() + " ms="
-						+ (now - this.arrivedAt) + " " + text);
+	@Override
+	public void log(String text, long now) {
+		this.log.write((this.attempt != null) ? this.attempt.worker().info() : null, this.history.sentCount(), text,
+				now);
 	}
 
 }
