--- a/src/main/java/io/shallotspur/gateway/Attempt.java
+++ b/src/main/java/io/shallotspur/gateway/Attempt.java
@@ -223,9 +223,8 @@
 		// Part of a large response that is not a stream.
 		void onBytes(byte[] bytes);
 
-		// A response ended with its connection: has the worker ended it, or has the
-		// worker
-		// itself ended? The callback is told whether the response is whole.
+		// A response ended with its connection. The callback is told whether it is whole,
+		// or has ended with its worker.
 		void verifyEnd(Consumer<Boolean> callback);
 
 		// The response is complete; the body is empty if it was forwarded in parts.
--- a/src/main/java/io/shallotspur/quarantine/CauseFinder.java
+++ b/src/main/java/io/shallotspur/quarantine/CauseFinder.java
@@ -21,9 +21,7 @@
 	// The crashes at which nothing speaks for a part, unless there are many others.
 	private static final int MIN_OPEN_CRASHES = 2;
 
-	// A single request that comes again says no more about a part of its prompt than
-	// about
-	// itself.
+	// A single request that comes again speaks against itself, not its parts.
 	private static final int MIN_REQUESTS = 2;
 
 	private final QuarantineLimits limits;
--- a/src/main/java/io/shallotspur/registry/SharedQuarantine.java
+++ b/src/main/java/io/shallotspur/registry/SharedQuarantine.java
@@ -182,9 +182,8 @@
 		long now = this.clock.getAsLong();
 		Set<Long> causes = this.quarantine.merge(reports.stream().map((r) -> suspect(r, now)).toList(), now);
 		// All VMs come to the same conclusion about a request, and only those with a part
-		// in it publish it. What another VM does not know is published, too: that a part
-		// of
-		// prompts was answered.
+		// in it publish it. That a part of prompts was answered is published, too, if
+		// another VM does not know it.
 		this.quarantine.drainChanges(now)
 			.stream()
 			.filter((s) -> !causes.contains(s.fingerprint()) || this.published.contains(s.fingerprint()))
