Waiting requests: by priority first, and between VMs by how soon they ask

Cause: every late request went behind all that could be on time, whatever its priority, so urgent requests with a tight objective got no slot while anybody waited; and a slot that became free went to the VM that asked first, as all asked at the same intervals.

Change: package queueing decides the order (priority, then timely, latest start, newest first under overload as before), one start in eight goes to a lower priority (shared with admission.FairQueue), lower priorities leave a worker that has refused or freed a slot to others by up to 150 ms in proportion to higher demand, and a priority that few arrivals have asks up to five times as often. With one priority nothing changes. The queue keeps its entries unsorted and sorts when it serves: the latest start follows a moving average, so that a sorted set could miss an entry. Log line queued, metrics relay.queued and relay.yielded.

Result: tests of gateway and queueing, LayeringTests, FairQueueTests pass.

--- a/src/main/java/io/shallotspur/admission/FairQueue.java
+++ b/src/main/java/io/shallotspur/admission/FairQueue.java
@@ -12,6 +12,8 @@
 
 import org.jspecify.annotations.Nullable;
 
+import io.shallotspur.queueing.LowerPriorityTurns;
+
 /**
  * Queue of the pending requests of a cell or of a plain upstream. It applies strict
  * priority between levels, start-time fair queueing by weighted cost between the
@@ -35,8 +37,6 @@
 
 	private static final double MIN_WEIGHT = 1e-6;
 
-	private static final int LOWER_LEVEL_INTERVAL = 8;
-
 	private final ToDoubleFunction<String> weights;
 
 	private final Map<String, Flow<T>> flows = new HashMap<>();
@@ -47,7 +47,7 @@
 
 	private int size;
 
-	private int dispatchCount;
+	private final LowerPriorityTurns lowerLevelTurns = new LowerPriorityTurns();
 
 	/**
 	 * Creates an empty queue.
@@ -119,7 +119,7 @@
 		if (!remove(item)) {
 			return false;
 		}
-		this.dispatchCount++;
+		this.lowerLevelTurns.recordStart();
 		this.virtualTime = Math.max(this.virtualTime, Math.min(startTag, minBackloggedVirtualTime()));
 		charge(item.flow(), cost);
 		return true;
@@ -202,7 +202,7 @@
 	}
 
 	private Map.@Nullable Entry<Integer, Level<T>> preferredLowerLevel() {
-		if (this.levels.size() < 2 || this.dispatchCount % LOWER_LEVEL_INTERVAL != LOWER_LEVEL_INTERVAL - 1) {
+		if (this.levels.size() < 2 || !this.lowerLevelTurns.isDue()) {
 			return null;
 		}
 		Map.Entry<Integer, Level<T>> first = null;
--- a/src/main/java/io/shallotspur/gateway/PendingRequest.java
+++ b/src/main/java/io/shallotspur/gateway/PendingRequest.java
@@ -8,6 +8,9 @@
  */
 interface PendingRequest {
 
+	// Its id in the log.
+	String id();
+
 	// Required memory, tokens.
 	int requiredTokens();
 
@@ -46,4 +49,7 @@
 	// No slot was available in time, or the queue is full.
 	void onRejected(long now);
 
+	// Logs a message.
+	void log(String message, long now);
+
 }
--- a/src/main/java/io/shallotspur/gateway/RecentRefusals.java
+++ b/src/main/java/io/shallotspur/gateway/RecentRefusals.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.OptionalLong;
 
 /**
  * Tracks which workers have recently refused a reservation, and the request sizes they
@@ -11,7 +12,8 @@
  * time on unsuccessful attempts. It may still have memory for a clearly smaller request;
  * if every request skipped it, its memory would be partly unused while requests wait.
  * <p>
- * A request is late if it can no longer meet its latency objective.
+ * A request yields if others go before it, at this VM or at others: it asks such a worker
+ * later than they do, whatever its size.
  */
 final class RecentRefusals {
 
@@ -27,61 +29,65 @@
 	 * Records a refusal.
 	 * @param workerId the worker
 	 * @param tokens the memory that was requested, in tokens
-	 * @param blockedUntil time until which the worker is skipped for requests that are
-	 * not clearly smaller than the refused one, in milliseconds
-	 * @param lateBlockedUntil time until which the worker is skipped for requests that
-	 * can no longer meet their latency objective, whatever their size, in milliseconds
+	 * @param backoffMs how long the worker is skipped for requests that are not clearly
+	 * smaller than the refused one, in milliseconds
+	 * @param maxYieldMs the longest time that requests yield, in milliseconds
 	 * @param now the present time in milliseconds
 	 */
-	void recordRefusal(String workerId, int tokens, long blockedUntil, long lateBlockedUntil, long now) {
+	void recordRefusal(String workerId, int tokens, long backoffMs, long maxYieldMs, long now) {
 		// Removes expired refusals. The entry of a worker that has left, or has restarted
 		// under a new id, would never be replaced.
-		this.byWorker.values().removeIf((r) -> now >= r.lateBlockedUntil());
+		this.byWorker.values().removeIf((r) -> now >= r.retainedUntil());
 		Refusal previous = this.byWorker.get(workerId);
-		int minTokens = (previous != null && now < previous.blockedUntil()) ? Math.min(tokens, previous.tokens())
+		int minTokens = (previous != null && now < previous.blockedUntil(1)) ? Math.min(tokens, previous.tokens())
 				: tokens;
-		this.byWorker.put(workerId, new Refusal(minTokens, blockedUntil, lateBlockedUntil));
+		this.byWorker.put(workerId, new Refusal(minTokens, now, backoffMs, now + backoffMs + maxYieldMs));
 	}
 
 	/**
 	 * Records that a slot has become free at a worker.
 	 * @param workerId the worker
-	 * @param lateBlockedUntil time until which the slot is kept for requests that can
-	 * still meet their latency objective, in milliseconds
+	 * @param maxYieldMs the longest time that requests yield, in milliseconds
 	 * @param now the present time in milliseconds
 	 */
-	void recordFreedSlot(String workerId, long lateBlockedUntil, long now) {
-		this.byWorker.computeIfPresent(workerId, (id, r) -> new Refusal(r.tokens(), now, lateBlockedUntil));
+	void recordFreedSlot(String workerId, long maxYieldMs, long now) {
+		this.byWorker.computeIfPresent(workerId, (id, r) -> new Refusal(r.tokens(), now, 0, now + maxYieldMs));
 	}
 
 	/**
 	 * Tells whether a worker may have a free slot for a request.
 	 * @param workerId the worker
 	 * @param tokens the memory that is needed, in tokens
-	 * @param late whether the request can no longer meet its latency objective
+	 * @param backoffShare the share of the backoff that the request keeps to, from 0 to 1
+	 * @param yieldMs how long the request yields, in milliseconds; empty if it does not
 	 * @param now the present time in milliseconds
 	 * @return {@code false} if the worker is to be skipped
 	 */
-	boolean mayFit(String workerId, int tokens, boolean late, long now) {
+	boolean mayFit(String workerId, int tokens, double backoffShare, OptionalLong yieldMs, long now) {
 		Refusal refusal = this.byWorker.get(workerId);
 		if (refusal == null) {
 			return true;
 		}
-		return late ? now >= refusal.lateBlockedUntil()
-				: now >= refusal.blockedUntil() || tokens < SMALLER_REQUEST_RATIO * refusal.tokens();
+		long blockedUntil = refusal.blockedUntil(backoffShare);
+		if (yieldMs.isPresent()) {
+			return now >= blockedUntil + yieldMs.getAsLong();
+		}
+		return now >= blockedUntil || tokens < SMALLER_REQUEST_RATIO * refusal.tokens();
 	}
 
 	/**
 	 * Returns the next time at which a skipped worker may be asked again.
+	 * @param backoffShare the share of the backoff that the request keeps to, from 0 to 1
+	 * @param yieldMs how long the request yields, in milliseconds
 	 * @param now the present time in milliseconds
 	 * @param latestAt the result if no worker becomes available before it, in
 	 * milliseconds
 	 * @return a time in milliseconds, after now
 	 */
-	long nextRetryAt(long now, long latestAt) {
+	long nextRetryAt(double backoffShare, long yieldMs, long now, long latestAt) {
 		return this.byWorker.values()
 			.stream()
-			.mapToLong(Refusal::blockedUntil)
+			.mapToLong((r) -> r.blockedUntil(backoffShare) + yieldMs)
 			.filter((t) -> t > now)
 			.reduce(latestAt, Math::min);
 	}
@@ -90,12 +96,16 @@
 	 * The last refusal of a worker. Immutable.
 	 *
 	 * @param tokens the smallest amount of memory that it refused, in tokens
-	 * @param blockedUntil time until which it is skipped for requests that are not
-	 * clearly smaller than the refused one, in milliseconds
-	 * @param lateBlockedUntil time until which it is skipped for requests that can no
-	 * longer meet their latency objective, whatever their size, in milliseconds
+	 * @param at when it refused, or when a slot became free there, in milliseconds
+	 * @param backoffMs how long it is skipped for requests that are not clearly smaller
+	 * than the refused one, in milliseconds
+	 * @param retainedUntil time from which no request skips it, in milliseconds
 	 */
-	private record Refusal(int tokens, long blockedUntil, long lateBlockedUntil) {
+	private record Refusal(int tokens, long at, long backoffMs, long retainedUntil) {
+
+		long blockedUntil(double backoffShare) {
+			return this.at + (long) (this.backoffMs * backoffShare);
+		}
 
 	}
 
--- a/src/main/java/io/shallotspur/gateway/RelayMetrics.java
+++ b/src/main/java/io/shallotspur/gateway/RelayMetrics.java
@@ -76,6 +76,14 @@
 		this.registry.counter("relay.waited-for-limit").inc();
 	}
 
+	// A request waited for a reservation while others of another priority arrived.
+	void queued(int priority, long ms, boolean yielded) {
+		this.registry.timer("relay.queued." + priority).update(ms, TimeUnit.MILLISECONDS);
+		if (yielded) {
+			this.registry.counter("relay.yielded." + priority).inc();
+		}
+	}
+
 	void sentToLimited() {
 		this.registry.counter("relay.sent-to-limited").inc();
 	}
--- a/src/main/java/io/shallotspur/gateway/RequestPlacement.java
+++ b/src/main/java/io/shallotspur/gateway/RequestPlacement.java
@@ -217,6 +217,11 @@
 		return (this.engine != null) ? WorkerStage.DECODE : WorkerStage.PLAIN;
 	}
 
+	@Override
+	public String id() {
+		return this.request.id();
+	}
+
 	@Override
 	public int requiredTokens() {
 		return this.timing.requiredTokens();
--- a/src/main/java/io/shallotspur/gateway/ReservationQueue.java
+++ b/src/main/java/io/shallotspur/gateway/ReservationQueue.java
@@ -2,14 +2,20 @@
 
 import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
-import java.util.TreeSet;
-import java.util.stream.Stream;
 
 import org.jspecify.annotations.Nullable;
 
+import io.shallotspur.queueing.Contention;
+import io.shallotspur.queueing.LowerPriorityTurns;
+import io.shallotspur.queueing.PriorityDemand;
+import io.shallotspur.queueing.ServiceOrder;
+import io.shallotspur.queueing.YieldPolicy;
+
 /**
  * The queue of requests of one model upstream that wait for a slot and memory at a decode
  * worker. Not thread-safe; confined to the gateway's thread.
@@ -21,15 +27,9 @@
  * Requests that get none wait here and not inside a worker, where an urgent one could not
  * overtake the others.
  * <p>
- * Requests that can still be answered on time are served before late ones, which get a
- * slot only while no other request waits. Within both groups the order is by priority,
- * then by latest start. While slots free up more slowly than requests arrive, the newest
- * is served first instead: in the order of their latest start, all would get their slot
- * just before it is too late, and any further delay would make the response late. The
- * request that has waited longest is the one that is late in any case. The same holds
- * among late requests: the time from a slot to the first event is an estimate that grows
- * in a burst, and with the oldest first all later arrivals would be late as well, long
- * after the burst.
+ * {@link ServiceOrder} decides who is served first. Late requests, and requests of a
+ * lower priority, leave workers that have refused or freed a slot to others for a while
+ * ({@link YieldPolicy}), but one start in eight goes to a lower priority.
  * <p>
  * When a request of this VM ends, its worker is called at once, since a slot has just
  * become free there; otherwise a worker that has refused is skipped temporarily
@@ -41,12 +41,6 @@
 	// more often than that is mostly unsuccessful, ms.
 	private static final long FULL_BACKOFF_MS = 150;
 
-	// A freed slot is left for this time to other VMs with requests that can still be on
-	// time, before it goes to a request that is late in any case, ms: twice the interval
-	// at which each of them retries. A VM that serves all callers has no other VM to
-	// leave it to.
-	private static final long LATE_BACKOFF_MS = 300;
-
 	// Interval between calls while all workers are full, ms. With 100 workers and 100
 	// VMs, each VM would otherwise make 270 calls a second and spend its CPU time and
 	// theirs on refusals.
@@ -64,14 +58,23 @@
 	// request waits longer.
 	private static final int MIN_QUEUE_LIMIT = 64;
 
+	// Noted where a request yields to such that may wait at other VMs.
+	private static final String OTHER_VMS = "other-vms";
+
 	private final Gateway gateway;
 
 	private final String upstream;
 
-	private final TreeSet<ReservationTicket> queue = new TreeSet<>(ReservationTicket.ORDER);
+	private final Set<ReservationTicket> queue = new LinkedHashSet<>();
 
 	private final RecentRefusals recentRefusals = new RecentRefusals();
 
+	private final PriorityDemand demand = new PriorityDemand();
+
+	private final YieldPolicy yieldPolicy = new YieldPolicy(this.demand);
+
+	private final LowerPriorityTurns lowerPriorityTurns = new LowerPriorityTurns();
+
 	private long lastSequence;
 
 	// Requests with a reservation call in progress.
@@ -98,6 +101,7 @@
 	ReservationTicket enqueue(PendingRequest request, long now) {
 		ReservationTicket ticket = new ReservationTicket(request, ++this.lastSequence, now);
 		this.queue.add(ticket);
+		this.demand.recordArrival(ticket.priority(), now);
 		if (this.queue.size() > MIN_QUEUE_LIMIT && this.queue.size() > request.slots(now)) {
 			rejectLast(now);
 		}
@@ -108,7 +112,7 @@
 	// Rejects the request that would wait longest, not the newest arrival, which may be
 	// first.
 	private void rejectLast(long now) {
-		List<ReservationTicket> ordered = ReservationTicket.serviceOrder(this.queue, now);
+		List<ReservationTicket> ordered = ServiceOrder.of(this.queue, now);
 		ReservationTicket last = ordered.get(ordered.size() - 1);
 		cancel(last);
 		last.request().onRejected(now);
@@ -130,7 +134,7 @@
 	 * @param now the present time in milliseconds
 	 */
 	void capacityFreed(String worker, long now) {
-		this.recentRefusals.recordFreedSlot(worker, now + lateBackoffMs(now), now);
+		this.recentRefusals.recordFreedSlot(worker, YieldPolicy.maxMs(servingVms(now)), now);
 		this.nextAttemptAt = now;
 		dispatch(now);
 	}
@@ -173,7 +177,7 @@
 			this.queue.remove(attempt.get().ticket());
 			if (this.consecutiveRefusals >= SATURATION_REFUSALS
 					&& attempt.get().candidateCount() > SATURATION_REFUSALS) {
-				this.nextAttemptAt = now + SATURATED_INTERVAL_MS;
+				this.nextAttemptAt = now + (long) (intervalShare(attempt.get().ticket(), now) * SATURATED_INTERVAL_MS);
 			}
 			requestReservation(attempt.get().ticket(), attempt.get().worker(), now);
 		}
@@ -181,23 +185,55 @@
 	}
 
 	private Optional<ReservationAttempt> nextAttempt(long now) {
-		List<ReservationTicket> ordered = ReservationTicket.serviceOrder(this.queue, now);
-		boolean hasTimelyRequest = Stream.concat(ordered.stream(), this.inFlight.stream())
-			.anyMatch((ticket) -> !ticket.isLate());
-		for (ReservationTicket ticket : ordered) {
-			if (ticket.isLate() && hasTimelyRequest) {
-				break;
-			}
-			List<WorkerState> candidates = ticket.request().candidates(now);
-			Optional<WorkerState> worker = selectWorker(ticket, candidates, now);
-			if (worker.isPresent()) {
-				return Optional.of(new ReservationAttempt(ticket, worker.get(), candidates.size()));
-			}
+		List<ReservationTicket> ordered = ServiceOrder.of(this.queue, now);
+		Contention<ReservationTicket> contention = new Contention<>(this.queue, this.inFlight);
+		return lowerPriorityAttempt(ordered, now)
+			.or(() -> ordered.stream().flatMap((t) -> attempt(t, contention, now).stream()).findFirst());
+	}
+
+	private Optional<ReservationAttempt> lowerPriorityAttempt(List<ReservationTicket> ordered, long now) {
+		if (!this.lowerPriorityTurns.isDue()) {
+			return Optional.empty();
+		}
+		return ServiceOrder.firstOfLowerPriority(ordered)
+			.flatMap((t) -> attempt(t, t.request().candidates(now), OptionalLong.empty(), now));
+	}
+
+	private Optional<ReservationAttempt> attempt(ReservationTicket ticket, Contention<ReservationTicket> contention,
+			long now) {
+		Optional<ReservationTicket> timely = contention.holdsBack(ticket);
+		if (timely.isPresent()) {
+			ticket.yieldTo(timely.get().request().id());
+			return Optional.empty();
+		}
+		List<WorkerState> candidates = ticket.request().candidates(now);
+		OptionalLong yieldMs = this.yieldPolicy.delayMs(ticket, contention, servingVms(now), now);
+		Optional<ReservationAttempt> attempt = attempt(ticket, candidates, yieldMs, now);
+		if (yieldMs.isPresent() && attempt.isEmpty()
+				&& !eligible(ticket, candidates, OptionalLong.empty(), now).isEmpty()) {
+			ticket.yieldTo(contention.higherThan(ticket).map((t) -> t.request().id()).orElse(OTHER_VMS));
 		}
-		return Optional.empty();
+		return attempt;
+	}
+
+	private Optional<ReservationAttempt> attempt(ReservationTicket ticket, List<WorkerState> candidates,
+			OptionalLong yieldMs, long now) {
+		return WorkerSelector
+			.leastCost(eligible(ticket, candidates, yieldMs, now), this.gateway.settings.hall(), this.gateway.random,
+					now)
+			.map((w) -> new ReservationAttempt(ticket, w, candidates.size()));
+	}
+
+	private List<WorkerState> eligible(ReservationTicket ticket, List<WorkerState> candidates, OptionalLong yieldMs,
+			long now) {
+		int tokens = ticket.request().requiredTokens();
+		double intervalShare = intervalShare(ticket, now);
+		return candidates.stream()
+			.filter((w) -> this.recentRefusals.mayFit(w.info().id(), tokens, intervalShare, yieldMs, now))
+			.toList();
 	}
 
-	// Rejects expired requests and reorders those that have become late.
+	// Rejects expired requests and marks those that have become late.
 	private void updateTickets(long now) {
 		for (ReservationTicket ticket : new ArrayList<>(this.queue)) {
 			if (now >= ticket.request().waitDeadline()) {
@@ -205,21 +241,11 @@
 				ticket.request().onRejected(now);
 			}
 			else if (!ticket.isLate() && now > ticket.request().latestStart()) {
-				this.queue.remove(ticket);
 				ticket.markLate();
-				this.queue.add(ticket);
 			}
 		}
 	}
 
-	private Optional<WorkerState> selectWorker(ReservationTicket ticket, List<WorkerState> candidates, long now) {
-		int tokens = ticket.request().requiredTokens();
-		List<WorkerState> eligible = candidates.stream()
-			.filter((w) -> this.recentRefusals.mayFit(w.info().id(), tokens, ticket.isLate(), now))
-			.toList();
-		return WorkerSelector.leastCost(eligible, this.gateway.settings.hall(), this.gateway.random, now);
-	}
-
 	private void requestReservation(ReservationTicket ticket, WorkerState worker, long now) {
 		int tokens = ticket.request().requiredTokens();
 		this.inFlight.add(ticket);
@@ -291,14 +317,29 @@
 			this.gateway.notices.cancelReservation(worker.info(), reservation);
 			return;
 		}
+		this.lowerPriorityTurns.recordStart();
 		ticket.close();
+		recordWait(ticket, now);
 		ticket.request().onReserved(worker, reservation, now);
 	}
 
+	// Only where priorities compete, as elsewhere the order follows from the arrivals.
+	private void recordWait(ReservationTicket ticket, long now) {
+		long waitedMs = now - ticket.enqueuedAt();
+		if (waitedMs == 0 || !this.demand.hasSeveralPriorities(now)) {
+			return;
+		}
+		boolean yielded = !ticket.yieldedTo().isEmpty();
+		this.gateway.metrics.queued(ticket.priority(), waitedMs, yielded);
+		ticket.request()
+			.log("queued queued-ms=" + waitedMs + " priority=" + ticket.priority() + " late=" + ticket.isLate()
+					+ " waiting=" + this.queue.size() + (yielded ? " yielded-to=" + ticket.yieldedTo() : ""), now);
+	}
+
 	private void onRefused(WorkerState worker, int tokens, @Nullable ExchangeFailure failure, long now) {
 		long backoffMs = (long) (FULL_BACKOFF_MS * (0.75 + this.gateway.random.next() / 2));
-		this.recentRefusals.recordRefusal(worker.info().id(), tokens, now + backoffMs,
-				now + backoffMs + lateBackoffMs(now), now);
+		this.recentRefusals.recordRefusal(worker.info().id(), tokens, backoffMs, YieldPolicy.maxMs(servingVms(now)),
+				now);
 		if (failure != null) {
 			this.gateway.roster.outlierDetector(this.upstream).recordFailure(worker.info().id(), now);
 			worker.recordOutcome(true);
@@ -306,9 +347,28 @@
 		}
 	}
 
-	// In proportion to the share of callers that are served by other VMs.
-	private long lateBackoffMs(long now) {
-		return LATE_BACKOFF_MS - LATE_BACKOFF_MS / this.gateway.entryVms.servingCountOwnRegion(now);
+	private long nextRetryAt(long now) {
+		long retryAt = this.recentRefusals.nextRetryAt(1, 0, now, now + FULL_BACKOFF_MS);
+		if (!this.demand.hasSeveralPriorities(now)) {
+			return retryAt;
+		}
+		Contention<ReservationTicket> contention = new Contention<>(this.queue, this.inFlight);
+		Set<Integer> seen = new HashSet<>();
+		for (ReservationTicket ticket : this.queue) {
+			if (seen.add(ticket.priority())) {
+				long yieldMs = this.yieldPolicy.delayMs(ticket, contention, servingVms(now), now).orElse(0);
+				retryAt = this.recentRefusals.nextRetryAt(intervalShare(ticket, now), yieldMs, now, retryAt);
+			}
+		}
+		return retryAt;
+	}
+
+	private double intervalShare(ReservationTicket ticket, long now) {
+		return this.yieldPolicy.intervalShare(ticket.priority(), now);
+	}
+
+	private int servingVms(long now) {
+		return this.gateway.entryVms.servingCountOwnRegion(now);
 	}
 
 	private void scheduleDispatch(long now) {
@@ -316,7 +376,7 @@
 		if (this.queue.isEmpty()) {
 			return;
 		}
-		long wakeAt = this.recentRefusals.nextRetryAt(now, now + FULL_BACKOFF_MS);
+		long wakeAt = nextRetryAt(now);
 		for (ReservationTicket ticket : this.queue) {
 			wakeAt = Math.min(wakeAt, ticket.request().waitDeadline());
 		}
--- a/src/main/java/io/shallotspur/gateway/ReservationTicket.java
+++ b/src/main/java/io/shallotspur/gateway/ReservationTicket.java
@@ -1,31 +1,14 @@
 package io.shallotspur.gateway;
 
-import java.util.ArrayList;
-import java.util.Collection;
-import java.util.Collections;
-import java.util.Comparator;
-import java.util.List;
+import io.shallotspur.queueing.WaitingRequest;
 
 /**
- * The entry of a request in a {@link ReservationQueue}, and the order in which the queue
- * serves its entries. Not thread-safe; confined to the gateway's thread.
+ * The entry of a request in a {@link ReservationQueue}. Not thread-safe; confined to the
+ * gateway's thread.
  * <p>
  * Invariant: a ticket that is closed or late stays so.
  */
-final class ReservationTicket {
-
-	/**
-	 * Requests that can still be answered on time come first; then by priority, latest
-	 * start and arrival.
-	 */
-	static final Comparator<ReservationTicket> ORDER = Comparator.comparing(ReservationTicket::isLate)
-		.thenComparingInt((t) -> t.request.priority())
-		.thenComparingLong((t) -> t.request.latestStart())
-		.thenComparingLong((t) -> t.sequence);
-
-	// Requests that have waited for this fraction of their available time show that slots
-	// free up more slowly than requests arrive.
-	private static final double LONG_WAIT_FRACTION = 0.5;
+final class ReservationTicket implements WaitingRequest {
 
 	private final PendingRequest request;
 
@@ -33,6 +16,8 @@
 
 	private final long enqueuedAt;
 
+	private String yieldedTo = "";
+
 	private boolean late;
 
 	private boolean closed;
@@ -49,34 +34,32 @@
 		this.enqueuedAt = enqueuedAt;
 	}
 
-	/**
-	 * Returns the tickets in the order in which they are served: while slots free up more
-	 * slowly than requests of the same rank arrive, the newest of them first.
-	 * @param tickets the tickets, in their {@link #ORDER}
-	 * @param now the present time in milliseconds
-	 * @return a copy in that order
-	 */
-	static List<ReservationTicket> serviceOrder(Collection<ReservationTicket> tickets, long now) {
-		List<ReservationTicket> ordered = new ArrayList<>(tickets);
-		int from = 0;
-		while (from < ordered.size()) {
-			int to = from + 1;
-			while (to < ordered.size() && ordered.get(to).hasSameRank(ordered.get(from))) {
-				to++;
-			}
-			if (ordered.get(from).late || ordered.get(from).hasWaitedLong(now)) {
-				Collections.reverse(ordered.subList(from, to));
-			}
-			from = to;
-		}
-		return ordered;
-	}
-
 	PendingRequest request() {
 		return this.request;
 	}
 
-	boolean isLate() {
+	@Override
+	public int priority() {
+		return this.request.priority();
+	}
+
+	@Override
+	public long latestStart() {
+		return this.request.latestStart();
+	}
+
+	@Override
+	public long enqueuedAt() {
+		return this.enqueuedAt;
+	}
+
+	@Override
+	public long sequence() {
+		return this.sequence;
+	}
+
+	@Override
+	public boolean isLate() {
 		return this.late;
 	}
 
@@ -93,12 +76,17 @@
 		this.closed = true;
 	}
 
-	private boolean hasSameRank(ReservationTicket other) {
-		return this.late == other.late && this.request.priority() == other.request.priority();
+	/**
+	 * Notes to whom the request has given way last.
+	 * @param yieldedTo the request or group of requests that went before it
+	 */
+	void yieldTo(String yieldedTo) {
+		this.yieldedTo = yieldedTo;
 	}
 
-	private boolean hasWaitedLong(long now) {
-		return now - this.enqueuedAt > LONG_WAIT_FRACTION * (this.request.latestStart() - this.enqueuedAt);
+	// Empty if the request has not given way.
+	String yieldedTo() {
+		return this.yieldedTo;
 	}
 
 }
