Quotas: package of their own; what is left goes to the most urgent rank

Cause: QuotaLimiter admitted while the bucket held four times the cost of a request, so that long urgent prompts were refused while small calls of a lower rank passed. A request whose caller left while it waited was not refunded.

Change: QuotaLimiter, QuotaShare, QuotaTolerance and TokenBucket move to io.shallotspur.quota. A request leaves a reserve that follows the recent demand of more urgent ranks of its customer; with one rank nothing changes. The refusal's log line and metrics state rank, what was left, the reserve and the share in force. A request of which nothing was sent to a worker is refunded, also when its caller leaves or its time expires. DecayingRate moves out of ShareSplitter, as both use it.

Result: QuotaTests, QuotaLimiterTests (the former tests of the limiter, moved; the model of several VMs now also has up to three ranks), CustomerKeyTests, LayeringTests and the tests of ShareSplitter and WorkerRateLimiter passed.

--- a/src/main/java/io/shallotspur/admission/ShareSplitter.java
+++ b/src/main/java/io/shallotspur/admission/ShareSplitter.java
@@ -23,8 +23,6 @@
  */
 public final class ShareSplitter {
 
-	private static final double HALF_LIFE_MS = 5000;
-
 	private static final double NEGLIGIBLE_DEMAND = 0.01;
 
 	private static final double MIN_FRACTION = 0.01;
@@ -165,28 +163,4 @@
 
 	}
 
-	/**
-	 * A moving average with exponential decay and a fixed half-life.
-	 */
-	private static final class DecayingRate {
-
-		private double perSecond;
-
-		private long updatedAt;
-
-		DecayingRate(long now) {
-			this.updatedAt = now;
-		}
-
-		void add(double engineMs, long now) {
-			this.perSecond = valueAt(now) + engineMs * 1000 * Math.log(2) / HALF_LIFE_MS;
-			this.updatedAt = now;
-		}
-
-		double valueAt(long now) {
-			return this.perSecond * Math.pow(0.5, Math.max(0, now - this.updatedAt) / HALF_LIFE_MS);
-		}
-
-	}
-
 }
--- a/src/main/java/io/shallotspur/gateway/Gateway.java
+++ b/src/main/java/io/shallotspur/gateway/Gateway.java
@@ -8,6 +8,8 @@
 import org.jspecify.annotations.Nullable;
 import org.tinylog.Logger;
 
+import io.shallotspur.quota.QuotaLimiter;
+import io.shallotspur.quota.QuotaShare;
 import io.shallotspur.route.Route;
 import io.shallotspur.route.RouteTable;
 
@@ -189,6 +191,11 @@
 		return this.retrySlack.update(RetrySlackShare.of(this.entryVms, now), now, elapsedMs());
 	}
 
+	// The share of each customer's quota that this VM may spend, from 0 to 1.
+	double quotaShare(long now) {
+		return QuotaShare.of(this.entryVms.servingCountAllRegions(now), this.entryVms.isStandby(now));
+	}
+
 	/**
 	 * Returns the requests that crash workers.
 	 * @return the quarantine; what other VMs know is merged into it
--- a/src/main/java/io/shallotspur/gateway/GatewaySettings.java
+++ b/src/main/java/io/shallotspur/gateway/GatewaySettings.java
@@ -1,5 +1,7 @@
 package io.shallotspur.gateway;
 
+import io.shallotspur.quota.QuotaTolerance;
+
 /**
  * Settings of the request relay of one entry VM. Immutable.
  *
--- a/src/main/java/io/shallotspur/gateway/RelayMetrics.java
+++ b/src/main/java/io/shallotspur/gateway/RelayMetrics.java
@@ -1,7 +1,10 @@
 package io.shallotspur.gateway;
 
 import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 
 import com.codahale.metrics.MetricRegistry;
 import org.jspecify.annotations.Nullable;
@@ -18,6 +21,11 @@
 
 	private final MetricRegistry registry;
 
+	// Less urgent ranks are counted together.
+	private static final int MAX_RANK = 9;
+
+	private final Map<String, AtomicLong> quotaShares = new ConcurrentHashMap<>();
+
 	private final SeriesNames customers = new SeriesNames(MAX_CUSTOMER_SERIES);
 
 	/**
@@ -54,6 +62,24 @@
 		countForCustomer("refused." + reason.code(), customer);
 	}
 
+	void overQuota(String customer, int rank) {
+		countForCustomer("over-quota.rank-" + Math.min(MAX_RANK, rank), customer);
+	}
+
+	// This VM's share of the customer's quota, in units per second.
+	void quotaShare(String customer, double unitsPerSecond) {
+		String series = this.customers.seriesOf(customer);
+		if (unitsPerSecond > 0 && !series.equals(SeriesNames.OTHERS)) {
+			this.quotaShares.computeIfAbsent(series, this::quotaShareGauge).set((long) unitsPerSecond);
+		}
+	}
+
+	private AtomicLong quotaShareGauge(String series) {
+		AtomicLong value = new AtomicLong();
+		this.registry.gauge("customer.quota-share." + series, () -> value::get);
+		return value;
+	}
+
 	private void countForCustomer(String name, @Nullable String customer) {
 		if (customer != null) {
 			this.registry.counter("customer." + name + "." + this.customers.seriesOf(customer)).inc();
--- a/src/main/java/io/shallotspur/gateway/RelayTask.java
+++ b/src/main/java/io/shallotspur/gateway/RelayTask.java
@@ -431,8 +431,9 @@
 	}
 
 	private void refuse(RelayRefusal r, long now) {
+		boolean hasNotRun = r.status() == RelayRefusal.NOT_RUN || this.placing.hasSentNothing();
 		cancelAttempt();
-		refundQuota(r);
+		refundQuota(hasNotRun);
 		this.gateway.metrics.refused(r.reason(), this.admitted.customerName());
 		log("refused status=" + r.status() + " reason=" + r.reason().code() + " retry-after-ms=" + r.retryAfterMs(),
 				now);
@@ -440,11 +441,10 @@
 		this.response.refuse(r);
 	}
 
-	// A request that has not run is refunded: the caller is told to retry and would pay
-	// twice.
-	private void refundQuota(RelayRefusal r) {
+	// A request that has not run is refunded: the caller may retry and would pay twice.
+	private void refundQuota(boolean hasNotRun) {
 		Customer c = this.admitted.customer();
-		if (c != null && r.status() == RelayRefusal.NOT_RUN) {
+		if (c != null && hasNotRun) {
 			this.gateway.quotas.refund(c, this.admitted.quotaCost());
 		}
 	}
@@ -464,6 +464,7 @@
 		this.gateway.metrics.callerDisconnected();
 		String request = (this.attempt != null) ? this.log.fingerprintField() : "";
 		log("caller-gone" + request, this.gateway.clock.getAsLong());
+		refundQuota(this.placing.hasSentNothing());
 		cancelAttempt();
 		finish();
 	}
--- a/src/main/java/io/shallotspur/gateway/RequestAdmission.java
+++ b/src/main/java/io/shallotspur/gateway/RequestAdmission.java
@@ -4,6 +4,7 @@
 
 import org.jspecify.annotations.Nullable;
 
+import io.shallotspur.quota.QuotaDecision;
 import io.shallotspur.route.Customer;
 import io.shallotspur.route.Route;
 import io.shallotspur.route.RouteKind;
@@ -147,19 +148,23 @@
 	}
 
 	private void chargeQuota(RouteTable t, Route r, @Nullable Customer c, @Nullable StreamOrigin origin, long now) {
-		double cost = (c != null) ? quotaCost(c) : 0;
-		long refillMs = (c != null)
-				? this.gateway.quotas.charge(c, cost, QuotaShare.of(this.gateway.entryVms, now), now) : 0;
-		if (refillMs > 0) {
-			long retryAfterMs = RetryAfter.refillDelayMs(refillMs, this.request.callerTimeoutMs(),
-					this.gateway.random.next());
-			refuse(new RelayRefusal(RelayRefusal.TOO_MANY_REQUESTS, RefusalReason.OVER_QUOTA, retryAfterMs), c, now);
+		if (c == null) {
+			relay(new AdmittedRequest(this.request, t, r, null, 0, origin), now);
 			return;
 		}
-		if (c != null) {
+		double cost = quotaCost(c);
+		QuotaDecision d = this.gateway.quotas.charge(c, c.priorityOn(r), cost, this.gateway.quotaShare(now), now);
+		this.gateway.metrics.quotaShare(c.name(), d.unitsPerSecond());
+		if (d.isAdmitted()) {
 			this.gateway.refreshConfigIfStale();
+			relay(new AdmittedRequest(this.request, t, r, c, cost, origin), now);
+			return;
 		}
-		relay(new AdmittedRequest(this.request, t, r, c, cost, origin), now);
+		this.gateway.metrics.overQuota(c.name(), d.rank());
+		long retryAfterMs = RetryAfter.refillDelayMs(d.refillMs(), this.request.callerTimeoutMs(),
+				this.gateway.random.next());
+		refuse(new RelayRefusal(RelayRefusal.TOO_MANY_REQUESTS, RefusalReason.OVER_QUOTA, retryAfterMs), c,
+				" cost=" + cost + " " + d, now);
 	}
 
 	private double quotaCost(Customer c) {
@@ -180,6 +185,10 @@
 	}
 
 	private void refuse(RelayRefusal refusal, @Nullable Customer c, long now) {
+		refuse(refusal, c, "", now);
+	}
+
+	private void refuse(RelayRefusal refusal, @Nullable Customer c, String details, long now) {
 		this.done = true;
 		this.gateway.requestFinished();
 		String customer = (c != null) ? c.name() : null;
@@ -188,7 +197,7 @@
 		this.gateway.log.write(now,
 				() -> "id=" + this.request.id() + " customer=" + customer + " refused status=" + refusal.status()
 						+ " reason=" + refusal.reason().code() + " retry-after-ms=" + refusal.retryAfterMs()
-						+ " config=" + version);
+						+ " config=" + version + details);
 		this.response.refuse(refusal);
 	}
 
--- a/src/main/java/io/shallotspur/gateway/RequestPlacement.java
+++ b/src/main/java/io/shallotspur/gateway/RequestPlacement.java
@@ -200,6 +200,11 @@
 		this.candidates.requireVersion(version);
 	}
 
+	// Whether nothing was sent to a worker on behalf of the request, not even its prompt.
+	boolean hasSentNothing() {
+		return this.triedWorkers.isEmpty() && (this.prefill == null || !this.prefill.isAttempted());
+	}
+
 	boolean hasCandidates(long now) {
 		return !candidates(now).isEmpty();
 	}
--- a/src/main/java/io/shallotspur/gateway/WorkerRateLimiter.java
+++ b/src/main/java/io/shallotspur/gateway/WorkerRateLimiter.java
@@ -1,5 +1,7 @@
 package io.shallotspur.gateway;
 
+import io.shallotspur.quota.TokenBucket;
+
 /**
  * Enforces this VM's share of the rate limit that one worker reports. Not thread-safe;
  * the present time is an argument.
--- a/src/main/java/io/shallotspur/platform/PlatformSettings.java
+++ b/src/main/java/io/shallotspur/platform/PlatformSettings.java
@@ -6,7 +6,7 @@
 import io.shallotspur.exc.InputException;
 import io.shallotspur.exc.SettingsException;
 import io.shallotspur.gateway.GatewaySettings;
-import io.shallotspur.gateway.QuotaTolerance;
+import io.shallotspur.quota.QuotaTolerance;
 import io.shallotspur.registry.ChangeDeadlines;
 import io.shallotspur.util.toml.Problems;
 import io.shallotspur.util.toml.TomlTable;
--- a/src/main/java/io/shallotspur/gateway/QuotaShare.java
+++ b/src/main/java/io/shallotspur/quota/QuotaShare.java
@@ -1,4 +1,4 @@
-package io.shallotspur.gateway;
+package io.shallotspur.quota;
 
 /**
  * Computes the share of each customer's quota that this VM may spend. Stateless.
@@ -9,14 +9,19 @@
  * VM. The shares thus add up to more than the whole quota for the seconds in which
  * callers move.
  */
-final class QuotaShare {
+public final class QuotaShare {
 
 	private QuotaShare() {
 	}
 
-	static double of(EntryVmDirectory vms, long now) {
-		int serving = vms.servingCountAllRegions(now);
-		return 1.0 / (vms.isStandby(now) ? serving + 1 : serving);
+	/**
+	 * Returns this VM's share.
+	 * @param servingCount the number of VMs that callers are directed to; at least 1
+	 * @param standby whether callers are directed to other VMs
+	 * @return the share, over 0 and at most 1
+	 */
+	public static double of(int servingCount, boolean standby) {
+		return 1.0 / (standby ? servingCount + 1 : servingCount);
 	}
 
 }
--- a/src/main/java/io/shallotspur/gateway/QuotaTolerance.java
+++ b/src/main/java/io/shallotspur/quota/QuotaTolerance.java
@@ -1,4 +1,4 @@
-package io.shallotspur.gateway;
+package io.shallotspur.quota;
 
 /**
  * By how much the quotas of customers may be exceeded over all VMs together. Immutable.
--- a/src/main/java/io/shallotspur/gateway/TokenBucket.java
+++ b/src/main/java/io/shallotspur/quota/TokenBucket.java
@@ -1,4 +1,4 @@
-package io.shallotspur.gateway;
+package io.shallotspur.quota;
 
 /**
  * Token bucket for this VM's share of a rate that applies to all VMs together. Not
@@ -6,7 +6,7 @@
  * <p>
  * Invariant: the level may be negative and never exceeds the capacity.
  */
-final class TokenBucket {
+public final class TokenBucket {
 
 	private double perMs;
 
@@ -21,7 +21,7 @@
 	 * @param level the initial level
 	 * @param updatedAt the time of that level, in milliseconds
 	 */
-	TokenBucket(double level, long updatedAt) {
+	public TokenBucket(double level, long updatedAt) {
 		this.level = level;
 		this.updatedAt = updatedAt;
 	}
@@ -34,26 +34,42 @@
 	 * @param newCapacity the capacity
 	 * @param now the present time in milliseconds
 	 */
-	void refill(double newPerMs, double newCapacity, long now) {
+	public void refill(double newPerMs, double newCapacity, long now) {
 		this.level = Math.min(newCapacity, this.level + this.perMs * (now - this.updatedAt));
 		this.perMs = newPerMs;
 		this.capacity = newCapacity;
 		this.updatedAt = now;
 	}
 
-	double level() {
+	/**
+	 * Returns the level.
+	 * @return the tokens at the last refill, less what was consumed since
+	 */
+	public double level() {
 		return this.level;
 	}
 
-	double perMs() {
+	/**
+	 * Returns the rate.
+	 * @return tokens added per millisecond
+	 */
+	public double perMs() {
 		return this.perMs;
 	}
 
-	double capacity() {
+	/**
+	 * Returns the capacity.
+	 * @return the maximum level
+	 */
+	public double capacity() {
 		return this.capacity;
 	}
 
-	void consume(double amount) {
+	/**
+	 * Takes tokens; the level may become negative.
+	 * @param amount the number of tokens
+	 */
+	public void consume(double amount) {
 		this.level -= amount;
 	}
 
