Configuration: a rank, weight or quota that cannot be read is refused

Cause: ConfigDecoder took a negative or infinite rate, a text or an object for no limit, a rank that is no integer for that of the route, and any unit that is no text for requests, without a line in the log.

Change: ConfigFields reads rank (customer and route), weight, rate, burst, plain_tokens and unit; a field that is missing or null has its default as before, one that cannot be read makes the configuration invalid. The message names the customer or route and the field; the version in force stays, as an unreadable entry of the store changes nothing. A whole number written as 1.0 is a rank now; it was ignored.

--- a/src/main/java/io/shallotspur/platform/ConfigDecoder.java
+++ b/src/main/java/io/shallotspur/platform/ConfigDecoder.java
@@ -58,15 +58,16 @@
 
 	private static Route route(JsonNode r) throws InputException {
 		String name = r.path("name").asText();
-		List<RouteTarget> targets = targets(r);
+		String path = PlatformNames.CONFIG_KEY + " routes " + name;
+		List<RouteTarget> targets = targets(r, path);
 		String prefix = r.path("prefix").asText();
 		if (targets.isEmpty() || !prefix.startsWith("/")) {
-			throw new InputException("A route has no service or its prefix does not start with a slash.",
-					PlatformNames.CONFIG_KEY + " routes " + name);
+			throw new InputException("A route has no service or its prefix does not start with a slash.", path);
 		}
+		Integer priority = new ConfigFields(r, path).count("priority");
 		return new Route(name, r.path("host").asText().toLowerCase(Locale.ROOT), prefix, kind(r, name), targets,
 				r.path("timeout_ms").asLong(DEFAULT_TIMEOUT_MS), r.path("target_latency_ms").asLong(0),
-				r.path("target_gap_ms").asLong(0), r.path("priority").asInt(0),
+				r.path("target_gap_ms").asLong(0), (priority != null) ? priority : 0,
 				Math.max(1, r.path("max_attempts").asInt(1)), r.path("allow_resume").asBoolean(false),
 				r.path("session_affinity").asBoolean(false), r.path("allow_anonymous").asBoolean(false));
 	}
@@ -83,10 +84,10 @@
 		};
 	}
 
-	private static List<RouteTarget> targets(JsonNode r) {
+	private static List<RouteTarget> targets(JsonNode r, String path) throws InputException {
 		List<RouteTarget> l = new ArrayList<>();
 		for (JsonNode t : r.path("traffic_split")) {
-			l.add(new RouteTarget(t.path("service").asText(), Math.max(0, t.path("weight").asDouble())));
+			l.add(new RouteTarget(t.path("service").asText(), new ConfigFields(t, path).amount("weight")));
 		}
 		if (l.isEmpty() && r.hasNonNull("service")) {
 			l.add(new RouteTarget(r.path("service").asText(), 1));
@@ -109,19 +110,19 @@
 				e.path("stride").asInt(0));
 	}
 
-	private static Customer customer(JsonNode t) {
+	private static Customer customer(JsonNode t) throws InputException {
 		Set<String> hashes = new HashSet<>();
 		for (JsonNode k : t.path("api_keys")) {
 			hashes.add(BearerKey.hash(k.asText()));
 		}
-		Integer priority = t.path("priority").isInt() ? t.path("priority").asInt() : null;
-		return new Customer(t.path("name").asText(), hashes, priority, quota(t));
+		String name = t.path("name").asText();
+		ConfigFields f = new ConfigFields(t, PlatformNames.CONFIG_KEY + " tenants " + name);
+		return new Customer(name, hashes, f.count("priority"), quota(f));
 	}
 
-	private static Quota quota(JsonNode t) {
-		QuotaUnit unit = t.path("unit").asText().equals("tokens") ? QuotaUnit.TOKENS : QuotaUnit.REQUESTS;
-		return new Quota(unit, Math.max(0, t.path("rate_per_s").asDouble()),
-				Math.max(0, t.path("burst_size").asDouble()), t.path("plain_tokens").asInt(0));
+	private static Quota quota(ConfigFields f) throws InputException {
+		QuotaUnit unit = f.text("unit").equals("tokens") ? QuotaUnit.TOKENS : QuotaUnit.REQUESTS;
+		return new Quota(unit, f.amount("rate_per_s"), f.amount("burst_size"), (int) f.amount("plain_tokens"));
 	}
 
 	private static IngressLimits limits(JsonNode l) {
