--- a/src/main/java/io/shallotspur/gateway/Gateway.java
+++ b/src/main/java/io/shallotspur/gateway/Gateway.java
@@ -8,6 +8,7 @@
 import org.jspecify.annotations.Nullable;
 import org.tinylog.Logger;
 
+import io.shallotspur.quota.QuotaChanges;
 import io.shallotspur.quota.QuotaLimiter;
 import io.shallotspur.quota.QuotaShare;
 import io.shallotspur.route.Route;
@@ -123,6 +124,10 @@
 		if (this.routeTable != null && next.version() <= this.routeTable.version()) {
 			return false;
 		}
+		if (this.routeTable != null) {
+			QuotaChanges.between(this.routeTable.customers(), next.customers())
+				.forEach((line) -> Logger.info("[quota] {}", line));
+		}
 		this.routeTable = next;
 		Logger.info("[config] applied version={}", next.version());
 		return true;
@@ -191,8 +196,8 @@
 		return this.retrySlack.update(RetrySlackShare.of(this.entryVms, now), now, elapsedMs());
 	}
 
-	// The share of each customer's quota that this VM may spend, from 0 to 1.
-	double quotaShare(long now) {
+	// The share of each customer's quota that this VM may spend.
+	QuotaShare quotaShare(long now) {
 		return QuotaShare.of(this.entryVms.servingCountAllRegions(now), this.entryVms.isStandby(now));
 	}
 
@@ -310,6 +315,7 @@
 	public void startSampling() {
 		long now = this.clock.getAsLong();
 		retrySlackShare(now);
+		this.quotas.update(quotaShare(now), now);
 		this.paths.update(now);
 		this.cancelSampling = this.timer.schedule(SAMPLE_MS, this::startSampling);
 	}
--- a/src/main/java/io/shallotspur/quota/QuotaLimiter.java
+++ b/src/main/java/io/shallotspur/quota/QuotaLimiter.java
@@ -3,8 +3,6 @@
 import java.util.HashMap;
 import java.util.Map;
 
-import org.tinylog.Logger;
-
 import io.shallotspur.route.Customer;
 import io.shallotspur.route.Quota;
 
@@ -27,10 +25,10 @@
  * <p>
  * Invariants: a request is admitted while the bucket holds more than its reserve, and may
  * leave the balance negative, so that a share smaller than one request still admits
- * requests periodically; a VM that has just started does not know what was spent before
- * and starts without the burst. In any window all VMs together thus admit no more than
- * the rate, one burst, half of the tolerance, one request per VM, and half a second's
- * rate per start.
+ * requests periodically; a VM that has just started or become a serving one does not know
+ * what was spent before and begins without the burst. In any window all VMs together thus
+ * admit no more than the rate, one burst, half of the tolerance, one request per VM, and
+ * half a second of a VM's rate each time that one starts or becomes a serving one.
  */
 public final class QuotaLimiter {
 
@@ -40,8 +38,8 @@
 	// the seconds in which VMs disagree about the serving set.
 	private static final double TOLERANCE_SHARE = 0.5;
 
-	// What a VM that has just started may spend at once, in seconds of its share: about
-	// what callers send while it starts.
+	// What a VM that has just started or become a serving one may spend at once, in
+	// seconds of its share: about what callers send while it starts.
 	private static final double INITIAL_S = 0.5;
 
 	// More urgent ranks may ask for all of the refill. A refused request is then told to
@@ -54,7 +52,8 @@
 
 	private final QuotaTolerance tolerance;
 
-	private final long startedAt;
+	// Since when this VM receives its share of the callers, as far as it knows.
+	private long servingSince;
 
 	private final Map<String, Account> byCustomer = new HashMap<>();
 
@@ -65,7 +64,19 @@
 	 */
 	public QuotaLimiter(QuotaTolerance tolerance, long startedAt) {
 		this.tolerance = tolerance;
-		this.startedAt = startedAt;
+		this.servingSince = startedAt;
+	}
+
+	/**
+	 * Records whether this VM serves callers. To be called at least a few times a second:
+	 * a bucket that filled while other VMs spent the burst would add a second one.
+	 * @param share this VM's share of quotas
+	 * @param now the present time in milliseconds
+	 */
+	public void update(QuotaShare share, long now) {
+		if (share.standby()) {
+			this.servingSince = now;
+		}
 	}
 
 	/**
@@ -73,21 +84,22 @@
 	 * @param customer the customer
 	 * @param rank the rank of the request; 0 is the most urgent
 	 * @param cost units
-	 * @param share this VM's share of the quota, over 0 and at most 1
+	 * @param share this VM's share of quotas
 	 * @param now the present time in milliseconds
 	 * @return the decision; the cost was charged if the request is admitted
 	 */
-	public QuotaDecision charge(Customer customer, int rank, double cost, double share, long now) {
+	public QuotaDecision charge(Customer customer, int rank, double cost, QuotaShare share, long now) {
 		if (!customer.quota().isLimited()) {
 			return QuotaDecision.UNLIMITED;
 		}
+		update(share, now);
 		Account account = account(customer, share, now);
 		TokenBucket bucket = account.bucket;
 		account.demand.record(rank, cost, now);
-		RankDemand.Demand above = account.demand.above(rank, now);
+		double perSecond = bucket.perMs() * MS_PER_S;
+		RankDemand.Demand above = account.demand.above(rank, perSecond, now);
 		double level = bucket.level();
 		double reserve = QuotaReserve.of(cost, above, bucket.capacity());
-		double perSecond = bucket.perMs() * MS_PER_S;
 		if (level > reserve) {
 			bucket.consume(cost);
 			return new QuotaDecision(0, rank, level, reserve, perSecond);
@@ -109,47 +121,40 @@
 		}
 	}
 
-	private Account account(Customer customer, double share, long now) {
+	private Account account(Customer customer, QuotaShare share, long now) {
 		Quota quota = customer.quota();
-		double perMs = quota.unitsPerSecond() * share / MS_PER_S;
-		double toleratedUnits = this.tolerance.slack() + this.tolerance.overshoot()
-				* (quota.unitsPerSecond() * this.tolerance.windowMs() / MS_PER_S + quota.burst());
-		double capacity = share * (quota.burst() + TOLERANCE_SHARE * toleratedUnits);
+		double perMs = quota.unitsPerSecond() * share.fraction() / MS_PER_S;
+		double full = share.fraction() * (quota.burst() + TOLERANCE_SHARE * toleratedUnits(quota));
+		double initial = Math.min(full, INITIAL_S * MS_PER_S * perMs);
 		Account account = this.byCustomer.get(customer.name());
 		if (account == null) {
 			if (this.byCustomer.size() >= MAX_CUSTOMERS) {
 				this.byCustomer.values().removeIf((x) -> x.bucket.isFull(now));
 			}
-			double initial = perMs * (INITIAL_S * MS_PER_S + now - this.startedAt);
-			account = new Account(new TokenBucket(initial, now), quota);
+			account = new Account(new TokenBucket(initial, this.servingSince));
 			this.byCustomer.put(customer.name(), account);
 		}
-		account.update(customer, share);
-		account.bucket.refill(perMs, capacity, now);
+		// What accrued before this VM served callers is not kept.
+		if (account.bucket.updatedAt() <= this.servingSince) {
+			account.bucket.refill(perMs, initial, this.servingSince);
+		}
+		account.bucket.refill(perMs, share.standby() ? initial : full, now);
 		return account;
 	}
 
+	private double toleratedUnits(Quota quota) {
+		return this.tolerance.slack() + this.tolerance.overshoot()
+				* (quota.unitsPerSecond() * this.tolerance.windowMs() / MS_PER_S + quota.burst());
+	}
+
 	private static final class Account {
 
 		private final TokenBucket bucket;
 
 		private final RankDemand demand = new RankDemand();
 
-		private Quota quota;
-
-		Account(TokenBucket bucket, Quota quota) {
+		Account(TokenBucket bucket) {
 			this.bucket = bucket;
-			this.quota = quota;
-		}
-
-		void update(Customer customer, double share) {
-			Quota next = customer.quota();
-			if (!next.equals(this.quota)) {
-				Logger.info("[quota] changed customer={} per-s={} burst={} was-per-s={} was-burst={} share={}",
-						customer.name(), next.unitsPerSecond(), next.burst(), this.quota.unitsPerSecond(),
-						this.quota.burst(), share);
-				this.quota = next;
-			}
 		}
 
 	}
--- a/src/main/java/io/shallotspur/quota/QuotaReserve.java
+++ b/src/main/java/io/shallotspur/quota/QuotaReserve.java
@@ -3,12 +3,13 @@
 /**
  * Computes how much of a bucket a request must leave to others. Stateless.
  * <p>
- * Load: a customer that is beyond its quota with requests of several ranks. Each request
- * is admitted while the bucket holds more than a reserve. Within a rank the reserve grows
- * with the cost, since otherwise long prompts that exhaust the quota would also refuse
- * the plain requests, which cost a thirtieth. Over ranks it has to be the reverse: small
- * requests arrive more often and would take each refill before a large urgent request
- * could.
+ * Load: a customer that asks for more than its quota with requests of several ranks. Each
+ * request is admitted while the bucket holds more than a reserve. Within a rank the
+ * reserve grows with the cost, since otherwise long prompts that exhaust the quota would
+ * also refuse the plain requests, which cost a thirtieth. Over ranks it has to be the
+ * reverse: small requests arrive more often and would take each refill before a large
+ * urgent request could. While all ranks together ask for less than the rate, there is
+ * enough for all, and ranks have no effect.
  * <p>
  * Invariants: a request never has a larger reserve than one of a less urgent rank,
  * whatever the two cost; the most urgent rank leaves only the reserve by cost; the
@@ -24,9 +25,9 @@
 	// Upper bound of the reserve by cost, as a share of the capacity.
 	private static final double MAX_COST_SHARE = 0.1;
 
-	// A less urgent request leaves what the more urgent ranks ask for in this time, ms.
-	// Their requests arrive unevenly over about this time; beyond it the refill serves
-	// them.
+	// A less urgent request leaves what the more urgent ranks ask for in this time, ms,
+	// and their largest request. Their requests arrive unevenly over about this time;
+	// beyond it the refill serves them.
 	private static final double DEMAND_MS = 2_000;
 
 	// Upper bound of that reserve, as a share of the capacity. A bucket that stays half
@@ -49,7 +50,8 @@
 		// it ends. All of them together stay below twice the first one.
 		double rankBound = costBound * Math.pow(0.5, above.ranks());
 		double rankBase = 2 * (costBound - rankBound);
-		double demand = Math.min(MAX_DEMAND_SHARE * capacity, above.perSecond() * DEMAND_MS / MS_PER_S);
+		double demand = Math.min(MAX_DEMAND_SHARE * capacity,
+				above.maxCost() + above.perSecond() * DEMAND_MS / MS_PER_S);
 		return rankBase + demand + Math.min(rankBound, COSTS * cost);
 	}
 
--- a/src/main/java/io/shallotspur/quota/QuotaShare.java
+++ b/src/main/java/io/shallotspur/quota/QuotaShare.java
@@ -1,27 +1,27 @@
 package io.shallotspur.quota;
 
 /**
- * Computes the share of each customer's quota that this VM may spend. Stateless.
+ * The share of each customer's quota that this VM may spend. Immutable.
  * <p>
  * The serving VMs have equal shares, since callers choose among them at random. A standby
  * VM still receives callers with an outdated list of VMs, and VMs may briefly disagree
  * about which ones serve; it has the share that it would have as an additional serving
  * VM. The shares thus add up to more than the whole quota for the seconds in which
  * callers move.
+ *
+ * @param fraction the share of the rate, over 0 and at most 1
+ * @param standby whether callers are directed to other VMs, which have the burst
  */
-public final class QuotaShare {
-
-	private QuotaShare() {
-	}
+public record QuotaShare(double fraction, boolean standby) {
 
 	/**
 	 * Returns this VM's share.
 	 * @param servingCount the number of VMs that callers are directed to; at least 1
 	 * @param standby whether callers are directed to other VMs
-	 * @return the share, over 0 and at most 1
+	 * @return the share
 	 */
-	public static double of(int servingCount, boolean standby) {
-		return 1.0 / (standby ? servingCount + 1 : servingCount);
+	public static QuotaShare of(int servingCount, boolean standby) {
+		return new QuotaShare(1.0 / (standby ? servingCount + 1 : servingCount), standby);
 	}
 
 }
--- a/src/main/java/io/shallotspur/quota/RankDemand.java
+++ b/src/main/java/io/shallotspur/quota/RankDemand.java
@@ -1,7 +1,6 @@
 package io.shallotspur.quota;
 
-import java.util.Iterator;
-import java.util.Map;
+import java.util.Collection;
 import java.util.TreeMap;
 
 import io.shallotspur.admission.DecayingRate;
@@ -34,30 +33,30 @@
 	}
 
 	/**
-	 * Returns the demand of the ranks that are more urgent than a given one.
+	 * Returns the demand of the ranks that are more urgent than a given one, if there is
+	 * not enough for all ranks.
 	 * @param rank the rank
+	 * @param perSecond what there is, in units per second
 	 * @param now the present time in milliseconds
-	 * @return the demand
+	 * @return the demand; {@link Demand#NONE} while all ranks together ask for less
 	 */
-	Demand above(int rank, long now) {
+	Demand above(int rank, double perSecond, long now) {
 		if (this.byRank.isEmpty() || this.byRank.firstKey() >= rank) {
 			return Demand.NONE;
 		}
-		int ranks = 0;
+		this.byRank.values().removeIf((e) -> e.rate.valueAt(now) < NEGLIGIBLE * e.maxCost);
+		double total = this.byRank.values().stream().mapToDouble((e) -> e.rate.valueAt(now)).sum();
+		return (total > perSecond) ? sum(this.byRank.headMap(rank).values(), now) : Demand.NONE;
+	}
+
+	private static Demand sum(Collection<Entry> entries, long now) {
 		double perSecond = 0;
-		Iterator<Map.Entry<Integer, Entry>> entries = this.byRank.headMap(rank).entrySet().iterator();
-		while (entries.hasNext()) {
-			Entry e = entries.next().getValue();
-			double rate = e.rate.valueAt(now);
-			if (rate < NEGLIGIBLE * e.maxCost) {
-				entries.remove();
-			}
-			else {
-				ranks++;
-				perSecond += rate;
-			}
+		double maxCost = 0;
+		for (Entry e : entries) {
+			perSecond += e.rate.valueAt(now);
+			maxCost = Math.max(maxCost, e.maxCost);
 		}
-		return new Demand(ranks, perSecond);
+		return new Demand(entries.size(), perSecond, maxCost);
 	}
 
 	/**
@@ -65,10 +64,11 @@
 	 *
 	 * @param ranks the number of ranks that have any
 	 * @param perSecond units per second
+	 * @param maxCost the largest request, in units
 	 */
-	record Demand(int ranks, double perSecond) {
+	record Demand(int ranks, double perSecond, double maxCost) {
 
-		static final Demand NONE = new Demand(0, 0);
+		static final Demand NONE = new Demand(0, 0, 0);
 
 	}
 
--- a/src/main/java/io/shallotspur/quota/TokenBucket.java
+++ b/src/main/java/io/shallotspur/quota/TokenBucket.java
@@ -49,6 +49,10 @@
 		return this.level;
 	}
 
+	long updatedAt() {
+		return this.updatedAt;
+	}
+
 	/**
 	 * Returns the rate.
 	 * @return tokens added per millisecond
--- a/src/main/java/io/shallotspur/route/RouteTable.java
+++ b/src/main/java/io/shallotspur/route/RouteTable.java
@@ -8,6 +8,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 /**
  * A versioned snapshot of the routing configuration. Immutable and thread-safe.
@@ -100,6 +101,14 @@
 		return this.requiresKeys;
 	}
 
+	/**
+	 * Returns the customers.
+	 * @return those that have a key
+	 */
+	public Collection<Customer> customers() {
+		return Set.copyOf(this.customersByKeyHash.values());
+	}
+
 	/**
 	 * Returns the customer to which a key belongs.
 	 * @param keyHash the hash of the key
--- a/src/test/java/io/shallotspur/quota/QuotaLimiterTests.java
+++ b/src/test/java/io/shallotspur/quota/QuotaLimiterTests.java
@@ -25,6 +25,8 @@
 
 	private static final int RANK = 1;
 
+	private static final QuotaShare ALONE = QuotaShare.of(1, false);
+
 	private static Customer customer(double perSecond, double burst) {
 		return new Customer("acme", Set.of(), null, new Quota(QuotaUnit.TOKENS, perSecond, burst, 200));
 	}
@@ -36,7 +38,7 @@
 		QuotaLimiter limiter = new QuotaLimiter(TOLERANCE, 1_000);
 		Customer c = customer(10_000, 50_000);
 		double spent = 0;
-		while (limiter.charge(c, RANK, 200, 1, 1_000).isAdmitted()) {
+		while (limiter.charge(c, RANK, 200, ALONE, 1_000).isAdmitted()) {
 			spent += 200;
 		}
 		Assertions.assertThat(spent).isLessThanOrEqualTo(5_000);
@@ -50,8 +52,8 @@
 		QuotaLimiter limiter = new QuotaLimiter(TOLERANCE, -100_000);
 		Customer c = customer(100_000, 100_000);
 		for (long now = 0; now < 20_000; now += 10) {
-			limiter.charge(c, RANK, 6_200, 1, now);
-			Assertions.assertThat(limiter.charge(c, RANK, 200, 1, now).isAdmitted()).isTrue();
+			limiter.charge(c, RANK, 6_200, ALONE, now);
+			Assertions.assertThat(limiter.charge(c, RANK, 200, ALONE, now).isAdmitted()).isTrue();
 		}
 	}
 
@@ -62,7 +64,7 @@
 		QuotaLimiter limiter = new QuotaLimiter(new QuotaTolerance(WINDOW_MS, 0.1, 190_000), -100_000);
 		Customer c = customer(47_000, 47_000);
 		for (long now = 0; now < 4_000; now += 250) {
-			Assertions.assertThat(limiter.charge(c, RANK, 5_900, 1.0 / 3, now).isAdmitted()).isTrue();
+			Assertions.assertThat(limiter.charge(c, RANK, 5_900, QuotaShare.of(3, false), now).isAdmitted()).isTrue();
 		}
 	}
 
@@ -70,10 +72,10 @@
 	void reportsTheTimeUntilQuotaIsAvailable() {
 		QuotaLimiter limiter = new QuotaLimiter(TOLERANCE, -100_000);
 		Customer c = customer(1_000, 1_000);
-		limiter.charge(c, RANK, 20_000, 1, 3_000);
-		long wait = limiter.charge(c, RANK, 200, 1, 5_000).refillMs();
+		limiter.charge(c, RANK, 20_000, ALONE, 3_000);
+		long wait = limiter.charge(c, RANK, 200, ALONE, 5_000).refillMs();
 		Assertions.assertThat(wait).isBetween(7_000L, 7_500L);
-		Assertions.assertThat(limiter.charge(c, RANK, 200, 1, 5_000 + wait).isAdmitted()).isTrue();
+		Assertions.assertThat(limiter.charge(c, RANK, 200, ALONE, 5_000 + wait).isAdmitted()).isTrue();
 	}
 
 	// Guards against several VMs with equal shares that together exceed the quota, with
@@ -101,7 +103,7 @@
 					starts.add(now);
 				}
 				double cost = 200 + r.nextInt(MAX_COST - 200);
-				if (limiters.get(vm).charge(c, r.nextInt(ranks), cost, 1.0 / vms, now).isAdmitted()) {
+				if (limiters.get(vm).charge(c, r.nextInt(ranks), cost, QuotaShare.of(vms, false), now).isAdmitted()) {
 					charges.add(new Charge(now, cost));
 				}
 			}
