Time limits count from when a request can have arrived, not from when a busy VM reads it

Cause: the deadline of a request was counted from the moment at which the event loop read its head. On a VM that is behind, a request waits in its socket, or its connection in the accept queue, for the whole round of the loop; its deadline, latest start and the time handed to the worker were too late by as much, and a request could be sent to a worker after its time with one millisecond left.

Change: the loop records when it polls its sockets (TimedIoHandler, ArrivalClock); the arrival of a request is dated back to the earliest poll after which its bytes can have come, on new connections to when the connection can have come. All waiting connections are accepted at once. A request is not sent with under 10 ms left: one that has not run is refused as such. The timer relay.unread shows the wait.

The whole build was not run.

--- a/src/main/java/io/shallotspur/gateway/Gateway.java
+++ b/src/main/java/io/shallotspur/gateway/Gateway.java
@@ -244,14 +244,16 @@
 	 * Handles a request.
 	 * @param request the request
 	 * @param response the response to the caller
-	 * @param arrivedAt when the head of the request arrived, on the gateway's clock in
-	 * milliseconds
+	 * @param arrivedAt when the head of the request can have arrived at the earliest, on
+	 * the gateway's clock in milliseconds
 	 * @return to be run when the caller disconnects
 	 */
 	public Runnable handle(RelayRequest request, CallerResponse response, long arrivedAt) {
 		this.inProgress++;
+		long now = this.clock.getAsLong();
+		this.metrics.requestRead(now - arrivedAt);
 		RequestAdmission admission = new RequestAdmission(this, request, response, arrivedAt);
-		admission.start(this.clock.getAsLong());
+		admission.start(now);
 		return admission::callerDisconnected;
 	}
 
--- a/src/main/java/io/shallotspur/gateway/RelayMetrics.java
+++ b/src/main/java/io/shallotspur/gateway/RelayMetrics.java
@@ -33,6 +33,11 @@
 		countForCustomer("requests", customer);
 	}
 
+	// How long a request may have waited until it was read and its body was complete.
+	void requestRead(long ms) {
+		this.registry.timer("relay.unread").update(ms, TimeUnit.MILLISECONDS);
+	}
+
 	void resumedByCaller() {
 		this.registry.counter("stream.resumed-by-caller").inc();
 	}
--- a/src/main/java/io/shallotspur/gateway/RelayTask.java
+++ b/src/main/java/io/shallotspur/gateway/RelayTask.java
@@ -22,10 +22,6 @@
 	// ms: a response crosses a hall in a few ms.
 	private static final long WORKER_TIMEOUT_SLACK_MS = 60;
 
-	// With less time left no worker can respond, ms: the fastest response takes two
-	// network crossings and a few ms of work.
-	private static final long MIN_ATTEMPT_MS = 10;
-
 	private final Gateway gateway;
 
 	private final AdmittedRequest admitted;
@@ -365,7 +361,7 @@
 		if (this.responseStarted && !this.route.resumable()) {
 			return false;
 		}
-		if (this.deadline - now < MIN_ATTEMPT_MS || !this.placing.hasCandidates(now)) {
+		if (this.deadline - now < RequestPlacement.MIN_ATTEMPT_MS || !this.placing.hasCandidates(now)) {
 			return false;
 		}
 		// A request that never left this VM put no load on a worker and does not use the
--- a/src/main/java/io/shallotspur/gateway/RequestPlacement.java
+++ b/src/main/java/io/shallotspur/gateway/RequestPlacement.java
@@ -28,6 +28,12 @@
 	// A call that is sent this long before its reservation expires arrives in time, ms.
 	private static final long RESERVATION_MARGIN_MS = 50;
 
+	/**
+	 * With less time left no worker can respond, ms: the fastest response takes two
+	 * network crossings and a few ms of work.
+	 */
+	static final long MIN_ATTEMPT_MS = 10;
+
 	private static final int MAX_PRIORITY = 9;
 
 	private final Gateway gateway;
@@ -91,7 +97,7 @@
 
 	void start(long now) {
 		this.timing.waitStarted(now);
-		if (refuseIfQuarantined(now)) {
+		if (refuseIfTooLate(now) || refuseIfQuarantined(now)) {
 			return;
 		}
 		EngineSpec engineSpec = this.engine;
@@ -346,9 +352,20 @@
 		return true;
 	}
 
+	// On a busy VM, a request may be read, or what it waited for may come, after its
+	// time, and before the timer that ends it has run.
+	private boolean refuseIfTooLate(long now) {
+		if (this.deadline - now >= MIN_ATTEMPT_MS) {
+			return false;
+		}
+		cancel();
+		this.callback.onRefused(RefusalReason.TIMED_OUT, now);
+		return true;
+	}
+
 	private void send(long now) {
 		WorkerState worker = this.target;
-		if (worker == null || refuseIfQuarantined(now)) {
+		if (worker == null || refuseIfTooLate(now) || refuseIfQuarantined(now)) {
 			return;
 		}
 		if (!isTargetValid(worker, now)) {
--- a/src/main/java/io/shallotspur/platform/CallerIngress.java
+++ b/src/main/java/io/shallotspur/platform/CallerIngress.java
@@ -11,8 +11,10 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ServerChannelRecvByteBufAllocator;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.util.AttributeKey;
 import org.tinylog.Logger;
 import reactor.core.publisher.Mono;
 import reactor.netty.Connection;
@@ -29,6 +31,7 @@
 import io.shallotspur.gateway.RelayRequest;
 import io.shallotspur.route.IngressLimits;
 import io.shallotspur.route.RouteTable;
+import io.shallotspur.transit.ArrivalClock;
 
 /**
  * HTTP server for the requests of callers. Confined to the event loop.
@@ -54,6 +57,13 @@
 	// not occupy connections. Five times what operators allow for the headers.
 	private static final Duration REQUEST_READ_TIMEOUT = Duration.ofSeconds(15);
 
+	// A loop that is behind accepts all connections that wait at once. The rest would
+	// wait
+	// for further rounds, and the time of their requests could not be told.
+	private static final int MAX_ACCEPTS_PER_POLL = 1_024;
+
+	private static final AttributeKey<Opened> OPENED = AttributeKey.valueOf("shallotspur-opened");
+
 	private final Endpoint listen;
 
 	private final VmEventLoop loop;
@@ -84,12 +94,20 @@
 					(d) -> d.maxHeaderSize(MAX_DECODER_HEADER_BYTES).maxInitialLineLength(MAX_DECODER_HEADER_BYTES))
 			.idleTimeout(IDLE_TIMEOUT)
 			.requestTimeout(REQUEST_READ_TIMEOUT)
+			.option(ChannelOption.RECVBUF_ALLOCATOR,
+					new ServerChannelRecvByteBufAllocator().maxMessagesPerRead(MAX_ACCEPTS_PER_POLL))
 			.childOption(ChannelOption.TCP_NODELAY, true)
+			.doOnChannelInit((observer, channel, address) -> onOpened(channel))
 			.doOnConnection(this::onConnection)
 			.handle(this::handle)
 			.bind();
 	}
 
+	private void onOpened(Channel c) {
+		ArrivalClock arrivals = this.loop.arrivals();
+		c.attr(OPENED).set(new Opened(arrivals.earliestArrival(), arrivals.polls()));
+	}
+
 	private void onConnection(Connection c) {
 		Channel ch = c.channel();
 		this.connections.add(ch);
@@ -123,8 +141,10 @@
 		if (length != null && length.matches("\\d{1,18}") && Long.parseLong(length) > limits.maxBodyBytes()) {
 			return refuse(response, res, CONTENT_TOO_LARGE);
 		}
-		// The caller's time runs while it sends the body.
-		long arrivedAt = this.clock.getAsLong();
+		// The caller's time runs while its request waits to be read and while it sends
+		// the
+		// body.
+		long arrivedAt = arrivedAt(req);
 		ByteArrayOutputStream body = new ByteArrayOutputStream();
 		return req.receive()
 			.asByteArray()
@@ -134,6 +154,17 @@
 					: relay(req, res, body.toByteArray(), response, arrivedAt)));
 	}
 
+	private long arrivedAt(HttpServerRequest req) {
+		long[] at = { this.clock.getAsLong() };
+		req.withConnection((c) -> {
+			Opened o = c.channel().attr(OPENED).getAndSet(null);
+			ArrivalClock arrivals = this.loop.arrivals();
+			at[0] = (o != null) ? arrivals.earliestArrivalOnNewConnection(o.at(), o.poll())
+					: arrivals.earliestArrival();
+		});
+		return at[0];
+	}
+
 	private static int headerBytes(HttpServerRequest req) {
 		int n = req.uri().length();
 		for (Map.Entry<String, String> e : req.requestHeaders()) {
@@ -182,4 +213,15 @@
 		return response.completion();
 	}
 
+	/**
+	 * When a connection can have been opened at the earliest, until its first request is
+	 * read.
+	 *
+	 * @param at the time in milliseconds
+	 * @param poll the number of the poll that found it
+	 */
+	private record Opened(long at, long poll) {
+
+	}
+
 }
--- /dev/null
+++ b/src/main/java/io/shallotspur/platform/TimedIoHandler.java
@@ -0,0 +1,136 @@
+package io.shallotspur.platform;
+
+import java.nio.channels.spi.SelectorProvider;
+import java.util.function.LongSupplier;
+
+import io.netty.channel.IoHandle;
+import io.netty.channel.IoHandler;
+import io.netty.channel.IoHandlerContext;
+import io.netty.channel.IoHandlerFactory;
+import io.netty.channel.IoRegistration;
+import io.netty.channel.SelectStrategy;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.IntSupplier;
+
+import io.shallotspur.transit.ArrivalClock;
+
+/**
+ * An I/O handler that records when an event loop polls its sockets. Confined to the event
+ * loop, except for {@link #wakeup}.
+ */
+final class TimedIoHandler implements IoHandler {
+
+	private final IoHandler handler;
+
+	private final ArrivalClock arrivals;
+
+	private final LongSupplier clock;
+
+	private TimedIoHandler(IoHandler handler, ArrivalClock arrivals, LongSupplier clock) {
+		this.handler = handler;
+		this.arrivals = arrivals;
+		this.clock = clock;
+	}
+
+	/**
+	 * Returns a factory for a group with a single loop.
+	 * @param arrivals is told of the polls
+	 * @param clock the time in milliseconds
+	 * @return the factory
+	 */
+	static IoHandlerFactory factory(ArrivalClock arrivals, LongSupplier clock) {
+		IoHandlerFactory nio = NioIoHandler.newFactory(SelectorProvider.provider(),
+				() -> (ready, hasTasks) -> strategy(arrivals, ready, hasTasks));
+		return (executor) -> new TimedIoHandler(nio.newHandler(executor), arrivals, clock);
+	}
+
+	// What is ready before the loop waits has come while it was busy.
+	private static int strategy(ArrivalClock arrivals, IntSupplier ready, boolean hasTasks) throws Exception {
+		if (hasTasks) {
+			return ready.get();
+		}
+		int n = arrivals.shouldCheckReady() ? ready.get() : 0;
+		if (n > 0) {
+			return n;
+		}
+		arrivals.pollWaits();
+		return SelectStrategy.SELECT;
+	}
+
+	@Override
+	public void initialize() {
+		this.handler.initialize();
+	}
+
+	@Override
+	public int run(IoHandlerContext context) {
+		this.arrivals.pollEntered(this.clock.getAsLong());
+		return this.handler.run(new PollContext(context));
+	}
+
+	@Override
+	public void prepareToDestroy() {
+		this.handler.prepareToDestroy();
+	}
+
+	@Override
+	public void destroy() {
+		this.handler.destroy();
+	}
+
+	@Override
+	public IoRegistration register(IoHandle handle) throws Exception {
+		return this.handler.register(handle);
+	}
+
+	@Override
+	public void wakeup() {
+		this.handler.wakeup();
+	}
+
+	@Override
+	public boolean isCompatible(Class<? extends IoHandle> handleType) {
+		return this.handler.isCompatible(handleType);
+	}
+
+	/**
+	 * Passes on the questions of the handler. It asks whether to measure the time of its
+	 * work as soon as a poll has returned.
+	 */
+	private final class PollContext implements IoHandlerContext {
+
+		private final IoHandlerContext context;
+
+		private PollContext(IoHandlerContext context) {
+			this.context = context;
+		}
+
+		@Override
+		public boolean canBlock() {
+			return this.context.canBlock();
+		}
+
+		@Override
+		public long delayNanos(long currentTimeNanos) {
+			return this.context.delayNanos(currentTimeNanos);
+		}
+
+		@Override
+		public long deadlineNanos() {
+			return this.context.deadlineNanos();
+		}
+
+		@Override
+		public boolean shouldReportActiveIoTime() {
+			TimedIoHandler.this.arrivals.pollReturned(TimedIoHandler.this.clock.getAsLong());
+			return this.context.shouldReportActiveIoTime();
+		}
+
+		@Override
+		public void reportActiveIoTime(long activeNanos) {
+			this.context.reportActiveIoTime(activeNanos);
+		}
+
+	}
+
+}
--- a/src/main/java/io/shallotspur/platform/VmEventLoop.java
+++ b/src/main/java/io/shallotspur/platform/VmEventLoop.java
@@ -4,14 +4,20 @@
 import java.util.concurrent.TimeUnit;
 
 import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import io.netty.util.concurrent.Future;
 import io.netty.util.concurrent.ScheduledFuture;
 import org.tinylog.Logger;
 import reactor.core.publisher.Mono;
 import reactor.core.scheduler.Scheduler;
 import reactor.core.scheduler.Schedulers;
+import reactor.netty.FutureMono;
 import reactor.netty.resources.LoopResources;
 
 import io.shallotspur.gateway.GatewayTimer;
+import io.shallotspur.transit.ArrivalClock;
 
 /**
  * The single event loop that runs an entry VM's sockets, timers and gateway. Thread-safe.
@@ -23,9 +29,14 @@
 
 	private static final Duration CLOSE_TIMEOUT = Duration.ofMillis(500);
 
-	private final LoopResources resources = LoopResources.create("gateway", 1, true);
+	private final ArrivalClock arrivals = new ArrivalClock();
 
-	private final EventLoop loop = this.resources.onServer(false).next();
+	private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, new DefaultThreadFactory("gateway", true),
+			TimedIoHandler.factory(this.arrivals, () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime())));
+
+	private final LoopResources resources = new SingleLoopResources(this.group);
+
+	private final EventLoop loop = this.group.next();
 
 	private final Scheduler scheduler = Schedulers.fromExecutorService(this.loop, "gateway");
 
@@ -37,6 +48,15 @@
 		return this.scheduler;
 	}
 
+	/**
+	 * Returns when what the loop reads can have arrived.
+	 * @return the arrival times, on the clock of {@link System#nanoTime}; confined to the
+	 * loop
+	 */
+	ArrivalClock arrivals() {
+		return this.arrivals;
+	}
+
 	void execute(Runnable task) {
 		this.loop.execute(task);
 	}
@@ -70,4 +90,29 @@
 		return Mono.empty();
 	}
 
+	/**
+	 * Gives all servers and clients the same event loop.
+	 *
+	 * @param group the group with the loop
+	 */
+	private record SingleLoopResources(EventLoopGroup group) implements LoopResources {
+
+		@Override
+		public EventLoopGroup onServer(boolean preferNative) {
+			return this.group;
+		}
+
+		@Override
+		public Mono<Void> disposeLater(Duration quietPeriod, Duration timeout) {
+			return FutureMono.deferFuture(() -> shutDown(quietPeriod, timeout));
+		}
+
+		@SuppressWarnings("unchecked")
+		private Future<Void> shutDown(Duration quietPeriod, Duration timeout) {
+			return (Future<Void>) this.group.shutdownGracefully(quietPeriod.toMillis(), timeout.toMillis(),
+					TimeUnit.MILLISECONDS);
+		}
+
+	}
+
 }
