Time limits are enforced between two sockets of a long round of the event loop

Timers ran only at the end of a round, and a round of this VM took over a second.

Change: the gateway's timers that are due also run before each socket of a round is handled, and before a request that was read is dispatched.

The whole build was not run.

--- a/src/main/java/io/shallotspur/platform/TimedIoHandler.java
+++ b/src/main/java/io/shallotspur/platform/TimedIoHandler.java
@@ -1,22 +1,27 @@
 package io.shallotspur.platform;
 
+import java.nio.channels.SelectableChannel;
 import java.nio.channels.spi.SelectorProvider;
 import java.util.function.LongSupplier;
 
+import io.netty.channel.IoEvent;
 import io.netty.channel.IoHandle;
 import io.netty.channel.IoHandler;
 import io.netty.channel.IoHandlerContext;
 import io.netty.channel.IoHandlerFactory;
 import io.netty.channel.IoRegistration;
 import io.netty.channel.SelectStrategy;
+import io.netty.channel.nio.NioIoHandle;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.util.IntSupplier;
 
 import io.shallotspur.transit.ArrivalClock;
+import io.shallotspur.transit.DueTimers;
 
 /**
- * An I/O handler that records when an event loop polls its sockets. Confined to the event
- * loop, except for {@link #wakeup}.
+ * An I/O handler that records when an event loop polls its sockets, and runs timers that
+ * are due before it handles what one of them has received. Confined to the event loop,
+ * except for {@link #wakeup}.
  */
 final class TimedIoHandler implements IoHandler {
 
@@ -24,24 +29,28 @@
 
 	private final ArrivalClock arrivals;
 
+	private final DueTimers timers;
+
 	private final LongSupplier clock;
 
-	private TimedIoHandler(IoHandler handler, ArrivalClock arrivals, LongSupplier clock) {
+	private TimedIoHandler(IoHandler handler, ArrivalClock arrivals, DueTimers timers, LongSupplier clock) {
 		this.handler = handler;
 		this.arrivals = arrivals;
+		this.timers = timers;
 		this.clock = clock;
 	}
 
 	/**
 	 * Returns a factory for a group with a single loop.
 	 * @param arrivals is told of the polls
+	 * @param timers run between two sockets
 	 * @param clock the time in milliseconds
 	 * @return the factory
 	 */
-	static IoHandlerFactory factory(ArrivalClock arrivals, LongSupplier clock) {
+	static IoHandlerFactory factory(ArrivalClock arrivals, DueTimers timers, LongSupplier clock) {
 		IoHandlerFactory nio = NioIoHandler.newFactory(SelectorProvider.provider(),
 				() -> (ready, hasTasks) -> strategy(arrivals, ready, hasTasks));
-		return (executor) -> new TimedIoHandler(nio.newHandler(executor), arrivals, clock);
+		return (executor) -> new TimedIoHandler(nio.newHandler(executor), arrivals, timers, clock);
 	}
 
 	// What is ready before the loop waits has come while it was busy.
@@ -80,7 +89,7 @@
 
 	@Override
 	public IoRegistration register(IoHandle handle) throws Exception {
-		return this.handler.register(handle);
+		return this.handler.register((handle instanceof NioIoHandle nio) ? new TimedHandle(nio) : handle);
 	}
 
 	@Override
@@ -133,4 +142,44 @@
 
 	}
 
+	/**
+	 * Runs due timers, then handles what a socket has received.
+	 */
+	@SuppressWarnings("try")
+	private final class TimedHandle implements NioIoHandle {
+
+		private final NioIoHandle handle;
+
+		private TimedHandle(NioIoHandle handle) {
+			this.handle = handle;
+		}
+
+		@Override
+		public SelectableChannel selectableChannel() {
+			return this.handle.selectableChannel();
+		}
+
+		@Override
+		public void handle(IoRegistration registration, IoEvent event) {
+			TimedIoHandler.this.timers.runDue(TimedIoHandler.this.clock.getAsLong());
+			this.handle.handle(registration, event);
+		}
+
+		@Override
+		public void registered() {
+			this.handle.registered();
+		}
+
+		@Override
+		public void unregistered() {
+			this.handle.unregistered();
+		}
+
+		@Override
+		public void close() throws Exception {
+			this.handle.close();
+		}
+
+	}
+
 }
--- a/src/main/java/io/shallotspur/platform/VmEventLoop.java
+++ b/src/main/java/io/shallotspur/platform/VmEventLoop.java
@@ -18,6 +18,7 @@
 
 import io.shallotspur.gateway.GatewayTimer;
 import io.shallotspur.transit.ArrivalClock;
+import io.shallotspur.transit.DueTimers;
 
 /**
  * The single event loop that runs an entry VM's sockets, timers and gateway. Thread-safe.
@@ -31,8 +32,10 @@
 
 	private final ArrivalClock arrivals = new ArrivalClock();
 
+	private final DueTimers timers = new DueTimers();
+
 	private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, new DefaultThreadFactory("gateway", true),
-			TimedIoHandler.factory(this.arrivals, () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime())));
+			TimedIoHandler.factory(this.arrivals, this.timers, VmEventLoop::now));
 
 	private final LoopResources resources = new SingleLoopResources(this.group);
 
@@ -68,13 +71,28 @@
 	void executeAfterNextRead(Runnable task) {
 		// Tasks that are submitted while the loop reads run before it reads again; what
 		// they schedule does not.
-		this.loop.execute(() -> this.loop.schedule(task, 0, TimeUnit.MILLISECONDS));
+		this.loop.execute(() -> this.loop.schedule(() -> {
+			this.timers.runDue(now());
+			task.run();
+		}, 0, TimeUnit.MILLISECONDS));
 	}
 
 	@Override
 	public Runnable schedule(long delayMs, Runnable task) {
-		ScheduledFuture<?> f = this.loop.schedule(task, delayMs, TimeUnit.MILLISECONDS);
-		return () -> f.cancel(false);
+		if (!this.loop.inEventLoop()) {
+			ScheduledFuture<?> f = this.loop.schedule(task, delayMs, TimeUnit.MILLISECONDS);
+			return () -> f.cancel(false);
+		}
+		DueTimers.Timer t = this.timers.add(now() + delayMs, task);
+		ScheduledFuture<?> f = this.loop.schedule(t, delayMs, TimeUnit.MILLISECONDS);
+		return () -> {
+			t.cancel();
+			f.cancel(false);
+		};
+	}
+
+	private static long now() {
+		return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
 	}
 
 	void close() {
--- /dev/null
+++ b/src/main/java/io/shallotspur/transit/DueTimers.java
@@ -0,0 +1,77 @@
+package io.shallotspur.transit;
+
+import java.util.Comparator;
+import java.util.PriorityQueue;
+
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The timers of an event loop that also run between two sockets of one round. A round of
+ * a loop that is behind takes seconds, and timers that run only at its end would answer
+ * requests as much after their time limit. Not thread-safe; confined to the event loop.
+ * <p>
+ * Invariant: a timer runs once at most, not before it is due, and not once it is
+ * cancelled.
+ */
+public final class DueTimers {
+
+	private final PriorityQueue<Timer> timers = new PriorityQueue<>(Comparator.comparingLong((t) -> t.dueAt));
+
+	/**
+	 * Adds a timer.
+	 * @param dueAt when it is due, in milliseconds
+	 * @param task the task
+	 * @return the timer; to be run by the loop when it is due, if it has not been by then
+	 */
+	public Timer add(long dueAt, Runnable task) {
+		Timer t = new Timer(dueAt, task);
+		this.timers.add(t);
+		return t;
+	}
+
+	/**
+	 * Runs all timers that are due.
+	 * @param now the present time in milliseconds
+	 */
+	public void runDue(long now) {
+		Timer t = this.timers.peek();
+		while (t != null && (t.dueAt <= now || t.task == null)) {
+			this.timers.poll();
+			t.run();
+			t = this.timers.peek();
+		}
+	}
+
+	/**
+	 * One timer.
+	 */
+	public static final class Timer implements Runnable {
+
+		private final long dueAt;
+
+		private @Nullable Runnable task;
+
+		private Timer(long dueAt, Runnable task) {
+			this.dueAt = dueAt;
+			this.task = task;
+		}
+
+		@Override
+		public void run() {
+			Runnable t = this.task;
+			this.task = null;
+			if (t != null) {
+				t.run();
+			}
+		}
+
+		/**
+		 * Cancels the timer and lets go of its task.
+		 */
+		public void cancel() {
+			this.task = null;
+		}
+
+	}
+
+}
--- a/src/test/java/io/shallotspur/platform/VmEventLoopTests.java
+++ b/src/test/java/io/shallotspur/platform/VmEventLoopTests.java
@@ -1,11 +1,20 @@
 package io.shallotspur.platform;
 
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 
 import io.netty.channel.EventLoopGroup;
 import org.assertj.core.api.Assertions;
 import org.junit.jupiter.api.Test;
+import reactor.netty.DisposableServer;
+import reactor.netty.tcp.TcpServer;
 
 /**
  * Tests of {@link VmEventLoop}.
@@ -41,6 +50,59 @@
 		closed.countDown();
 	}
 
+	// Guards against time limits that a busy VM keeps only once it has handled all
+	// sockets
+	// that were ready, which takes seconds.
+	@Test
+	void aTimerThatIsDueRunsBetweenTwoSocketsOfOneRound() throws Exception {
+		VmEventLoop loop = new VmEventLoop();
+		List<String> order = new CopyOnWriteArrayList<>();
+		CountDownLatch read = new CountDownLatch(3);
+		DisposableServer server = TcpServer.create()
+			.host("127.0.0.1")
+			.port(0)
+			.runOn(loop.resources(), false)
+			.handle((in, out) -> in.receive().asByteArray().doOnNext((b) -> {
+				order.add("read");
+				sleep(200);
+				read.countDown();
+			}).then())
+			.bindNow();
+		List<Socket> sockets = new ArrayList<>();
+		for (int i = 0; i < 3; i++) {
+			sockets.add(new Socket("127.0.0.1", server.port()));
+		}
+		loop.execute(() -> {
+			for (Socket s : sockets) {
+				write(s);
+			}
+			sleep(100);
+			loop.schedule(50, () -> order.add("timer"));
+		});
+		read.await();
+		Assertions.assertThat(order).containsExactly("read", "timer", "read", "read");
+		server.disposeNow();
+		loop.close();
+	}
+
+	private static void write(Socket s) {
+		try {
+			s.getOutputStream().write(1);
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
+	private static void sleep(long ms) {
+		try {
+			TimeUnit.MILLISECONDS.sleep(ms);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
 	private static void awaitUninterruptibly(CountDownLatch latch) {
 		try {
 			latch.await();
