Workers are selected by expected finish time where they are uneven

Cause: the choice compared shares of slots in use, so a slow worker with a free slot was preferred to a fast one with a fuller table, and the fourth load figure, how long work takes on the machine at present, was not read.

Change: package pace. WorkerPace learns a worker's time for one plain call, one token or one prompt token from its answers, separately near full, and keeps the stated slowdown, which decays to the mean of that worker. It starts anew with a new start or another stage. WorkerSelector and PrefillSelector weigh it where a worker states a slowdown or the learned paces differ by more than their spread; elsewhere the cost is as before. A fourth figure that cannot be read is counted and logged as a response field that is not understood; the other three hold.

--- a/src/main/java/io/shallotspur/gateway/PrefillSelector.java
+++ b/src/main/java/io/shallotspur/gateway/PrefillSelector.java
@@ -3,6 +3,8 @@
 import java.util.List;
 import java.util.Optional;
 
+import io.shallotspur.pace.PaceComparison;
+
 /**
  * Decides whether the prompt of a request is prefilled at a separate worker, and at which
  * one. Stateless.
@@ -52,12 +54,14 @@
 		// Only the decode worker knows whether it is generating responses: this VM may
 		// have started a moment ago. It is therefore assumed that responses run there and
 		// slow the prefill down.
-		double decodeCost = wouldStall ? Double.MAX_VALUE
-				: EngineStatistics.DECODE_PREFILL_SLOWDOWN * (decodeWorker.activePrefills() + 1);
+		double decodeCost = wouldStall ? Double.MAX_VALUE : EngineStatistics.DECODE_PREFILL_SLOWDOWN
+				* (decodeWorker.activePrefills() + 1) * decodeWorker.pace().slowdown(now);
+		PaceComparison paces = PaceComparison.of(prefillWorkers.stream().map(WorkerState::pace).toList());
 		WorkerState best = null;
 		double lowestCost = Double.MAX_VALUE;
 		for (WorkerState candidate : prefillWorkers) {
-			double prefillCost = candidate.estimatedLoad(now) + 1 + JITTER * random.next();
+			double pace = paces.isUneven() ? paces.relative(candidate.pace(), now) : 1;
+			double prefillCost = pace * (candidate.estimatedLoad(now) + 1) + JITTER * random.next();
 			double totalCost = prefillCost + hallCost(candidate, decodeWorker.info().hall(), REMOTE_TRANSFER_COST)
 					+ hallCost(candidate, hall, REMOTE_PROMPT_COST);
 			if (prefillCost < decodeCost && totalCost < lowestCost) {
--- a/src/main/java/io/shallotspur/gateway/PrefillStep.java
+++ b/src/main/java/io/shallotspur/gateway/PrefillStep.java
@@ -31,6 +31,8 @@
 
 	private long startedAt;
 
+	private double loadAtStart;
+
 	private boolean direct;
 
 	private boolean finished;
@@ -54,6 +56,7 @@
 
 	void start(WorkerCall call, long timeoutMs) {
 		this.startedAt = this.gateway.clock.getAsLong();
+		this.loadAtStart = this.worker.estimatedLoad(this.startedAt);
 		this.worker.requestStarted();
 		this.direct = this.gateway.paths.isDirect(this.worker);
 		this.gateway.recordSent(this.worker, this.startedAt);
@@ -89,6 +92,8 @@
 		finish();
 		this.gateway.engineTimes(this.worker.info().upstream())
 			.recordPrefill(this.gateway.clock.getAsLong() - this.startedAt, this.prompt);
+		this.worker.recordPrefill(this.gateway.clock.getAsLong() - this.startedAt, this.prompt.promptTokens(),
+				this.loadAtStart, this.gateway.clock.getAsLong());
 		this.callback.accept(new Result(source, null, false));
 	}
 
--- a/src/main/java/io/shallotspur/gateway/RelayTask.java
+++ b/src/main/java/io/shallotspur/gateway/RelayTask.java
@@ -268,6 +268,7 @@
 		}
 		log("answered status=" + head.status() + (head.endsWithConnection() ? " ended=with-connection" : "")
 				+ timingFields(), now);
+		recordPace(forwarded, now);
 		endAttempt();
 		finish();
 		if (forwarded) {
@@ -479,6 +480,17 @@
 		}
 	}
 
+	// For one token of a stream, or for one plain call.
+	private void recordPace(boolean forwarded, long now) {
+		boolean stream = this.request.prompt() != null;
+		int units = stream ? receivedTokens() : 1;
+		if (this.attempt == null || units == 0 || (stream && (!forwarded || this.history.sentCount() > 0))) {
+			return;
+		}
+		long startedAt = stream ? this.progress.firstByteAt() : this.attemptStartedAt;
+		this.attempt.worker().recordAnswer((double) (now - startedAt) / units, now);
+	}
+
 	private void endAttempt() {
 		if (this.attempt != null) {
 			WorkerState w = this.attempt.worker();
--- a/src/main/java/io/shallotspur/gateway/WorkerSelector.java
+++ b/src/main/java/io/shallotspur/gateway/WorkerSelector.java
@@ -3,6 +3,8 @@
 import java.util.List;
 import java.util.Optional;
 
+import io.shallotspur.pace.PaceComparison;
+
 /**
  * Selects the worker with the lowest cost for one attempt. Stateless; the present time
  * and the source of random numbers are arguments.
@@ -29,10 +31,11 @@
 	}
 
 	static Optional<WorkerState> leastCost(List<WorkerState> candidates, String hall, RandomSource random, long now) {
+		PaceComparison paces = PaceComparison.of(candidates.stream().map(WorkerState::pace).toList());
 		WorkerState best = null;
 		double lowestCost = Double.MAX_VALUE;
 		for (WorkerState w : candidates) {
-			double workerCost = cost(w, hall, now) + JITTER * random.next();
+			double workerCost = cost(w, paces, hall, now) + JITTER * random.next();
 			if (workerCost < lowestCost) {
 				lowestCost = workerCost;
 				best = w;
@@ -41,8 +44,11 @@
 		return Optional.ofNullable(best);
 	}
 
-	static double cost(WorkerState w, String hall, long now) {
-		double total = w.utilization(now) + FAILURE_COST * w.failureRate();
+	// Where all workers have the same pace, shares of their slots spread the load better
+	// than finish times, which are equal until a worker is full.
+	private static double cost(WorkerState w, PaceComparison paces, String hall, long now) {
+		double load = paces.isUneven() ? w.finishTime(paces, now) : w.utilization(now);
+		double total = load + FAILURE_COST * w.failureRate();
 		if (!w.info().hall().equals(hall)) {
 			total += REMOTE_HALL_COST;
 		}
--- a/src/main/java/io/shallotspur/gateway/WorkerState.java
+++ b/src/main/java/io/shallotspur/gateway/WorkerState.java
@@ -7,26 +7,19 @@
 
 import org.jspecify.annotations.Nullable;
 
+import io.shallotspur.pace.FinishTime;
+import io.shallotspur.pace.PaceComparison;
+import io.shallotspur.pace.ReportedLoad;
+import io.shallotspur.pace.WorkerPace;
+
 /**
  * The state of one worker as known to this VM. Not thread-safe; confined to the gateway's
  * thread.
  * <p>
- * A worker serves all VMs, and each VM sees only its own requests. The load from other
- * VMs is taken from the reports that the worker sends along with its responses; the
- * weight of a report decays with its age.
+ * A worker that changes its stage does other work, and its pace is learned anew.
  */
 final class WorkerState {
 
-	// The half-life of a load report is half of the mean request duration, and at least
-	// this, ms. With a fixed half-life, long responses would be forgotten while they run,
-	// and workers that have many of them would be given more.
-	private static final double MIN_HALF_LIFE_MS = 300;
-
-	private static final double HALF_LIFE_FRACTION = 0.5;
-
-	// Weight of the newest request in the mean request duration.
-	private static final double DURATION_WEIGHT = 0.1;
-
 	// Weight of the newest outcome in the failure rate: about the last ten count.
 	private static final double FAILURE_WEIGHT = 0.1;
 
@@ -43,11 +36,9 @@
 
 	private @Nullable LoadReport loadReport;
 
-	private int activeRequestsAtReport;
-
-	private long loadReportedAt;
+	private final ReportedLoad load = new ReportedLoad();
 
-	private double meanDurationMs;
+	private WorkerPace pace = new WorkerPace();
 
 	private double failureRate;
 
@@ -83,6 +74,9 @@
 	}
 
 	void update(WorkerInfo next, long now) {
+		if (next.stage() != this.info.stage()) {
+			this.pace = new WorkerPace();
+		}
 		this.info = next;
 		this.warmUpEnd = now + next.warmUpMs();
 		this.removalAt = Long.MAX_VALUE;
@@ -246,8 +240,8 @@
 
 	void recordLoad(LoadReport r, long now) {
 		this.loadReport = r;
-		this.activeRequestsAtReport = this.activeRequests;
-		this.loadReportedAt = now;
+		this.load.recordReport(r.running() + r.waiting(), this.activeRequests, now);
+		r.slowdown().ifPresent((factor) -> this.pace.recordStated(factor, now));
 	}
 
 	CrashEvidence crashEvidence() {
@@ -263,22 +257,37 @@
 	 * @param ms the duration in milliseconds
 	 */
 	void recordDuration(long ms) {
-		this.meanDurationMs = (this.meanDurationMs > 0)
-				? this.meanDurationMs + DURATION_WEIGHT * (ms - this.meanDurationMs) : ms;
+		this.load.recordDuration(ms);
+	}
+
+	/**
+	 * Records an answer, right after the load that the worker reported with it.
+	 * @param ms its duration for one unit of work, in milliseconds
+	 * @param now the present time in milliseconds
+	 */
+	void recordAnswer(double ms, long now) {
+		LoadReport r = this.loadReport;
+		int running = (r != null) ? r.running() : this.activeRequests - 1;
+		this.pace.recordAnswer(ms, running, (r != null) ? r.waiting() : 0, this.info.slots(), now);
+	}
+
+	// Prefills run one after the other.
+	void recordPrefill(long ms, int promptTokens, double loadAtStart, long now) {
+		this.pace.recordAnswer(ms / (1 + loadAtStart) / Math.max(1, promptTokens), 0, 0, this.info.slots(), now);
 	}
 
-	private double halfLifeMs() {
-		return Math.max(MIN_HALF_LIFE_MS, HALF_LIFE_FRACTION * this.meanDurationMs);
+	WorkerPace pace() {
+		return this.pace;
+	}
+
+	// Expected time until one more request is answered, in mean service times.
+	double finishTime(PaceComparison all, long now) {
+		return FinishTime.of(this.pace, all, this.load, this.activeRequests, this.info.slots(), now);
 	}
 
 	// Estimates the number of requests at the worker, including those of other VMs.
 	double estimatedLoad(long now) {
-		LoadReport r = this.loadReport;
-		if (r == null) {
-			return this.activeRequests;
-		}
-		double others = Math.max(0, r.running() + r.waiting() - this.activeRequestsAtReport);
-		return this.activeRequests + others * Math.pow(0.5, (now - this.loadReportedAt) / halfLifeMs());
+		return this.load.estimate(this.activeRequests, now);
 	}
 
 	double utilization(long now) {
--- a/src/main/java/io/shallotspur/platform/ResponseHeadDecoder.java
+++ b/src/main/java/io/shallotspur/platform/ResponseHeadDecoder.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.Date;
 import java.util.List;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.regex.Pattern;
 
@@ -31,6 +32,14 @@
 
 	private static final int MIN_LOAD_FIELDS = 3;
 
+	// The value of the fourth load figure that means "as long as usual".
+	private static final double USUAL_SLOWDOWN = 100;
+
+	// Other values are taken for malformed ones.
+	private static final double MIN_SLOWDOWN = 0.1;
+
+	private static final double MAX_SLOWDOWN = 100;
+
 	private static final int NO_CONTENT = 204;
 
 	private static final int NOT_MODIFIED = 304;
@@ -44,7 +53,7 @@
 	// A longer pause is taken for a malformed one.
 	private static final double MAX_PAUSE_MS = Duration.ofDays(1).toMillis();
 
-	private static final Pattern SECONDS = Pattern.compile("\\d{1,15}(\\.\\d{1,15})?");
+	private static final Pattern NUMBER = Pattern.compile("\\d{1,15}(\\.\\d{1,15})?");
 
 	private static final String IS_LEAVING = "1";
 
@@ -120,6 +129,10 @@
 		if (name.equalsIgnoreCase(PlatformNames.LEAVING)) {
 			return !leaving(h) && !IS_NOT_LEAVING.equals(h.get(name));
 		}
+		if (name.equalsIgnoreCase(PlatformNames.LOAD)) {
+			String[] figures = h.get(name, "").split(",", -1);
+			return figures.length > MIN_LOAD_FIELDS && slowdown(figures).isEmpty();
+		}
 		return name.equalsIgnoreCase(PlatformNames.RETRY_AFTER) && isRefusal(status) && pauseMs(status, h).isEmpty();
 	}
 
@@ -139,7 +152,7 @@
 
 	// Returns NaN if the value is malformed.
 	private static double delayMs(String value, HttpHeaders h) {
-		if (SECONDS.matcher(value).matches()) {
+		if (NUMBER.matcher(value).matches()) {
 			return Double.parseDouble(value) * MS_PER_S;
 		}
 		Date until = DateFormatter.parseHttpDate(value);
@@ -181,13 +194,13 @@
 		if (v == null) {
 			return null;
 		}
-		String[] p = v.split(",");
+		String[] p = v.split(",", -1);
 		if (p.length < MIN_LOAD_FIELDS) {
 			return null;
 		}
 		try {
 			return new LoadReport(Integer.parseInt(p[0].strip()), Integer.parseInt(p[1].strip()),
-					Integer.parseInt(p[2].strip()));
+					Integer.parseInt(p[2].strip()), slowdown(p));
 		}
 		catch (NumberFormatException ex) {
 			// A malformed report is ignored; the load is then estimated without it.
@@ -195,4 +208,13 @@
 		}
 	}
 
+	// A malformed figure is counted by its caller; the others hold.
+	private static OptionalDouble slowdown(String[] figures) {
+		if (figures.length <= MIN_LOAD_FIELDS || !NUMBER.matcher(figures[MIN_LOAD_FIELDS].strip()).matches()) {
+			return OptionalDouble.empty();
+		}
+		double factor = Double.parseDouble(figures[MIN_LOAD_FIELDS].strip()) / USUAL_SLOWDOWN;
+		return (factor >= MIN_SLOWDOWN && factor <= MAX_SLOWDOWN) ? OptionalDouble.of(factor) : OptionalDouble.empty();
+	}
+
 }
--- a/src/test/java/io/shallotspur/platform/ResponseHeadDecoderTests.java
+++ b/src/test/java/io/shallotspur/platform/ResponseHeadDecoderTests.java
@@ -8,6 +8,7 @@
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
+import io.shallotspur.gateway.LoadReport;
 import io.shallotspur.gateway.ResponseHead;
 import io.shallotspur.gateway.WorkerRateLimit;
 
@@ -144,4 +145,21 @@
 		Assertions.assertThat(head(200, signed().add("Server-Limit", value)).workerStatus().limit()).isNull();
 	}
 
+	// Guards against a figure that cannot be read taking the other three with it, and
+	// against one that passes unseen.
+	@ParameterizedTest
+	@CsvSource({ "'3,1,8',0,false", "'3, 1, 8, 100',1,false", "'3,1,8,250',2.5,false", "'3,1,8,87.5',0.875,false",
+			"'3,1,8,',0,true", "'3,1,8,fast',0,true", "'3,1,8,-100',0,true", "'3,1,8,0',0,true", "'3,1,8,1e3',0,true",
+			"'3,1,8,NaN',0,true", "'3,1,8,99999999',0,true" })
+	void decodesTheStatedSlowdown(String value, double slowdown, boolean malformed) {
+		HttpHeaders h = signed().add("X-Server-Load", value);
+		LoadReport load = head(200, h).workerStatus().load();
+		Assertions.assertThat(load).isNotNull();
+		Assertions.assertThat(load.running()).isEqualTo(3);
+		Assertions.assertThat(load.waiting()).isEqualTo(1);
+		Assertions.assertThat(load.slots()).isEqualTo(8);
+		Assertions.assertThat(load.slowdown().orElse(0)).isEqualTo(slowdown);
+		Assertions.assertThat(ResponseHeadDecoder.isMalformed("x-server-load", 200, h)).isEqualTo(malformed);
+	}
+
 }
