--- a/src/test/java/io/shallotspur/LayeringTests.java
+++ b/src/test/java/io/shallotspur/LayeringTests.java
@@ -19,7 +19,7 @@
 			"io.shallotspur.order..", "io.shallotspur.membership..", "io.shallotspur.distribution..",
 			"io.shallotspur.locate..", "io.shallotspur.record..", "io.shallotspur.route..", "io.shallotspur.gateway..",
 			"io.shallotspur.registry..", "io.shallotspur.stage..", "io.shallotspur.queueing..",
-			"io.shallotspur.quota..", "io.shallotspur.transit.." };
+			"io.shallotspur.quota..", "io.shallotspur.transit..", "io.shallotspur.pace.." };
 
 	@ArchTest
 	final ArchRule decisionsKnowNoOuterLayer = ArchRuleDefinition.noClasses()
