Serving VMs: several at once for a saturated VM; processor use leads the loop's delay

A mean loop delay of 20 ms is 200 ms for a request that passes the loop ten times, so the announcement came late; callers stayed on their connections to the first VMs.

Change: a package `serving`. `OverloadDetector` weighs processor use beside the delay: busy and delayed is an overload below 20 ms, used up and 20 ms is saturated. `ServingVmSelector` adds three times the cores of a saturated VM at once. A VM recovers by one level each ten seconds of low delay and use. `CallerRelease` closes a part of the connections of an overloaded VM once callers know others. Without a saturated VM the selection is the same as before, and without delay no VM is overloaded, whatever it uses: tests.

Run: ServingVmSelectorTests, OverloadDetectorTests, CallerReleaseTests, EntryVmDirectoryTests, LayeringTests, VmRegistrationTests, StoreRegistryTests, WorkerRateLimitTests, RetryBudgetFleetTests pass. One earlier run of StoreRegistryTests.publishesStatisticsOnlyOverTheKnownRevision beside other builds failed with its time-out of 1000 ms.

--- a/src/main/java/io/shallotspur/gateway/EntryVmDirectory.java
+++ b/src/main/java/io/shallotspur/gateway/EntryVmDirectory.java
@@ -10,6 +10,8 @@
 
 import org.jspecify.annotations.Nullable;
 
+import io.shallotspur.serving.ServingVmSelector;
+
 /**
  * The registered entry VMs, and the selection of those that callers are directed to. Not
  * thread-safe; confined to the gateway's thread.
@@ -197,6 +199,18 @@
 				&& serving(vm.region(), now).stream().noneMatch((v) -> v.address().equals(vm.address()));
 	}
 
+	/**
+	 * Returns whether callers of this VM's region are also directed to another VM that is
+	 * not overloaded.
+	 * @param now the current time in milliseconds
+	 * @return {@code false} if there is none or this VM has not registered itself
+	 */
+	public boolean hasAlternatives(long now) {
+		EntryVm vm = this.self;
+		return vm != null && serving(vm.region(), now).stream()
+			.anyMatch((v) -> !v.overloaded() && !v.address().equals(vm.address()));
+	}
+
 	// If two registrations share an address, the later one wins: a restarted process
 	// reuses the address while its previous registration has not expired yet.
 	private List<EntryVm> liveVms(long now) {
--- a/src/main/java/io/shallotspur/platform/CallerIngress.java
+++ b/src/main/java/io/shallotspur/platform/CallerIngress.java
@@ -29,6 +29,7 @@
 import io.shallotspur.gateway.RelayRequest;
 import io.shallotspur.route.IngressLimits;
 import io.shallotspur.route.RouteTable;
+import io.shallotspur.serving.CallerRelease;
 
 /**
  * HTTP server for the requests of callers. Confined to the event loop.
@@ -66,13 +67,16 @@
 
 	private final Set<Channel> activeConnections = new HashSet<>();
 
+	private final CallerRelease release;
+
 	private boolean draining;
 
-	CallerIngress(Endpoint listen, VmEventLoop loop, Gateway gateway, LongSupplier clock) {
+	CallerIngress(Endpoint listen, VmEventLoop loop, Gateway gateway, LongSupplier clock, CallerRelease release) {
 		this.listen = listen;
 		this.loop = loop;
 		this.gateway = gateway;
 		this.clock = clock;
+		this.release = release;
 	}
 
 	Mono<? extends DisposableServer> bind() {
@@ -115,7 +119,7 @@
 
 	private Mono<Void> handle(HttpServerRequest req, HttpServerResponse res) {
 		IngressLimits limits = this.gateway.routeTable().map(RouteTable::limits).orElse(IngressLimits.DEFAULT);
-		HttpCallerResponse response = new HttpCallerResponse(res, () -> this.draining);
+		HttpCallerResponse response = new HttpCallerResponse(res, () -> this.draining || this.release.closeAfterNext());
 		if (headerBytes(req) > limits.maxHeaderBytes()) {
 			return refuse(response, res, HEADERS_TOO_LARGE);
 		}
--- a/src/main/java/io/shallotspur/platform/HttpCallerResponse.java
+++ b/src/main/java/io/shallotspur/platform/HttpCallerResponse.java
@@ -33,7 +33,7 @@
 
 	private final HttpServerResponse response;
 
-	private final BooleanSupplier draining;
+	private final BooleanSupplier closes;
 
 	private final Sinks.One<Publisher<Void>> output = Sinks.one();
 
@@ -42,9 +42,9 @@
 	private Runnable doneCallback = () -> {
 	};
 
-	HttpCallerResponse(HttpServerResponse response, BooleanSupplier draining) {
+	HttpCallerResponse(HttpServerResponse response, BooleanSupplier closes) {
 		this.response = response;
-		this.draining = draining;
+		this.closes = closes;
 	}
 
 	/**
@@ -110,7 +110,7 @@
 	private void head(int status, List<HeaderField> headers) {
 		this.response.status(status);
 		headers.forEach((f) -> this.response.addHeader(f.name(), f.value()));
-		if (this.draining.getAsBoolean()) {
+		if (this.closes.getAsBoolean()) {
 			this.response.header(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
 		}
 	}
--- a/src/main/java/io/shallotspur/platform/StoreEntryCodec.java
+++ b/src/main/java/io/shallotspur/platform/StoreEntryCodec.java
@@ -23,6 +23,7 @@
 import io.shallotspur.registry.RegistryChange;
 import io.shallotspur.registry.StorePosition;
 import io.shallotspur.route.RouteTable;
+import io.shallotspur.serving.LoadLevel;
 
 /**
  * Decodes items and watch events of the platform's store, and encodes the entries that
@@ -194,7 +195,7 @@
 	private static RegistryChange vm(String key, JsonNode v) throws InputException {
 		StoreEntryFields f = new StoreEntryFields(v, key);
 		return new RegistryChange.VmUpdated(new EntryVm(key, f.endpoint("address").toString(), f.text("region"),
-				f.text("hall"), f.positiveDouble("cores"), f.nonNegativeLong("crowded") > 0,
+				f.text("hall"), f.positiveDouble("cores"), LoadLevel.of(f.nonNegativeLong("crowded")),
 				f.has("tunnel") ? f.endpoint("tunnel").toString() : "",
 				f.has("peers") ? f.endpoint("peers").toString() : ""));
 	}
@@ -209,7 +210,7 @@
 			.put("region", vm.region())
 			.put("hall", vm.hall())
 			.put("cores", vm.cores())
-			.put("crowded", vm.overloaded() ? 1 : 0);
+			.put("crowded", vm.loadLevel().ordinal());
 		if (!vm.tunnelAddress().isEmpty()) {
 			n.put("tunnel", vm.tunnelAddress());
 		}
--- a/src/main/java/io/shallotspur/registry/VmLoadSampler.java
+++ b/src/main/java/io/shallotspur/registry/VmLoadSampler.java
@@ -7,11 +7,13 @@
 import org.tinylog.Logger;
 
 import io.shallotspur.gateway.GatewayTimer;
-import io.shallotspur.gateway.OverloadDetector;
+import io.shallotspur.serving.LoadLevel;
+import io.shallotspur.serving.OverloadDetector;
+import io.shallotspur.serving.VmLoad;
 
 /**
- * Samples the scheduling delay of the gateway's thread and reports when the VM becomes
- * overloaded, or no longer is. Not thread-safe; confined to the gateway's thread.
+ * Samples the scheduling delay of the gateway's thread and reports when the load level of
+ * the VM changes. Not thread-safe; confined to the gateway's thread.
  * <p>
  * A VM without requests never counts as overloaded. Its start uses the whole processor
  * for a second or two, and in a fleet that starts together all VMs would report an
@@ -19,15 +21,17 @@
  */
 public final class VmLoadSampler {
 
+	private static final int PERCENT = 100;
+
 	private final GatewayTimer timer;
 
 	private final LongSupplier clock;
 
 	private final IntSupplier requestsInProgress;
 
-	private final Consumer<Boolean> onChange;
+	private final Consumer<LoadLevel> onChange;
 
-	private final OverloadDetector load = new OverloadDetector();
+	private final VmLoad load;
 
 	private boolean stopped;
 
@@ -36,13 +40,15 @@
 	 * @param timer the gateway's timer
 	 * @param clock supplies the current time in milliseconds
 	 * @param requestsInProgress supplies the number of requests in progress
-	 * @param onChange called with whether the VM is overloaded, each time that changes
+	 * @param load what the samples are recorded in
+	 * @param onChange called with the load level, each time that it changes
 	 */
-	public VmLoadSampler(GatewayTimer timer, LongSupplier clock, IntSupplier requestsInProgress,
-			Consumer<Boolean> onChange) {
+	public VmLoadSampler(GatewayTimer timer, LongSupplier clock, IntSupplier requestsInProgress, VmLoad load,
+			Consumer<LoadLevel> onChange) {
 		this.timer = timer;
 		this.clock = clock;
 		this.requestsInProgress = requestsInProgress;
+		this.load = load;
 		this.onChange = onChange;
 	}
 
@@ -66,11 +72,13 @@
 			return;
 		}
 		long now = this.clock.getAsLong();
-		boolean before = this.load.overloaded();
-		this.load.recordDelay((this.requestsInProgress.getAsInt() > 0) ? now - dueAt : 0, now);
-		if (this.load.overloaded() != before) {
-			Logger.info("[vm] crowded={} in-progress={}", this.load.overloaded(), this.requestsInProgress.getAsInt());
-			this.onChange.accept(this.load.overloaded());
+		LoadLevel before = this.load.level();
+		this.load.sample((this.requestsInProgress.getAsInt() > 0) ? now - dueAt : 0, now);
+		LoadLevel level = this.load.level();
+		if (level != before) {
+			Logger.info("[vm] crowded={} level={} use={} in-progress={}", level != LoadLevel.NORMAL, level.ordinal(),
+					Math.round(PERCENT * this.load.processorUse()), this.requestsInProgress.getAsInt());
+			this.onChange.accept(level);
 		}
 		start();
 	}
--- a/src/main/java/io/shallotspur/registry/VmRegistration.java
+++ b/src/main/java/io/shallotspur/registry/VmRegistration.java
@@ -9,6 +9,7 @@
 import io.shallotspur.gateway.EntryVm;
 import io.shallotspur.gateway.GatewayTimer;
 import io.shallotspur.gateway.RegistrationListener;
+import io.shallotspur.serving.LoadLevel;
 
 /**
  * Keeps this VM registered in the store for as long as it accepts callers. Not
@@ -123,23 +124,23 @@
 	}
 
 	/**
-	 * Publishes whether this VM is overloaded. It is written immediately if the VM is
-	 * registered, else with the next registration. A write that fails is not retried; the
-	 * store then keeps the earlier value until the next change or registration.
-	 * @param overloaded whether it is
+	 * Publishes the load of this VM. It is written immediately if the VM is registered,
+	 * else with the next registration. A write that fails is not retried; the store then
+	 * keeps the earlier value until the next change or registration.
+	 * @param level the load
 	 */
-	public void setOverloaded(boolean overloaded) {
-		this.vm = this.vm.withOverloaded(overloaded);
+	public void setLoadLevel(LoadLevel level) {
+		this.vm = this.vm.withLoadLevel(level);
 		long l = activeLease();
 		if (l == 0) {
 			return;
 		}
 		this.registry.registerVm(this.vm, l)
 			.subscribe(
-					(ok) -> Logger.info("[registry] published load vm={} crowded={} done={}", this.vm.key(), overloaded,
-							ok),
-					(ex) -> Logger.warn("[registry] not published load vm={} crowded={} seen=\"{}\"", this.vm.key(),
-							overloaded, ex.toString()));
+					(ok) -> Logger.info("[registry] published load vm={} crowded={} level={} done={}", this.vm.key(),
+							this.vm.overloaded(), level.ordinal(), ok),
+					(ex) -> Logger.warn("[registry] not published load vm={} crowded={} level={} seen=\"{}\"",
+							this.vm.key(), this.vm.overloaded(), level.ordinal(), ex.toString()));
 	}
 
 	/**
--- /dev/null
+++ b/src/main/java/io/shallotspur/serving/VmLoad.java
@@ -0,0 +1,66 @@
+package io.shallotspur.serving;
+
+import java.util.function.BooleanSupplier;
+
+/**
+ * The load of this VM and what follows from it: the level that it announces and the
+ * callers that it releases. Not thread-safe; the current time is an argument.
+ */
+public final class VmLoad {
+
+	private final OverloadDetector detector = new OverloadDetector();
+
+	private final CallerRelease release = new CallerRelease();
+
+	private final ProcessorUse use;
+
+	private final BooleanSupplier alternatives;
+
+	/**
+	 * Creates the load of a VM that has just started.
+	 * @param use measures the use of its processor
+	 * @param alternatives whether callers are directed to other VMs that are not
+	 * overloaded
+	 */
+	public VmLoad(ProcessorUse use, BooleanSupplier alternatives) {
+		this.use = use;
+		this.alternatives = alternatives;
+	}
+
+	/**
+	 * Samples the load; called each {@link OverloadDetector#SAMPLE_INTERVAL_MS}.
+	 * @param delayMs milliseconds between the scheduled and the actual start of the
+	 * sample
+	 * @param now the current time in milliseconds
+	 */
+	public void sample(long delayMs, long now) {
+		this.detector.record(delayMs, this.use.sample(now), now);
+		boolean overloaded = level() != LoadLevel.NORMAL && this.detector.delayed();
+		this.release.update(overloaded, overloaded && this.alternatives.getAsBoolean(), now);
+	}
+
+	/**
+	 * Returns the level to announce.
+	 * @return the level
+	 */
+	public LoadLevel level() {
+		return this.detector.level();
+	}
+
+	/**
+	 * Returns the processor use.
+	 * @return a share from 0, in the latest sampling interval
+	 */
+	public double processorUse() {
+		return this.use.last();
+	}
+
+	/**
+	 * Returns what decides on the connections of callers.
+	 * @return the same instance at each call
+	 */
+	public CallerRelease release() {
+		return this.release;
+	}
+
+}
--- a/src/test/java/io/shallotspur/LayeringTests.java
+++ b/src/test/java/io/shallotspur/LayeringTests.java
@@ -18,7 +18,7 @@
 			"io.shallotspur.ledger..", "io.shallotspur.quarantine..", "io.shallotspur.resume..",
 			"io.shallotspur.order..", "io.shallotspur.membership..", "io.shallotspur.distribution..",
 			"io.shallotspur.locate..", "io.shallotspur.record..", "io.shallotspur.route..", "io.shallotspur.gateway..",
-			"io.shallotspur.registry..", "io.shallotspur.stage.." };
+			"io.shallotspur.registry..", "io.shallotspur.stage..", "io.shallotspur.serving.." };
 
 	@ArchTest
 	final ArchRule decisionsKnowNoOuterLayer = ArchRuleDefinition.noClasses()
--- a/src/test/java/io/shallotspur/gateway/RateLimitedFleet.java
+++ b/src/test/java/io/shallotspur/gateway/RateLimitedFleet.java
@@ -13,6 +13,7 @@
 import java.util.stream.IntStream;
 
 import io.shallotspur.gateway.GatewayFixture.Call;
+import io.shallotspur.serving.LoadLevel;
 
 /**
  * Several VMs in virtual time in front of plain workers that may report rate limits.
@@ -137,7 +138,7 @@
 	 * @param receivers the VMs that receive the change
 	 */
 	void setOverloaded(int vm, boolean overloaded, IntPredicate receivers) {
-		EntryVm e = this.entries.get(vm).withOverloaded(overloaded);
+		EntryVm e = this.entries.get(vm).withLoadLevel(overloaded ? LoadLevel.OVERLOADED : LoadLevel.NORMAL);
 		this.entries.set(vm, e);
 		IntStream.range(0, this.vms.size())
 			.filter(receivers)
--- a/src/test/java/io/shallotspur/gateway/SimulatedFleet.java
+++ b/src/test/java/io/shallotspur/gateway/SimulatedFleet.java
@@ -13,6 +13,8 @@
 import java.util.function.Predicate;
 import java.util.stream.LongStream;
 
+import io.shallotspur.serving.LoadLevel;
+
 /**
  * The retry budgets of all VMs of a fleet in virtual time. Each VM learns of changes of
  * the registrations with a delay of its own and retries as often as its budget allows.
@@ -100,7 +102,7 @@
 	}
 
 	void setOverloaded(Vm vm, boolean overloaded) {
-		vm.self = vm.self.withOverloaded(overloaded);
+		vm.self = vm.self.withLoadLevel(overloaded ? LoadLevel.OVERLOADED : LoadLevel.NORMAL);
 		vm.directory.registerSelf(vm.self);
 		announce(vm);
 	}
