What slow receivers have not read is held within one budget a VM

Cause: a response that its caller did not read was collected without a limit, the worker was read on all the same, and a request body was copied as a whole for a worker that does not read. Callers that stop reading could end a VM.

Change: ByteBudget holds responses and bodies in transit, limited to a quarter of the heap and an eighth of the machine's memory (limits.memory_mb, if stated). A response of which much is held lets the worker's connection unread but for one read a second (FlowGate), so that the worker does not break off. When the budget is spent, the response of the lowest rank, of the slowest caller, of the largest size is broken off; a body that finds no room is refused as not run. Bodies are sent to workers in parts. Gauges transit.held-bytes, transit.held-for, transit.cut, counter transit.paused.

Result: ByteBudgetTests (with a seeded sequence), PlatformEndToEndTests, RelayTests, LayeringTests, DeployTemplateTests, LateReadTests, CallerCloseTests pass.

--- a/src/main/java/io/shallotspur/gateway/Attempt.java
+++ b/src/main/java/io/shallotspur/gateway/Attempt.java
@@ -69,6 +69,16 @@
 		}
 	}
 
+	/**
+	 * Stops reading the worker's response, or goes on.
+	 * @param paused whether to stop
+	 */
+	void setPaused(boolean paused) {
+		if (this.exchange != null && !this.done) {
+			this.exchange.setPaused(paused);
+		}
+	}
+
 	WorkerState worker() {
 		return this.worker;
 	}
--- a/src/main/java/io/shallotspur/gateway/CallerResponse.java
+++ b/src/main/java/io/shallotspur/gateway/CallerResponse.java
@@ -1,6 +1,7 @@
 package io.shallotspur.gateway;
 
 import java.util.List;
+import java.util.function.Consumer;
 
 /**
  * The response to one caller. The gateway calls either {@link #send} or {@link #refuse},
@@ -9,6 +10,17 @@
  */
 public interface CallerResponse {
 
+	/**
+	 * The request was admitted. Called once, ahead of the response; a request that is
+	 * refused before need not be admitted.
+	 * @param id the id of the request
+	 * @param rank how urgent it is; 0 is the most urgent
+	 * @param pauses told whether too much of the response waits for a caller that does
+	 * not read, and whether it has read on
+	 */
+	default void admitted(String id, int rank, Consumer<Boolean> pauses) {
+	}
+
 	/**
 	 * Sends a response with a body of known length.
 	 * @param status the HTTP status
--- a/src/main/java/io/shallotspur/gateway/Exchange.java
+++ b/src/main/java/io/shallotspur/gateway/Exchange.java
@@ -12,4 +12,12 @@
 	 */
 	void cancel();
 
+	/**
+	 * Stops reading the response, or goes on. The worker is still read once in a while,
+	 * so that it does not break off. Has no effect if the call has ended.
+	 * @param paused whether to stop
+	 */
+	default void setPaused(boolean paused) {
+	}
+
 }
--- a/src/main/java/io/shallotspur/gateway/RefusalReason.java
+++ b/src/main/java/io/shallotspur/gateway/RefusalReason.java
@@ -70,6 +70,9 @@
 	/** The time for an answer has expired. */
 	TIMED_OUT,
 
+	/** This VM holds as much as it may for receivers that read slowly. */
+	MEMORY_FULL,
+
 	/** The request violates the protocol or a limit. */
 	BAD_REQUEST;
 
--- a/src/main/java/io/shallotspur/gateway/RelayMetrics.java
+++ b/src/main/java/io/shallotspur/gateway/RelayMetrics.java
@@ -38,6 +38,11 @@
 		this.registry.timer("relay.unread").update(ms, TimeUnit.MILLISECONDS);
 	}
 
+	// A worker's response is read slowly, as its caller does not read.
+	void readingPaused() {
+		this.registry.counter("transit.paused").inc();
+	}
+
 	void resumedByCaller() {
 		this.registry.counter("stream.resumed-by-caller").inc();
 	}
--- a/src/main/java/io/shallotspur/gateway/RelayTask.java
+++ b/src/main/java/io/shallotspur/gateway/RelayTask.java
@@ -69,6 +69,8 @@
 
 	private boolean responseStarted;
 
+	private boolean paused;
+
 	private boolean finished;
 
 	RelayTask(Gateway gateway, AdmittedRequest admitted, CallerResponse response, long arrivedAt) {
@@ -93,6 +95,7 @@
 	}
 
 	void start(long now) {
+		this.response.admitted(this.request.id(), this.admitted.priority(), this::setPaused);
 		this.gateway.retryBudget.recordFirstAttempt(this.upstream, now);
 		long callerSlackMs = this.request.callerTimeoutMs() - (this.deadline - this.arrivedAt);
 		long slackMs = Math.min(WORKER_TIMEOUT_SLACK_MS, callerSlackMs);
@@ -127,6 +130,17 @@
 			this.gateway.metrics.sentThroughVm();
 		}
 		a.send(this.gateway.workerPort, call.withLastEventId(this.progress.lastEventId()));
+		a.setPaused(this.paused);
+	}
+
+	private void setPaused(boolean newPaused) {
+		this.paused = newPaused;
+		if (newPaused) {
+			this.gateway.metrics.readingPaused();
+		}
+		if (this.attempt != null) {
+			this.attempt.setPaused(newPaused);
+		}
 	}
 
 	// The response would come on a connection that has fallen silent. It may still come
--- a/src/main/java/io/shallotspur/platform/CallerIngress.java
+++ b/src/main/java/io/shallotspur/platform/CallerIngress.java
@@ -32,6 +32,7 @@
 import io.shallotspur.route.IngressLimits;
 import io.shallotspur.route.RouteTable;
 import io.shallotspur.transit.ArrivalClock;
+import io.shallotspur.transit.ByteBudget;
 
 /**
  * HTTP server for the requests of callers. Confined to the event loop.
@@ -64,6 +65,10 @@
 
 	private static final AttributeKey<Opened> OPENED = AttributeKey.valueOf("shallotspur-opened");
 
+	// Retry delay while too much is held, in ms. Within that time, receivers that do not
+	// read are cut off.
+	private static final long MEMORY_RETRY_MS = 500;
+
 	private final Endpoint listen;
 
 	private final VmEventLoop loop;
@@ -72,17 +77,20 @@
 
 	private final LongSupplier clock;
 
+	private final ByteBudget budget;
+
 	private final Set<Channel> connections = new HashSet<>();
 
 	private final Set<Channel> activeConnections = new HashSet<>();
 
 	private boolean draining;
 
-	CallerIngress(Endpoint listen, VmEventLoop loop, Gateway gateway, LongSupplier clock) {
+	CallerIngress(Endpoint listen, VmEventLoop loop, Gateway gateway, LongSupplier clock, ByteBudget budget) {
 		this.listen = listen;
 		this.loop = loop;
 		this.gateway = gateway;
 		this.clock = clock;
+		this.budget = budget;
 	}
 
 	Mono<? extends DisposableServer> bind() {
@@ -133,7 +141,7 @@
 
 	private Mono<Void> handle(HttpServerRequest req, HttpServerResponse res) {
 		IngressLimits limits = this.gateway.routeTable().map(RouteTable::limits).orElse(IngressLimits.DEFAULT);
-		HttpCallerResponse response = new HttpCallerResponse(res, () -> this.draining);
+		HttpCallerResponse response = new HttpCallerResponse(res, () -> this.draining, this.budget, this.clock);
 		if (headerBytes(req) > limits.maxHeaderBytes()) {
 			return refuse(response, res, HEADERS_TOO_LARGE);
 		}
@@ -146,12 +154,18 @@
 		// body.
 		long arrivedAt = arrivedAt(req);
 		ByteArrayOutputStream body = new ByteArrayOutputStream();
-		return req.receive()
-			.asByteArray()
-			.doOnNext(body::writeBytes)
-			.takeUntil((b) -> body.size() > limits.maxBodyBytes())
-			.then(Mono.defer(() -> (body.size() > limits.maxBodyBytes()) ? refuse(response, res, CONTENT_TOO_LARGE)
-					: relay(req, res, body.toByteArray(), response, arrivedAt)));
+		ByteBudget.Holding holding = this.budget.openUncuttable();
+		boolean[] full = { false };
+		return req.receive().asByteArray().doOnNext((b) -> {
+			full[0] |= !holding.add(b.length, this.clock.getAsLong());
+			body.writeBytes(b);
+		}).takeUntil((b) -> full[0] || body.size() > limits.maxBodyBytes()).then(Mono.defer(() -> {
+			if (full[0]) {
+				return refuseUnread(response, res);
+			}
+			return (body.size() > limits.maxBodyBytes()) ? refuse(response, res, CONTENT_TOO_LARGE)
+					: relay(req, res, body.toByteArray(), response, arrivedAt);
+		})).doFinally((s) -> holding.close());
 	}
 
 	private long arrivedAt(HttpServerRequest req) {
@@ -207,6 +221,13 @@
 		});
 	}
 
+	private static Mono<Void> refuseUnread(HttpCallerResponse response, HttpServerResponse res) {
+		Logger.info("[transit] request refused, as too much is held");
+		res.header(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+		response.refuse(RelayRefusal.notRun(RefusalReason.MEMORY_FULL, MEMORY_RETRY_MS));
+		return response.completion();
+	}
+
 	private Mono<Void> refuse(HttpCallerResponse response, HttpServerResponse res, int status) {
 		res.header(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
 		response.refuse(new RelayRefusal(status, RefusalReason.BAD_REQUEST, 0));
--- a/src/main/java/io/shallotspur/platform/HttpCallerResponse.java
+++ b/src/main/java/io/shallotspur/platform/HttpCallerResponse.java
@@ -4,12 +4,15 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import org.reactivestreams.Publisher;
+import org.tinylog.Logger;
 import reactor.core.publisher.Mono;
 import reactor.core.publisher.Sinks;
 import reactor.netty.NettyOutbound;
@@ -19,6 +22,8 @@
 import io.shallotspur.gateway.HeaderField;
 import io.shallotspur.gateway.RefusalReason;
 import io.shallotspur.gateway.RelayRefusal;
+import io.shallotspur.transit.ByteBudget;
+import io.shallotspur.transit.FlowGate;
 
 /**
  * The HTTP response to one caller. Confined to the event loop.
@@ -35,6 +40,19 @@
 
 	private final BooleanSupplier draining;
 
+	private final LongSupplier clock;
+
+	private final ByteBudget.Holding holding;
+
+	private final FlowGate gate = new FlowGate();
+
+	private String id = "";
+
+	private Consumer<Boolean> pauses = (paused) -> {
+	};
+
+	private boolean ended;
+
 	private final Sinks.One<Publisher<Void>> output = Sinks.one();
 
 	private final Sinks.Many<ByteBuf> chunks = Sinks.many().unicast().onBackpressureBuffer();
@@ -42,9 +60,18 @@
 	private Runnable doneCallback = () -> {
 	};
 
-	HttpCallerResponse(HttpServerResponse response, BooleanSupplier draining) {
+	/**
+	 * Creates a response of which nothing is sent.
+	 * @param response the HTTP response
+	 * @param draining whether the connection is closed after the response
+	 * @param budget holds what the caller has not read
+	 * @param clock the time in milliseconds
+	 */
+	HttpCallerResponse(HttpServerResponse response, BooleanSupplier draining, ByteBudget budget, LongSupplier clock) {
 		this.response = response;
 		this.draining = draining;
+		this.clock = clock;
+		this.holding = budget.open(this::cut);
 	}
 
 	/**
@@ -52,7 +79,11 @@
 	 * @return completes when the response is written
 	 */
 	Mono<Void> completion() {
-		return this.output.asMono().flatMap(Mono::from).doFinally((s) -> this.doneCallback.run());
+		return this.output.asMono().flatMap(Mono::from).doFinally((s) -> {
+			this.ended = true;
+			this.holding.close();
+			this.doneCallback.run();
+		});
 	}
 
 	/**
@@ -63,8 +94,20 @@
 		this.doneCallback = task;
 	}
 
+	@Override
+	public void admitted(String requestId, int rank, Consumer<Boolean> pauseListener) {
+		this.id = requestId;
+		this.holding.rank(rank);
+		this.pauses = pauseListener;
+	}
+
 	@Override
 	public void send(int status, List<HeaderField> headers, byte[] body) {
+		// Held until the response is written as a whole.
+		this.holding.add(body.length, this.clock.getAsLong());
+		if (this.ended) {
+			return;
+		}
 		head(status, headers);
 		this.response.header(HttpHeaderNames.CONTENT_LENGTH, Integer.toString(body.length));
 		this.output.tryEmitValue(this.response.sendObject(Unpooled.wrappedBuffer(body)));
@@ -94,7 +137,34 @@
 
 	@Override
 	public void write(byte[] bytes) {
-		this.chunks.tryEmitNext(Unpooled.wrappedBuffer(bytes));
+		if (this.ended) {
+			return;
+		}
+		this.holding.add(bytes.length, this.clock.getAsLong());
+		if (this.ended) {
+			return;
+		}
+		this.chunks.tryEmitNext(new CountedBuffer(bytes, () -> released(bytes.length)));
+		updateGate();
+	}
+
+	private void released(int bytes) {
+		this.holding.release(bytes, this.clock.getAsLong());
+		updateGate();
+	}
+
+	private void updateGate() {
+		boolean stopped = this.gate.isStopped();
+		if (this.gate.update(this.holding.bytes()) != stopped && !this.ended) {
+			this.pauses.accept(!stopped);
+		}
+	}
+
+	// The caller must see that its response is incomplete.
+	private void cut() {
+		this.ended = true;
+		Logger.warn("[transit] response cut, as its caller does not read id={}", this.id);
+		abort();
 	}
 
 	@Override
--- a/src/main/java/io/shallotspur/platform/HttpWorkerPort.java
+++ b/src/main/java/io/shallotspur/platform/HttpWorkerPort.java
@@ -11,11 +11,13 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.ConnectTimeoutException;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
+import org.jspecify.annotations.Nullable;
 import org.tinylog.Logger;
 import reactor.core.Disposable;
 import reactor.core.publisher.Flux;
@@ -125,11 +127,26 @@
 	@Override
 	public Exchange run(WorkerCall call, ExchangeListener listener) {
 		SendState state = new SendState();
+		ResponseFlow flow = new ResponseFlow(this.loop);
 		Disposable d = send(call, "", state).response((r, content) -> {
+			flow.connected(state.connection);
 			listener.onHead(head(call.request(), r));
-			return content.asByteArray();
+			return content.asByteArray().doOnTerminate(flow::end);
 		}).subscribe(listener::onBytes, (ex) -> listener.onFailure(failure(state, ex)), listener::onEnd);
-		return d::dispose;
+		return new Exchange() {
+
+			@Override
+			public void cancel() {
+				flow.end();
+				d.dispose();
+			}
+
+			@Override
+			public void setPaused(boolean paused) {
+				flow.setPaused(paused);
+			}
+
+		};
 	}
 
 	private static ResponseHead head(RelayRequest request, HttpClientResponse r) {
@@ -292,13 +309,28 @@
 
 	private HttpClient.ResponseReceiver<?> send(WorkerCall call, String stage, SendState state) {
 		RelayRequest q = call.request();
-		ByteBuf body = Unpooled.wrappedBuffer(q.body());
 		return this.workerClient.expecting(call.worker())
 			.headers((h) -> headers(h, call, stage))
-			.doOnRequest((r, c) -> state.sent = true)
+			.doOnRequest((r, c) -> {
+				state.sent = true;
+				state.connection = c.channel();
+			})
 			.request(HttpMethod.valueOf(q.method()))
 			.uri("http://" + call.worker().address() + q.target())
-			.send((r, out) -> out.send(Flux.just(body)));
+			.send((r, out) -> out.send(parts(q.body())));
+	}
+
+	// A body is copied into the memory of its connection as a whole. In parts, no more is
+	// copied than the worker reads.
+	private static Flux<ByteBuf> parts(byte[] body) {
+		if (body.length <= MAX_POOLED_BODY_BYTES) {
+			return Flux.just(Unpooled.wrappedBuffer(body));
+		}
+		int n = (body.length + MAX_POOLED_BODY_BYTES - 1) / MAX_POOLED_BODY_BYTES;
+		return Flux.range(0, n).map((i) -> {
+			int from = i * MAX_POOLED_BODY_BYTES;
+			return Unpooled.wrappedBuffer(body, from, Math.min(MAX_POOLED_BODY_BYTES, body.length - from));
+		});
 	}
 
 	private static void headers(HttpHeaders h, WorkerCall call, String stage) {
@@ -339,6 +371,8 @@
 
 		private boolean sent;
 
+		private @Nullable Channel connection;
+
 	}
 
 	/**
--- a/src/main/java/io/shallotspur/platform/PlatformSettings.java
+++ b/src/main/java/io/shallotspur/platform/PlatformSettings.java
@@ -8,6 +8,7 @@
 import io.shallotspur.gateway.GatewaySettings;
 import io.shallotspur.gateway.QuotaTolerance;
 import io.shallotspur.registry.ChangeDeadlines;
+import io.shallotspur.transit.ByteBudget;
 import io.shallotspur.util.toml.Problems;
 import io.shallotspur.util.toml.TomlTable;
 
@@ -29,10 +30,11 @@
  * @param changeDeadlines how soon registry changes must take effect
  * @param orders settings of stage orders to workers
  * @param log log level and rate limit
+ * @param transitBytes memory for what receivers have not read yet, in bytes
  */
 record PlatformSettings(GatewaySettings gateway, String region, double cores, Endpoint callers, Endpoint readiness,
 		Endpoint locate, Endpoint metrics, Endpoint tunnels, Endpoint peers, Endpoint store, long locateTtlMs,
-		long graceMs, ChangeDeadlines changeDeadlines, OrderSettings orders, LogSettings log) {
+		long graceMs, ChangeDeadlines changeDeadlines, OrderSettings orders, LogSettings log, long transitBytes) {
 
 	private static final long HOUR_MS = 3_600_000;
 
@@ -72,6 +74,8 @@
 		GatewaySettings g = gateway(vm, bounds);
 		String region = vm.text("region", "default");
 		double cores = vm.number("cpu_share", 1, 0.01, 10_000) * vm.number("cpu_speed", 1, 0.01, 10_000);
+		long transitBytes = ByteBudget.limit(vm.whole("memory_mb", 0, 0, 1 << 20) << 20,
+				Runtime.getRuntime().maxMemory());
 		vm.finish();
 		double ttl = Math.min(MAX_TTL_S, bounds.number("locate_ttl_max_s", MAX_TTL_S, 0.1, 3_600));
 		long grace = (long) (bounds.number("grace_s", 8, 0, 3_600) * MS_PER_S);
@@ -86,7 +90,7 @@
 		log.finish();
 		root.finish();
 		return new PlatformSettings(g, region, cores, callers, ready, locate, metrics, tunnels, peers, address,
-				(long) (ttl * MS_PER_S), grace, changes, orders, logSettings);
+				(long) (ttl * MS_PER_S), grace, changes, orders, logSettings, transitBytes);
 	}
 
 	private static GatewaySettings gateway(TomlTable vm, TomlTable bounds) {
--- a/src/main/java/io/shallotspur/platform/PlatformVm.java
+++ b/src/main/java/io/shallotspur/platform/PlatformVm.java
@@ -40,6 +40,7 @@
 import io.shallotspur.registry.VmLoadSampler;
 import io.shallotspur.registry.VmRegistration;
 import io.shallotspur.stage.StageRebalancer;
+import io.shallotspur.transit.ByteBudget;
 
 /**
  * One entry VM on the platform: connects the gateway to its adapters, starts and drains
@@ -172,7 +173,11 @@
 		this.tunnels = new TunnelServer(this.loop.resources().onServer(false), this.self.key(),
 				(id) -> this.gateway.tunnelTarget(id).map((w) -> new InetSocketAddress(w.host(), w.port())));
 		this.metrics.registry().gauge("path.tunnels", () -> this.tunnels::openTunnels);
-		this.ingress = new CallerIngress(s.callers(), this.loop, this.gateway, this.clock);
+		ByteBudget budget = new ByteBudget(s.transitBytes());
+		this.metrics.registry().gauge("transit.held-bytes", () -> budget::held);
+		this.metrics.registry().gauge("transit.held-for", () -> budget::holders);
+		this.metrics.registry().gauge("transit.cut", () -> budget::cuts);
+		this.ingress = new CallerIngress(s.callers(), this.loop, this.gateway, this.clock, budget);
 	}
 
 	// Nothing on the platform is encrypted, and VMs may know the store under different
