--- a/src/main/java/io/shallotspur/platform/PlatformVm.java
+++ b/src/main/java/io/shallotspur/platform/PlatformVm.java
@@ -182,8 +182,7 @@
 		this.metrics.registry().gauge("transit.held-bytes", () -> budget::held);
 		this.metrics.registry().gauge("transit.held-for", () -> budget::holders);
 		this.metrics.registry().gauge("transit.cut", () -> budget::cuts);
-		this.ingress = new CallerIngress(s.callers(), this.loop, this.gateway, this.clock, load.release(),
-				budget);
+		this.ingress = new CallerIngress(s.callers(), this.loop, this.gateway, this.clock, load.release(), budget);
 	}
 
 	private VmLoad vmLoad(double cores) {
--- a/src/test/java/io/shallotspur/LayeringTests.java
+++ b/src/test/java/io/shallotspur/LayeringTests.java
@@ -19,8 +19,7 @@
 			"io.shallotspur.order..", "io.shallotspur.membership..", "io.shallotspur.distribution..",
 			"io.shallotspur.locate..", "io.shallotspur.record..", "io.shallotspur.route..", "io.shallotspur.gateway..",
 			"io.shallotspur.registry..", "io.shallotspur.stage..", "io.shallotspur.queueing..",
-			"io.shallotspur.quota..", "io.shallotspur.transit..", "io.shallotspur.pace..",
-			"io.shallotspur.serving.." };
+			"io.shallotspur.quota..", "io.shallotspur.transit..", "io.shallotspur.pace..", "io.shallotspur.serving.." };
 
 	@ArchTest
 	final ArchRule decisionsKnowNoOuterLayer = ArchRuleDefinition.noClasses()
