Waiting requests: refused at arrival if the queue will not reach them

Cause: in a burst requests waited up to two objectives, were refused and mostly refused again; and an urgent request stopped waiting before less urgent ones with a longer objective.

Change: where several priorities compete, each arrival has the queue of its VM checked against the rate at which requests that wait start (StartRate, WaitForecast): what will not be reached within two deviations is refused with a Retry-After of when it would have been served, spread over that time again. An urgent request waits as long as the less urgent ones of its upstream may. WorkerChoice takes the choice of request and worker out of ReservationQueue. Log line unservable, metric relay.unservable.

--- a/src/main/java/io/shallotspur/gateway/PendingRequest.java
+++ b/src/main/java/io/shallotspur/gateway/PendingRequest.java
@@ -49,6 +49,9 @@
 	// No slot was available in time, or the queue is full.
 	void onRejected(long now);
 
+	// It would get a slot only after it stops waiting, in that many ms.
+	void onUnservable(long expectedWaitMs, long now);
+
 	// Logs a message.
 	void log(String message, long now);
 
--- a/src/main/java/io/shallotspur/gateway/RelayMetrics.java
+++ b/src/main/java/io/shallotspur/gateway/RelayMetrics.java
@@ -84,6 +84,11 @@
 		}
 	}
 
+	// A request was refused because it could not be served in time.
+	void unservable(int priority) {
+		this.registry.counter("relay.unservable." + priority).inc();
+	}
+
 	void sentToLimited() {
 		this.registry.counter("relay.sent-to-limited").inc();
 	}
--- a/src/main/java/io/shallotspur/gateway/RequestPlacement.java
+++ b/src/main/java/io/shallotspur/gateway/RequestPlacement.java
@@ -66,6 +66,8 @@
 
 	private long reservedAt;
 
+	private long expectedQueueMs;
+
 	RequestPlacement(Gateway gateway, AdmittedRequest admitted, LazyIdentity identity, String upstream,
 			@Nullable UpstreamSpec upstreamSpec, Callback callback, long arrivedAt, long deadline) {
 		this.gateway = gateway;
@@ -269,6 +271,20 @@
 		this.callback.onRefused(rejectionReason(now), now);
 	}
 
+	@Override
+	public void onUnservable(long expectedWaitMs, long now) {
+		this.expectedQueueMs = expectedWaitMs;
+		onRejected(now);
+	}
+
+	/**
+	 * Returns the time until the queue would have served the request.
+	 * @return milliseconds; 0 if it was not refused for that
+	 */
+	long expectedQueueMs() {
+		return this.expectedQueueMs;
+	}
+
 	private RefusalReason rejectionReason(long now) {
 		if (this.candidates.all(stage(), this.triedWorkers, now).isEmpty()) {
 			return noWorker();
--- a/src/main/java/io/shallotspur/gateway/ReservationQueue.java
+++ b/src/main/java/io/shallotspur/gateway/ReservationQueue.java
@@ -5,16 +5,15 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Optional;
-import java.util.OptionalLong;
+import java.util.OptionalDouble;
 import java.util.Set;
 
 import org.jspecify.annotations.Nullable;
 
-import io.shallotspur.queueing.Contention;
-import io.shallotspur.queueing.LowerPriorityTurns;
-import io.shallotspur.queueing.PriorityDemand;
 import io.shallotspur.queueing.ServiceOrder;
-import io.shallotspur.queueing.YieldPolicy;
+import io.shallotspur.queueing.StartRate;
+import io.shallotspur.queueing.WaitForecast;
+import io.shallotspur.queueing.WaitForecast.Unservable;
 
 /**
  * The queue of requests of one model upstream that wait for a slot and memory at a decode
@@ -37,10 +36,6 @@
  */
 final class ReservationQueue {
 
-	// A worker with 10 slots and responses of 3 s frees a slot every 300 ms; calling it
-	// more often than that is mostly unsuccessful, ms.
-	private static final long FULL_BACKOFF_MS = 150;
-
 	// Interval between calls while all workers are full, ms. With 100 workers and 100
 	// VMs, each VM would otherwise make 270 calls a second and spend its CPU time and
 	// theirs on refusals.
@@ -58,22 +53,15 @@
 	// request waits longer.
 	private static final int MIN_QUEUE_LIMIT = 64;
 
-	// Noted where a request yields to such that may wait at other VMs.
-	private static final String OTHER_VMS = "other-vms";
-
 	private final Gateway gateway;
 
 	private final String upstream;
 
 	private final Set<ReservationTicket> queue = new LinkedHashSet<>();
 
-	private final RecentRefusals recentRefusals = new RecentRefusals();
-
-	private final PriorityDemand demand = new PriorityDemand();
+	private final StartRate startRate = new StartRate();
 
-	private final YieldPolicy yieldPolicy = new YieldPolicy(this.demand);
-
-	private final LowerPriorityTurns lowerPriorityTurns = new LowerPriorityTurns();
+	private final WorkerChoice choice;
 
 	private long lastSequence;
 
@@ -90,6 +78,7 @@
 	ReservationQueue(Gateway gateway, String upstream) {
 		this.gateway = gateway;
 		this.upstream = upstream;
+		this.choice = new WorkerChoice(gateway);
 	}
 
 	/**
@@ -101,14 +90,34 @@
 	ReservationTicket enqueue(PendingRequest request, long now) {
 		ReservationTicket ticket = new ReservationTicket(request, ++this.lastSequence, now);
 		this.queue.add(ticket);
-		this.demand.recordArrival(ticket.priority(), now);
+		this.choice.recordArrival(ticket, now);
 		if (this.queue.size() > MIN_QUEUE_LIMIT && this.queue.size() > request.slots(now)) {
 			rejectLast(now);
 		}
+		if (this.choice.hasSeveralPriorities(now)) {
+			rejectUnservableInTime(now);
+		}
 		dispatch(now);
 		return ticket;
 	}
 
+	private void rejectUnservableInTime(long now) {
+		this.startRate.setWaiting(true, now);
+		OptionalDouble perSecond = this.startRate.perSecond(now);
+		if (perSecond.isEmpty()) {
+			return;
+		}
+		List<ReservationTicket> ordered = ServiceOrder.of(this.queue, now);
+		for (Unservable<ReservationTicket> u : WaitForecast.unservable(ordered, perSecond.getAsDouble(), now)) {
+			cancel(u.request());
+			PendingRequest request = u.request().request();
+			this.gateway.metrics.unservable(request.priority());
+			request.log("unservable priority=" + request.priority() + " waiting=" + ordered.size() + " starts-per-s="
+					+ perSecond.getAsDouble() + " expected-ms=" + u.expectedWaitMs(), now);
+			request.onUnservable(u.expectedWaitMs(), now);
+		}
+	}
+
 	// Rejects the request that would wait longest, not the newest arrival, which may be
 	// first.
 	private void rejectLast(long now) {
@@ -134,7 +143,7 @@
 	 * @param now the present time in milliseconds
 	 */
 	void capacityFreed(String worker, long now) {
-		this.recentRefusals.recordFreedSlot(worker, YieldPolicy.maxMs(servingVms(now)), now);
+		this.choice.recordFreedSlot(worker, now);
 		this.nextAttemptAt = now;
 		dispatch(now);
 	}
@@ -169,7 +178,7 @@
 	private void dispatch(long now) {
 		updateTickets(now);
 		while (this.inFlight.size() < MAX_CONCURRENT_CALLS && now >= this.nextAttemptAt) {
-			Optional<ReservationAttempt> attempt = nextAttempt(now);
+			Optional<WorkerChoice.Attempt> attempt = this.choice.next(this.queue, this.inFlight, now);
 			if (attempt.isEmpty()) {
 				rejectUnservable(now);
 				break;
@@ -177,62 +186,14 @@
 			this.queue.remove(attempt.get().ticket());
 			if (this.consecutiveRefusals >= SATURATION_REFUSALS
 					&& attempt.get().candidateCount() > SATURATION_REFUSALS) {
-				this.nextAttemptAt = now + (long) (intervalShare(attempt.get().ticket(), now) * SATURATED_INTERVAL_MS);
+				this.nextAttemptAt = now
+						+ (long) (this.choice.intervalShare(attempt.get().ticket(), now) * SATURATED_INTERVAL_MS);
 			}
 			requestReservation(attempt.get().ticket(), attempt.get().worker(), now);
 		}
 		scheduleDispatch(now);
 	}
 
-	private Optional<ReservationAttempt> nextAttempt(long now) {
-		List<ReservationTicket> ordered = ServiceOrder.of(this.queue, now);
-		Contention<ReservationTicket> contention = new Contention<>(this.queue, this.inFlight);
-		return lowerPriorityAttempt(ordered, now)
-			.or(() -> ordered.stream().flatMap((t) -> attempt(t, contention, now).stream()).findFirst());
-	}
-
-	private Optional<ReservationAttempt> lowerPriorityAttempt(List<ReservationTicket> ordered, long now) {
-		if (!this.lowerPriorityTurns.isDue()) {
-			return Optional.empty();
-		}
-		return ServiceOrder.firstOfLowerPriority(ordered)
-			.flatMap((t) -> attempt(t, t.request().candidates(now), OptionalLong.empty(), now));
-	}
-
-	private Optional<ReservationAttempt> attempt(ReservationTicket ticket, Contention<ReservationTicket> contention,
-			long now) {
-		Optional<ReservationTicket> timely = contention.holdsBack(ticket);
-		if (timely.isPresent()) {
-			ticket.yieldTo(timely.get().request().id());
-			return Optional.empty();
-		}
-		List<WorkerState> candidates = ticket.request().candidates(now);
-		OptionalLong yieldMs = this.yieldPolicy.delayMs(ticket, contention, servingVms(now), now);
-		Optional<ReservationAttempt> attempt = attempt(ticket, candidates, yieldMs, now);
-		if (yieldMs.isPresent() && attempt.isEmpty()
-				&& !eligible(ticket, candidates, OptionalLong.empty(), now).isEmpty()) {
-			ticket.yieldTo(contention.higherThan(ticket).map((t) -> t.request().id()).orElse(OTHER_VMS));
-		}
-		return attempt;
-	}
-
-	private Optional<ReservationAttempt> attempt(ReservationTicket ticket, List<WorkerState> candidates,
-			OptionalLong yieldMs, long now) {
-		return WorkerSelector
-			.leastCost(eligible(ticket, candidates, yieldMs, now), this.gateway.settings.hall(), this.gateway.random,
-					now)
-			.map((w) -> new ReservationAttempt(ticket, w, candidates.size()));
-	}
-
-	private List<WorkerState> eligible(ReservationTicket ticket, List<WorkerState> candidates, OptionalLong yieldMs,
-			long now) {
-		int tokens = ticket.request().requiredTokens();
-		double intervalShare = intervalShare(ticket, now);
-		return candidates.stream()
-			.filter((w) -> this.recentRefusals.mayFit(w.info().id(), tokens, intervalShare, yieldMs, now))
-			.toList();
-	}
-
 	// Rejects expired requests and marks those that have become late.
 	private void updateTickets(long now) {
 		for (ReservationTicket ticket : new ArrayList<>(this.queue)) {
@@ -317,7 +278,10 @@
 			this.gateway.notices.cancelReservation(worker.info(), reservation);
 			return;
 		}
-		this.lowerPriorityTurns.recordStart();
+		this.choice.recordStart();
+		if (!this.queue.isEmpty() || now > ticket.enqueuedAt()) {
+			this.startRate.recordStart(now);
+		}
 		ticket.close();
 		recordWait(ticket, now);
 		ticket.request().onReserved(worker, reservation, now);
@@ -326,7 +290,7 @@
 	// Only where priorities compete, as elsewhere the order follows from the arrivals.
 	private void recordWait(ReservationTicket ticket, long now) {
 		long waitedMs = now - ticket.enqueuedAt();
-		if (waitedMs == 0 || !this.demand.hasSeveralPriorities(now)) {
+		if (waitedMs == 0 || !this.choice.hasSeveralPriorities(now)) {
 			return;
 		}
 		boolean yielded = !ticket.yieldedTo().isEmpty();
@@ -337,9 +301,7 @@
 	}
 
 	private void onRefused(WorkerState worker, int tokens, @Nullable ExchangeFailure failure, long now) {
-		long backoffMs = (long) (FULL_BACKOFF_MS * (0.75 + this.gateway.random.next() / 2));
-		this.recentRefusals.recordRefusal(worker.info().id(), tokens, backoffMs, YieldPolicy.maxMs(servingVms(now)),
-				now);
+		this.choice.recordRefusal(worker, tokens, now);
 		if (failure != null) {
 			this.gateway.roster.outlierDetector(this.upstream).recordFailure(worker.info().id(), now);
 			worker.recordOutcome(true);
@@ -347,36 +309,13 @@
 		}
 	}
 
-	private long nextRetryAt(long now) {
-		long retryAt = this.recentRefusals.nextRetryAt(1, 0, now, now + FULL_BACKOFF_MS);
-		if (!this.demand.hasSeveralPriorities(now)) {
-			return retryAt;
-		}
-		Contention<ReservationTicket> contention = new Contention<>(this.queue, this.inFlight);
-		Set<Integer> seen = new HashSet<>();
-		for (ReservationTicket ticket : this.queue) {
-			if (seen.add(ticket.priority())) {
-				long yieldMs = this.yieldPolicy.delayMs(ticket, contention, servingVms(now), now).orElse(0);
-				retryAt = this.recentRefusals.nextRetryAt(intervalShare(ticket, now), yieldMs, now, retryAt);
-			}
-		}
-		return retryAt;
-	}
-
-	private double intervalShare(ReservationTicket ticket, long now) {
-		return this.yieldPolicy.intervalShare(ticket.priority(), now);
-	}
-
-	private int servingVms(long now) {
-		return this.gateway.entryVms.servingCountOwnRegion(now);
-	}
-
 	private void scheduleDispatch(long now) {
 		this.cancelTimer.run();
+		this.startRate.setWaiting(!this.queue.isEmpty(), now);
 		if (this.queue.isEmpty()) {
 			return;
 		}
-		long wakeAt = nextRetryAt(now);
+		long wakeAt = this.choice.nextRetryAt(this.queue, this.inFlight, now);
 		for (ReservationTicket ticket : this.queue) {
 			wakeAt = Math.min(wakeAt, ticket.request().waitDeadline());
 		}
@@ -387,12 +326,4 @@
 				() -> dispatch(this.gateway.clock.getAsLong()));
 	}
 
-	/**
-	 * The next reservation call: the request, the worker to call and the number of
-	 * candidates.
-	 */
-	private record ReservationAttempt(ReservationTicket ticket, WorkerState worker, int candidateCount) {
-
-	}
-
 }
--- a/src/main/java/io/shallotspur/gateway/ReservationTicket.java
+++ b/src/main/java/io/shallotspur/gateway/ReservationTicket.java
@@ -48,6 +48,11 @@
 		return this.request.latestStart();
 	}
 
+	@Override
+	public long waitDeadline() {
+		return this.request.waitDeadline();
+	}
+
 	@Override
 	public long enqueuedAt() {
 		return this.enqueuedAt;
--- a/src/main/java/io/shallotspur/gateway/RetryAfter.java
+++ b/src/main/java/io/shallotspur/gateway/RetryAfter.java
@@ -55,6 +55,20 @@
 		return (long) Math.min(MAX_HEEDED_SHARE * remainingMs, PLAIN_DELAY_MS + refillMs * (1 + random));
 	}
 
+	/**
+	 * Returns the retry delay of a caller that is refused because too many others wait
+	 * before it. By then they are likely to be served.
+	 * @param queueMs the time until the queue would have served it, in milliseconds
+	 * @param remainingMs how long it will still wait, in milliseconds
+	 * @param answerMs the estimated duration of its answer, in milliseconds
+	 * @param random a random number from 0 to 1
+	 * @return milliseconds
+	 */
+	static long queueDelayMs(long queueMs, long remainingMs, long answerMs, double random) {
+		double servedMs = STREAM_DELAY_MS + queueMs * (1 + random);
+		return (long) Math.max(1, Math.min(servedMs, lateDelayMs(remainingMs, answerMs, random)));
+	}
+
 	/**
 	 * Returns the retry delay of a caller whose answer will be late in any case. A longer
 	 * delay costs it nothing, and by then the burst that delayed it is more likely over;
--- a/src/main/java/io/shallotspur/gateway/RetryDelay.java
+++ b/src/main/java/io/shallotspur/gateway/RetryDelay.java
@@ -49,6 +49,10 @@
 		if (reason == RefusalReason.WORKERS_LIMITED || waitMs > 0) {
 			return RetryAfter.refillDelayMs(waitMs, remainingMs, random);
 		}
+		long queueMs = this.placement.expectedQueueMs();
+		if (queueMs > 0) {
+			return RetryAfter.queueDelayMs(queueMs, remainingMs, this.placement.generationMs(), random);
+		}
 		boolean tooLate = now > this.placement.latestStart();
 		boolean hasTimeout = this.request.callerTimeoutMs() != Long.MAX_VALUE;
 		if (tooLate && hasTimeout && this.route.kind() == RouteKind.STREAM) {
--- a/src/main/java/io/shallotspur/queueing/WaitingRequest.java
+++ b/src/main/java/io/shallotspur/queueing/WaitingRequest.java
@@ -23,6 +23,12 @@
 	 */
 	long latestStart();
 
+	/**
+	 * Returns when it stops waiting.
+	 * @return the time in milliseconds
+	 */
+	long waitDeadline();
+
 	/**
 	 * Returns since when it has waited.
 	 * @return the time in milliseconds
--- a/src/test/java/io/shallotspur/gateway/PriorityQueueTests.java
+++ b/src/test/java/io/shallotspur/gateway/PriorityQueueTests.java
@@ -1,5 +1,6 @@
 package io.shallotspur.gateway;
 
+import java.util.ArrayList;
 import java.util.List;
 
 import org.assertj.core.api.Assertions;
@@ -88,6 +89,35 @@
 		}
 	}
 
+	// An urgent request has the tighter objective and stopped waiting first, so that a
+	// less urgent one got the slot that it had waited for.
+	@Test
+	void urgentRequestWaitsAsLongAsLessUrgentOnes() {
+		Call urgent = urgent();
+		refuseFor(2 * PriorityFleet.OTHER_TARGET_MS - 10);
+		Assertions.assertThat(urgent.caller().responseCount).isZero();
+		refuseFor(20);
+		Assertions.assertThat(urgent.caller().status).isEqualTo(503);
+	}
+
+	// A burst asks for far more than the workers can do. Those whose turn will not come
+	// waited until they were refused, and returned to the same queue.
+	@ParameterizedTest
+	@ValueSource(strings = { "urgent", "other" })
+	void refusesAtArrivalWhatCannotBeServedInTime(String first) {
+		this.fixture.callWithPrompt(first, URGENT_TOKENS);
+		List<Call> calls = new ArrayList<>();
+		for (int i = 0; i < 40; i++) {
+			refuseFor(25);
+			calls.add(other());
+		}
+		List<Call> refused = calls.stream().filter((c) -> c.caller().status == 503).toList();
+		// All but the first four in the queue.
+		Assertions.assertThat(refused).hasSize(first.equals("urgent") ? 37 : 0);
+		Assertions.assertThat(refused)
+			.allSatisfy((c) -> Assertions.assertThat(c.caller().refusal.retryAfterMs()).isBetween(500L, 5_000L));
+	}
+
 	// Callers are spread over many VMs, each of which orders its own requests only, and
 	// ask for half as much again as the workers can do. Whoever asks first would get a
 	// slot, so urgent requests would be late as often as the others.
--- a/src/test/java/io/shallotspur/queueing/WaitingOrderTests.java
+++ b/src/test/java/io/shallotspur/queueing/WaitingOrderTests.java
@@ -10,6 +10,8 @@
 import org.assertj.core.api.Assertions;
 import org.junit.jupiter.api.Test;
 
+import io.shallotspur.queueing.WaitForecast.Unservable;
+
 /**
  * Tests of the order of waiting requests under a load of several priorities.
  */
@@ -123,9 +125,42 @@
 		Assertions.assertThat(this.demand.hasSeveralPriorities(NOW + 60_000)).isFalse();
 	}
 
+	// A burst lasts longer than callers wait. Those at the end of the queue wait for
+	// nothing and return when it is too late for their answer.
+	@Test
+	void givesUpRequestsThatQueueWillNotReachInTime() {
+		List<Waiting> ordered = IntStream.range(0, 40).mapToObj((i) -> timely(2, i)).toList();
+		List<Unservable<Waiting>> unservable = WaitForecast.unservable(ordered, 10, NOW);
+		Assertions.assertThat(unservable).hasSizeBetween(5, 12);
+		Assertions.assertThat(unservable.get(0).request().sequence()).isEqualTo(40L - unservable.size());
+		Assertions.assertThat(unservable.get(0).expectedWaitMs()).isGreaterThan(2_000);
+		Assertions.assertThat(WaitForecast.unservable(ordered.subList(0, 4), 0, NOW)).isEmpty();
+		Assertions.assertThat(WaitForecast.unservable(ordered, 40, NOW)).isEmpty();
+	}
+
+	// Nothing waits for most of the time, and the starts of that time make the queue look
+	// faster, or slower, than it is in a burst.
+	@Test
+	void startRateCountsOnlyTimeInWhichRequestsWait() {
+		StartRate rate = new StartRate();
+		rate.setWaiting(false, NOW);
+		rate.setWaiting(true, NOW + 60_000);
+		Assertions.assertThat(rate.perSecond(NOW + 60_100)).isEmpty();
+		for (int ms = 100; ms <= 4_000; ms += 100) {
+			rate.recordStart(NOW + 60_000 + ms);
+		}
+		rate.setWaiting(false, NOW + 64_000);
+		Assertions.assertThat(rate.perSecond(NOW + 90_000).getAsDouble()).isBetween(9.0, 11.0);
+	}
+
 	private record Waiting(int priority, boolean isLate, long latestStart, long enqueuedAt,
 			long sequence) implements WaitingRequest {
 
+		@Override
+		public long waitDeadline() {
+			return this.latestStart + 1_000;
+		}
+
 	}
 
 }
