--- a/src/main/java/io/shallotspur/gateway/RecentRefusals.java
+++ b/src/main/java/io/shallotspur/gateway/RecentRefusals.java
@@ -2,7 +2,8 @@
 
 import java.util.HashMap;
 import java.util.Map;
-import java.util.OptionalLong;
+
+import io.shallotspur.queueing.AskingPace;
 
 /**
  * Tracks which workers have recently refused a reservation, and the request sizes they
@@ -39,8 +40,8 @@
 		// under a new id, would never be replaced.
 		this.byWorker.values().removeIf((r) -> now >= r.retainedUntil());
 		Refusal previous = this.byWorker.get(workerId);
-		int minTokens = (previous != null && now < previous.blockedUntil(1)) ? Math.min(tokens, previous.tokens())
-				: tokens;
+		int minTokens = (previous != null && now < previous.askedAgainAt(AskingPace.USUAL))
+				? Math.min(tokens, previous.tokens()) : tokens;
 		this.byWorker.put(workerId, new Refusal(minTokens, now, backoffMs, now + backoffMs + maxYieldMs));
 	}
 
@@ -58,36 +59,31 @@
 	 * Tells whether a worker may have a free slot for a request.
 	 * @param workerId the worker
 	 * @param tokens the memory that is needed, in tokens
-	 * @param backoffShare the share of the backoff that the request keeps to, from 0 to 1
-	 * @param yieldMs how long the request yields, in milliseconds; empty if it does not
+	 * @param pace how soon the request asks again
 	 * @param now the present time in milliseconds
 	 * @return {@code false} if the worker is to be skipped
 	 */
-	boolean mayFit(String workerId, int tokens, double backoffShare, OptionalLong yieldMs, long now) {
+	boolean mayFit(String workerId, int tokens, AskingPace pace, long now) {
 		Refusal refusal = this.byWorker.get(workerId);
 		if (refusal == null) {
 			return true;
 		}
-		long blockedUntil = refusal.blockedUntil(backoffShare);
-		if (yieldMs.isPresent()) {
-			return now >= blockedUntil + yieldMs.getAsLong();
-		}
-		return now >= blockedUntil || tokens < SMALLER_REQUEST_RATIO * refusal.tokens();
+		boolean clearlySmaller = tokens < SMALLER_REQUEST_RATIO * refusal.tokens();
+		return now >= refusal.askedAgainAt(pace) || (clearlySmaller && pace.yieldMs().isEmpty());
 	}
 
 	/**
 	 * Returns the next time at which a skipped worker may be asked again.
-	 * @param backoffShare the share of the backoff that the request keeps to, from 0 to 1
-	 * @param yieldMs how long the request yields, in milliseconds
+	 * @param pace how soon the request that would be sent asks again
 	 * @param now the present time in milliseconds
 	 * @param latestAt the result if no worker becomes available before it, in
 	 * milliseconds
 	 * @return a time in milliseconds, after now
 	 */
-	long nextRetryAt(double backoffShare, long yieldMs, long now, long latestAt) {
+	long nextRetryAt(AskingPace pace, long now, long latestAt) {
 		return this.byWorker.values()
 			.stream()
-			.mapToLong((r) -> r.blockedUntil(backoffShare) + yieldMs)
+			.mapToLong((r) -> r.askedAgainAt(pace))
 			.filter((t) -> t > now)
 			.reduce(latestAt, Math::min);
 	}
@@ -103,8 +99,8 @@
 	 */
 	private record Refusal(int tokens, long at, long backoffMs, long retainedUntil) {
 
-		long blockedUntil(double backoffShare) {
-			return this.at + (long) (this.backoffMs * backoffShare);
+		long askedAgainAt(AskingPace pace) {
+			return pace.asksAt(this.at, this.backoffMs);
 		}
 
 	}
--- a/src/main/java/io/shallotspur/gateway/WorkerChoice.java
+++ b/src/main/java/io/shallotspur/gateway/WorkerChoice.java
@@ -1,11 +1,14 @@
 package io.shallotspur.gateway;
 
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Set;
+import java.util.function.Function;
 
+import io.shallotspur.queueing.AskingPace;
 import io.shallotspur.queueing.Contention;
 import io.shallotspur.queueing.LowerPriorityTurns;
 import io.shallotspur.queueing.PriorityDemand;
@@ -74,49 +77,53 @@
 	Optional<Attempt> next(Set<ReservationTicket> queue, Set<ReservationTicket> inFlight, long now) {
 		List<ReservationTicket> ordered = ServiceOrder.of(queue, now);
 		Contention<ReservationTicket> contention = new Contention<>(queue, inFlight);
-		return lowerPriorityAttempt(ordered, now)
-			.or(() -> ordered.stream().flatMap((t) -> attempt(t, contention, now).stream()).findFirst());
+		Map<Group, AskingPace> paces = new HashMap<>();
+		Function<ReservationTicket, AskingPace> pace = (t) -> paces.computeIfAbsent(Group.of(t),
+				(group) -> pace(t, contention, now));
+		return lowerPriorityAttempt(ordered, pace, now)
+			.or(() -> ordered.stream().flatMap((t) -> attempt(t, contention, pace.apply(t), now).stream()).findFirst());
 	}
 
-	private Optional<Attempt> lowerPriorityAttempt(List<ReservationTicket> ordered, long now) {
+	private AskingPace pace(ReservationTicket ticket, Contention<ReservationTicket> contention, long now) {
+		return this.yieldPolicy.pace(ticket, contention, servingVms(now), now);
+	}
+
+	private Optional<Attempt> lowerPriorityAttempt(List<ReservationTicket> ordered,
+			Function<ReservationTicket, AskingPace> pace, long now) {
 		if (!this.lowerPriorityTurns.isDue()) {
 			return Optional.empty();
 		}
 		return ServiceOrder.firstOfLowerPriority(ordered)
-			.flatMap((t) -> attempt(t, t.request().candidates(now), OptionalLong.empty(), now));
+			.flatMap((t) -> attempt(t, t.request().candidates(now), pace.apply(t).withoutYielding(), now));
 	}
 
-	private Optional<Attempt> attempt(ReservationTicket ticket, Contention<ReservationTicket> contention, long now) {
+	private Optional<Attempt> attempt(ReservationTicket ticket, Contention<ReservationTicket> contention,
+			AskingPace pace, long now) {
 		Optional<ReservationTicket> timely = contention.holdsBack(ticket);
 		if (timely.isPresent()) {
 			ticket.yieldTo(timely.get().request().id());
 			return Optional.empty();
 		}
 		List<WorkerState> candidates = ticket.request().candidates(now);
-		OptionalLong yieldMs = this.yieldPolicy.delayMs(ticket, contention, servingVms(now), now);
-		Optional<Attempt> attempt = attempt(ticket, candidates, yieldMs, now);
-		if (yieldMs.isPresent() && attempt.isEmpty()
-				&& !eligible(ticket, candidates, OptionalLong.empty(), now).isEmpty()) {
+		Optional<Attempt> attempt = attempt(ticket, candidates, pace, now);
+		boolean yields = pace.yieldMs().isPresent() && attempt.isEmpty() && ticket.yieldedTo().isEmpty();
+		if (yields && !eligible(ticket, candidates, pace.withoutYielding(), now).isEmpty()) {
 			ticket.yieldTo(contention.higherThan(ticket).map((t) -> t.request().id()).orElse(OTHER_VMS));
 		}
 		return attempt;
 	}
 
-	private Optional<Attempt> attempt(ReservationTicket ticket, List<WorkerState> candidates, OptionalLong yieldMs,
+	private Optional<Attempt> attempt(ReservationTicket ticket, List<WorkerState> candidates, AskingPace pace,
 			long now) {
 		return WorkerSelector
-			.leastCost(eligible(ticket, candidates, yieldMs, now), this.gateway.settings.hall(), this.gateway.random,
-					now)
+			.leastCost(eligible(ticket, candidates, pace, now), this.gateway.settings.hall(), this.gateway.random, now)
 			.map((w) -> new Attempt(ticket, w, candidates.size()));
 	}
 
-	private List<WorkerState> eligible(ReservationTicket ticket, List<WorkerState> candidates, OptionalLong yieldMs,
+	private List<WorkerState> eligible(ReservationTicket ticket, List<WorkerState> candidates, AskingPace pace,
 			long now) {
 		int tokens = ticket.request().requiredTokens();
-		double intervalShare = intervalShare(ticket, now);
-		return candidates.stream()
-			.filter((w) -> this.recentRefusals.mayFit(w.info().id(), tokens, intervalShare, yieldMs, now))
-			.toList();
+		return candidates.stream().filter((w) -> this.recentRefusals.mayFit(w.info().id(), tokens, pace, now)).toList();
 	}
 
 	/**
@@ -127,16 +134,15 @@
 	 * @return a time in milliseconds, after now
 	 */
 	long nextRetryAt(Set<ReservationTicket> queue, Set<ReservationTicket> inFlight, long now) {
-		long retryAt = this.recentRefusals.nextRetryAt(1, 0, now, now + FULL_BACKOFF_MS);
+		long retryAt = this.recentRefusals.nextRetryAt(AskingPace.USUAL, now, now + FULL_BACKOFF_MS);
 		if (!this.demand.hasSeveralPriorities(now)) {
 			return retryAt;
 		}
 		Contention<ReservationTicket> contention = new Contention<>(queue, inFlight);
-		Set<Integer> seen = new HashSet<>();
+		Set<Group> seen = new HashSet<>();
 		for (ReservationTicket ticket : queue) {
-			if (seen.add(ticket.priority())) {
-				long yieldMs = this.yieldPolicy.delayMs(ticket, contention, servingVms(now), now).orElse(0);
-				retryAt = this.recentRefusals.nextRetryAt(intervalShare(ticket, now), yieldMs, now, retryAt);
+			if (seen.add(Group.of(ticket))) {
+				retryAt = this.recentRefusals.nextRetryAt(pace(ticket, contention, now), now, retryAt);
 			}
 		}
 		return retryAt;
@@ -164,4 +170,15 @@
 
 	}
 
+	/**
+	 * The requests that ask at the same pace.
+	 */
+	private record Group(int priority, boolean late) {
+
+		static Group of(ReservationTicket ticket) {
+			return new Group(ticket.priority(), ticket.isLate());
+		}
+
+	}
+
 }
--- a/src/main/java/io/shallotspur/queueing/YieldPolicy.java
+++ b/src/main/java/io/shallotspur/queueing/YieldPolicy.java
@@ -51,6 +51,19 @@
 		return betweenVms(LATE_MS, servingVms);
 	}
 
+	/**
+	 * Returns how soon a request asks workers again.
+	 * @param request the request
+	 * @param contention the requests that wait at this VM
+	 * @param servingVms the number of VMs that serve callers, this one included
+	 * @param now the present time in milliseconds
+	 * @return the pace, the same for all requests of its priority that are late, or not
+	 * late, as it is
+	 */
+	public AskingPace pace(WaitingRequest request, Contention<?> contention, int servingVms, long now) {
+		return new AskingPace(intervalShare(request.priority(), now), delayMs(request, contention, servingVms, now));
+	}
+
 	/**
 	 * Returns how long a request yields.
 	 * @param request the request
