Plain calls wait at the VM while all workers are full

Cause: a plain call was sent whatever the load of the workers, into a worker's own queue, where none can be overtaken or taken back; a call that must not run twice broke off there at its deadline.

Change: PlainCallQueue lets a call wait by priority and latest start while every worker is believed to have one and a half times its slots, and rejects it as not run as soon as a finish before the deadline and the route's timeout is not likely (pace.PlainCallDecision; a wider margin for calls that must not be repeated). Only where workers state or show unevenness, or routes of different priority share the upstream.

--- a/src/main/java/io/shallotspur/gateway/Gateway.java
+++ b/src/main/java/io/shallotspur/gateway/Gateway.java
@@ -76,6 +76,8 @@
 
 	private final Map<String, ReservationQueue> reservationQueues = new HashMap<>();
 
+	private final Map<String, PlainCallQueue> plainCallQueues = new HashMap<>();
+
 	private final Map<String, EngineTimeEstimator> engineTimes = new HashMap<>();
 
 	private @Nullable RouteTable routeTable;
@@ -348,6 +350,10 @@
 		return this.reservationQueues.computeIfAbsent(upstream, (u) -> new ReservationQueue(this, u));
 	}
 
+	PlainCallQueue plainCallQueue(String upstream) {
+		return this.plainCallQueues.computeIfAbsent(upstream, (u) -> new PlainCallQueue(this, u));
+	}
+
 	/**
 	 * Applies the load and limit that a worker reported.
 	 * @param w the worker
@@ -426,6 +432,10 @@
 		if (queue != null) {
 			queue.capacityFreed(worker, this.clock.getAsLong());
 		}
+		PlainCallQueue plainCalls = this.plainCallQueues.get(upstream);
+		if (plainCalls != null) {
+			plainCalls.dispatch(this.clock.getAsLong());
+		}
 	}
 
 }
--- /dev/null
+++ b/src/main/java/io/shallotspur/gateway/PlainCallQueue.java
@@ -0,0 +1,155 @@
+package io.shallotspur.gateway;
+
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+import io.shallotspur.pace.PaceComparison;
+import io.shallotspur.pace.PlainCallDecision;
+
+/**
+ * The plain calls of one upstream that wait at this VM while all workers are believed
+ * full. Not thread-safe; confined to the gateway's thread.
+ * <p>
+ * Designed for bursts at workers that are uneven, or at routes of different priority on
+ * one upstream. Elsewhere calls are sent at once, and the workers' own queues serve them
+ * as well.
+ * <p>
+ * Invariants: each call that was submitted is either sent or rejected, once, unless it is
+ * cancelled; the order is that of {@link ReservationTicket}.
+ */
+final class PlainCallQueue {
+
+	// Calls of other VMs end unseen by this one, ms.
+	private static final long RECHECK_MS = 10;
+
+	private static final int MIN_LIMIT = 64;
+
+	private final Gateway gateway;
+
+	private final String upstream;
+
+	private final TreeMap<ReservationTicket, PlainCall> waiting = new TreeMap<>(ReservationTicket.ORDER);
+
+	private long lastSequence;
+
+	private Runnable cancelTimer = () -> {
+	};
+
+	PlainCallQueue(Gateway gateway, String upstream) {
+		this.gateway = gateway;
+		this.upstream = upstream;
+	}
+
+	/**
+	 * Sends a call, rejects it or lets it wait.
+	 * @param call the call
+	 * @param now the present time in milliseconds
+	 */
+	void submit(PlainCall call, long now) {
+		ReservationTicket ticket = new ReservationTicket(call, ++this.lastSequence, now);
+		this.waiting.put(ticket, call);
+		dispatch(now);
+		if (!ticket.isClosed()) {
+			this.gateway.metrics.plainCallWaited();
+			rejectLastIfTooMany(call.slots(now), now);
+		}
+	}
+
+	/**
+	 * Forgets a call that waits; no effect if it does not.
+	 * @param call the call
+	 */
+	void cancel(PlainCall call) {
+		for (Map.Entry<ReservationTicket, PlainCall> e : List.copyOf(this.waiting.entrySet())) {
+			if (e.getValue() == call) {
+				close(e.getKey());
+			}
+		}
+	}
+
+	private void rejectLastIfTooMany(int slots, long now) {
+		if (this.waiting.size() > Math.max(MIN_LIMIT, slots)) {
+			List<ReservationTicket> ordered = ReservationTicket.serviceOrder(this.waiting.keySet(), now);
+			ReservationTicket last = ordered.get(ordered.size() - 1);
+			close(last);
+			last.request().onRejected(now);
+		}
+	}
+
+	private void close(ReservationTicket ticket) {
+		ticket.close();
+		this.waiting.remove(ticket);
+	}
+
+	/**
+	 * Sends the calls for which there is room, and rejects those that are too late.
+	 * @param now the present time in milliseconds
+	 */
+	void dispatch(long now) {
+		this.cancelTimer.run();
+		updateLate(now);
+		int ahead = 0;
+		for (ReservationTicket ticket : ReservationTicket.serviceOrder(this.waiting.keySet(), now)) {
+			PlainCall call = this.waiting.get(ticket);
+			if (call != null && !handle(ticket, call, ahead, now)) {
+				ahead++;
+			}
+		}
+		if (!this.waiting.isEmpty()) {
+			this.cancelTimer.run();
+			this.cancelTimer = this.gateway.timer.schedule(RECHECK_MS, () -> dispatch(this.gateway.clock.getAsLong()));
+		}
+	}
+
+	private void updateLate(long now) {
+		for (Map.Entry<ReservationTicket, PlainCall> e : List.copyOf(this.waiting.entrySet())) {
+			if (!e.getKey().isLate() && now > e.getValue().latestStart()) {
+				this.waiting.remove(e.getKey());
+				e.getKey().markLate();
+				this.waiting.put(e.getKey(), e.getValue());
+			}
+		}
+	}
+
+	// Returns whether the call no longer waits.
+	private boolean handle(ReservationTicket ticket, PlainCall call, int ahead, long now) {
+		List<WorkerState> workers = call.candidates(now);
+		PlainCallDecision.Step step = decide(call, workers, ahead, now);
+		if (step == PlainCallDecision.Step.WAIT && now < call.waitDeadline()) {
+			return false;
+		}
+		close(ticket);
+		if (step == PlainCallDecision.Step.SEND) {
+			WorkerSelector.leastCost(workers, this.gateway.settings.hall(), this.gateway.random, now)
+				.ifPresentOrElse((w) -> call.onWorker(w, now), () -> call.onRejected(now));
+		}
+		else {
+			this.gateway.metrics.plainCallRefused();
+			call.onRejected(now);
+		}
+		return true;
+	}
+
+	private PlainCallDecision.Step decide(PlainCall call, List<WorkerState> workers, int ahead, long now) {
+		PaceComparison paces = PaceComparison.of(workers.stream().map(WorkerState::pace).toList());
+		boolean full = !workers.isEmpty() && workers.stream().allMatch((w) -> w.isBelievedFull(now));
+		if (!paces.isUneven() && !(full && hasSeveralPriorities())) {
+			return PlainCallDecision.Step.SEND;
+		}
+		double finish = workers.stream().mapToDouble((w) -> w.finishTime(paces, now)).min().orElse(0);
+		double finishMs = paces.referenceMs() * finish;
+		double waitMs = full ? paces.referenceMs() * (ahead + 1) / ownSlots(call, now) : 0;
+		return PlainCallDecision.decide(finishMs, waitMs, full, call.deadline() - now, call.repeatable());
+	}
+
+	// The slots that free up for this VM if all VMs have as many calls.
+	private double ownSlots(PlainCall call, long now) {
+		return (double) Math.max(1, call.slots(now)) / this.gateway.entryVms.servingCountOwnRegion(now);
+	}
+
+	private boolean hasSeveralPriorities() {
+		return this.gateway.routeTable().filter((t) -> t.hasSeveralPriorities(this.upstream)).isPresent();
+	}
+
+}
--- a/src/main/java/io/shallotspur/gateway/RelayMetrics.java
+++ b/src/main/java/io/shallotspur/gateway/RelayMetrics.java
@@ -76,6 +76,14 @@
 		this.registry.counter("relay.waited-for-limit").inc();
 	}
 
+	void plainCallWaited() {
+		this.registry.counter("pace.call-waited").inc();
+	}
+
+	void plainCallRefused() {
+		this.registry.counter("pace.call-refused").inc();
+	}
+
 	void sentToLimited() {
 		this.registry.counter("relay.sent-to-limited").inc();
 	}
--- a/src/main/java/io/shallotspur/gateway/RequestPlacement.java
+++ b/src/main/java/io/shallotspur/gateway/RequestPlacement.java
@@ -23,7 +23,7 @@
  * {@link Callback} receives exactly one result for each {@link #start}, unless
  * {@link #cancel} comes first.
  */
-final class RequestPlacement implements PendingRequest, PromptPrefill.Owner {
+final class RequestPlacement implements PlainCall, PromptPrefill.Owner {
 
 	// A call that is sent this long before its reservation expires arrives in time, ms.
 	private static final long RESERVATION_MARGIN_MS = 50;
@@ -115,9 +115,7 @@
 			waitForLimit(first.get(), now);
 		}
 		else {
-			WorkerSelector.leastCost(candidates(now), this.gateway.settings.hall(), this.gateway.random, now)
-				.ifPresentOrElse((w) -> prefillOrSend(w, now),
-						() -> this.callback.onRefused(RefusalReason.WORKERS_FULL, now));
+			this.gateway.plainCallQueue(this.upstream).submit(this, now);
 		}
 	}
 
@@ -250,6 +248,21 @@
 		return (this.engine != null) ? this.engine.maxReservationMs() : 0;
 	}
 
+	@Override
+	public boolean repeatable() {
+		return this.route.repeatable();
+	}
+
+	@Override
+	public long deadline() {
+		return this.deadline;
+	}
+
+	@Override
+	public void onWorker(WorkerState worker, long now) {
+		prefillOrSend(worker, now);
+	}
+
 	@Override
 	public void onReserved(WorkerState worker, String reservation, long now) {
 		this.ticket = null;
@@ -401,6 +414,7 @@
 	}
 
 	private void releasePlace() {
+		this.gateway.plainCallQueue(this.upstream).cancel(this);
 		if (this.ticket != null) {
 			this.gateway.reservationQueue(this.upstream).cancel(this.ticket);
 			this.ticket = null;
--- a/src/main/java/io/shallotspur/gateway/WorkerState.java
+++ b/src/main/java/io/shallotspur/gateway/WorkerState.java
@@ -285,6 +285,10 @@
 		return FinishTime.of(this.pace, all, this.load, this.activeRequests, this.info.slots(), now);
 	}
 
+	boolean isBelievedFull(long now) {
+		return this.load.isFull(this.activeRequests, this.info.slots(), now);
+	}
+
 	// Estimates the number of requests at the worker, including those of other VMs.
 	double estimatedLoad(long now) {
 		return this.load.estimate(this.activeRequests, now);
--- a/src/main/java/io/shallotspur/pace/PaceComparison.java
+++ b/src/main/java/io/shallotspur/pace/PaceComparison.java
@@ -70,6 +70,14 @@
 		return this.uneven;
 	}
 
+	/**
+	 * Returns how long one unit of work takes at a worker of mean pace.
+	 * @return milliseconds; 0 if it is not known
+	 */
+	public double referenceMs() {
+		return this.referenceMs;
+	}
+
 	/**
 	 * Returns how long work takes at a worker at present, compared with the mean of all.
 	 * @param p the worker's pace
--- a/src/main/java/io/shallotspur/pace/ReportedLoad.java
+++ b/src/main/java/io/shallotspur/pace/ReportedLoad.java
@@ -22,6 +22,11 @@
 	// Weight of the newest report in the mean load from other VMs.
 	private static final double MEAN_WEIGHT = 0.1;
 
+	// Requests at a full worker as a multiple of its slots: a short queue of its own
+	// keeps
+	// it busy until this VM hears that a slot is free.
+	private static final double FULL = 1.5;
+
 	private boolean reported;
 
 	private double others;
@@ -76,6 +81,17 @@
 		return own + this.meanOthers + freshness(now) * (this.others - this.meanOthers);
 	}
 
+	/**
+	 * Tells whether a worker probably has as many requests as it can keep busy with.
+	 * @param own this VM's requests at the worker
+	 * @param slots requests that it runs concurrently at most
+	 * @param now the present time in milliseconds
+	 * @return {@code false} while there is room in its slots or a short queue
+	 */
+	public boolean isFull(int own, int slots, long now) {
+		return expected(own, now) >= FULL * slots;
+	}
+
 	// Standard deviation of the requests that other VMs may have added or ended since.
 	double deviation(long now) {
 		double f = freshness(now);
--- a/src/main/java/io/shallotspur/route/RouteTable.java
+++ b/src/main/java/io/shallotspur/route/RouteTable.java
@@ -4,10 +4,12 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 /**
  * A versioned snapshot of the routing configuration. Immutable and thread-safe.
@@ -26,6 +28,8 @@
 
 	private final boolean requiresKeys;
 
+	private final Set<String> upstreamsWithSeveralPriorities;
+
 	/**
 	 * Creates a table.
 	 * @param version the version; newer versions are higher
@@ -57,6 +61,15 @@
 		upstreams.forEach((u) -> byName.put(u.name(), u));
 		this.upstreams = Map.copyOf(byName);
 		this.routesByHost = indexByHost(routes);
+		this.upstreamsWithSeveralPriorities = upstreamsWithSeveralPriorities(routes);
+	}
+
+	private static Set<String> upstreamsWithSeveralPriorities(List<Route> routes) {
+		Map<String, Set<Integer>> priorities = new HashMap<>();
+		routes.forEach((r) -> r.targets()
+			.forEach((t) -> priorities.computeIfAbsent(t.upstream(), (u) -> new HashSet<>()).add(r.priority())));
+		priorities.values().removeIf((p) -> p.size() == 1);
+		return Set.copyOf(priorities.keySet());
 	}
 
 	private static Map<String, List<Route>> indexByHost(List<Route> routes) {
@@ -109,6 +122,15 @@
 		return Optional.ofNullable(this.customersByKeyHash.get(keyHash));
 	}
 
+	/**
+	 * Tells whether routes of different priority share an upstream.
+	 * @param upstream the upstream's name
+	 * @return {@code false} if its routes all have the same priority
+	 */
+	public boolean hasSeveralPriorities(String upstream) {
+		return this.upstreamsWithSeveralPriorities.contains(upstream);
+	}
+
 	/**
 	 * Returns an upstream.
 	 * @param name its name
