--- a/src/main/java/io/shallotspur/retry/OutlierDetector.java
+++ b/src/main/java/io/shallotspur/retry/OutlierDetector.java
@@ -1,9 +1,11 @@
 package io.shallotspur.retry;
 
-import java.util.Arrays;
 import java.util.LinkedHashMap;
 import java.util.Map;
 
+import io.shallotspur.pace.OwnPace;
+import io.shallotspur.pace.PaceComparison;
+
 /**
  * Ejects failing or slow workers of one upstream and restores them after successful
  * probes.
@@ -13,7 +15,9 @@
  * several consecutive failures a worker is ejected for a duration that doubles each time,
  * then probed with one call at a time until enough probes succeed. If most workers fail,
  * the cause lies elsewhere and ejections would overload the remaining workers. Therefore
- * the fraction of ejected workers is limited.
+ * the fraction of ejected workers is limited. Where workers differ in pace, each is
+ * judged by its own, and only once it has been slow for longer than a neighbour on its
+ * machine disturbs it.
  * <p>
  * Invariant: of {@code n} workers at most {@code max(1, floor(maxEjectedFraction * n))}
  * are ejected or being probed; a single worker is never ejected. Not thread-safe.
@@ -105,7 +109,10 @@
 		}
 		stats.consecutiveFailures = 0;
 		stats.observeLatency(latencyMs);
-		if (stats.samples >= this.settings.minSamples() && isSlow(stats, stats.meanLatencyMs)) {
+		if (stats.samples < this.settings.minSamples() || !isSlow(stats, stats.meanLatencyMs)) {
+			stats.pace.recordUsual(latencyMs, now);
+		}
+		else if (!arePacesUneven() || stats.pace.isSlowForLong(medianOfOthers(stats), now)) {
 			eject(stats, now);
 		}
 	}
@@ -182,19 +189,27 @@
 	}
 
 	private boolean isSlow(WorkerStats stats, double latencyMs) {
-		if (this.settings.latencyFactor() <= 0) {
+		double median = (this.settings.latencyFactor() > 0) ? medianOfOthers(stats) : 0;
+		if (median == 0) {
 			return false;
 		}
+		double reference = arePacesUneven() ? stats.pace.referenceMs(median) : median;
+		return latencyMs > this.settings.latencyFactor() * reference;
+	}
+
+	// 0 if there are no others.
+	private double medianOfOthers(WorkerStats stats) {
 		double[] otherLatencies = this.workers.values()
 			.stream()
 			.filter((other) -> other != stats && !other.ejected && other.samples >= this.settings.minSamples())
 			.mapToDouble((other) -> other.meanLatencyMs)
+			.sorted()
 			.toArray();
-		if (otherLatencies.length == 0) {
-			return false;
-		}
-		Arrays.sort(otherLatencies);
-		return latencyMs > this.settings.latencyFactor() * otherLatencies[otherLatencies.length / 2];
+		return (otherLatencies.length > 0) ? otherLatencies[otherLatencies.length / 2] : 0;
+	}
+
+	private boolean arePacesUneven() {
+		return PaceComparison.of(this.workers.values().stream().map((stats) -> stats.pace.usual()).toList()).isUneven();
 	}
 
 	private static final class WorkerStats {
@@ -203,6 +218,8 @@
 
 		private int samples;
 
+		private final OwnPace pace = new OwnPace();
+
 		private double meanLatencyMs;
 
 		private boolean ejected;
--- a/src/test/java/io/shallotspur/retry/RetryTests.java
+++ b/src/test/java/io/shallotspur/retry/RetryTests.java
@@ -1,5 +1,6 @@
 package io.shallotspur.retry;
 
+import java.util.List;
 import java.util.SplittableRandom;
 
 import org.junit.jupiter.api.Test;
@@ -100,6 +101,46 @@
 		assertThat(detector.health("b", 30)).isEqualTo(WorkerHealth.HEALTHY);
 	}
 
+	private static OutlierDetector unevenWorkers() {
+		OutlierDetector d = new OutlierDetector();
+		List.of("slow", "b", "c", "fast").forEach(d::addWorker);
+		for (int i = 0; i < 100; i++) {
+			d.recordSuccess("slow", 200, i * 10);
+			d.recordSuccess("b", 100, i * 10);
+			d.recordSuccess("c", 100, i * 10);
+			d.recordSuccess("fast", 40, i * 10);
+		}
+		return d;
+	}
+
+	// Guards against judging a worker by the others' pace: the slow one is 10 times as
+	// slow as they are, which is 5 times its own pace; the fast one 10 times its own,
+	// which is 4 times theirs.
+	@Test
+	void unevenWorkerIsJudgedByItsOwnPace() {
+		OutlierDetector d = unevenWorkers();
+		for (int i = 0; i < 200; i++) {
+			d.recordSuccess("slow", 1_000, 1_000 + i * 20);
+			d.recordSuccess("fast", 400, 1_000 + i * 20);
+		}
+		assertThat(d.health("slow", 5_000)).isEqualTo(WorkerHealth.HEALTHY);
+		assertThat(d.ejectedCount()).as("the fast worker").isEqualTo(1);
+	}
+
+	// Guards against ejecting a worker that its machine's neighbour slows down.
+	@Test
+	void shortDisturbanceOfAnUnevenWorkerIsNotAnOutlier() {
+		OutlierDetector d = unevenWorkers();
+		for (int i = 0; i < 50; i++) {
+			d.recordSuccess("fast", 1_000, 1_000 + i * 10);
+		}
+		assertThat(d.ejectedCount()).isZero();
+		for (int i = 0; i < 60; i++) {
+			d.recordSuccess("fast", 1_000, 1_500 + i * 10);
+		}
+		assertThat(d.ejectedCount()).isEqualTo(1);
+	}
+
 	@Test
 	void backoffIsUniformlyDistributedAndKeepsTheDeadline() {
 		SplittableRandom random = new SplittableRandom(1);
