Quotas: each window may contain a burst; rank is the route's priority

A customer's own priority made all its requests alike, so that nothing told its urgent ones.

Change: of burst and half the tolerance, which the VMs may spend in a window besides the rate, the larger is the size of the bucket and the smaller flows in over the window; the sum is what it was, and without a tolerance nothing changes. The rank by which a quota is divided is the priority of the route. A VM that starts has half a second of the plain rate, as before.

--- a/src/main/java/io/shallotspur/gateway/RequestAdmission.java
+++ b/src/main/java/io/shallotspur/gateway/RequestAdmission.java
@@ -153,7 +153,9 @@
 			return;
 		}
 		double cost = quotaCost(c);
-		QuotaDecision d = this.gateway.quotas.charge(c, c.priorityOn(r), cost, this.gateway.quotaShare(now), now);
+		// The customer's own priority ranks its requests among those of others, not among
+		// each other.
+		QuotaDecision d = this.gateway.quotas.charge(c, r.priority(), cost, this.gateway.quotaShare(now), now);
 		this.gateway.metrics.quotaShare(c.name(), d.unitsPerSecond());
 		if (d.isAdmitted()) {
 			this.gateway.refreshConfigIfStale();
--- a/src/main/java/io/shallotspur/quota/QuotaLimiter.java
+++ b/src/main/java/io/shallotspur/quota/QuotaLimiter.java
@@ -16,9 +16,11 @@
  * customer with its share of the rate and of the burst.
  * <p>
  * Callers are not spread evenly, and a customer far below its quota would be refused at a
- * VM that receives most of its callers. Each bucket is therefore larger than the VM's
- * share of the burst: the operator tolerates that quotas are exceeded by some amount, and
- * half of that tolerance is divided among the VMs.
+ * VM that receives most of its callers. The operator tolerates that quotas are exceeded
+ * by some amount, and half of that tolerance is divided among the VMs besides the burst.
+ * A quota holds for a window, and each window may contain a burst: the larger of the two
+ * amounts is the size of the buckets, the smaller one flows in during the window. Without
+ * a tolerance this is a bucket with the rate and the burst.
  * <p>
  * A customer whose requests have several ranks is limited from the least urgent rank up:
  * see {@link QuotaReserve}. With one rank, ranks have no effect.
@@ -123,9 +125,12 @@
 
 	private Account account(Customer customer, QuotaShare share, long now) {
 		Quota quota = customer.quota();
-		double perMs = quota.unitsPerSecond() * share.fraction() / MS_PER_S;
-		double full = share.fraction() * (quota.burst() + TOLERANCE_SHARE * toleratedUnits(quota));
-		double initial = Math.min(full, INITIAL_S * MS_PER_S * perMs);
+		double tolerated = TOLERANCE_SHARE * toleratedUnits(quota);
+		double refill = quota.unitsPerSecond() / MS_PER_S
+				+ Math.min(quota.burst(), tolerated) / this.tolerance.windowMs();
+		double perMs = share.fraction() * refill;
+		double full = share.fraction() * Math.max(quota.burst(), tolerated);
+		double initial = Math.min(full, INITIAL_S * share.fraction() * quota.unitsPerSecond());
 		Account account = this.byCustomer.get(customer.name());
 		if (account == null) {
 			if (this.byCustomer.size() >= MAX_CUSTOMERS) {
--- a/src/test/java/io/shallotspur/gateway/QuotaTests.java
+++ b/src/test/java/io/shallotspur/gateway/QuotaTests.java
@@ -1,12 +1,20 @@
 package io.shallotspur.gateway;
 
+import java.util.List;
+
 import org.assertj.core.api.Assertions;
 import org.junit.jupiter.api.Test;
 
 import io.shallotspur.gateway.GatewayFixture.Call;
 import io.shallotspur.route.Customer;
+import io.shallotspur.route.IngressLimits;
 import io.shallotspur.route.Quota;
 import io.shallotspur.route.QuotaUnit;
+import io.shallotspur.route.Route;
+import io.shallotspur.route.RouteKind;
+import io.shallotspur.route.RouteTable;
+import io.shallotspur.route.RouteTarget;
+import io.shallotspur.route.UpstreamSpec;
 
 /**
  * Tests that requests are charged to the quotas of customers and refunded.
@@ -99,4 +107,41 @@
 		Assertions.assertThat(served).isEqualTo(5);
 	}
 
+	// Guards against callers that wait for a worker, leave and pay for nothing: the
+	// customer would be refused while no worker has run any of its requests.
+	@Test
+	void callerThatLeavesBeforeAnythingWasSentIsNotCharged() {
+		GatewayFixture f = gateway(ACME);
+		f.gateway.roster().find("p1").ifPresent((w) -> f.askForPause(w.info(), 200));
+		for (int i = 0; i < 100; i++) {
+			Call c = f.callWithKey("safe", "key-1");
+			Assertions.assertThat(c.caller().refusal).isNull();
+			c.disconnect().run();
+		}
+	}
+
+	// Guards against a customer with a priority of its own whose urgent requests are
+	// refused because its others have used the quota up.
+	@Test
+	void routesRankTheRequestsOfACustomer() {
+		GatewayFixture f = new GatewayFixture().addPlainWorkers(1);
+		Customer c = new Customer("acme", ACME.keyHashes(), 1, TOKENS);
+		f.gateway.configure(new RouteTable(1, List.of(route("urgent", 0), route("other", 2)),
+				List.of(new UpstreamSpec("plain", 10_000, null)), IngressLimits.DEFAULT, List.of(c)));
+		f.timer.advance(20_000);
+		f.callWithKey("urgent", "key-1");
+		for (int i = 0; i < 1_000; i++) {
+			f.callWithKey("other", "key-1");
+			f.timer.advance(10);
+		}
+		f.callWithKey("other", "key-1");
+		Assertions.assertThat(f.callWithKey("other", "key-1").caller().status).isEqualTo(429);
+		Assertions.assertThat(f.callWithKey("urgent", "key-1").caller().refusal).isNull();
+	}
+
+	private static Route route(String name, int priority) {
+		return new Route(name, "shop.example", "/" + name + "/", RouteKind.SAFE, List.of(new RouteTarget("plain", 1)),
+				800, 300, 0, priority, 2, false, false, false);
+	}
+
 }
--- a/src/test/java/io/shallotspur/quota/QuotaLimiterTests.java
+++ b/src/test/java/io/shallotspur/quota/QuotaLimiterTests.java
@@ -68,6 +68,18 @@
 		}
 	}
 
+	// Guards against refusals of a customer that asks for no more than its quota allows
+	// in each window: a burst that is granted once would be used up.
+	@Test
+	void eachWindowMayContainABurst() {
+		QuotaLimiter limiter = new QuotaLimiter(new QuotaTolerance(WINDOW_MS, 0.1, 190_000), -100_000);
+		Customer c = customer(32_800, 118_000);
+		for (long now = 0; now < 60_000; now += 100) {
+			double cost = (32_800 + 118_000 / 8) / 10;
+			Assertions.assertThat(limiter.charge(c, RANK, cost, ALONE, now).isAdmitted()).isTrue();
+		}
+	}
+
 	@Test
 	void reportsTheTimeUntilQuotaIsAvailable() {
 		QuotaLimiter limiter = new QuotaLimiter(TOLERANCE, -100_000);
