Serving VMs: levels from the loop's delay alone, longer recovery when an overload returns

Cause: processor time of the loop's thread cannot be relied on. With it a level would never have fallen.

Change: `ProcessorUse` is dropped. A VM is overloaded at a mean delay of 10 ms (100 ms for a request), saturated at 20 ms, and recovers by one level after ten seconds at 4 ms; twice as long each time that the level returns within that time of a recovery, up to 80 s.

--- a/src/main/java/io/shallotspur/platform/PlatformVm.java
+++ b/src/main/java/io/shallotspur/platform/PlatformVm.java
@@ -1,7 +1,5 @@
 package io.shallotspur.platform;
 
-import java.lang.management.ManagementFactory;
-import java.lang.management.ThreadMXBean;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
@@ -41,7 +39,6 @@
 import io.shallotspur.registry.SuspectsMessage;
 import io.shallotspur.registry.VmLoadSampler;
 import io.shallotspur.registry.VmRegistration;
-import io.shallotspur.serving.ProcessorUse;
 import io.shallotspur.serving.VmLoad;
 import io.shallotspur.stage.StageRebalancer;
 
@@ -171,7 +168,7 @@
 		this.watcher.addRestoreListener((ms) -> this.metrics.registry().counter("store.restored").inc());
 		this.metrics.registry().gauge("store.era", () -> registry::era);
 		this.metrics.registry().gauge("quarantine.entries", () -> this.gateway.quarantine()::size);
-		VmLoad load = vmLoad(s.cores());
+		VmLoad load = vmLoad();
 		this.loadSampler = new VmLoadSampler(this.loop, this.clock, this.gateway::inProgress, load,
 				this.registration::setLoadLevel);
 		this.tunnels = new TunnelServer(this.loop.resources().onServer(false), this.self.key(),
@@ -180,12 +177,9 @@
 		this.ingress = new CallerIngress(s.callers(), this.loop, this.gateway, this.clock, load.release());
 	}
 
-	private VmLoad vmLoad(double cores) {
-		ThreadMXBean threads = ManagementFactory.getThreadMXBean();
-		VmLoad load = new VmLoad(new ProcessorUse(threads::getCurrentThreadCpuTime, cores),
-				() -> this.gateway.entryVms().hasAlternatives(this.clock.getAsLong()));
+	private VmLoad vmLoad() {
+		VmLoad load = new VmLoad(() -> this.gateway.entryVms().hasAlternatives(this.clock.getAsLong()));
 		this.metrics.registry().gauge("serving.level", () -> () -> load.level().ordinal());
-		this.metrics.registry().gauge("serving.use", () -> load::processorUse);
 		this.metrics.registry().gauge("serving.released", () -> load.release()::released);
 		return load;
 	}
--- a/src/main/java/io/shallotspur/registry/VmLoadSampler.java
+++ b/src/main/java/io/shallotspur/registry/VmLoadSampler.java
@@ -21,8 +21,6 @@
  */
 public final class VmLoadSampler {
 
-	private static final int PERCENT = 100;
-
 	private final GatewayTimer timer;
 
 	private final LongSupplier clock;
@@ -76,8 +74,8 @@
 		this.load.sample((this.requestsInProgress.getAsInt() > 0) ? now - dueAt : 0, now);
 		LoadLevel level = this.load.level();
 		if (level != before) {
-			Logger.info("[vm] crowded={} level={} use={} in-progress={}", level != LoadLevel.NORMAL, level.ordinal(),
-					Math.round(PERCENT * this.load.processorUse()), this.requestsInProgress.getAsInt());
+			Logger.info("[vm] crowded={} level={} in-progress={}", level != LoadLevel.NORMAL, level.ordinal(),
+					this.requestsInProgress.getAsInt());
 			this.onChange.accept(level);
 		}
 		start();
--- a/src/main/java/io/shallotspur/serving/CallerRelease.java
+++ b/src/main/java/io/shallotspur/serving/CallerRelease.java
@@ -16,7 +16,7 @@
 	// and callers look up the addresses again.
 	private static final long PROPAGATION_MS = 1_500;
 
-	private static final int RESPONSES_PER_RELEASE = 4;
+	private static final int RESPONSES_PER_RELEASE = 2;
 
 	private long wantedSince = Long.MAX_VALUE;
 
--- a/src/main/java/io/shallotspur/serving/OverloadDetector.java
+++ b/src/main/java/io/shallotspur/serving/OverloadDetector.java
@@ -1,25 +1,28 @@
 package io.shallotspur.serving;
 
 /**
- * Detects from event-loop delay and processor use whether requests wait for the processor
- * of this VM. Not thread-safe; the current time is an argument.
+ * Detects from event-loop delay how much requests wait for the processor of this VM. Not
+ * thread-safe; the current time is an argument.
  * <p>
  * All work of a VM runs on one event loop, so the delay of one task is the delay of
- * everything else on the loop. A request passes the loop many times, so callers notice a
- * delay long before the loop does; processor use rises earlier and tells a brief pause
- * from lasting load. Use without delay is no overload. Hysteresis keeps short bursts from
- * changing the level, because each change is announced to all VMs.
+ * everything else on the loop. Hysteresis keeps short bursts from changing the level,
+ * because each change is announced to all VMs. A level that returns soon after a recovery
+ * is kept for longer the next time: the delay was low because other VMs took the load,
+ * not because there was less of it.
  */
 public final class OverloadDetector {
 
-	/** Sampling interval, in milliseconds. */
+	/** Sampling interval of the delay, in milliseconds. */
 	public static final long SAMPLE_INTERVAL_MS = 250;
 
-	// A relayed request passes the loop about ten times, so this delay adds 200 ms to
-	// it, ms.
-	private static final double OVERLOAD_DELAY_MS = 20;
+	// A relayed request passes the loop about ten times, so this delay adds 100 ms to
+	// it, ms: a third of the time in which callers expect a plain response.
+	private static final double OVERLOAD_DELAY_MS = 10;
 
-	// Up to this mean delay the VM may recover, ms. It is far below half of the overload
+	// This delay takes up most of that time, ms.
+	private static final double SATURATION_DELAY_MS = 20;
+
+	// Up to this mean delay the VM may recover, ms. It is below half of the overload
 	// delay: when callers move to twice as many VMs, the delay drops by more than half,
 	// and that drop alone must not count as recovery.
 	private static final double RECOVERY_DELAY_MS = 4;
@@ -28,64 +31,65 @@
 	// collection does not count as overload.
 	private static final double SMOOTHING_FACTOR = 0.125;
 
-	// From this share of its processor on, the wait for it grows faster than the load.
-	private static final double HIGH_USE = 0.7;
-
-	// Up to this use the VM may recover: if it then has to serve twice as many callers,
-	// its
-	// use is not high.
-	private static final double RECOVERY_USE = HIGH_USE / 2;
-
-	// The rest goes to compilation and garbage collection on other threads.
-	private static final double FULL_USE = 0.9;
-
 	// A low delay for this long is expected to last, ms: the length of a burst.
-	private static final long RECOVERY_PERIOD_MS = 10_000;
+	private static final long MIN_RECOVERY_PERIOD_MS = 10_000;
 
-	private double meanDelayMs;
+	private static final long MAX_RECOVERY_PERIOD_MS = 80_000;
 
-	private double meanUse;
+	private double meanDelayMs;
 
 	private LoadLevel level = LoadLevel.NORMAL;
 
-	private long lowSince = Long.MIN_VALUE;
+	private long lowDelaySince = Long.MIN_VALUE;
+
+	private long recoveryPeriodMs = MIN_RECOVERY_PERIOD_MS;
+
+	private long recoveredAt = Long.MIN_VALUE / 2;
 
 	/**
-	 * Records a sample.
-	 * @param delayMs milliseconds between the scheduled and the actual start of a task
-	 * @param use the share of its processor that the VM has used since the last sample; 0
-	 * if unknown
+	 * Records the delay of a task.
+	 * @param delayMs milliseconds between its scheduled and its actual start
 	 * @param now the current time in milliseconds
 	 */
-	public void record(long delayMs, double use, long now) {
+	public void recordDelay(long delayMs, long now) {
 		this.meanDelayMs += SMOOTHING_FACTOR * (delayMs - this.meanDelayMs);
-		this.meanUse += SMOOTHING_FACTOR * (use - this.meanUse);
 		LoadLevel measured = measuredLevel();
 		if (measured.compareTo(this.level) > 0) {
-			this.level = measured;
+			rise(measured, now);
 		}
 		recover(now);
 	}
 
 	private LoadLevel measuredLevel() {
-		if (this.meanDelayMs > OVERLOAD_DELAY_MS) {
-			return (this.meanUse >= FULL_USE) ? LoadLevel.SATURATED : LoadLevel.OVERLOADED;
+		if (this.meanDelayMs > SATURATION_DELAY_MS) {
+			return LoadLevel.SATURATED;
+		}
+		return (this.meanDelayMs > OVERLOAD_DELAY_MS) ? LoadLevel.OVERLOADED : LoadLevel.NORMAL;
+	}
+
+	private void rise(LoadLevel measured, long now) {
+		long sinceRecovery = now - this.recoveredAt;
+		if (this.level == LoadLevel.NORMAL || sinceRecovery < this.recoveryPeriodMs) {
+			this.recoveryPeriodMs = (sinceRecovery < this.recoveryPeriodMs)
+					? Math.min(MAX_RECOVERY_PERIOD_MS, 2 * this.recoveryPeriodMs) : MIN_RECOVERY_PERIOD_MS;
 		}
-		return (delayed() && this.meanUse >= HIGH_USE) ? LoadLevel.OVERLOADED : LoadLevel.NORMAL;
+		this.recoveredAt = Long.MIN_VALUE / 2;
+		this.level = measured;
 	}
 
-	// One level at a time: each halves the set of serving VMs at most.
+	// One level at a time, so that not all of the VMs added are dropped at once.
 	private void recover(long now) {
-		if (delayed() || this.meanUse > RECOVERY_USE) {
-			this.lowSince = Long.MIN_VALUE;
+		if (delayed()) {
+			this.lowDelaySince = Long.MIN_VALUE;
 			return;
 		}
-		if (this.lowSince == Long.MIN_VALUE) {
-			this.lowSince = now;
+		if (this.lowDelaySince == Long.MIN_VALUE) {
+			this.lowDelaySince = now;
 		}
-		if (now - this.lowSince >= RECOVERY_PERIOD_MS) {
+		if (this.level != LoadLevel.NORMAL && now - this.lowDelaySince >= this.recoveryPeriodMs) {
 			this.level = this.level.lower();
-			this.lowSince = now;
+			this.recoveredAt = now;
+			this.lowDelaySince = now;
 		}
 	}
 
@@ -100,7 +104,7 @@
 	/**
 	 * Returns the load of this VM.
 	 * @return the highest level measured since the last recovery; it falls by one level
-	 * each time that delay and use have been low for a whole recovery period
+	 * each time that the delay has been low for a whole recovery period
 	 */
 	public LoadLevel level() {
 		return this.level;
--- a/src/main/java/io/shallotspur/serving/VmLoad.java
+++ b/src/main/java/io/shallotspur/serving/VmLoad.java
@@ -12,18 +12,14 @@
 
 	private final CallerRelease release = new CallerRelease();
 
-	private final ProcessorUse use;
-
 	private final BooleanSupplier alternatives;
 
 	/**
 	 * Creates the load of a VM that has just started.
-	 * @param use measures the use of its processor
 	 * @param alternatives whether callers are directed to other VMs that are not
 	 * overloaded
 	 */
-	public VmLoad(ProcessorUse use, BooleanSupplier alternatives) {
-		this.use = use;
+	public VmLoad(BooleanSupplier alternatives) {
 		this.alternatives = alternatives;
 	}
 
@@ -34,7 +30,7 @@
 	 * @param now the current time in milliseconds
 	 */
 	public void sample(long delayMs, long now) {
-		this.detector.record(delayMs, this.use.sample(now), now);
+		this.detector.recordDelay(delayMs, now);
 		boolean overloaded = level() != LoadLevel.NORMAL && this.detector.delayed();
 		this.release.update(overloaded, overloaded && this.alternatives.getAsBoolean(), now);
 	}
@@ -47,14 +43,6 @@
 		return this.detector.level();
 	}
 
-	/**
-	 * Returns the processor use.
-	 * @return a share from 0, in the latest sampling interval
-	 */
-	public double processorUse() {
-		return this.use.last();
-	}
-
 	/**
 	 * Returns what decides on the connections of callers.
 	 * @return the same instance at each call
