--- a/src/main/java/io/shallotspur/gateway/AdmittedRequest.java
+++ b/src/main/java/io/shallotspur/gateway/AdmittedRequest.java
@@ -20,10 +20,22 @@
 record AdmittedRequest(RelayRequest request, RouteTable routeTable, Route route, @Nullable Customer customer,
 		double quotaCost, @Nullable StreamOrigin origin) {
 
+	private static final int RANKS = 10;
+
 	int priority() {
 		return (this.customer != null) ? this.customer.priorityOn(this.route) : this.route.priority();
 	}
 
+	/**
+	 * Returns the rank among the requests that wait for the same upstream. The priority
+	 * of a customer ranks its requests among those of other customers; among requests of
+	 * one priority, that of the route decides.
+	 * @return two decimal digits, the priority and the route's; 0 is the highest
+	 */
+	int rank() {
+		return RANKS * Math.min(RANKS - 1, priority()) + Math.min(RANKS - 1, this.route.priority());
+	}
+
 	@Nullable String customerName() {
 		return (this.customer != null) ? this.customer.name() : null;
 	}
--- a/src/main/java/io/shallotspur/gateway/PendingRequest.java
+++ b/src/main/java/io/shallotspur/gateway/PendingRequest.java
@@ -14,8 +14,8 @@
 	// Required memory, tokens.
 	int requiredTokens();
 
-	// Priority; 0 is the highest.
-	int priority();
+	// Rank among the requests that wait; 0 is the highest.
+	int rank();
 
 	// Latest time at which it can start and still be answered on time, ms.
 	long latestStart();
--- a/src/main/java/io/shallotspur/gateway/PlainCallQueue.java
+++ b/src/main/java/io/shallotspur/gateway/PlainCallQueue.java
@@ -1,11 +1,12 @@
 package io.shallotspur.gateway;
 
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.TreeMap;
 
 import io.shallotspur.pace.PaceComparison;
 import io.shallotspur.pace.PlainCallDecision;
+import io.shallotspur.queueing.ServiceOrder;
 
 /**
  * The plain calls of one upstream that wait at this VM while all workers are believed
@@ -16,7 +17,7 @@
  * as well.
  * <p>
  * Invariants: each call that was submitted is either sent or rejected, once, unless it is
- * cancelled; the order is that of {@link ReservationTicket}.
+ * cancelled; the order is that of {@link ServiceOrder}.
  */
 final class PlainCallQueue {
 
@@ -29,7 +30,7 @@
 
 	private final String upstream;
 
-	private final TreeMap<ReservationTicket, PlainCall> waiting = new TreeMap<>(ReservationTicket.ORDER);
+	private final Map<ReservationTicket, PlainCall> waiting = new LinkedHashMap<>();
 
 	private long lastSequence;
 
@@ -70,7 +71,7 @@
 
 	private void rejectLastIfTooMany(int slots, long now) {
 		if (this.waiting.size() > Math.max(MIN_LIMIT, slots)) {
-			List<ReservationTicket> ordered = ReservationTicket.serviceOrder(this.waiting.keySet(), now);
+			List<ReservationTicket> ordered = ServiceOrder.of(this.waiting.keySet(), now);
 			ReservationTicket last = ordered.get(ordered.size() - 1);
 			close(last);
 			last.request().onRejected(now);
@@ -90,7 +91,7 @@
 		this.cancelTimer.run();
 		updateLate(now);
 		int ahead = 0;
-		for (ReservationTicket ticket : ReservationTicket.serviceOrder(this.waiting.keySet(), now)) {
+		for (ReservationTicket ticket : ServiceOrder.of(this.waiting.keySet(), now)) {
 			PlainCall call = this.waiting.get(ticket);
 			if (call != null && !handle(ticket, call, ahead, now)) {
 				ahead++;
@@ -103,13 +104,11 @@
 	}
 
 	private void updateLate(long now) {
-		for (Map.Entry<ReservationTicket, PlainCall> e : List.copyOf(this.waiting.entrySet())) {
-			if (!e.getKey().isLate() && now > e.getValue().latestStart()) {
-				this.waiting.remove(e.getKey());
-				e.getKey().markLate();
-				this.waiting.put(e.getKey(), e.getValue());
+		this.waiting.forEach((ticket, call) -> {
+			if (now > call.latestStart()) {
+				ticket.markLate();
 			}
-		}
+		});
 	}
 
 	// Returns whether the call no longer waits.
--- a/src/main/java/io/shallotspur/gateway/RelayMetrics.java
+++ b/src/main/java/io/shallotspur/gateway/RelayMetrics.java
@@ -113,16 +113,16 @@
 	}
 
 	// A request waited for a reservation while others of another priority arrived.
-	void queued(int priority, long ms, boolean yielded) {
-		this.registry.timer("relay.queued." + priority).update(ms, TimeUnit.MILLISECONDS);
+	void queued(int rank, long ms, boolean yielded) {
+		this.registry.timer("relay.queued." + rank).update(ms, TimeUnit.MILLISECONDS);
 		if (yielded) {
-			this.registry.counter("relay.yielded." + priority).inc();
+			this.registry.counter("relay.yielded." + rank).inc();
 		}
 	}
 
 	// A request was refused because it could not be served in time.
-	void unservable(int priority) {
-		this.registry.counter("relay.unservable." + priority).inc();
+	void unservable(int rank) {
+		this.registry.counter("relay.unservable." + rank).inc();
 	}
 
 	void plainCallWaited() {
--- a/src/main/java/io/shallotspur/gateway/RequestPlacement.java
+++ b/src/main/java/io/shallotspur/gateway/RequestPlacement.java
@@ -239,7 +239,11 @@
 	}
 
 	@Override
-	public int priority() {
+	public int rank() {
+		return this.admitted.rank();
+	}
+
+	private int priority() {
 		return Math.min(MAX_PRIORITY, this.admitted.priority());
 	}
 
--- a/src/main/java/io/shallotspur/gateway/RequestTiming.java
+++ b/src/main/java/io/shallotspur/gateway/RequestTiming.java
@@ -4,6 +4,7 @@
 
 import org.jspecify.annotations.Nullable;
 
+import io.shallotspur.queueing.CallerPatience;
 import io.shallotspur.route.Route;
 
 /**
@@ -54,7 +55,7 @@
 		this.route = admitted.route();
 		this.prompt = admitted.request().prompt();
 		this.receivedTokens = receivedTokens;
-		this.maxWaitMs = (long) (MAX_WAIT_OBJECTIVES * longestObjectiveMs(admitted, upstream));
+		this.maxWaitMs = maxWaitMs(admitted, upstream);
 		this.deadline = deadline;
 		this.firstArrivalAt = arrivedAt
 				- gateway.requestAges.ageMs(this.route.name(), admitted.request().callerTimeoutMs());
@@ -87,14 +88,14 @@
 		return Math.min(this.deadline - generationMs(), this.waitStartedAt + this.maxWaitMs);
 	}
 
-	// Requests of a lower priority with a longer objective wait longer and are served
-	// later. If a request stopped waiting before them, they would get its slot.
-	private static long longestObjectiveMs(AdmittedRequest admitted, String upstream) {
-		return admitted.routeTable()
-			.routesTo(upstream)
-			.filter((r) -> r.priority() > admitted.priority())
-			.mapToLong(Route::latencyTargetMs)
-			.reduce(admitted.route().latencyTargetMs(), Math::max);
+	// Where priorities differ, late requests do not delay more urgent ones, so each may
+	// wait for as long as its caller does.
+	private long maxWaitMs(AdmittedRequest admitted, String upstream) {
+		long objectiveMs = this.route.latencyTargetMs();
+		if (!admitted.routeTable().hasSeveralPriorities(upstream)) {
+			return (long) (MAX_WAIT_OBJECTIVES * objectiveMs);
+		}
+		return CallerPatience.streamMs(objectiveMs, this.route.maxEventGapMs()) - this.times.timeToFirstEventMs();
 	}
 
 	/**
--- a/src/main/java/io/shallotspur/gateway/ReservationQueue.java
+++ b/src/main/java/io/shallotspur/gateway/ReservationQueue.java
@@ -111,8 +111,8 @@
 		for (Unservable<ReservationTicket> u : WaitForecast.unservable(ordered, perSecond.getAsDouble(), now)) {
 			cancel(u.request());
 			PendingRequest request = u.request().request();
-			this.gateway.metrics.unservable(request.priority());
-			request.log("unservable priority=" + request.priority() + " waiting=" + ordered.size() + " starts-per-s="
+			this.gateway.metrics.unservable(request.rank());
+			request.log("unservable rank=" + request.rank() + " waiting=" + ordered.size() + " starts-per-s="
 					+ perSecond.getAsDouble() + " expected-ms=" + u.expectedWaitMs(), now);
 			request.onUnservable(u.expectedWaitMs(), now);
 		}
@@ -296,7 +296,7 @@
 		boolean yielded = !ticket.yieldedTo().isEmpty();
 		this.gateway.metrics.queued(ticket.priority(), waitedMs, yielded);
 		ticket.request()
-			.log("queued queued-ms=" + waitedMs + " priority=" + ticket.priority() + " late=" + ticket.isLate()
+			.log("queued queued-ms=" + waitedMs + " rank=" + ticket.priority() + " late=" + ticket.isLate()
 					+ " waiting=" + this.queue.size() + (yielded ? " yielded-to=" + ticket.yieldedTo() : ""), now);
 	}
 
--- a/src/main/java/io/shallotspur/gateway/ReservationTicket.java
+++ b/src/main/java/io/shallotspur/gateway/ReservationTicket.java
@@ -40,7 +40,7 @@
 
 	@Override
 	public int priority() {
-		return this.request.priority();
+		return this.request.rank();
 	}
 
 	@Override
--- a/src/test/java/io/shallotspur/gateway/PriorityFleet.java
+++ b/src/test/java/io/shallotspur/gateway/PriorityFleet.java
@@ -25,6 +25,8 @@
 
 	static final long OTHER_TARGET_MS = 1_000;
 
+	static final long MAX_GAP_MS = 300;
+
 	private static final int SLOTS = 4;
 
 	private static final long RESPONSE_MS = 600;
@@ -82,7 +84,7 @@
 
 	private static Route route(String name, int priority, long targetMs) {
 		return new Route(name, "shop.example", "/" + name + "/", RouteKind.STREAM, List.of(new RouteTarget("llm", 1)),
-				14_000, targetMs, 300, priority, 1, false, true, false);
+				14_000, targetMs, MAX_GAP_MS, priority, 1, false, true, false);
 	}
 
 	void run(long ms, double urgentPerSecond, double otherPerSecond) {
--- a/src/test/java/io/shallotspur/gateway/PriorityQueueTests.java
+++ b/src/test/java/io/shallotspur/gateway/PriorityQueueTests.java
@@ -2,14 +2,22 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 
 import org.assertj.core.api.Assertions;
+import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
 import io.shallotspur.gateway.GatewayFixture.Call;
+import io.shallotspur.queueing.CallerPatience;
+import io.shallotspur.route.Customer;
+import io.shallotspur.route.Quota;
+import io.shallotspur.route.Route;
+import io.shallotspur.route.RouteKind;
+import io.shallotspur.route.RouteTarget;
 
 /**
  * Tests of waiting for a slot while requests of two priorities compete for the decode
@@ -89,15 +97,45 @@
 		}
 	}
 
-	// An urgent request has the tighter objective and stopped waiting first, so that a
-	// less urgent one got the slot that it had waited for.
+	// Guards against a refusal of requests that their callers still wait for, and against
+	// requests that wait after their callers have left.
 	@Test
-	void urgentRequestWaitsAsLongAsLessUrgentOnes() {
+	void requestsWaitAsLongAsTheirCallers() {
 		Call urgent = urgent();
-		refuseFor(2 * PriorityFleet.OTHER_TARGET_MS - 10);
+		Call other = other();
+		refuseFor(CallerPatience.streamMs(PriorityFleet.URGENT_TARGET_MS, PriorityFleet.MAX_GAP_MS) - 10);
 		Assertions.assertThat(urgent.caller().responseCount).isZero();
 		refuseFor(20);
 		Assertions.assertThat(urgent.caller().status).isEqualTo(503);
+		Assertions.assertThat(other.caller().responseCount).isZero();
+		refuseFor(CallerPatience.streamMs(PriorityFleet.OTHER_TARGET_MS, PriorityFleet.MAX_GAP_MS));
+		Assertions.assertThat(other.caller().status).isEqualTo(503);
+	}
+
+	// Guards against a customer's own priority that makes its urgent requests and its
+	// others alike.
+	@Test
+	void priorityOfRouteDecidesWhereCustomersHaveTheirOwn() {
+		Route urgent = route("urgent", 0);
+		Route other = route("other", 2);
+		Customer first = new Customer("first", Set.of(), 1, Quota.UNLIMITED);
+		Customer second = new Customer("second", Set.of(), 2, Quota.UNLIMITED);
+		Assertions
+			.assertThat(List.of(rank(urgent, first), rank(other, first), rank(urgent, second), rank(other, second)))
+			.isSorted()
+			.doesNotHaveDuplicates();
+		Assertions.assertThat(rank(other, null)).isEqualTo(rank(other, second));
+	}
+
+	private static int rank(Route route, @Nullable Customer customer) {
+		RelayRequest r = new RelayRequest("r", "POST", "/", "shop.example", List.of(), new byte[0], 1_000, null,
+				List.of(), null, null, null);
+		return new AdmittedRequest(r, PriorityFleet.table(), route, customer, 0, null).rank();
+	}
+
+	private static Route route(String name, int priority) {
+		return new Route(name, "shop.example", "/" + name + "/", RouteKind.STREAM, List.of(new RouteTarget("llm", 1)),
+				10_000, 1_000, 0, priority, 1, false, true, false);
 	}
 
 	// A burst asks for far more than the workers can do. Those whose turn will not come
