Quotas: tests of the burst at growing serving sets, and of the metrics

Cause: the model of all orders did not fail when a standby VM filled its buckets; half of the tolerance hid it at four VMs.

Change: a test lets the serving set grow from two to nine VMs within a window. The model has six VMs, a fifth quota and serving sets that move as a whole. QuotaTests checks counters by rank and the gauge of the share.

Result: Quota*Tests and FairSharesTests passed.

--- a/src/test/java/io/shallotspur/gateway/QuotaTests.java
+++ b/src/test/java/io/shallotspur/gateway/QuotaTests.java
@@ -137,6 +137,9 @@
 		f.callWithKey("other", "key-1");
 		Assertions.assertThat(f.callWithKey("other", "key-1").caller().status).isEqualTo(429);
 		Assertions.assertThat(f.callWithKey("urgent", "key-1").caller().refusal).isNull();
+		Assertions.assertThat(f.metrics.counter("customer.over-quota.rank-2.acme").getCount()).isPositive();
+		Assertions.assertThat(f.metrics.counter("customer.over-quota.rank-0.acme").getCount()).isZero();
+		Assertions.assertThat(f.metrics.getGauges().get("customer.quota-share.acme").getValue()).isEqualTo(10_000L);
 	}
 
 	private static Route route(String name, int priority) {
--- a/src/test/java/io/shallotspur/quota/QuotaLimiterTests.java
+++ b/src/test/java/io/shallotspur/quota/QuotaLimiterTests.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Random;
 import java.util.Set;
+import java.util.stream.Stream;
 
 import org.assertj.core.api.Assertions;
 import org.junit.jupiter.api.Test;
@@ -68,6 +69,28 @@
 		}
 	}
 
+	// Guards against a burst that is granted again at each VM that begins to serve
+	// callers:
+	// the more a customer sends, the more VMs serve.
+	@Test
+	void burstIsGrantedOnceWhileMoreVmsBeginToServe() {
+		QuotaTolerance tolerance = new QuotaTolerance(WINDOW_MS, 0.1, 190_000);
+		Customer c = customer(32_800, 118_000);
+		List<QuotaLimiter> limiters = Stream.generate(() -> new QuotaLimiter(tolerance, -100_000)).limit(10).toList();
+		double spent = 0;
+		for (long now = 0; now < WINDOW_MS; now += 250) {
+			int serving = 2 + (int) (now / 1_000);
+			for (int vm = 0; vm < limiters.size(); vm++) {
+				QuotaShare share = QuotaShare.of(serving, vm >= serving);
+				limiters.get(vm).update(share, now);
+				while (vm < serving && limiters.get(vm).charge(c, RANK, MAX_COST, share, now).isAdmitted()) {
+					spent += MAX_COST;
+				}
+			}
+		}
+		Assertions.assertThat(spent).isLessThanOrEqualTo((32_800 * 8 + 118_000) * 1.1 + 190_000);
+	}
+
 	// Guards against refusals of a customer that asks for no more than its quota allows
 	// in each window: a burst that is granted once would be used up.
 	@Test
--- a/src/test/java/io/shallotspur/quota/QuotaModelTests.java
+++ b/src/test/java/io/shallotspur/quota/QuotaModelTests.java
@@ -27,7 +27,7 @@
 	private static final int LENGTH = 6;
 
 	@ParameterizedTest
-	@CsvSource({ "47000,47000", "47000,10000", "94000,47000", "164000,82000" })
+	@CsvSource({ "47000,47000", "47000,10000", "94000,47000", "164000,82000", "32800,118000" })
 	void noOrderOfChangesExceedsTheQuota(double rate, double burst) {
 		int kinds = Step.values().length;
 		for (int code = 0; code < Math.pow(kinds, LENGTH); code++) {
@@ -48,12 +48,12 @@
 	}
 
 	/**
-	 * Four VMs, of which two serve callers at first. What changes in the store is known
-	 * to the first VM at once and to the others a step later.
+	 * Six VMs, of which two serve callers at first. What changes in the store is known to
+	 * the first VM at once and to the others a step later.
 	 */
 	private static final class Fleet {
 
-		private static final int VMS = 4;
+		private static final int VMS = 6;
 
 		private static final long STEP_MS = 1_500;
 
@@ -111,8 +111,11 @@
 		}
 
 		private QuotaShare share(int vm) {
-			boolean serves = (vm - this.firstServing[vm] + VMS) % VMS < this.servingCount[vm];
-			return QuotaShare.of(this.servingCount[vm], !serves);
+			return QuotaShare.of(this.servingCount[vm], !serves(vm, this.firstServing[vm], this.servingCount[vm]));
+		}
+
+		private static boolean serves(int vm, int firstVm, int vms) {
+			return (vm - firstVm + VMS) % VMS < vms;
 		}
 
 		private void tick() {
@@ -130,14 +133,14 @@
 			for (int vm = wasCut ? 1 : 0; vm < VMS; vm++) {
 				learn(vm);
 			}
-			if (wasCut && this.now - this.cutAt >= LEASE_MS && this.first == 0) {
+			if (wasCut && this.now - this.cutAt >= LEASE_MS && serves(0, this.first, this.count)) {
 				serve(1, this.count);
 			}
 			switch (step) {
 				case SPEND_FIRST -> spend(0);
 				case SPEND_ALL -> spendAll();
 				case SERVE_MORE -> serve(this.first, Math.min(VMS - 1, this.count + 1));
-				case SERVE_OTHERS -> serve(1 + this.first % (VMS - 1), this.count);
+				case SERVE_OTHERS -> serve((this.first + 2) % VMS, this.count);
 				case START -> start();
 				case CUT_OFF -> cutOff();
 				case LOWER -> lower();
