--- a/src/main/java/io/shallotspur/gateway/RequestTiming.java
+++ b/src/main/java/io/shallotspur/gateway/RequestTiming.java
@@ -31,8 +31,6 @@
 
 	private final IntSupplier receivedTokens;
 
-	private final long maxWaitMs;
-
 	private final long deadline;
 
 	private final long firstArrivalAt;
@@ -54,7 +52,6 @@
 		this.route = admitted.route();
 		this.prompt = admitted.request().prompt();
 		this.receivedTokens = receivedTokens;
-		this.maxWaitMs = (long) (MAX_WAIT_OBJECTIVES * longestObjectiveMs(admitted, upstream));
 		this.deadline = deadline;
 		this.firstArrivalAt = arrivedAt
 				- gateway.requestAges.ageMs(this.route.name(), admitted.request().callerTimeoutMs());
@@ -84,17 +81,8 @@
 	 * @return the time in milliseconds
 	 */
 	long waitDeadline() {
-		return Math.min(this.deadline - generationMs(), this.waitStartedAt + this.maxWaitMs);
-	}
-
-	// Requests of a lower priority with a longer objective wait longer and are served
-	// later. If a request stopped waiting before them, they would get its slot.
-	private static long longestObjectiveMs(AdmittedRequest admitted, String upstream) {
-		return admitted.routeTable()
-			.routesTo(upstream)
-			.filter((r) -> r.priority() > admitted.priority())
-			.mapToLong(Route::latencyTargetMs)
-			.reduce(admitted.route().latencyTargetMs(), Math::max);
+		long maxWaitEnd = this.waitStartedAt + (long) (MAX_WAIT_OBJECTIVES * this.route.latencyTargetMs());
+		return Math.min(this.deadline - generationMs(), maxWaitEnd);
 	}
 
 	/**
--- a/src/main/java/io/shallotspur/route/RouteTable.java
+++ b/src/main/java/io/shallotspur/route/RouteTable.java
@@ -8,7 +8,6 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
-import java.util.stream.Stream;
 
 /**
  * A versioned snapshot of the routing configuration. Immutable and thread-safe.
@@ -119,18 +118,6 @@
 		return Optional.ofNullable(this.upstreams.get(name));
 	}
 
-	/**
-	 * Returns the routes that an upstream serves.
-	 * @param upstream its name
-	 * @return the routes, in no particular order
-	 */
-	public Stream<Route> routesTo(String upstream) {
-		return this.routesByHost.values()
-			.stream()
-			.flatMap(List::stream)
-			.filter((r) -> r.targets().stream().anyMatch((t) -> t.upstream().equals(upstream)));
-	}
-
 	/**
 	 * Finds the route of a request: the route of the host with the longest prefix that
 	 * matches the path.
--- a/src/test/java/io/shallotspur/gateway/PriorityQueueTests.java
+++ b/src/test/java/io/shallotspur/gateway/PriorityQueueTests.java
@@ -89,12 +89,13 @@
 		}
 	}
 
-	// An urgent request has the tighter objective and stopped waiting first, so that a
-	// less urgent one got the slot that it had waited for.
+	// An urgent request goes first, but its caller has less patience than others. Held as
+	// long as those with a longer objective may wait, it would end without an answer.
 	@Test
-	void urgentRequestWaitsAsLongAsLessUrgentOnes() {
+	void urgentRequestIsRefusedWellBeforeItsCallerLeaves() {
 		Call urgent = urgent();
-		refuseFor(2 * PriorityFleet.OTHER_TARGET_MS - 10);
+		other();
+		refuseFor(2 * PriorityFleet.URGENT_TARGET_MS - 10);
 		Assertions.assertThat(urgent.caller().responseCount).isZero();
 		refuseFor(20);
 		Assertions.assertThat(urgent.caller().status).isEqualTo(503);
