--- a/src/main/java/io/shallotspur/gateway/RequestTiming.java
+++ b/src/main/java/io/shallotspur/gateway/RequestTiming.java
@@ -88,14 +88,14 @@
 		return Math.min(this.deadline - generationMs(), this.waitStartedAt + this.maxWaitMs);
 	}
 
-	// Where priorities differ, late requests do not delay more urgent ones, so each may
-	// wait for as long as its caller does.
+	// Where priorities differ, late requests do not delay more urgent ones, so they may
+	// wait while their callers do.
 	private long maxWaitMs(AdmittedRequest admitted, String upstream) {
 		long objectiveMs = this.route.latencyTargetMs();
 		if (!admitted.routeTable().hasSeveralPriorities(upstream)) {
 			return (long) (MAX_WAIT_OBJECTIVES * objectiveMs);
 		}
-		return CallerPatience.streamMs(objectiveMs, this.route.maxEventGapMs()) - this.times.timeToFirstEventMs();
+		return CallerPatience.maxWaitMs(objectiveMs, this.route.maxEventGapMs());
 	}
 
 	/**
--- a/src/main/java/io/shallotspur/queueing/CallerPatience.java
+++ b/src/main/java/io/shallotspur/queueing/CallerPatience.java
@@ -1,7 +1,7 @@
 package io.shallotspur.queueing;
 
 /**
- * How long callers wait for a response before they disconnect. Stateless.
+ * How long requests may wait before their callers disconnect. Stateless.
  */
 public final class CallerPatience {
 
@@ -13,18 +13,22 @@
 
 	private static final int SILENCE_GAPS = 8;
 
+	// The rest is for the prefill and the first event.
+	private static final double WAIT_SHARE = 0.75;
+
 	private CallerPatience() {
 	}
 
 	/**
-	 * Returns how long the caller of a stream waits for its next event.
+	 * Returns how long a stream may wait for a worker.
 	 * @param objectiveMs the latency objective of its route, in milliseconds
 	 * @param maxGapMs the longest gap between two events that meets the objective, in
 	 * milliseconds; 0 for no limit
 	 * @return milliseconds
 	 */
-	public static long streamMs(long objectiveMs, long maxGapMs) {
-		return Math.max(MIN_SILENCE_MS, Math.max(SILENCE_OBJECTIVES * objectiveMs, SILENCE_GAPS * maxGapMs));
+	public static long maxWaitMs(long objectiveMs, long maxGapMs) {
+		long patienceMs = Math.max(SILENCE_OBJECTIVES * objectiveMs, SILENCE_GAPS * maxGapMs);
+		return (long) (WAIT_SHARE * Math.max(MIN_SILENCE_MS, patienceMs));
 	}
 
 }
--- a/src/test/java/io/shallotspur/gateway/PriorityQueueTests.java
+++ b/src/test/java/io/shallotspur/gateway/PriorityQueueTests.java
@@ -100,15 +100,15 @@
 	// Guards against a refusal of requests that their callers still wait for, and against
 	// requests that wait after their callers have left.
 	@Test
-	void requestsWaitAsLongAsTheirCallers() {
+	void requestsWaitWhileTheirCallersDo() {
 		Call urgent = urgent();
 		Call other = other();
-		refuseFor(CallerPatience.streamMs(PriorityFleet.URGENT_TARGET_MS, PriorityFleet.MAX_GAP_MS) - 10);
+		refuseFor(CallerPatience.maxWaitMs(PriorityFleet.URGENT_TARGET_MS, PriorityFleet.MAX_GAP_MS) - 10);
 		Assertions.assertThat(urgent.caller().responseCount).isZero();
 		refuseFor(20);
 		Assertions.assertThat(urgent.caller().status).isEqualTo(503);
 		Assertions.assertThat(other.caller().responseCount).isZero();
-		refuseFor(CallerPatience.streamMs(PriorityFleet.OTHER_TARGET_MS, PriorityFleet.MAX_GAP_MS));
+		refuseFor(CallerPatience.maxWaitMs(PriorityFleet.OTHER_TARGET_MS, PriorityFleet.MAX_GAP_MS));
 		Assertions.assertThat(other.caller().status).isEqualTo(503);
 	}
 
--- a/src/test/java/io/shallotspur/gateway/QuotaTests.java
+++ b/src/test/java/io/shallotspur/gateway/QuotaTests.java
@@ -130,8 +130,11 @@
 				List.of(new UpstreamSpec("plain", 10_000, null)), IngressLimits.DEFAULT, List.of(c)));
 		f.timer.advance(20_000);
 		f.callWithKey("urgent", "key-1");
+		f.workers.lastRun().respond(200, "fine");
 		for (int i = 0; i < 1_000; i++) {
-			f.callWithKey("other", "key-1");
+			if (f.callWithKey("other", "key-1").caller().responseCount == 0) {
+				f.workers.lastRun().respond(200, "fine");
+			}
 			f.timer.advance(10);
 		}
 		f.callWithKey("other", "key-1");
