Only whole plain calls, and tokens of streams, teach a pace; engines have no plain queue

Cause: a call without prompt data at an engine counted as one token, and the plain queue compared its time with that of a token.

Change: RelayTask records tokens at engines and calls at plain workers; PlainCallQueue sends at once what goes to an engine.

--- a/src/main/java/io/shallotspur/gateway/PlainCallQueue.java
+++ b/src/main/java/io/shallotspur/gateway/PlainCallQueue.java
@@ -133,8 +133,10 @@
 
 	private PlainCallDecision.Step decide(PlainCall call, List<WorkerState> workers, int ahead, long now) {
 		PaceComparison paces = PaceComparison.of(workers.stream().map(WorkerState::pace).toList());
+		// What is learned of engines is the time of a token, not of a call.
+		boolean plain = workers.stream().allMatch((w) -> w.info().stage() == WorkerStage.PLAIN);
 		boolean full = !workers.isEmpty() && workers.stream().allMatch((w) -> w.isBelievedFull(now));
-		if (!paces.isUneven() && !(full && hasSeveralPriorities())) {
+		if (!plain || !paces.isUneven() && !(full && hasSeveralPriorities())) {
 			return PlainCallDecision.Step.SEND;
 		}
 		double finish = workers.stream().mapToDouble((w) -> w.finishTime(paces, now)).min().orElse(0);
--- a/src/main/java/io/shallotspur/gateway/RelayTask.java
+++ b/src/main/java/io/shallotspur/gateway/RelayTask.java
@@ -482,7 +482,7 @@
 
 	// For one token of a stream, or for one plain call.
 	private void recordPace(boolean forwarded, long now) {
-		boolean stream = this.request.prompt() != null;
+		boolean stream = this.placing.stage() != WorkerStage.PLAIN;
 		int units = stream ? receivedTokens() : 1;
 		if (this.attempt == null || units == 0 || (stream && (!forwarded || this.history.sentCount() > 0))) {
 			return;
