--- a/src/main/java/io/shallotspur/gateway/EntryVmDirectory.java
+++ b/src/main/java/io/shallotspur/gateway/EntryVmDirectory.java
@@ -98,7 +98,7 @@
 	 * @return the number of distinct addresses
 	 */
 	public int count(long now) {
-		return liveVms(now).size();
+		return selection(now).count();
 	}
 
 	/**
@@ -125,7 +125,7 @@
 			byRegion.values().removeIf((l) -> l.size() < MIN_VMS_PER_REGION);
 			byRegion.replaceAll((region, l) -> ServingVmSelector.select(l));
 			long until = this.byKey.values().stream().mapToLong(Registration::until).min().orElse(Long.MAX_VALUE);
-			c = Selection.of(byRegion, ServingVmSelector.select(all), others(all), until);
+			c = Selection.of(byRegion, ServingVmSelector.select(all), all.size(), others(all), until);
 			this.selection = c;
 		}
 		return c;
@@ -231,15 +231,16 @@
 	 * @param allRegions the selected VMs for callers of any other region
 	 * @param addresses the addresses of the VMs in {@code byRegion}, or in
 	 * {@code allRegions} if no region has enough, in an order that all VMs agree on
+	 * @param count the number of all VMs
 	 * @param others all VMs but this one
 	 * @param peerAddresses the addresses at which they accept messages
 	 * @param until when the first of all registrations expires, in milliseconds
 	 */
 	private record Selection(Map<String, List<EntryVm>> byRegion, List<EntryVm> allRegions, List<String> addresses,
-			List<EntryVm> others, List<String> peerAddresses, long until) {
+			int count, List<EntryVm> others, List<String> peerAddresses, long until) {
 
-		static Selection of(Map<String, List<EntryVm>> byRegion, List<EntryVm> allRegions, List<EntryVm> others,
-				long until) {
+		static Selection of(Map<String, List<EntryVm>> byRegion, List<EntryVm> allRegions, int count,
+				List<EntryVm> others, long until) {
 			List<String> ordered = new ArrayList<>();
 			byRegion.keySet()
 				.stream()
@@ -247,7 +248,7 @@
 				.forEach((r) -> byRegion.get(r).forEach((v) -> ordered.add(v.address())));
 			List<String> all = byRegion.isEmpty() ? allRegions.stream().map(EntryVm::address).toList() : ordered;
 			List<String> peers = others.stream().map(EntryVm::peerAddress).filter((a) -> !a.isEmpty()).toList();
-			return new Selection(byRegion, allRegions, all, others, peers, until);
+			return new Selection(byRegion, allRegions, all, count, others, peers, until);
 		}
 
 		List<EntryVm> forRegion(String region) {
