One long pause is no overload: a sample of the delay counts for 80 ms at most

Change: a sample is cut to the delay at which one alone does not exceed the threshold. The test is as it was.

--- a/src/main/java/io/shallotspur/serving/OverloadDetector.java
+++ b/src/main/java/io/shallotspur/serving/OverloadDetector.java
@@ -31,6 +31,9 @@
 	// collection does not count as overload.
 	private static final double SMOOTHING_FACTOR = 0.125;
 
+	// A single sample counts for no more than this, ms: one pause is no overload.
+	private static final double MAX_SAMPLE_MS = OVERLOAD_DELAY_MS / SMOOTHING_FACTOR;
+
 	// A low delay for this long is expected to last, ms: the length of a burst.
 	private static final long MIN_RECOVERY_PERIOD_MS = 10_000;
 
@@ -52,7 +55,7 @@
 	 * @param now the current time in milliseconds
 	 */
 	public void recordDelay(long delayMs, long now) {
-		this.meanDelayMs += SMOOTHING_FACTOR * (delayMs - this.meanDelayMs);
+		this.meanDelayMs += SMOOTHING_FACTOR * (Math.min(MAX_SAMPLE_MS, delayMs) - this.meanDelayMs);
 		LoadLevel measured = measuredLevel();
 		if (measured.compareTo(this.level) > 0) {
 			rise(measured, now);
