A request of which nothing was sent is refused as not run at its timeout

Cause: a request whose route's time was over was told 504 also if it had reached no worker; callers must not repeat an unsafe call after that, though many have time left beyond the limit of the route. Change: RelayTask.onDeadline answers 503 with a retry delay where nothing was sent.

--- a/src/main/java/io/shallotspur/gateway/RelayTask.java
+++ b/src/main/java/io/shallotspur/gateway/RelayTask.java
@@ -436,6 +436,11 @@
 		if (this.responseStarted) {
 			abortResponse(RefusalReason.TIMED_OUT, now);
 		}
+		else if (this.attempt == null && !this.history.mayHaveRun()) {
+			// The caller may have time left beyond the limit of the route.
+			refuse(RelayRefusal.notRun(RefusalReason.TIMED_OUT,
+					this.retryDelay.afterRefusalMs(RefusalReason.TIMED_OUT, now)), now);
+		}
 		else {
 			refuse(new RelayRefusal(RelayRefusal.TIMED_OUT, RefusalReason.TIMED_OUT, 0), now);
 		}
--- a/src/test/java/io/shallotspur/gateway/ReservationQueueTests.java
+++ b/src/test/java/io/shallotspur/gateway/ReservationQueueTests.java
@@ -29,6 +29,17 @@
 		return c;
 	}
 
+	// Guards against a timeout that leaves a caller in doubt whether its request has run,
+	// although the worker has not even answered the reservation call.
+	@Test
+	void requestThatWasNotSentIsRefusedAsNotRunAtItsTimeout() {
+		this.fixture.addWorker("d1", "llm", WorkerStage.DECODE);
+		Call c = this.fixture.callWithPrompt("once", 100);
+		this.fixture.timer.advance(20_000);
+		Assertions.assertThat(c.caller().status).isEqualTo(503);
+		Assertions.assertThat(c.caller().refusal.reason()).isEqualTo(RefusalReason.TIMED_OUT);
+	}
+
 	@Test
 	void triesNextWorkerWhenOneIsFull() {
 		this.fixture.addWorker("d1", "llm", WorkerStage.DECODE);
