Comments that the formatter broke in the middle of a sentence are whole again

Hard to read: ten // comments had a line of one or two words in the middle. They are wrapped at the formatter's width now, with the same words, and the formatter leaves them so.

--- a/src/main/java/io/shallotspur/gateway/RequestPlacement.java
+++ b/src/main/java/io/shallotspur/gateway/RequestPlacement.java
@@ -428,8 +428,7 @@
 	}
 
 	// While the prompt is prefilled elsewhere, the selected worker may start to leave,
-	// and
-	// the response would break off. Or it may ask for a pause, and would refuse the
+	// and the response would break off. Or it may ask for a pause, and would refuse the
 	// request.
 	private boolean isTargetValid(WorkerState w, long now) {
 		return w.isActive(now) && w.pauseRemainingMs(now) == 0 && this.gateway.roster.isCurrentInstance(w.info())
--- a/src/main/java/io/shallotspur/pace/ReportedLoad.java
+++ b/src/main/java/io/shallotspur/pace/ReportedLoad.java
@@ -23,8 +23,7 @@
 	private static final double MEAN_WEIGHT = 0.1;
 
 	// Requests at a full worker as a multiple of its slots: a short queue of its own
-	// keeps
-	// it busy until this VM hears that a slot is free.
+	// keeps it busy until this VM hears that a slot is free.
 	private static final double FULL = 1.5;
 
 	private boolean reported;
--- a/src/main/java/io/shallotspur/platform/CallerIngress.java
+++ b/src/main/java/io/shallotspur/platform/CallerIngress.java
@@ -60,8 +60,7 @@
 	private static final Duration REQUEST_READ_TIMEOUT = Duration.ofSeconds(15);
 
 	// A loop that is behind accepts all connections that wait at once. The rest would
-	// wait
-	// for further rounds, and the time of their requests could not be told.
+	// wait for further rounds, and the time of their requests could not be told.
 	private static final int MAX_ACCEPTS_PER_POLL = 1_024;
 
 	private static final AttributeKey<Opened> OPENED = AttributeKey.valueOf("shallotspur-opened");
@@ -162,8 +161,7 @@
 			return refuse(response, res, CONTENT_TOO_LARGE);
 		}
 		// The caller's time runs while its request waits to be read and while it sends
-		// the
-		// body.
+		// the body.
 		long arrivedAt = arrivedAt(req);
 		ByteArrayOutputStream body = new ByteArrayOutputStream();
 		ByteBudget.Holding holding = this.budget.openUncuttable();
--- a/src/test/java/io/shallotspur/platform/LateReadTests.java
+++ b/src/test/java/io/shallotspur/platform/LateReadTests.java
@@ -41,8 +41,7 @@
 	}
 
 	// Guards against a request that is sent to a worker after its time, as its wait in
-	// the
-	// socket is not counted.
+	// the socket is not counted.
 	@Test
 	void aRequestThatIsReadAfterItsTimeIsRefusedAndNotSent() throws IOException, InterruptedException {
 		whileBusy("/unsafe/late", BUSY_MS / 2);
--- a/src/test/java/io/shallotspur/platform/VmEventLoopTests.java
+++ b/src/test/java/io/shallotspur/platform/VmEventLoopTests.java
@@ -51,8 +51,7 @@
 	}
 
 	// Guards against time limits that a busy VM keeps only once it has handled all
-	// sockets
-	// that were ready, which takes seconds.
+	// sockets that were ready, which takes seconds.
 	@Test
 	void aTimerThatIsDueRunsBetweenTwoSocketsOfOneRound() throws Exception {
 		VmEventLoop loop = new VmEventLoop();
--- a/src/test/java/io/shallotspur/quota/QuotaLimiterTests.java
+++ b/src/test/java/io/shallotspur/quota/QuotaLimiterTests.java
@@ -70,8 +70,7 @@
 	}
 
 	// Guards against a burst that is granted again at each VM that begins to serve
-	// callers:
-	// the more a customer sends, the more VMs serve.
+	// callers: the more a customer sends, the more VMs serve.
 	@Test
 	void burstIsGrantedOnceWhileMoreVmsBeginToServe() {
 		QuotaTolerance tolerance = new QuotaTolerance(WINDOW_MS, 0.1, 190_000);
--- a/src/test/java/io/shallotspur/serving/OverloadDetectorTests.java
+++ b/src/test/java/io/shallotspur/serving/OverloadDetectorTests.java
@@ -47,8 +47,7 @@
 	}
 
 	// The demand approaches what the processor bears. Requests pass the loop ten times
-	// and
-	// lose a third of their time.
+	// and lose a third of their time.
 	@Test
 	void isOverloadedBeforeRequestsLoseMostOfTheirTime() {
 		recordDelays(20, 15);
--- a/src/test/java/io/shallotspur/serving/ServingVmSelectorTests.java
+++ b/src/test/java/io/shallotspur/serving/ServingVmSelectorTests.java
@@ -81,8 +81,7 @@
 	}
 
 	// A burst saturates both VMs that serve. If one VM were added for each, these would
-	// be
-	// saturated in turn, and so on until the burst is over.
+	// be saturated in turn, and so on until the burst is over.
 	@Test
 	void addsSeveralVmsAtOnceForSaturatedOnes() {
 		List<Candidate> l = fleet(66, 0.12);
--- a/src/test/java/io/shallotspur/transit/ArrivalClockTests.java
+++ b/src/test/java/io/shallotspur/transit/ArrivalClockTests.java
@@ -10,8 +10,7 @@
 class ArrivalClockTests {
 
 	// Guards against deadlines that are counted from when a busy loop reads a request,
-	// and
-	// against time that an idle loop has waited being taken off a fresh one.
+	// and against time that an idle loop has waited being taken off a fresh one.
 	@ParameterizedTest(name = "{4}")
 	@CsvSource({ "3000, false, 3000, 10, found at once after a long round",
 			"3000, false, 3050, 10, found after a check that took long",
