Transit and platform: documentation says what is paused, timed and held

Hard to read: FlowGate claimed an invariant that ResponseFlow keeps; three documents said that reading 'stops or goes on' where it becomes slow; MEMORY_RETRY_MS promised that receivers are cut within it, but nothing is left to cut then; VmEventLoop was called thread-safe though its timers are cancelled on the loop; the role of shouldReportActiveIoTime and of the two runs of a timer was not said. Now each is stated. FlowGate.PATIENCE_MS is MAX_UNREAD_MS; CallerIngress.handle and HttpCallerResponse.updateHolding are split in two. No behaviour changed.

--- a/src/main/java/io/shallotspur/gateway/Attempt.java
+++ b/src/main/java/io/shallotspur/gateway/Attempt.java
@@ -70,8 +70,9 @@
 	}
 
 	/**
-	 * Stops reading the worker's response, or goes on.
-	 * @param paused whether to stop
+	 * Reads the worker's response more slowly, or at full speed again. Has no effect on
+	 * an attempt that has not been sent or has ended.
+	 * @param paused whether to read slowly
 	 */
 	void setPaused(boolean paused) {
 		if (this.exchange != null && !this.done) {
--- a/src/main/java/io/shallotspur/gateway/CallerResponse.java
+++ b/src/main/java/io/shallotspur/gateway/CallerResponse.java
@@ -11,12 +11,12 @@
 public interface CallerResponse {
 
 	/**
-	 * The request was admitted. Called once, ahead of the response; a request that is
-	 * refused before need not be admitted.
+	 * The request was admitted. Called at most once, ahead of the response; not called
+	 * for a request that is refused before.
 	 * @param id the id of the request
 	 * @param rank how urgent it is; 0 is the most urgent
-	 * @param pauses told whether too much of the response waits for a caller that does
-	 * not read, and whether it has read on
+	 * @param pauses called with {@code true} when too much of the response waits for the
+	 * caller to read, and with {@code false} when it has read on
 	 */
 	default void admitted(String id, int rank, Consumer<Boolean> pauses) {
 	}
--- a/src/main/java/io/shallotspur/gateway/Exchange.java
+++ b/src/main/java/io/shallotspur/gateway/Exchange.java
@@ -13,9 +13,9 @@
 	void cancel();
 
 	/**
-	 * Stops reading the response, or goes on. The worker is still read once in a while,
-	 * so that it does not break off. Has no effect if the call has ended.
-	 * @param paused whether to stop
+	 * Reads the response more slowly, or at full speed again. A worker that is not read
+	 * at all would break off. Has no effect if the call has ended.
+	 * @param paused whether to read slowly
 	 */
 	default void setPaused(boolean paused) {
 	}
--- a/src/main/java/io/shallotspur/platform/CallerIngress.java
+++ b/src/main/java/io/shallotspur/platform/CallerIngress.java
@@ -60,7 +60,8 @@
 	private static final Duration REQUEST_READ_TIMEOUT = Duration.ofSeconds(15);
 
 	// A loop that is behind accepts all connections that wait at once. The rest would
-	// wait for further rounds, and the time of their requests could not be told.
+	// wait for further rounds, and how long their requests have waited would not be
+	// known.
 	private static final int MAX_ACCEPTS_PER_POLL = 1_024;
 
 	private static final AttributeKey<Opened> OPENED = AttributeKey.valueOf("shallotspur-opened");
@@ -69,8 +70,8 @@
 	// buffer of a caller that does not read grow to megabytes.
 	private static final int SEND_BUFFER_BYTES = 128 << 10;
 
-	// Retry delay while too much is held, in ms. Within that time, receivers that do not
-	// read are cut off.
+	// Retry delay while too much is held, ms. By then some of the requests whose bodies
+	// are held have probably ended.
 	private static final long MEMORY_RETRY_MS = 500;
 
 	private final Endpoint listen;
@@ -160,6 +161,11 @@
 		if (length != null && length.matches("\\d{1,18}") && Long.parseLong(length) > limits.maxBodyBytes()) {
 			return refuse(response, res, CONTENT_TOO_LARGE);
 		}
+		return readAndRelay(req, res, response, limits);
+	}
+
+	private Mono<Void> readAndRelay(HttpServerRequest req, HttpServerResponse res, HttpCallerResponse response,
+			IngressLimits limits) {
 		// The caller's time runs while its request waits to be read and while it sends
 		// the body.
 		long arrivedAt = arrivedAt(req);
@@ -178,6 +184,7 @@
 		})).doFinally((s) -> holding.close());
 	}
 
+	// The earliest time at which the request can have arrived, ms.
 	private long arrivedAt(HttpServerRequest req) {
 		long[] at = { this.clock.getAsLong() };
 		req.withConnection((c) -> {
@@ -231,6 +238,7 @@
 		});
 	}
 
+	// Closes the connection, as the rest of the body is not read.
 	private static Mono<Void> refuseUnread(HttpCallerResponse response, HttpServerResponse res) {
 		Logger.info("[transit] request refused, as too much is held");
 		res.header(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
--- a/src/main/java/io/shallotspur/platform/ConfigFields.java
+++ b/src/main/java/io/shallotspur/platform/ConfigFields.java
@@ -6,12 +6,12 @@
 import io.shallotspur.exc.InputException;
 
 /**
- * Reads the numbers of one object of the operator's configuration on which limits and
- * ranks depend. Immutable.
+ * Reads the fields of one object of the operator's configuration that set limits and
+ * priorities. Immutable.
  * <p>
  * A field that is missing or null has its default. One that cannot be read makes the
- * configuration invalid: a limit that is taken for none, or a rank for another one, would
- * be noticed only by the customers that it harms.
+ * configuration invalid: a limit that is taken for none, or a priority for another one,
+ * would be noticed only by the customers that it harms.
  */
 final class ConfigFields {
 
--- a/src/main/java/io/shallotspur/platform/HttpCallerResponse.java
+++ b/src/main/java/io/shallotspur/platform/HttpCallerResponse.java
@@ -52,7 +52,7 @@
 
 	private final PendingWrites written;
 
-	// In bytes. Not yet taken over by the connection.
+	// Bytes that the connection has not taken over yet.
 	private long queued;
 
 	private boolean ended;
@@ -165,7 +165,7 @@
 		updateHolding();
 	}
 
-	// What is queued here and in the connection.
+	// Sets the holding to what is queued here and in the connection.
 	private void updateHolding() {
 		long now = this.clock.getAsLong();
 		long more = this.queued + this.written.bytes() - this.holding.bytes();
@@ -175,6 +175,10 @@
 		else {
 			this.holding.release(-more, now);
 		}
+		updatePause();
+	}
+
+	private void updatePause() {
 		boolean stopped = this.gate.isStopped();
 		if (!this.ended && this.gate.update(this.holding.bytes()) != stopped) {
 			this.pauses.accept(!stopped);
--- a/src/main/java/io/shallotspur/platform/HttpWorkerPort.java
+++ b/src/main/java/io/shallotspur/platform/HttpWorkerPort.java
@@ -320,8 +320,8 @@
 			.send((r, out) -> out.send(parts(q.body())));
 	}
 
-	// A body is copied into the memory of its connection as a whole. In parts, no more is
-	// copied than the worker reads.
+	// A connection copies each buffer that is written to it as a whole. In parts, little
+	// more of a body is copied than the worker reads.
 	private static Flux<ByteBuf> parts(byte[] body) {
 		if (body.length <= MAX_POOLED_BODY_BYTES) {
 			return Flux.just(Unpooled.wrappedBuffer(body));
--- a/src/main/java/io/shallotspur/platform/ResponseFlow.java
+++ b/src/main/java/io/shallotspur/platform/ResponseFlow.java
@@ -6,10 +6,11 @@
 import io.shallotspur.transit.FlowGate;
 
 /**
- * Stops reading the response of a worker and goes on. Confined to the event loop.
+ * Pauses and resumes the reading of a worker's response. Not thread-safe; confined to the
+ * event loop.
  * <p>
- * Invariants: a connection that has stopped is still read once per
- * {@link FlowGate#PATIENCE_MS}; the connection of a response that has ended is read, as
+ * Invariants: while paused, the connection is still read once per
+ * {@link FlowGate#MAX_UNREAD_MS}; the connection of a response that has ended is read, as
  * it may serve the next request.
  */
 final class ResponseFlow {
@@ -29,6 +30,7 @@
 		this.loop = loop;
 	}
 
+	// The response comes on a connection; a pause that was set before takes effect.
 	void connected(@Nullable Channel c) {
 		this.connection = c;
 		apply();
@@ -54,7 +56,7 @@
 		}
 		if (this.paused) {
 			c.config().setAutoRead(false);
-			this.cancelRead = this.loop.schedule(FlowGate.PATIENCE_MS, this::readOnce);
+			this.cancelRead = this.loop.schedule(FlowGate.MAX_UNREAD_MS, this::readOnce);
 		}
 		else if (!c.config().isAutoRead()) {
 			c.config().setAutoRead(true);
--- a/src/main/java/io/shallotspur/platform/ResponseHeadDecoder.java
+++ b/src/main/java/io/shallotspur/platform/ResponseHeadDecoder.java
@@ -208,7 +208,7 @@
 		}
 	}
 
-	// A malformed figure is counted by its caller; the others hold.
+	// Empty if there is no fourth figure or it is malformed; the other three still count.
 	private static OptionalDouble slowdown(String[] figures) {
 		if (figures.length <= MIN_LOAD_FIELDS || !NUMBER.matcher(figures[MIN_LOAD_FIELDS].strip()).matches()) {
 			return OptionalDouble.empty();
--- a/src/main/java/io/shallotspur/platform/TimedIoHandler.java
+++ b/src/main/java/io/shallotspur/platform/TimedIoHandler.java
@@ -53,7 +53,8 @@
 		return (executor) -> new TimedIoHandler(nio.newHandler(executor), arrivals, timers, clock);
 	}
 
-	// What is ready before the loop waits has come while it was busy.
+	// If a check finds something ready before the loop waits, it came while the loop was
+	// busy.
 	private static int strategy(ArrivalClock arrivals, IntSupplier ready, boolean hasTasks) throws Exception {
 		if (hasTasks) {
 			return ready.get();
@@ -103,8 +104,9 @@
 	}
 
 	/**
-	 * Passes on the questions of the handler. It asks whether to measure the time of its
-	 * work as soon as a poll has returned.
+	 * Delegates to the context of the loop. The handler calls
+	 * {@link #shouldReportActiveIoTime} as soon as a poll has returned, which is how the
+	 * return is recorded.
 	 */
 	private final class PollContext implements IoHandlerContext {
 
--- a/src/main/java/io/shallotspur/platform/VmEventLoop.java
+++ b/src/main/java/io/shallotspur/platform/VmEventLoop.java
@@ -21,8 +21,9 @@
 import io.shallotspur.transit.DueTimers;
 
 /**
- * The single event loop that runs an entry VM's sockets, timers and gateway. Thread-safe.
- * A VM has less than one core, so more threads would only compete for it.
+ * The single event loop that runs an entry VM's sockets, timers and gateway. A VM has
+ * less than one core, so more threads would only compete for it. Thread-safe, except that
+ * a timer that was scheduled on the loop is also cancelled on it.
  */
 final class VmEventLoop implements GatewayTimer {
 
@@ -83,6 +84,8 @@
 			ScheduledFuture<?> f = this.loop.schedule(task, delayMs, TimeUnit.MILLISECONDS);
 			return () -> f.cancel(false);
 		}
+		// Run by the loop at the end of a round or by TimedIoHandler between two sockets,
+		// whichever comes first.
 		DueTimers.Timer t = this.timers.add(now() + delayMs, task);
 		ScheduledFuture<?> f = this.loop.schedule(t, delayMs, TimeUnit.MILLISECONDS);
 		return () -> {
--- a/src/main/java/io/shallotspur/transit/ArrivalClock.java
+++ b/src/main/java/io/shallotspur/transit/ArrivalClock.java
@@ -8,12 +8,12 @@
  * <p>
  * Invariant: bytes that are ready when the loop enters a poll did not arrive before the
  * poll ahead of it returned, and bytes that a poll had to wait for arrived when it
- * returned. Without a check what is ready, a poll counts as waiting after a short round
- * only, so that the time is wrong by no more than that round.
+ * returned. After a short round the loop waits without a check of what is ready; bytes
+ * that were ready are then dated too late, by no more than that round.
  */
 public final class ArrivalClock {
 
-	// In ms. Far below the time limits of callers.
+	// A round that takes less is short, ms. Far below the time limits of callers.
 	private static final long SHORT_ROUND_MS = 20;
 
 	private long enteredAt;
@@ -46,7 +46,8 @@
 	}
 
 	/**
-	 * Records that the loop waits, as far as it knows, with nothing ready.
+	 * Records that the loop is about to wait, as it has found nothing ready or has not
+	 * checked after a short round.
 	 */
 	public void pollWaits() {
 		this.waits = true;
--- a/src/main/java/io/shallotspur/transit/ByteBudget.java
+++ b/src/main/java/io/shallotspur/transit/ByteBudget.java
@@ -6,8 +6,8 @@
 
 /**
  * The memory of an entry VM for bytes that their receivers have not read yet. Without a
- * limit, callers that stop reading would fill the VM's memory, and it would end with the
- * responses of all others. Not thread-safe; confined to the event loop.
+ * limit, callers that stop reading would fill the VM's memory, and all responses would
+ * break off when it fails. Not thread-safe; confined to the event loop.
  * <p>
  * Invariants: the bytes held never exceed the limit once a call has returned, unless only
  * holdings remain that cannot be cut; a holding is cut at most once. The response that is
@@ -95,7 +95,8 @@
 		return this.cuts;
 	}
 
-	// A response of which nothing is held would free nothing.
+	// Considers only holdings that are not empty, as others would free nothing. Returns
+	// whether the limit is kept.
 	private boolean cutUntilWithinLimit() {
 		while (this.held > this.limit) {
 			Holding victim = this.holdings.stream()
@@ -115,7 +116,9 @@
 	}
 
 	/**
-	 * The bytes held for one receiver.
+	 * The bytes held for one receiver. Not thread-safe; confined to the event loop.
+	 * <p>
+	 * Invariant: a holding that is closed is empty and stays so.
 	 */
 	public final class Holding {
 
@@ -134,7 +137,7 @@
 		}
 
 		/**
-		 * Sets how urgent the response is.
+		 * Sets how urgent the response is; the most urgent until then.
 		 * @param newRank its rank; 0 is the most urgent
 		 */
 		public void rank(int newRank) {
@@ -145,7 +148,8 @@
 		 * Adds bytes, and cuts responses, possibly this one, until the limit is kept.
 		 * @param n the number of bytes
 		 * @param now the present time in milliseconds
-		 * @return whether the limit is kept
+		 * @return whether the limit is kept; {@code true}, without any effect, if the
+		 * holding is closed
 		 */
 		public boolean add(long n, long now) {
 			if (this.closed) {
--- a/src/main/java/io/shallotspur/transit/DueTimers.java
+++ b/src/main/java/io/shallotspur/transit/DueTimers.java
@@ -10,8 +10,9 @@
  * a loop that is behind takes seconds, and timers that run only at its end would answer
  * requests as much after their time limit. Not thread-safe; confined to the event loop.
  * <p>
- * Invariant: a timer runs once at most, not before it is due, and not once it is
- * cancelled.
+ * Invariants: a timer runs once at most and not once it is cancelled; {@link #runDue}
+ * runs none before it is due. A cancelled timer is kept, without its task, until it is
+ * due.
  */
 public final class DueTimers {
 
@@ -21,7 +22,8 @@
 	 * Adds a timer.
 	 * @param dueAt when it is due, in milliseconds
 	 * @param task the task
-	 * @return the timer; to be run by the loop when it is due, if it has not been by then
+	 * @return the timer; the loop also runs it at the end of its round, which has no
+	 * effect if it has run
 	 */
 	public Timer add(long dueAt, Runnable task) {
 		Timer t = new Timer(dueAt, task);
@@ -43,7 +45,7 @@
 	}
 
 	/**
-	 * One timer.
+	 * A timer. Not thread-safe; confined to the event loop.
 	 */
 	public static final class Timer implements Runnable {
 
@@ -66,7 +68,7 @@
 		}
 
 		/**
-		 * Cancels the timer and lets go of its task.
+		 * Cancels the timer and drops its task.
 		 */
 		public void cancel() {
 			this.task = null;
--- a/src/main/java/io/shallotspur/transit/FlowGate.java
+++ b/src/main/java/io/shallotspur/transit/FlowGate.java
@@ -1,24 +1,25 @@
 package io.shallotspur.transit;
 
 /**
- * Decides when the response of a worker is read on while its caller does not read. A
- * worker breaks off a response that nobody reads for some seconds, so that reading goes
- * on slowly instead of stopping: the caller may only be slow. Not thread-safe; confined
- * to the event loop.
+ * Decides when the response of a worker is read more slowly because its caller does not
+ * read. Not thread-safe; confined to the event loop.
  * <p>
- * Invariants: with little held, reading never stops; with much held, it goes on at most
- * once per {@link #PATIENCE_MS}.
+ * A worker breaks off a response that is not read for some seconds, while the caller may
+ * only be slow. A response that is stopped here is therefore still read once per
+ * {@link #MAX_UNREAD_MS}.
+ * <p>
+ * Invariant: reading stops above 64 KB held, and goes on once 32 KB or less are held.
  */
 public final class FlowGate {
 
 	/**
-	 * How long a worker's connection stays unread, ms. Shorter than any worker's
-	 * patience, which is seconds.
+	 * How long a worker's connection stays unread, ms. Shorter than the time after which
+	 * workers break off a response, which is seconds.
 	 */
-	public static final long PATIENCE_MS = 1_000;
+	public static final long MAX_UNREAD_MS = 1_000;
 
-	// In bytes. Above, a caller that reads as fast as it can has enough to go on with
-	// until more has come from the worker.
+	// In bytes. A caller that reads as fast as it can has enough until more has come from
+	// the worker.
 	private static final long HIGH_MARK = 64 << 10;
 
 	private static final long LOW_MARK = 32 << 10;
