--- a/src/main/java/io/shallotspur/gateway/AdmittedRequest.java
+++ b/src/main/java/io/shallotspur/gateway/AdmittedRequest.java
@@ -20,6 +20,7 @@
 record AdmittedRequest(RelayRequest request, RouteTable routeTable, Route route, @Nullable Customer customer,
 		double quotaCost, @Nullable StreamOrigin origin) {
 
+	// One decimal digit for each of two priorities; those from 9 on are ranked alike.
 	private static final int RANKS = 10;
 
 	int priority() {
--- a/src/main/java/io/shallotspur/gateway/LoadReport.java
+++ b/src/main/java/io/shallotspur/gateway/LoadReport.java
@@ -8,7 +8,7 @@
  * @param running number of requests that it runs
  * @param waiting number of requests in its queue
  * @param slots number of requests that it runs concurrently at most
- * @param slowdown how long work takes at present compared with its usual time; empty if
+ * @param slowdown the factor by which work takes longer at present than usual; empty if
  * the worker does not state it
  */
 public record LoadReport(int running, int waiting, int slots, OptionalDouble slowdown) {
--- a/src/main/java/io/shallotspur/gateway/PendingRequest.java
+++ b/src/main/java/io/shallotspur/gateway/PendingRequest.java
@@ -4,7 +4,7 @@
 import java.util.Optional;
 
 /**
- * A request that waits for a reservation in a {@link ReservationQueue}.
+ * A request that waits in a {@link ReservationQueue} or {@link PlainCallQueue}.
  */
 interface PendingRequest {
 
@@ -14,7 +14,8 @@
 	// Required memory, tokens.
 	int requiredTokens();
 
-	// Rank among the requests that wait; 0 is the highest.
+	// Rank among the requests that wait, by the customer's priority and then by the
+	// route's, as AdmittedRequest.rank(); 0 is the highest.
 	int rank();
 
 	// Latest time at which it can start and still be answered on time, ms.
@@ -49,7 +50,7 @@
 	// No slot was available in time, or the queue is full.
 	void onRejected(long now);
 
-	// It would get a slot only after it stops waiting, in that many ms.
+	// Rejected because it would get a slot, in that many ms, only after it stops waiting.
 	void onUnservable(long expectedWaitMs, long now);
 
 	// Logs a message.
--- a/src/main/java/io/shallotspur/gateway/PlainCallQueue.java
+++ b/src/main/java/io/shallotspur/gateway/PlainCallQueue.java
@@ -21,9 +21,12 @@
  */
 final class PlainCallQueue {
 
-	// Calls of other VMs end unseen by this one, ms.
+	// Interval at which the queue is checked, ms, as calls of other VMs end without
+	// notice
+	// to this one.
 	private static final long RECHECK_MS = 10;
 
+	// The queue may hold one call per slot, or this many if there are fewer slots.
 	private static final int MIN_LIMIT = 64;
 
 	private final Gateway gateway;
@@ -98,6 +101,8 @@
 			}
 		}
 		if (!this.waiting.isEmpty()) {
+			// A call that was sent or rejected may have caused a dispatch that set a
+			// timer.
 			this.cancelTimer.run();
 			this.cancelTimer = this.gateway.timer.schedule(RECHECK_MS, () -> dispatch(this.gateway.clock.getAsLong()));
 		}
@@ -132,10 +137,8 @@
 
 	private PlainCallDecision.Step decide(PlainCall call, List<WorkerState> workers, int ahead, long now) {
 		PaceComparison paces = PaceComparison.of(workers.stream().map(WorkerState::pace).toList());
-		// What is learned of engines is the time of a token, not of a call.
-		boolean plain = workers.stream().allMatch((w) -> w.info().stage() == WorkerStage.PLAIN);
 		boolean full = !workers.isEmpty() && workers.stream().allMatch((w) -> w.isBelievedFull(now));
-		if (!plain || !paces.isUneven() && !(full && hasSeveralPriorities())) {
+		if (!mayWait(workers, paces, full)) {
 			return PlainCallDecision.Step.SEND;
 		}
 		double finish = workers.stream().mapToDouble((w) -> w.finishTime(paces, now)).min().orElse(0);
@@ -144,7 +147,14 @@
 		return PlainCallDecision.decide(finishMs, waitMs, full, call.deadline() - now, call.repeatable());
 	}
 
-	// The slots that free up for this VM if all VMs have as many calls.
+	// What is learned of engines is the time of a token, not of a call, so calls to them
+	// do not wait here.
+	private boolean mayWait(List<WorkerState> workers, PaceComparison paces, boolean full) {
+		boolean plain = workers.stream().allMatch((w) -> w.info().stage() == WorkerStage.PLAIN);
+		return plain && (paces.isUneven() || (full && hasSeveralPriorities()));
+	}
+
+	// This VM's share of the slots if all serving VMs have equally many calls.
 	private double ownSlots(PlainCall call, long now) {
 		return (double) Math.max(1, call.slots(now)) / this.gateway.entryVms.servingCountOwnRegion(now);
 	}
--- a/src/main/java/io/shallotspur/gateway/RelayMetrics.java
+++ b/src/main/java/io/shallotspur/gateway/RelayMetrics.java
@@ -19,11 +19,11 @@
 	// time than its requests.
 	private static final int MAX_CUSTOMER_SERIES = 64;
 
-	private final MetricRegistry registry;
-
-	// Less urgent ranks are counted together.
+	// Less urgent quota ranks are counted as this one.
 	private static final int MAX_RANK = 9;
 
+	private final MetricRegistry registry;
+
 	private final Map<String, AtomicLong> quotaShares = new ConcurrentHashMap<>();
 
 	private final SeriesNames customers = new SeriesNames(MAX_CUSTOMER_SERIES);
--- a/src/main/java/io/shallotspur/gateway/RelayTask.java
+++ b/src/main/java/io/shallotspur/gateway/RelayTask.java
@@ -437,7 +437,8 @@
 			abortResponse(RefusalReason.TIMED_OUT, now);
 		}
 		else if (this.attempt == null && !this.history.mayHaveRun()) {
-			// The caller may have time left beyond the limit of the route.
+			// No worker has run it, and the caller may have time left for a retry beyond
+			// the limit of the route.
 			refuse(RelayRefusal.notRun(RefusalReason.TIMED_OUT,
 					this.retryDelay.afterRefusalMs(RefusalReason.TIMED_OUT, now)), now);
 		}
@@ -496,7 +497,8 @@
 		}
 	}
 
-	// For one token of a stream, or for one plain call.
+	// Records the time that the worker took for one token of a stream, or for one plain
+	// call. A stream that needed several attempts is left out.
 	private void recordPace(boolean forwarded, long now) {
 		boolean stream = this.placing.stage() != WorkerStage.PLAIN;
 		int units = stream ? receivedTokens() : 1;
--- a/src/main/java/io/shallotspur/gateway/RequestPlacement.java
+++ b/src/main/java/io/shallotspur/gateway/RequestPlacement.java
@@ -395,8 +395,8 @@
 		return true;
 	}
 
-	// On a busy VM, a request may be read, or what it waited for may come, after its
-	// time, and before the timer that ends it has run.
+	// A busy VM may read a request, or get the place that it waits for, after its
+	// deadline, and before the timer of the deadline has run.
 	private boolean refuseIfTooLate(long now) {
 		if (this.deadline - now >= MIN_ATTEMPT_MS) {
 			return false;
--- a/src/main/java/io/shallotspur/gateway/ReservationQueue.java
+++ b/src/main/java/io/shallotspur/gateway/ReservationQueue.java
@@ -178,7 +178,7 @@
 	private void dispatch(long now) {
 		updateTickets(now);
 		while (this.inFlight.size() < MAX_CONCURRENT_CALLS && now >= this.nextAttemptAt) {
-			Optional<WorkerChoice.Attempt> attempt = this.choice.next(this.queue, this.inFlight, now);
+			Optional<WorkerChoice.ReservationAttempt> attempt = this.choice.next(this.queue, this.inFlight, now);
 			if (attempt.isEmpty()) {
 				rejectUnservable(now);
 				break;
--- a/src/main/java/io/shallotspur/gateway/ReservationTicket.java
+++ b/src/main/java/io/shallotspur/gateway/ReservationTicket.java
@@ -3,8 +3,9 @@
 import io.shallotspur.queueing.WaitingRequest;
 
 /**
- * The entry of a request in a {@link ReservationQueue}. Not thread-safe; confined to the
- * gateway's thread.
+ * The entry of a request in a {@link ReservationQueue} or {@link PlainCallQueue}. Its
+ * priority is the {@link PendingRequest#rank() rank} of the request. Not thread-safe;
+ * confined to the gateway's thread.
  * <p>
  * Invariant: a ticket that is closed or late stays so.
  */
@@ -82,14 +83,14 @@
 	}
 
 	/**
-	 * Notes to whom the request has given way last.
+	 * Records to which request this one has yielded last.
 	 * @param yieldedTo the request or group of requests that went before it
 	 */
 	void yieldTo(String yieldedTo) {
 		this.yieldedTo = yieldedTo;
 	}
 
-	// Empty if the request has not given way.
+	// Empty if the request has not yielded.
 	String yieldedTo() {
 		return this.yieldedTo;
 	}
--- a/src/main/java/io/shallotspur/gateway/WorkerChoice.java
+++ b/src/main/java/io/shallotspur/gateway/WorkerChoice.java
@@ -28,7 +28,7 @@
 	// more often than that is mostly unsuccessful, ms.
 	private static final long FULL_BACKOFF_MS = 150;
 
-	// Noted where a request yields to such that may wait at other VMs.
+	// Logged for a request that yields to others that may wait at other VMs.
 	private static final String OTHER_VMS = "other-vms";
 
 	private final Gateway gateway;
@@ -74,7 +74,7 @@
 	 * @param now the present time in milliseconds
 	 * @return the next call, or empty if no worker is to be asked now
 	 */
-	Optional<Attempt> next(Set<ReservationTicket> queue, Set<ReservationTicket> inFlight, long now) {
+	Optional<ReservationAttempt> next(Set<ReservationTicket> queue, Set<ReservationTicket> inFlight, long now) {
 		List<ReservationTicket> ordered = ServiceOrder.of(queue, now);
 		Contention<ReservationTicket> contention = new Contention<>(queue, inFlight);
 		Map<Group, AskingPace> paces = new HashMap<>();
@@ -88,7 +88,7 @@
 		return this.yieldPolicy.pace(ticket, contention, servingVms(now), now);
 	}
 
-	private Optional<Attempt> lowerPriorityAttempt(List<ReservationTicket> ordered,
+	private Optional<ReservationAttempt> lowerPriorityAttempt(List<ReservationTicket> ordered,
 			Function<ReservationTicket, AskingPace> pace, long now) {
 		if (!this.lowerPriorityTurns.isDue()) {
 			return Optional.empty();
@@ -97,7 +97,7 @@
 			.flatMap((t) -> attempt(t, t.request().candidates(now), pace.apply(t).withoutYielding(), now));
 	}
 
-	private Optional<Attempt> attempt(ReservationTicket ticket, Contention<ReservationTicket> contention,
+	private Optional<ReservationAttempt> attempt(ReservationTicket ticket, Contention<ReservationTicket> contention,
 			AskingPace pace, long now) {
 		Optional<ReservationTicket> timely = contention.holdsBack(ticket);
 		if (timely.isPresent()) {
@@ -105,19 +105,24 @@
 			return Optional.empty();
 		}
 		List<WorkerState> candidates = ticket.request().candidates(now);
-		Optional<Attempt> attempt = attempt(ticket, candidates, pace, now);
-		boolean yields = pace.yieldMs().isPresent() && attempt.isEmpty() && ticket.yieldedTo().isEmpty();
-		if (yields && !eligible(ticket, candidates, pace.withoutYielding(), now).isEmpty()) {
+		Optional<ReservationAttempt> attempt = attempt(ticket, candidates, pace, now);
+		if (attempt.isEmpty() && yields(ticket, candidates, pace, now)) {
 			ticket.yieldTo(contention.higherThan(ticket).map((t) -> t.request().id()).orElse(OTHER_VMS));
 		}
 		return attempt;
 	}
 
-	private Optional<Attempt> attempt(ReservationTicket ticket, List<WorkerState> candidates, AskingPace pace,
-			long now) {
+	// Whether the request yields for the first time, and would ask a worker otherwise.
+	private boolean yields(ReservationTicket ticket, List<WorkerState> candidates, AskingPace pace, long now) {
+		return pace.yieldMs().isPresent() && ticket.yieldedTo().isEmpty()
+				&& !eligible(ticket, candidates, pace.withoutYielding(), now).isEmpty();
+	}
+
+	private Optional<ReservationAttempt> attempt(ReservationTicket ticket, List<WorkerState> candidates,
+			AskingPace pace, long now) {
 		return WorkerSelector
 			.leastCost(eligible(ticket, candidates, pace, now), this.gateway.settings.hall(), this.gateway.random, now)
-			.map((w) -> new Attempt(ticket, w, candidates.size()));
+			.map((w) -> new ReservationAttempt(ticket, w, candidates.size()));
 	}
 
 	private List<WorkerState> eligible(ReservationTicket ticket, List<WorkerState> candidates, AskingPace pace,
@@ -166,7 +171,7 @@
 	 * The next reservation call: the request, the worker to call and the number of
 	 * candidates.
 	 */
-	record Attempt(ReservationTicket ticket, WorkerState worker, int candidateCount) {
+	record ReservationAttempt(ReservationTicket ticket, WorkerState worker, int candidateCount) {
 
 	}
 
--- a/src/main/java/io/shallotspur/gateway/WorkerState.java
+++ b/src/main/java/io/shallotspur/gateway/WorkerState.java
@@ -261,7 +261,8 @@
 	}
 
 	/**
-	 * Records an answer, right after the load that the worker reported with it.
+	 * Records an answer. To be called after {@link #recordLoad} with the load that the
+	 * worker reported with it.
 	 * @param ms its duration for one unit of work, in milliseconds
 	 * @param now the present time in milliseconds
 	 */
@@ -271,7 +272,8 @@
 		this.pace.recordAnswer(ms, running, (r != null) ? r.waiting() : 0, this.info.slots(), now);
 	}
 
-	// Prefills run one after the other.
+	// A worker runs prefills one after the other, so the time covers those that were
+	// there before this one.
 	void recordPrefill(long ms, int promptTokens, double loadAtStart, long now) {
 		this.pace.recordAnswer(ms / (1 + loadAtStart) / Math.max(1, promptTokens), 0, 0, this.info.slots(), now);
 	}
--- a/src/main/java/io/shallotspur/queueing/AskingPace.java
+++ b/src/main/java/io/shallotspur/queueing/AskingPace.java
@@ -6,7 +6,8 @@
  * How soon a waiting request asks a worker again that has refused or has freed a slot.
  * Immutable.
  *
- * @param intervalShare the share of the usual interval that it keeps to, from 0 to 1
+ * @param intervalShare the interval between its calls to a worker, as a share of the
+ * usual one from 0 to 1
  * @param yieldMs how long it leaves the worker to others after that, in milliseconds;
  * empty if no request is known to go before it
  */
--- a/src/main/java/io/shallotspur/queueing/LowerPriorityTurns.java
+++ b/src/main/java/io/shallotspur/queueing/LowerPriorityTurns.java
@@ -4,8 +4,9 @@
  * Decides which starts go to a lower priority, so that a steady load at a higher one does
  * not starve it. Not thread-safe.
  * <p>
- * Invariant: while requests of several priorities wait, one start in eight goes to a
- * lower one.
+ * Invariant: it is the turn of a lower priority after each seventh of eight starts, until
+ * the next start is recorded. A caller that selects several requests before it records a
+ * start may select all of them in the same turn.
  */
 public final class LowerPriorityTurns {
 
--- a/src/main/java/io/shallotspur/queueing/ServiceOrder.java
+++ b/src/main/java/io/shallotspur/queueing/ServiceOrder.java
@@ -16,9 +16,12 @@
  * either is late; the only exception is {@link #firstOfLowerPriority}. An urgent request
  * often has a tight objective and is late soon: behind all that can be on time, it would
  * get no capacity while anything less urgent waits. Within a priority, requests that can
- * still be on time precede late ones, in the order of their latest start; the newest
- * precede while capacity frees up more slowly than requests arrive, since in the order of
- * their latest start all would be served just too late.
+ * still be on time precede late ones.
+ * <p>
+ * Requests that can be on time are served in the order of their latest start, and in the
+ * reverse order while capacity frees up more slowly than requests arrive, since all would
+ * otherwise be served just too late. Late requests are always served in the reverse
+ * order: with the oldest first, all later ones would be as late, long after a burst.
  */
 public final class ServiceOrder {
 
--- a/src/main/java/io/shallotspur/queueing/StartRate.java
+++ b/src/main/java/io/shallotspur/queueing/StartRate.java
@@ -37,7 +37,7 @@
 	}
 
 	/**
-	 * Records the start of a request that has waited or precedes others that wait.
+	 * Records the start of a request that has waited, or that starts while others wait.
 	 * @param now the present time in milliseconds
 	 */
 	public void recordStart(long now) {
--- a/src/main/java/io/shallotspur/queueing/WaitForecast.java
+++ b/src/main/java/io/shallotspur/queueing/WaitForecast.java
@@ -10,7 +10,8 @@
  * <p>
  * Invariant: a request that may still be served, on time or late, is kept. The number of
  * starts in a period varies by about its square root, so a request is given up only if
- * twice that deviation would not suffice; the first four are therefore never given up.
+ * twice that deviation would not suffice; the first four are therefore never given up
+ * before their wait has ended.
  */
 public final class WaitForecast {
 
@@ -23,7 +24,7 @@
 	 * Returns the requests that will not be served in time.
 	 * @param <T> the type of the requests
 	 * @param ordered the waiting requests in the order in which they are served
-	 * @param startsPerSecond how many of them are served per second
+	 * @param startsPerSecond how many of them are served per second; may be 0
 	 * @param now the present time in milliseconds
 	 * @return these requests, with the time until they would be served
 	 */
@@ -48,7 +49,8 @@
 	 *
 	 * @param <T> the type of the request
 	 * @param request the request
-	 * @param expectedWaitMs the time until it would be served, in milliseconds
+	 * @param expectedWaitMs the time until it would be served, in milliseconds;
+	 * {@link Long#MAX_VALUE} if none are served at present
 	 */
 	public record Unservable<T extends WaitingRequest>(T request, long expectedWaitMs) {
 
--- a/src/main/java/io/shallotspur/queueing/YieldPolicy.java
+++ b/src/main/java/io/shallotspur/queueing/YieldPolicy.java
@@ -28,8 +28,8 @@
 	// needs more than one attempt.
 	private static final double HEADROOM = 2;
 
-	// An urgent request asks up to five times as often; the round trip to a worker takes
-	// 2 ms of the shortest interval.
+	// An urgent request asks up to five times as often, but not more often than a worker
+	// can answer: a round trip takes about 2 ms.
 	private static final double MIN_INTERVAL_SHARE = 0.2;
 
 	private final PriorityDemand demand;
@@ -57,8 +57,8 @@
 	 * @param contention the requests that wait at this VM
 	 * @param servingVms the number of VMs that serve callers, this one included
 	 * @param now the present time in milliseconds
-	 * @return the pace, the same for all requests of its priority that are late, or not
-	 * late, as it is
+	 * @return the pace, the same for all late requests of a priority, and for all others
+	 * of it
 	 */
 	public AskingPace pace(WaitingRequest request, Contention<?> contention, int servingVms, long now) {
 		return new AskingPace(intervalShare(request.priority(), now), delayMs(request, contention, servingVms, now));
