Pace, quota, serving: documents state units, half-lives and what an invariant covers

Hard to read: half-lives were described without the word; PaceComparison was called immutable though it reads paces that change; RankDemand promised a minute that can be nearly two; QuotaShare said that other VMs 'have the burst'; FairShares did not say that nothing uses it, and called capacity 'room'; LoadLevel did not say that its ordinals are stored; thresholds were described by a remark on the one before. The shortest interval of YieldPolicy is named. Comments only.

--- a/src/main/java/io/shallotspur/gateway/RelayTask.java
+++ b/src/main/java/io/shallotspur/gateway/RelayTask.java
@@ -498,7 +498,7 @@
 	}
 
 	// Records the time that the worker took for one token of a stream, or for one plain
-	// call. A stream that needed several attempts is left out.
+	// call. A stream that needed several attempts or was not forwarded is left out.
 	private void recordPace(boolean forwarded, long now) {
 		boolean stream = this.placing.stage() != WorkerStage.PLAIN;
 		int units = stream ? receivedTokens() : 1;
--- a/src/main/java/io/shallotspur/pace/FinishTime.java
+++ b/src/main/java/io/shallotspur/pace/FinishTime.java
@@ -5,7 +5,8 @@
  * time that a request takes at a worker of mean pace. Stateless.
  * <p>
  * Designed for workers of different pace whose load is known from reports of different
- * age: a wait is expected already when the true load may exceed the slots.
+ * age: the older the report, the sooner a wait is expected, as the true load may already
+ * exceed the slots.
  */
 public final class FinishTime {
 
--- a/src/main/java/io/shallotspur/pace/OwnPace.java
+++ b/src/main/java/io/shallotspur/pace/OwnPace.java
@@ -12,7 +12,9 @@
 	// times the usual time, is taken for a fault.
 	private static final double MAX_FACTOR = 3;
 
-	// Work of others on the same machine slows a worker down for about half a second, ms.
+	// A worker that is slow for less than this may be slowed down by the work of others
+	// on
+	// its machine, which lasts about half a second, ms.
 	private static final long DISTURBANCE_MS = 1_000;
 
 	private final WorkerPace usual = new WorkerPace();
@@ -51,7 +53,8 @@
 	}
 
 	/**
-	 * Tells whether the worker has been slow for longer than a neighbour disturbs it.
+	 * Tells whether the worker has been slow for longer than work of others on its
+	 * machine explains.
 	 * @param othersMs the median of the others, in milliseconds
 	 * @param now the present time in milliseconds
 	 * @return {@code true} also for a worker whose usual pace itself is a fault
--- a/src/main/java/io/shallotspur/pace/PaceComparison.java
+++ b/src/main/java/io/shallotspur/pace/PaceComparison.java
@@ -4,11 +4,12 @@
 import java.util.function.Function;
 
 /**
- * Compares the paces of workers that do the same kind of work. Immutable; the paces are
- * not copied.
+ * Compares the paces of workers that do the same kind of work. Immutable; paces that are
+ * learned later change {@link #relative} but not {@link #isUneven}.
  * <p>
  * Invariant: workers are uneven only if one of them states its slowdown, or if one's
- * answers take longer or shorter than the others' by more than their spread explains.
+ * answers take longer or shorter than the mean by a quarter and by more than their spread
+ * explains.
  */
 public final class PaceComparison {
 
--- a/src/main/java/io/shallotspur/pace/ReportedLoad.java
+++ b/src/main/java/io/shallotspur/pace/ReportedLoad.java
@@ -59,7 +59,8 @@
 	}
 
 	/**
-	 * Estimates the requests at the worker; those of other VMs are forgotten.
+	 * Estimates the requests at the worker; those of other VMs decay to 0 with the age of
+	 * the report.
 	 * @param own this VM's requests at the worker
 	 * @param now the present time in milliseconds
 	 * @return the number of requests
@@ -69,9 +70,9 @@
 	}
 
 	/**
-	 * Estimates the requests at the worker; those of other VMs return to their mean.
-	 * Otherwise a worker from which nothing was heard for a while would look idle to all
-	 * VMs at once.
+	 * Estimates the requests at the worker; those of other VMs decay to their mean with
+	 * the age of the report. Otherwise a worker from which nothing was heard for a while
+	 * would look idle to all VMs at once.
 	 * @param own this VM's requests at the worker
 	 * @param now the present time in milliseconds
 	 * @return the number of requests
--- a/src/main/java/io/shallotspur/pace/SampleMean.java
+++ b/src/main/java/io/shallotspur/pace/SampleMean.java
@@ -1,7 +1,8 @@
 package io.shallotspur.pace;
 
 /**
- * The mean of recent samples, and how well it is known. Not thread-safe.
+ * The mean of recent samples, and how well it is known; in the unit of the samples. Not
+ * thread-safe.
  */
 final class SampleMean {
 
@@ -11,7 +12,7 @@
 
 	private static final int MIN_SAMPLES = 5;
 
-	// Samples that a mean of all others is worth.
+	// Number of samples from which on they count more than the mean of all workers.
 	private static final double PRIOR_SAMPLES = 4;
 
 	// A few samples may be alike by chance; requests vary by at least this share.
@@ -44,7 +45,7 @@
 		return spread / Math.sqrt(Math.max(1, this.count));
 	}
 
-	// How much the samples count against a mean of all others, from 0 to 1.
+	// Weight of these samples against the mean of all workers, from 0 to 1.
 	double confidence() {
 		return this.count / (this.count + PRIOR_SAMPLES);
 	}
--- a/src/main/java/io/shallotspur/pace/WorkerPace.java
+++ b/src/main/java/io/shallotspur/pace/WorkerPace.java
@@ -8,20 +8,21 @@
  * nearly full, and share their machines with others whose work slows them down for
  * fractions of a second.
  * <p>
- * Invariant: a worker that has neither answered nor stated anything has a pace of 1 and
- * no slowdown.
+ * Invariant: a worker that has neither answered nor stated anything counts as one of mean
+ * pace without slowdown.
  */
 public final class WorkerPace {
 
-	// A stated slowdown changes many times a second, ms.
+	// Half-life of a stated slowdown, which changes many times a second, ms.
 	private static final double STATED_HALF_LIFE_MS = 200;
 
-	// A worker that is avoided gives no answers. Its learned pace fades, so that it is
-	// tried again after some time, ms.
+	// Half-life of a learned pace, ms. A worker that is avoided gives no answers, and is
+	// tried again once its pace has decayed.
 	private static final double LEARNED_HALF_LIFE_MS = 20_000;
 
-	// Statements come with answers, of which there are fewer while work takes long. Each
-	// therefore counts in the mean for the time since the one before, ms.
+	// Half-life of the mean of the statements, ms. Statements come with answers, of which
+	// there are fewer while work takes long. The weight of each is therefore the time
+	// since the one before.
 	private static final double MEAN_HALF_LIFE_MS = 5_000;
 
 	// Share of the slots from which on a worker counts as nearly full.
--- a/src/main/java/io/shallotspur/queueing/YieldPolicy.java
+++ b/src/main/java/io/shallotspur/queueing/YieldPolicy.java
@@ -28,8 +28,8 @@
 	// needs more than one attempt.
 	private static final double HEADROOM = 2;
 
-	// An urgent request asks up to five times as often, but not more often than a worker
-	// can answer: a round trip takes about 2 ms.
+	// An urgent request asks up to five times as often. The shortest interval is then
+	// 5 ms, of which the round trip to a worker takes 2 ms.
 	private static final double MIN_INTERVAL_SHARE = 0.2;
 
 	private final PriorityDemand demand;
--- a/src/main/java/io/shallotspur/quota/FairShares.java
+++ b/src/main/java/io/shallotspur/quota/FairShares.java
@@ -4,13 +4,14 @@
 import java.util.Map;
 
 /**
- * Start tags of start-time fair queueing between the customers that wait for one kind of
- * room: requests of a rank that are served in the order of their tags give each customer
- * room in proportion to its weight while room is short. Not thread-safe.
+ * Start tags of start-time fair queueing between the customers that wait for the same
+ * capacity: requests of a rank that are served in the order of their tags give each
+ * customer capacity in proportion to its weight while it is short. Not used by the
+ * gateway yet. Not thread-safe.
  * <p>
- * Load: a customer that sends many times its usual requests but stays within its quota.
- * In the order of arrival it would take the room of the others in proportion to what it
- * sends. Its own requests follow each other here, and those of the others pass them.
+ * Designed for a customer that sends many times its usual requests but stays within its
+ * quota. In the order of arrival it would take the capacity of the others in proportion
+ * to what it sends. Here only its own requests wait behind each other.
  * <p>
  * The tag of a request is final when it arrives, so that it can be part of a fixed order.
  * {@link io.shallotspur.admission.FairQueue} charges a customer when its request starts,
@@ -23,7 +24,7 @@
  */
 public final class FairShares {
 
-	/** The flow of callers that are no customer. */
+	/** The name under which requests without a customer share. */
 	public static final String ANONYMOUS = "";
 
 	private static final int MIN_SWEEP = 64;
@@ -50,7 +51,7 @@
 	}
 
 	/**
-	 * Records that a request has room and no longer waits.
+	 * Records that a request has got capacity and no longer waits.
 	 * @param customer its customer
 	 * @param tag its tag
 	 */
@@ -60,8 +61,8 @@
 	}
 
 	/**
-	 * Records that a request no longer waits and had no room. Later requests of its
-	 * customer move forward by what it would have taken.
+	 * Records that a request no longer waits and has got no capacity. Requests of its
+	 * customer that arrive later are not charged for it.
 	 * @param customer its customer
 	 * @param weight as in {@link #enqueue}
 	 * @param cost as in {@link #enqueue}
--- a/src/main/java/io/shallotspur/quota/QuotaChanges.java
+++ b/src/main/java/io/shallotspur/quota/QuotaChanges.java
@@ -23,8 +23,8 @@
 	 * Describes the changes.
 	 * @param before the customers of the former configuration
 	 * @param after the customers of the new one
-	 * @return a line for each customer that both contain and whose quota differs, the
-	 * first ones of many
+	 * @return a line for each customer that both contain and whose quota differs, 20 at
+	 * most
 	 */
 	public static List<String> between(Collection<Customer> before, Collection<Customer> after) {
 		Map<String, Quota> former = new HashMap<>();
--- a/src/main/java/io/shallotspur/quota/QuotaReserve.java
+++ b/src/main/java/io/shallotspur/quota/QuotaReserve.java
@@ -3,13 +3,13 @@
 /**
  * Computes how much of a bucket a request must leave to others. Stateless.
  * <p>
- * Load: a customer that asks for more than its quota with requests of several ranks. Each
- * request is admitted while the bucket holds more than a reserve. Within a rank the
- * reserve grows with the cost, since otherwise long prompts that exhaust the quota would
- * also refuse the plain requests, which cost a thirtieth. Over ranks it has to be the
- * reverse: small requests arrive more often and would take each refill before a large
- * urgent request could. While all ranks together ask for less than the rate, there is
- * enough for all, and ranks have no effect.
+ * Designed for a customer that asks for more than its quota with requests of several
+ * ranks. Each request is admitted while the bucket holds more than a reserve. Within a
+ * rank the reserve grows with the cost, since otherwise long prompts that exhaust the
+ * quota would also refuse the plain requests, which cost a thirtieth. Over ranks it has
+ * to be the reverse: small requests arrive more often and would take each refill before a
+ * large urgent request could. While all ranks together ask for less than the rate, there
+ * is enough for all, and ranks have no effect.
  * <p>
  * Invariants: a request never has a larger reserve than one of a less urgent rank,
  * whatever the two cost; the most urgent rank leaves only the reserve by cost; the
--- a/src/main/java/io/shallotspur/quota/QuotaShare.java
+++ b/src/main/java/io/shallotspur/quota/QuotaShare.java
@@ -9,8 +9,9 @@
  * VM. The shares thus add up to more than the whole quota for the seconds in which
  * callers move.
  *
- * @param fraction the share of the rate, over 0 and at most 1
- * @param standby whether callers are directed to other VMs, which have the burst
+ * @param fraction the share of the rate and of the burst, over 0 and at most 1
+ * @param standby whether callers are directed to other VMs; the buckets are then kept at
+ * their initial level, without the burst
  */
 public record QuotaShare(double fraction, boolean standby) {
 
--- a/src/main/java/io/shallotspur/quota/RankDemand.java
+++ b/src/main/java/io/shallotspur/quota/RankDemand.java
@@ -10,8 +10,9 @@
  * was admitted or not. Rank 0 is the most urgent. Not thread-safe; the present time is an
  * argument.
  * <p>
- * Invariant: a rank without requests for about a minute is forgotten, so that a customer
- * that no longer sends urgent requests has its whole quota for the others.
+ * Invariant: a rank that has no more requests is forgotten within a minute or two, so
+ * that a customer that no longer sends urgent requests has its whole quota for the
+ * others.
  */
 final class RankDemand {
 
@@ -33,12 +34,12 @@
 	}
 
 	/**
-	 * Returns the demand of the ranks that are more urgent than a given one, if there is
-	 * not enough for all ranks.
+	 * Returns the demand of the ranks that are more urgent than a given one, if all ranks
+	 * together ask for more than there is.
 	 * @param rank the rank
-	 * @param perSecond what there is, in units per second
+	 * @param perSecond this VM's share of the quota, in units per second
 	 * @param now the present time in milliseconds
-	 * @return the demand; {@link Demand#NONE} while all ranks together ask for less
+	 * @return the demand; {@link Demand#NONE} while all ranks together ask for no more
 	 */
 	Demand above(int rank, double perSecond, long now) {
 		if (this.byRank.isEmpty() || this.byRank.firstKey() >= rank) {
--- a/src/main/java/io/shallotspur/serving/CallerRelease.java
+++ b/src/main/java/io/shallotspur/serving/CallerRelease.java
@@ -27,7 +27,7 @@
 	private long released;
 
 	/**
-	 * Updates the state from which responses are decided.
+	 * Updates the state that {@link #closeAfterNext} decides by.
 	 * @param overloaded whether requests wait for the processor of this VM
 	 * @param alternatives whether callers are directed to other VMs that are not
 	 * overloaded
--- a/src/main/java/io/shallotspur/serving/LoadLevel.java
+++ b/src/main/java/io/shallotspur/serving/LoadLevel.java
@@ -1,8 +1,8 @@
 package io.shallotspur.serving;
 
 /**
- * How much of its load a VM reports that it cannot bear. Each change is written to the
- * store and read by all VMs, so there are few levels.
+ * The load that a VM reports to the others. Each change is written to the store and read
+ * by all VMs, so there are few levels. The ordinals are the numbers that are stored.
  */
 public enum LoadLevel {
 
--- a/src/main/java/io/shallotspur/serving/OverloadDetector.java
+++ b/src/main/java/io/shallotspur/serving/OverloadDetector.java
@@ -15,11 +15,13 @@
 	/** Sampling interval of the delay, in milliseconds. */
 	public static final long SAMPLE_INTERVAL_MS = 250;
 
-	// A relayed request passes the loop about ten times, so this delay adds 100 ms to
-	// it, ms: a third of the time in which callers expect a plain response.
+	// Above this mean delay the VM is overloaded, ms. A relayed request passes the loop
+	// about ten times and takes 100 ms longer: a third of the time in which callers
+	// expect
+	// a plain response.
 	private static final double OVERLOAD_DELAY_MS = 10;
 
-	// This delay takes up most of that time, ms.
+	// Above this mean delay the VM is saturated, ms: it takes up most of that time.
 	private static final double SATURATION_DELAY_MS = 20;
 
 	// Up to this mean delay the VM may recover, ms. It is below half of the overload
