--- a/src/main/java/io/shallotspur/gateway/AdmittedRequest.java
+++ b/src/main/java/io/shallotspur/gateway/AdmittedRequest.java
@@ -31,7 +31,8 @@
 	 * Returns the rank among the requests that wait for the same upstream. The priority
 	 * of a customer ranks its requests among those of other customers; among requests of
 	 * one priority, that of the route decides.
-	 * @return two decimal digits, the priority and the route's; 0 is the highest
+	 * @return ten times the priority plus that of the route, each 9 at most; 0 is the
+	 * highest
 	 */
 	int rank() {
 		return RANKS * Math.min(RANKS - 1, priority()) + Math.min(RANKS - 1, this.route.priority());
