Tests: comments name the failure that the test guards against

Hard to read or wrong: PriorityQueueTests said 'all but four' where 37 of 40 are refused, and that the urgent request has left, which it has not since it waits 1,800 ms; UnevenWorkersTests named a process that ends, which the test does not have; others told of rooms, plays and swings. Checks and bounds are as they were.

--- a/src/main/java/io/shallotspur/gateway/PlainCallQueue.java
+++ b/src/main/java/io/shallotspur/gateway/PlainCallQueue.java
@@ -22,8 +22,7 @@
 final class PlainCallQueue {
 
 	// Interval at which the queue is checked, ms, as calls of other VMs end without
-	// notice
-	// to this one.
+	// notice to this one.
 	private static final long RECHECK_MS = 10;
 
 	// The queue may hold one call per slot, or this many if there are fewer slots.
--- a/src/main/java/io/shallotspur/pace/OwnPace.java
+++ b/src/main/java/io/shallotspur/pace/OwnPace.java
@@ -13,8 +13,7 @@
 	private static final double MAX_FACTOR = 3;
 
 	// A worker that is slow for less than this may be slowed down by the work of others
-	// on
-	// its machine, which lasts about half a second, ms.
+	// on its machine, which lasts about half a second, ms.
 	private static final long DISTURBANCE_MS = 1_000;
 
 	private final WorkerPace usual = new WorkerPace();
--- a/src/main/java/io/shallotspur/serving/OverloadDetector.java
+++ b/src/main/java/io/shallotspur/serving/OverloadDetector.java
@@ -17,8 +17,7 @@
 
 	// Above this mean delay the VM is overloaded, ms. A relayed request passes the loop
 	// about ten times and takes 100 ms longer: a third of the time in which callers
-	// expect
-	// a plain response.
+	// expect a plain response.
 	private static final double OVERLOAD_DELAY_MS = 10;
 
 	// Above this mean delay the VM is saturated, ms: it takes up most of that time.
--- a/src/test/java/io/shallotspur/gateway/PriorityQueueTests.java
+++ b/src/test/java/io/shallotspur/gateway/PriorityQueueTests.java
@@ -150,7 +150,7 @@
 			calls.add(other());
 		}
 		List<Call> refused = calls.stream().filter((c) -> c.caller().status == 503).toList();
-		// All but four, as the urgent one has left by the end.
+		// The first four of a queue always wait: the urgent request and three others.
 		Assertions.assertThat(refused).hasSize(first.equals("urgent") ? 37 : 0);
 		Assertions.assertThat(refused)
 			.allSatisfy((c) -> Assertions.assertThat(c.caller().refusal.retryAfterMs()).isBetween(500L, 5_000L));
--- a/src/test/java/io/shallotspur/gateway/UnevenWorkersTests.java
+++ b/src/test/java/io/shallotspur/gateway/UnevenWorkersTests.java
@@ -78,7 +78,7 @@
 		return w;
 	}
 
-	// Guards against a pace that outlives the process, or the work, that had it.
+	// Guards against a pace that was learned in one stage and is used in another.
 	@Test
 	void learnsThePaceAnewAfterAChangeOfStage() {
 		WorkerInfo info = new WorkerInfo("w1", "llm", "10.0.0.1", 80, "hall-a", 6, WorkerStage.DECODE, false, 0, 1,
--- a/src/test/java/io/shallotspur/platform/SlowReaderTests.java
+++ b/src/test/java/io/shallotspur/platform/SlowReaderTests.java
@@ -57,7 +57,8 @@
 		}
 	}
 
-	// Guards against callers that stop reading and end the VM, or harm others.
+	// Guards against callers that stop reading and thereby use up the VM's memory, so
+	// that other callers get no response.
 	@Test
 	void callersThatStopReadingAreHeldWithinTheBudget() throws IOException {
 		callLarge(200);
--- a/src/test/java/io/shallotspur/queueing/WaitingOrderTests.java
+++ b/src/test/java/io/shallotspur/queueing/WaitingOrderTests.java
@@ -125,8 +125,8 @@
 		Assertions.assertThat(this.demand.hasSeveralPriorities(NOW + 60_000)).isFalse();
 	}
 
-	// A burst lasts longer than callers wait. Those at the end of the queue wait for
-	// nothing and return when it is too late for their answer.
+	// A burst lasts longer than callers wait. Those at the end of the queue would wait in
+	// vain and return when it is too late for their answer.
 	@Test
 	void givesUpRequestsThatQueueWillNotReachInTime() {
 		List<Waiting> ordered = IntStream.range(0, 40).mapToObj((i) -> timely(2, i)).toList();
--- a/src/test/java/io/shallotspur/quota/FairSharesTests.java
+++ b/src/test/java/io/shallotspur/quota/FairSharesTests.java
@@ -12,7 +12,7 @@
 import org.junit.jupiter.api.Test;
 
 /**
- * Tests that customers share room by weight while it is short, in a queue in virtual
+ * Tests that customers share capacity by weight while it is short, in a queue in virtual
  * time.
  */
 class FairSharesTests {
@@ -22,7 +22,7 @@
 	private static final int HOT = 3;
 
 	// Guards against a customer that sends seven times its usual requests and thereby
-	// takes the room of the others.
+	// takes the capacity of the others.
 	@Test
 	void hotCustomerCostsTheOthersAtMostATenth() {
 		double calm = Queue.run(1, true);
@@ -49,8 +49,8 @@
 		Assertions.assertThat(served.get("a")).isBetween(149, 151);
 	}
 
-	// Guards against a customer that comes back after a pause and has all the room, or
-	// that pays for requests which had none.
+	// Guards against a customer that returns after a pause and gets all the capacity, or
+	// that is charged for requests which got none.
 	@Test
 	void pausesGiveNoCreditAndWithdrawnRequestsCostNothing() {
 		FairShares shares = new FairShares();
--- a/src/test/java/io/shallotspur/quota/QuotaRankTests.java
+++ b/src/test/java/io/shallotspur/quota/QuotaRankTests.java
@@ -94,7 +94,7 @@
 		}
 	}
 
-	// With one rank, only the cost counts.
+	// Guards against a reserve that a customer without ranks would get for other ranks.
 	@Test
 	void singleRankLeavesOnlyTheReserveByCost() {
 		Assertions.assertThat(QuotaReserve.of(200, RankDemand.Demand.NONE, 100_000)).isEqualTo(800);
--- a/src/test/java/io/shallotspur/serving/CallerReleaseTests.java
+++ b/src/test/java/io/shallotspur/serving/CallerReleaseTests.java
@@ -16,8 +16,8 @@
 		return IntStream.range(0, responses).filter((i) -> this.release.closeAfterNext()).count();
 	}
 
-	// Callers keep their connections to the first VMs when others are added, and these
-	// stay idle.
+	// Callers keep their connections to the first VMs when others are added, and the VMs
+	// that were added stay idle.
 	@Test
 	void closesSomeConnectionsOnceCallersKnowOtherVms() {
 		this.release.update(true, true, 0);
--- a/src/test/java/io/shallotspur/serving/ServingGrowthTests.java
+++ b/src/test/java/io/shallotspur/serving/ServingGrowthTests.java
@@ -46,8 +46,8 @@
 		IntStream.range(0, count).forEach((i) -> this.vms.add(new Vm(this.vms.size(), cores)));
 	}
 
-	// Plays for some time. Returns when the serving VMs bear the load with 85 % of their
-	// cores, in ms from the beginning.
+	// Simulates some time. Returns from when on the serving VMs need at most 85 % of
+	// their cores for the load, in ms from the beginning.
 	private long bearsFrom(long ms, LongToDoubleFunction requestsPerSecond) {
 		IntStream.range(this.callers.size(), CALLERS).forEach((i) -> this.callers.add(new Caller()));
 		long from = 0;
@@ -97,8 +97,8 @@
 		Assertions.assertThat(bearsFrom(BURST_MS, (t) -> 1_500)).isLessThan(4_000);
 	}
 
-	// The halls have their peaks one after the other, and all together swing by a half.
-	// VMs that come and go with each swing move callers and write to the store.
+	// The load of all halls together varies by a half. VMs that are added and removed
+	// with each change move callers and write to the store.
 	@Test
 	void changesSeldomWhileTheLoadSwings() {
 		start(66, 0.12);
