--- a/src/main/java/io/shallotspur/gateway/AdmittedRequest.java
+++ b/src/main/java/io/shallotspur/gateway/AdmittedRequest.java
@@ -20,6 +20,7 @@
 record AdmittedRequest(RelayRequest request, RouteTable routeTable, Route route, @Nullable Customer customer,
 		double quotaCost, @Nullable StreamOrigin origin) {
 
+	// One decimal digit for each of two priorities; those from 9 on are ranked alike.
 	private static final int RANKS = 10;
 
 	int priority() {
@@ -30,7 +31,8 @@
 	 * Returns the rank among the requests that wait for the same upstream. The priority
 	 * of a customer ranks its requests among those of other customers; among requests of
 	 * one priority, that of the route decides.
-	 * @return two decimal digits, the priority and the route's; 0 is the highest
+	 * @return ten times the priority plus that of the route, each 9 at most; 0 is the
+	 * highest
 	 */
 	int rank() {
 		return RANKS * Math.min(RANKS - 1, priority()) + Math.min(RANKS - 1, this.route.priority());
