A caller that reads slowly does not make its worker look slow

Cause: the pace of a worker was recorded when its response had been read to the end, also by callers that stop reading. Change: a plain call counts up to its first byte, a stream that was paused for its caller not at all. The byte budget is told the rank of a request, so that a customer's urgent responses are cut last.

--- a/src/main/java/io/shallotspur/gateway/RelayTask.java
+++ b/src/main/java/io/shallotspur/gateway/RelayTask.java
@@ -67,6 +67,8 @@
 
 	private boolean prefillsAtWorker;
 
+	private boolean wasPaused;
+
 	private boolean responseStarted;
 
 	private boolean paused;
@@ -95,7 +97,7 @@
 	}
 
 	void start(long now) {
-		this.response.admitted(this.request.id(), this.admitted.priority(), this::setPaused);
+		this.response.admitted(this.request.id(), this.admitted.rank(), this::setPaused);
 		this.gateway.retryBudget.recordFirstAttempt(this.upstream, now);
 		long callerSlackMs = this.request.callerTimeoutMs() - (this.deadline - this.arrivedAt);
 		long slackMs = Math.min(WORKER_TIMEOUT_SLACK_MS, callerSlackMs);
@@ -136,6 +138,7 @@
 	private void setPaused(boolean newPaused) {
 		this.paused = newPaused;
 		if (newPaused) {
+			this.wasPaused = true;
 			this.gateway.metrics.readingPaused();
 		}
 		if (this.attempt != null) {
@@ -498,15 +501,18 @@
 	}
 
 	// Records the time that the worker took for one token of a stream, or for one plain
-	// call. A stream that needed several attempts or was not forwarded is left out.
+	// call, without the time that the caller takes to read it. A stream that needed
+	// several attempts or was not forwarded is left out.
 	private void recordPace(boolean forwarded, long now) {
 		boolean stream = this.placing.stage() != WorkerStage.PLAIN;
 		int units = stream ? receivedTokens() : 1;
-		if (this.attempt == null || units == 0 || (stream && (!forwarded || this.history.sentCount() > 0))) {
+		if (this.attempt == null || units == 0
+				|| (stream && (!forwarded || this.wasPaused || this.history.sentCount() > 0))) {
 			return;
 		}
-		long startedAt = stream ? this.progress.firstByteAt() : this.attemptStartedAt;
-		this.attempt.worker().recordAnswer((double) (now - startedAt) / units, now);
+		long firstByteAt = this.progress.firstByteAt();
+		double ms = stream ? now - firstByteAt : firstByteAt - this.attemptStartedAt;
+		this.attempt.worker().recordAnswer(ms / units, now);
 	}
 
 	private void endAttempt() {
