A peer that falls silent after part of a response is noticed

Cause: any frame cleared the mark that a call is unanswered, also the end of an earlier response that was read after the next call was sent; if that call then timed out, the link looked alive for ever. Change: only a frame of the latest call or a PONG clears it.

--- a/src/main/java/io/shallotspur/adapter/peer/ClientLink.java
+++ b/src/main/java/io/shallotspur/adapter/peer/ClientLink.java
@@ -58,9 +58,12 @@
 
 	private long idleMs;
 
-	// Whether a call was sent after the last frame was received.
+	// Whether nothing has been received since the latest call that answers it or shows
+	// that the peer is alive.
 	private volatile boolean unanswered;
 
+	private volatile long latestCall;
+
 	ClientLink(String address, Connection connection, PeerSettings settings, Handshake handshake, PeerCodec codec,
 			PeerTraffic traffic) {
 		this.address = address;
@@ -127,6 +130,7 @@
 		sink.onDispose(() -> forget(id));
 		try {
 			this.writer.write(new Frame(kind, id, this.codec.typeNumber(question), this.codec.encode(question)));
+			this.latestCall = id;
 			this.unanswered = true;
 		}
 		catch (PeerException ex) {
@@ -170,7 +174,11 @@
 			Frame f = Frame.decode(bytes);
 			this.traffic.received(FrameWriter.messageType(f), bytes.length);
 			this.idleMs = 0;
-			this.unanswered = false;
+			// The rest of an earlier response may arrive after the peer has fallen
+			// silent.
+			if (f.kind() == FrameKind.PONG || f.id() >= this.latestCall) {
+				this.unanswered = false;
+			}
 			if (f.kind() == FrameKind.REJECT) {
 				throw new PeerException("peer closed the link: " + f.text(), this.address);
 			}
