Targets of uneven workers are asked for by tests of their own; callers that do not read take no worker's slot

Bytes that only moved from the queue to the connection counted as read by the caller. A request whose reading is paused does not count when a worker is believed full. A release of nothing is no progress. Wording of two comments.

--- a/src/main/java/io/shallotspur/gateway/RelayTask.java
+++ b/src/main/java/io/shallotspur/gateway/RelayTask.java
@@ -126,6 +126,7 @@
 		this.gateway.roster.outlierDetector(this.upstream).recordStart(w.info().id(), now);
 		Attempt a = new Attempt(this, w, this.route.kind() == RouteKind.STREAM, this.responseStarted);
 		this.attempt = a;
+		w.adjustPausedRequests(this.paused ? 1 : 0);
 		this.prefillsAtWorker = call.kvSource() == null && this.request.prompt() != null;
 		w.adjustActivePrefills(this.prefillsAtWorker ? 1 : 0);
 		if (this.path.start(w, now)) {
@@ -136,6 +137,9 @@
 	}
 
 	private void setPaused(boolean newPaused) {
+		if (this.attempt != null && newPaused != this.paused) {
+			this.attempt.worker().adjustPausedRequests(newPaused ? 1 : -1);
+		}
 		this.paused = newPaused;
 		if (newPaused) {
 			this.wasPaused = true;
@@ -519,6 +523,7 @@
 		if (this.attempt != null) {
 			WorkerState w = this.attempt.worker();
 			w.requestEnded();
+			w.adjustPausedRequests(this.paused ? -1 : 0);
 			this.path.end();
 			w.recordDuration(this.gateway.clock.getAsLong() - this.attemptStartedAt);
 			prefillFinished();
--- a/src/main/java/io/shallotspur/gateway/WorkerState.java
+++ b/src/main/java/io/shallotspur/gateway/WorkerState.java
@@ -32,6 +32,8 @@
 
 	private int activeRequests;
 
+	private int pausedRequests;
+
 	private int activePrefills;
 
 	private @Nullable LoadReport loadReport;
@@ -224,6 +226,13 @@
 		return this.activeRequests;
 	}
 
+	// Adjusts the number of requests of this VM whose responses are not read because
+	// their
+	// callers do not read them. The worker has done their work.
+	void adjustPausedRequests(int change) {
+		this.pausedRequests += change;
+	}
+
 	// Adjusts the number of prefills of this VM that run at the decode worker itself, at
 	// their start and end.
 	void adjustActivePrefills(int change) {
@@ -288,7 +297,7 @@
 	}
 
 	boolean isBelievedFull(long now) {
-		return this.load.isFull(this.activeRequests, this.info.slots(), now);
+		return this.load.isFull(this.activeRequests - this.pausedRequests, this.info.slots(), now);
 	}
 
 	// Estimates the number of requests at the worker, including those of other VMs.
--- a/src/main/java/io/shallotspur/platform/HttpCallerResponse.java
+++ b/src/main/java/io/shallotspur/platform/HttpCallerResponse.java
@@ -172,7 +172,7 @@
 		if (more > 0) {
 			this.holding.add(more, now);
 		}
-		else {
+		else if (more < 0) {
 			this.holding.release(-more, now);
 		}
 		updatePause();
--- a/src/test/java/io/shallotspur/gateway/PlainCallQueueTests.java
+++ b/src/test/java/io/shallotspur/gateway/PlainCallQueueTests.java
@@ -61,7 +61,7 @@
 		Assertions.assertThat(this.f.workers.runs).hasSize(1);
 	}
 
-	// Guards against a call that breaks off midway, of which nobody knows whether it ran.
+	// Guards against a call that breaks off midway, whose outcome is then unknown.
 	@Test
 	void refusesAsNotRunWhatCannotEndInTime() {
 		reportFull(OptionalDouble.of(4));
@@ -87,4 +87,18 @@
 		Assertions.assertThat(this.f.gateway.inProgress()).isZero();
 	}
 
+	// Guards against callers that stop reading and make idle workers look full, so that
+	// calls of others wait and are refused.
+	@Test
+	void requestsWhoseCallersDoNotReadTakeNoSlot() {
+		WorkerState w = new WorkerState(
+				new WorkerInfo("w", "plain", "10.0.0.1", 80, "hall-a", 2, WorkerStage.PLAIN, false, 0, 1, "v1"), 0);
+		for (int i = 0; i < 5; i++) {
+			w.requestStarted();
+		}
+		Assertions.assertThat(w.isBelievedFull(10)).isTrue();
+		w.adjustPausedRequests(4);
+		Assertions.assertThat(w.isBelievedFull(10)).isFalse();
+	}
+
 }
--- a/src/test/java/io/shallotspur/gateway/PriorityQueueTests.java
+++ b/src/test/java/io/shallotspur/gateway/PriorityQueueTests.java
@@ -157,7 +157,8 @@
 	}
 
 	// Callers are spread over many VMs, each of which orders its own requests only, and
-	// ask for half as much again as the workers can do. Whoever asks first would get a
+	// ask for half as much again as the workers can do. The VM that asks first would get
+	// a
 	// slot, so urgent requests would be late as often as the others.
 	@ParameterizedTest
 	@ValueSource(ints = { 1, 2, 8, 95 })
--- a/src/test/java/io/shallotspur/gateway/UnevenWorkersTests.java
+++ b/src/test/java/io/shallotspur/gateway/UnevenWorkersTests.java
@@ -5,6 +5,7 @@
 import java.util.SplittableRandom;
 
 import org.assertj.core.api.Assertions;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -15,6 +16,10 @@
  */
 class UnevenWorkersTests {
 
+	private static final double TARGET_MEAN = 1.15;
+
+	private static final double TARGET_P99 = 1.3;
+
 	private static final double[] EVEN = { 1, 1, 1, 1, 1 };
 
 	private static final double[] UNEVEN = { 0.8, 0.8, 0.8, 1.8, 1.8 };
@@ -38,7 +43,7 @@
 	// Guards against work being sent to a machine that a neighbour slows down, and
 	// against all VMs leaving it, or coming back, at once.
 	@ParameterizedTest
-	@CsvSource({ "2,1.15,1.5", "8,1.15,1.9", "70,1.4,2.7" })
+	@CsvSource({ "2,1.15,1.3", "8,1.15,1.9", "70,1.4,2.7" })
 	void avoidsWorkersWithANoisyNeighbour(int vms, double mean, double p99) {
 		replay(new UnevenFleet(EVEN, 0.15, 1, 0.6), vms, mean, p99);
 	}
@@ -56,6 +61,17 @@
 		replay(new UnevenFleet(EVEN, 0, 2.5, 0.6), vms, mean, p99);
 	}
 
+	// Guards against a gain that is taken for the target. The bounds above only hold what
+	// was gained.
+	@Tag("known-red")
+	@ParameterizedTest(name = "{0}, {4} VMs")
+	@CsvSource({ "uneven,true,0,1,70", "neighbours,false,0.15,1,8", "neighbours,false,0.15,1,70", "both,true,0.15,1,2",
+			"both,true,0.15,1,8", "both,true,0.15,1,70", "near full,false,0,2.5,2", "near full,false,0,2.5,8",
+			"near full,false,0,2.5,70" })
+	void reachesTheTargets(String load, boolean uneven, double noise, double nearlyFull, int vms) {
+		replay(new UnevenFleet(uneven ? UNEVEN : EVEN, noise, nearlyFull, 0.6), vms, TARGET_MEAN, TARGET_P99);
+	}
+
 	// Guards against a change for deployments whose workers are alike.
 	@Test
 	void choosesByShareOfSlotsWhereWorkersAreAlike() {
--- a/src/test/java/io/shallotspur/quota/QuotaRankTests.java
+++ b/src/test/java/io/shallotspur/quota/QuotaRankTests.java
@@ -46,7 +46,7 @@
 	// Guards against refusals within the quota, where a reserve would be left unused.
 	@Test
 	void nothingIsRefusedWithinTheQuota() {
-		for (int vms : new int[] { 1, 2, 4, 8 }) {
+		for (int vms : new int[] { 1, 2, 4, 8, 16 }) {
 			Load load = Load.run(vms, URGENT, 0.15, 0.4);
 			Assertions.assertThat(load.urgent.refusedShare()).as("%d VMs", vms).isLessThan(0.02);
 			Assertions.assertThat(load.other.refusedShare()).as("%d VMs", vms).isLessThan(0.02);
