Review case 2: on steady traffic, with an order that is carried out late

A worker leaves an order unanswered; the VM that gave it loses its paths to the workers and gives the order again through another VM, with the same fencing token. The form before changed the traffic for longer than the bursts of the site.

The cut of the stand-in no longer fails on a connection that its other end has closed.

--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Exits with 1 if the rule is broken, 0 if it holds, 2 if the case could not run. TROUBLE=0: without the cut.
+# Exits with 1 if the rule is broken, 0 if it holds, 2 if the case could not run. TROUBLE=0: without the late order and the cut.
 set -u
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.."
--- a/review/standin/src/review/ModelWorker.java
+++ b/review/standin/src/review/ModelWorker.java
@@ -24,6 +24,9 @@
 	// Tokens of an event; "stride" of the configuration.
 	private static final int STRIDE = 12;
 
+	// Orders that get no answer are carried out 2 to 12 s later.
+	private static final long LATE_ORDER_MS = 9_000;
+
 	private static final double PREFILL_MS_PER_TOKEN = 0.012;
 
 	private static final double MS_PER_TOKEN = 4;
@@ -61,6 +64,8 @@
 
 	private volatile BooleanSupplier answersTwice = () -> false;
 
+	private volatile BooleanSupplier appliesOrdersLate = () -> false;
+
 	private volatile Consumer<String> runs = (id) -> {
 	};
 
@@ -85,6 +90,11 @@
 		this.answersTwice = twice;
 	}
 
+	/** Sets which orders are left unanswered and carried out some seconds later. */
+	void setAppliesOrdersLate(BooleanSupplier late) {
+		this.appliesOrdersLate = late;
+	}
+
 	/** Sets what is told the id of each request that begins to run. */
 	void setRunListener(Consumer<String> listener) {
 		this.runs = listener;
@@ -181,14 +191,22 @@
 		}
 	}
 
-	private void order(String machine, Http.Message q, OutputStream out) throws IOException {
+	private void order(String machine, Http.Message q, OutputStream out) throws IOException, InterruptedException {
 		Map<?, ?> o = (Map<?, ?>) Json.parse(new String(q.body(), StandardCharsets.UTF_8));
 		long token = ((Number) o.get("fencing_token")).longValue();
 		String target = (String) o.get("stage");
-		String status = decide(token, target, ((Number) o.get("expected")).intValue());
+		int expected = ((Number) o.get("expected")).intValue();
+		boolean late = this.appliesOrdersLate.getAsBoolean();
+		String status = late ? "" : decide(token, target, expected);
 		this.record.line("order at " + this.worker.id + " from machine " + machine + " holder=" + o.get("holder")
-				+ " fencing_token=" + token + " stage=" + target + " answered " + status);
+				+ " fencing_token=" + token + " stage=" + target + " expected=" + expected
+				+ (late ? " left unanswered" : " answered " + status));
 		this.orders.onOrder(this.worker.id, machine, token, this.record.ms());
+		if (late) {
+			Thread.sleep(LATE_ORDER_MS);
+			this.record.line("late order at " + this.worker.id + ": " + decide(token, target, expected));
+			throw new IOException("no answer to an order that is carried out late");
+		}
 		json(out, status, "{}");
 	}
 
--- a/review/standin/src/review/Orders.java
+++ b/review/standin/src/review/Orders.java
@@ -20,8 +20,8 @@
 import java.util.function.UnaryOperator;
 
 /**
- * The VM that gives orders loses its network path to one worker, and goes on to give that
- * worker an order. Arguments: the folder of the case, and whether the path is cut.
+ * A worker leaves an order unanswered, and the VM that gives orders loses its network
+ * paths to the workers. Arguments: the folder of the case, and whether both happen.
  */
 public final class Orders {
 
@@ -43,24 +43,24 @@
 
 	private static final int FIRST_MACHINES = 2;
 
-	private static final int WORKERS = 8;
+	private static final int WORKERS = 10;
 
 	private static final int PREFILL_WORKERS = 4;
 
 	private static final long REQUEST_EVERY_MS = 100;
 
-	private static final long SHORT_REQUEST_EVERY_MS = 60;
+	// Prompt and answer. More of the workers are needed for decoding than at the start.
+	private static final String TOKENS = "320,1500";
 
-	private static final long CUT_MS = 5_000;
+	private static final int PREFIX_TOKENS = 200;
+
+	private static final int OWN_TOKENS = 120;
 
-	// Cuts end with the second order to the worker. One of them suffices if the machine has
-	// sent the worker something early in it.
-	private static final int CUTS = 4;
+	private static final long CUT_AFTER_MS = 400;
 
-	private static final long GAP_MS = 1_200;
+	private static final long CUT_MS = 5_000;
 
-	// Orders in the other direction follow about 12 s after a change.
-	private static final long CUT_AFTER_MS = 1_400;
+	private static final long REST_MS = 8_000;
 
 	// Orders that arrive this soon after a link has healed do not count.
 	private static final long THAW_SLACK_MS = 300;
@@ -85,8 +85,6 @@
 
 	private volatile List<String> addresses = List.of();
 
-	private volatile boolean longPrompts;
-
 	public static void main(String[] args) throws Exception {
 		int code = 2;
 		try (Record record = new Record(Path.of(args[0], "record.txt"))) {
@@ -179,23 +177,25 @@
 	}
 
 	private void play(Record record, boolean trouble, List<ModelWorker> workers) throws Exception {
+		if (trouble) {
+			AtomicInteger given = new AtomicInteger();
+			workers.forEach((w) -> w.setAppliesOrdersLate(() -> given.getAndIncrement() == 0));
+		}
 		await(record, "no order was given", () -> orders() > 0);
-		Thread.sleep(500);
-		this.longPrompts = true;
-		record.line("clients now send long prompts for short answers");
-		ModelWorker w = workers.stream().filter((x) -> orders(x.worker.id) > 0).findFirst().orElseThrow();
-		await(record, "the change did not end", () -> workers.stream().noneMatch(ModelWorker::isBusy));
 		Thread.sleep(CUT_AFTER_MS);
-		for (int i = 0; trouble && i < CUTS && orders(w.worker.id) < 2; i++) {
-			w.worker.cut(this.leader);
-			record.line("path from " + this.leader + " to " + w.worker.id + " cut");
+		if (trouble) {
+			for (ModelWorker w : workers) {
+				w.worker.cut(this.leader);
+			}
+			record.line("paths from " + this.leader + " to all workers cut");
 			Thread.sleep(CUT_MS);
 			this.healedAt = record.ms();
-			w.worker.heal(this.leader);
-			record.line("path healed");
-			Thread.sleep(GAP_MS);
+			for (ModelWorker w : workers) {
+				w.worker.heal(this.leader);
+			}
+			record.line("paths healed");
 		}
-		await(record, "no second order was given to " + w.worker.id, () -> orders(w.worker.id) > 1);
+		Thread.sleep(REST_MS);
 	}
 
 	private static void await(Record record, String failure, BooleanSupplier done) throws Exception {
@@ -232,19 +232,18 @@
 				String address = l.get(n % l.size());
 				Worker.thread("client", () -> request(address));
 			}
-			pause(this.longPrompts ? SHORT_REQUEST_EVERY_MS : REQUEST_EVERY_MS);
+			pause(REQUEST_EVERY_MS);
 		}
 	}
 
 	private void request(String address) {
 		String id = Long.toHexString(this.lastId.incrementAndGet());
-		String tokens = this.longPrompts ? "4000,24" : "320,1500";
 		try (Socket s = new Socket("127.0.0.1", Integer.parseInt(address.substring(address.indexOf(':') + 1)))) {
 			s.setSoTimeout(14_000);
 			s.getOutputStream()
 				.write(("POST /draft/2f HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: " + id
-						+ "\r\nX-Model: m\r\nX-Token-Count: " + tokens + "\r\nX-Prompt-Prefix: 5c1e07a2:200," + id + ":"
-						+ (Integer.parseInt(tokens.split(",")[0]) - 200)
+						+ "\r\nX-Model: m\r\nX-Token-Count: " + TOKENS + "\r\nX-Prompt-Prefix: 5c1e07a2:" + PREFIX_TOKENS + ","
+						+ id + ":" + OWN_TOKENS
 						+ "\r\nX-Deadline-Ms: 14000\r\nContent-Length: 2\r\n\r\nhi")
 					.getBytes(StandardCharsets.ISO_8859_1));
 			Http.Message m = Http.read(new BufferedInputStream(s.getInputStream()));
--- a/review/standin/src/review/Worker.java
+++ b/review/standin/src/review/Worker.java
@@ -8,6 +8,7 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import java.util.LinkedHashMap;
@@ -165,8 +166,13 @@
 		void cut() throws IOException {
 			this.listener.close();
 			for (Socket s : this.open) {
-				s.setSoLinger(true, 0);
-				s.close();
+				try {
+					s.setSoLinger(true, 0);
+					s.close();
+				}
+				catch (SocketException ex) {
+					// Its other end has closed it meanwhile.
+				}
 			}
 		}
 
