A VM that ends says what it cuts, and when it was told to stop

Cause: of the hypotheses of the incident, three look alike in the logs. A request that is cut at the end of a VM left no line in three of four ends looked at, as its connection closes while the log does; the time of SIGTERM was not logged if it came during the start; and what callers had not got of answers that were over for the gateway was counted nowhere. Change: the gateway keeps the requests in progress and logs one line for each, on its loop, before the sockets close; a line gives the connections with a request on them and the bytes that the kernel has not taken; one line says that SIGTERM has come, and how long after the start. No logic changes.

--- a/src/main/java/io/shallotspur/gateway/Gateway.java
+++ b/src/main/java/io/shallotspur/gateway/Gateway.java
@@ -1,8 +1,11 @@
 package io.shallotspur.gateway;
 
 import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.LongSupplier;
 
 import org.jspecify.annotations.Nullable;
@@ -85,6 +88,9 @@
 
 	private @Nullable RouteTable routeTable;
 
+	// In the order of their arrival.
+	private final Set<RequestAdmission> openRequests = new LinkedHashSet<>();
+
 	// Volatile: read by the thread that waits for the drain to finish.
 	private volatile int inProgress;
 
@@ -263,10 +269,11 @@
 	 * @return to be run when the caller disconnects
 	 */
 	public Runnable handle(RelayRequest request, CallerResponse response, long arrivedAt) {
-		this.inProgress++;
 		long now = this.clock.getAsLong();
 		this.metrics.requestRead(now - arrivedAt);
 		RequestAdmission admission = new RequestAdmission(this, request, response, arrivedAt);
+		this.openRequests.add(admission);
+		this.inProgress = this.openRequests.size();
 		admission.start(now);
 		return admission::callerDisconnected;
 	}
@@ -281,8 +288,18 @@
 		this.log.write(this.clock.getAsLong(), () -> "id=" + request.id() + " caller-gone before the request was read");
 	}
 
-	void requestFinished() {
-		this.inProgress--;
+	void requestFinished(RequestAdmission r) {
+		this.openRequests.remove(r);
+		this.inProgress = this.openRequests.size();
+	}
+
+	/**
+	 * Logs a line for each request in progress.
+	 * @param text what has happened
+	 */
+	public void logOpenRequests(String text) {
+		long now = this.clock.getAsLong();
+		List.copyOf(this.openRequests).forEach((r) -> r.log(text, now));
 	}
 
 	/**
--- a/src/main/java/io/shallotspur/gateway/RelayTask.java
+++ b/src/main/java/io/shallotspur/gateway/RelayTask.java
@@ -36,6 +36,8 @@
 
 	private final long arrivedAt;
 
+	private final Runnable onFinished;
+
 	private final long deadline;
 
 	private final RequestPlacement placing;
@@ -75,13 +77,14 @@
 
 	private boolean finished;
 
-	RelayTask(Gateway gateway, AdmittedRequest admitted, CallerResponse response, long arrivedAt) {
+	RelayTask(Gateway gateway, AdmittedRequest admitted, CallerResponse response, long arrivedAt, Runnable onFinished) {
 		this.gateway = gateway;
 		this.admitted = admitted;
 		this.route = admitted.route();
 		this.request = admitted.request();
 		this.response = response;
 		this.arrivedAt = arrivedAt;
+		this.onFinished = onFinished;
 		this.deadline = arrivedAt + Math.min(this.request.callerTimeoutMs(), this.route.timeoutMs());
 		StreamOrigin origin = admitted.origin();
 		this.upstream = (origin != null) ? origin.upstream() : this.route.chooseUpstream(gateway.random.next());
@@ -537,7 +540,7 @@
 	private void finish() {
 		this.finished = true;
 		this.cancelDeadline.run();
-		this.gateway.requestFinished();
+		this.onFinished.run();
 	}
 
 	@Override
--- a/src/main/java/io/shallotspur/gateway/RequestAdmission.java
+++ b/src/main/java/io/shallotspur/gateway/RequestAdmission.java
@@ -177,7 +177,8 @@
 	private void relay(AdmittedRequest a, long now) {
 		this.done = true;
 		this.gateway.metrics.requestArrived(a.route().name(), a.customerName());
-		RelayTask newTask = new RelayTask(this.gateway, a, this.response, this.arrivedAt);
+		RelayTask newTask = new RelayTask(this.gateway, a, this.response, this.arrivedAt,
+				() -> this.gateway.requestFinished(this));
 		this.relayTask = newTask;
 		newTask.start(now);
 	}
@@ -192,7 +193,7 @@
 
 	private void refuse(RelayRefusal refusal, @Nullable Customer c, String details, long now) {
 		this.done = true;
-		this.gateway.requestFinished();
+		this.gateway.requestFinished(this);
 		String customer = (c != null) ? c.name() : null;
 		this.gateway.metrics.refused(refusal.reason(), customer);
 		long version = this.gateway.routeTable().map(RouteTable::version).orElse(0L);
@@ -203,6 +204,16 @@
 		this.response.refuse(refusal);
 	}
 
+	void log(String text, long now) {
+		RelayTask t = this.relayTask;
+		if (t != null) {
+			t.log(text, now);
+		}
+		else {
+			this.gateway.log.write(now, () -> "id=" + this.request.id() + " not admitted yet " + text);
+		}
+	}
+
 	void callerDisconnected() {
 		RelayTask t = this.relayTask;
 		if (t != null) {
@@ -214,7 +225,7 @@
 			if (this.originSearch != null) {
 				this.originSearch.cancel();
 			}
-			this.gateway.requestFinished();
+			this.gateway.requestFinished(this);
 		}
 	}
 
--- a/src/main/java/io/shallotspur/platform/CallerIngress.java
+++ b/src/main/java/io/shallotspur/platform/CallerIngress.java
@@ -150,6 +150,15 @@
 			.forEach(Channel::close);
 	}
 
+	/**
+	 * Logs what callers have not got yet.
+	 */
+	void logUnfinished() {
+		long bytes = this.connections.stream().mapToLong((c) -> PendingWrites.of(c).bytes()).sum();
+		Logger.info("[run] left connections={} with-request={} unwritten-bytes={}", this.connections.size(),
+				this.activeConnections.size(), bytes);
+	}
+
 	private Mono<Void> handle(HttpServerRequest req, HttpServerResponse res) {
 		IngressLimits limits = this.gateway.routeTable().map(RouteTable::limits).orElse(IngressLimits.DEFAULT);
 		HttpCallerResponse response = new HttpCallerResponse(res, () -> this.draining || this.release.closeAfterNext(),
--- a/src/main/java/io/shallotspur/platform/PlatformCommand.java
+++ b/src/main/java/io/shallotspur/platform/PlatformCommand.java
@@ -3,6 +3,7 @@
 import java.io.PrintStream;
 import java.nio.file.Path;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 
 import org.kohsuke.args4j.Option;
 import org.tinylog.Logger;
@@ -38,7 +39,11 @@
 		PlatformSettings s = PlatformSettings.read(this.settings);
 		LogSetup.toOutput(s.log().level());
 		CountDownLatch terminate = new CountDownLatch(1);
-		Signals.onTerminate(terminate::countDown);
+		long startedAt = System.nanoTime();
+		Signals.onTerminate(() -> {
+			Logger.info("[run] told to stop after-ms={}", TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startedAt));
+			terminate.countDown();
+		});
 		Signals.on("HUP", () -> Logger.info("[run] settings changed; they take effect at the next start"));
 		PlatformVm vm = new PlatformVm(s);
 		vm.start();
--- a/src/main/java/io/shallotspur/platform/PlatformVm.java
+++ b/src/main/java/io/shallotspur/platform/PlatformVm.java
@@ -299,6 +299,10 @@
 			sleep(DRAIN_POLL_MS);
 		}
 		Logger.info("[run] stopped left-in-progress={}", this.gateway.inProgress());
+		this.loop.execute(() -> {
+			this.gateway.logOpenRequests("cut, as this VM ends");
+			this.ingress.logUnfinished();
+		});
 		close();
 	}
 
