Stop soak: real processes are stopped in overlapping series, and each answer is judged

Cause: no test asked whether an answer is cut around a SIGTERM; the soak drops a request whose connection ends early. The ports of VMs are chosen in one place (FreePorts), which the soak had by itself.

--- /dev/null
+++ b/src/test/java/io/shallotspur/platform/soak/LossChecker.java
@@ -0,0 +1,149 @@
+package io.shallotspur.platform.soak;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.CopyOnWriteArrayList;
+
+/**
+ * Checks that callers get whole answers while VMs are stopped and nothing else is
+ * disturbed. Thread-safe.
+ * <p>
+ * A request that ends without a whole answer is excused if its connection ended at once
+ * and no worker ran it, if its deadline had passed, or if it was sent at most three
+ * seconds after the SIGTERM of its VM and its worker was still at work in the last sixth
+ * of the grace period.
+ */
+final class LossChecker {
+
+	private static final long GRACE_MS = VmProcess.TERMINATION_GRACE_S * 1_000;
+
+	private static final long LAST_SIXTH_MS = GRACE_MS * 5 / 6;
+
+	// After the grace period, a connection that ends is no longer put down to the stop.
+	private static final long STOP_MARGIN_MS = 1_000;
+
+	private static final long LATE_REQUEST_MS = 3_000;
+
+	private static final long LOSS_SLACK_MS = 200;
+
+	private final Map<String, List<Long>> stops = new ConcurrentHashMap<>();
+
+	private final Map<String, Run> runs = new ConcurrentHashMap<>();
+
+	private final ConcurrentLinkedQueue<Ended> ended = new ConcurrentLinkedQueue<>();
+
+	private final List<String> violations = new CopyOnWriteArrayList<>();
+
+	/**
+	 * Called when a VM is sent its first SIGTERM.
+	 * @param vm the address of the VM
+	 * @param nowMs the current time in milliseconds
+	 */
+	void onStop(String vm, long nowMs) {
+		this.stops.computeIfAbsent(vm, (v) -> new CopyOnWriteArrayList<>()).add(nowMs);
+	}
+
+	void onRunStarted(String id) {
+		if (this.runs.put(id, new Run(Long.MAX_VALUE)) != null) {
+			addViolation("TWICE id=" + id);
+		}
+	}
+
+	/**
+	 * Called when a worker has sent its whole answer, or its connection has ended.
+	 * @param id the request id
+	 * @param nowMs the current time in milliseconds
+	 */
+	void onRunEnded(String id, long nowMs) {
+		this.runs.put(id, new Run(nowMs));
+	}
+
+	/**
+	 * Called when a request has ended for its caller.
+	 * @param e the request and its end
+	 */
+	void onEnded(Ended e) {
+		this.ended.add(e);
+	}
+
+	void addViolation(String violation) {
+		this.violations.add(violation);
+	}
+
+	/**
+	 * Returns the violations. Complete only after all requests have ended.
+	 * @return the violations; empty if all answers are whole or excused
+	 */
+	List<String> violations() {
+		List<String> l = new ArrayList<>(this.violations);
+		this.ended.forEach((e) -> {
+			if (e.outcome() == Outcome.CUT && !isExcused(e)) {
+				l.add("LOST " + e + " stops=" + this.stops.get(e.vm()) + " run=" + this.runs.get(e.id()));
+			}
+			if (e.outcome() == Outcome.NOT_RUN && this.runs.containsKey(e.id())) {
+				l.add("REFUSED " + e);
+			}
+		});
+		return l;
+	}
+
+	private boolean isExcused(Ended e) {
+		Run run = this.runs.get(e.id());
+		if (run == null && e.endedAt() - e.sentAt() <= LOSS_SLACK_MS) {
+			return true;
+		}
+		if (e.endedAt() >= e.deadlineAt()) {
+			return true;
+		}
+		return run != null && this.stops.getOrDefault(e.vm(), List.of())
+			.stream()
+			.anyMatch((stop) -> e.endedAt() >= stop && e.endedAt() <= stop + GRACE_MS + STOP_MARGIN_MS
+					&& e.sentAt() <= stop + LATE_REQUEST_MS && run.endedAt() >= stop + LAST_SIXTH_MS);
+	}
+
+	String summary() {
+		StringBuilder b = new StringBuilder("stops=" + this.stops.values().stream().mapToInt(List::size).sum());
+		for (Outcome o : Outcome.values()) {
+			b.append(' ').append(o).append('=').append(this.ended.stream().filter((e) -> e.outcome() == o).count());
+		}
+		return b.toString();
+	}
+
+	/** How a request ended for its caller. */
+	enum Outcome {
+
+		WHOLE, NOT_RUN, FAILED, CUT,
+
+		/** The connection ended before the whole request was sent. */
+		UNSENT
+
+	}
+
+	/**
+	 * A request that has ended for its caller; times in milliseconds.
+	 *
+	 * @param id the request id
+	 * @param vm the address of the VM
+	 * @param sentAt when its last byte was sent
+	 * @param deadlineAt until when its caller waits
+	 * @param endedAt when it ended
+	 * @param outcome how it ended
+	 * @param seen what the caller saw
+	 */
+	record Ended(String id, String vm, long sentAt, long deadlineAt, long endedAt, Outcome outcome, String seen) {
+
+	}
+
+	/**
+	 * A run at a worker.
+	 *
+	 * @param endedAt in milliseconds; {@link Long#MAX_VALUE} while it runs
+	 */
+	private record Run(long endedAt) {
+
+	}
+
+}
--- a/src/test/java/io/shallotspur/platform/soak/SoakRun.java
+++ b/src/test/java/io/shallotspur/platform/soak/SoakRun.java
@@ -1,19 +1,13 @@
 package io.shallotspur.platform.soak;
 
 import java.io.IOException;
-import java.net.BindException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.nio.file.Path;
 import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
-import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 
@@ -35,12 +29,6 @@
 
 	private static final int RECOVERED_RESPONSES = 40;
 
-	private static final int FIRST_PORT = 18_000;
-
-	private static final int PORT_COUNT = 14_000;
-
-	private static final int PORTS_PER_VM = 4;
-
 	private final long seed;
 
 	private final long lengthMs;
@@ -63,8 +51,7 @@
 
 	private final List<StreamCaller> streamCallers = new ArrayList<>();
 
-	// Ports of the VMs, which are free while a VM is down.
-	private final Set<Integer> chosenPorts = new HashSet<>();
+	private final FreePorts ports = new FreePorts();
 
 	private final ExecutorService faultExecutor = Executors.newCachedThreadPool();
 
@@ -91,7 +78,7 @@
 			int vm = i;
 			LoopbackProxy p = new LoopbackProxy(this.store.addView((entry) -> viewOf(entry, vm)).port());
 			this.storeProxies.add(p);
-			this.vms.add(new VmProcess(i, dir, chooseFreePorts(), p.port()));
+			this.vms.add(new VmProcess(i, dir, this.ports.choose(VmProcess.PORTS), p.port()));
 		}
 	}
 
@@ -104,30 +91,6 @@
 		return view;
 	}
 
-	// Chooses ports below the ephemeral range. An ephemeral port could be assigned to an
-	// outgoing connection while the VM is down, and the VM could not restart.
-	private int[] chooseFreePorts() throws IOException {
-		List<ServerSocket> sockets = new ArrayList<>();
-		while (sockets.size() < PORTS_PER_VM) {
-			int port = FIRST_PORT + ThreadLocalRandom.current().nextInt(PORT_COUNT);
-			if (this.chosenPorts.contains(port)) {
-				continue;
-			}
-			try {
-				sockets.add(new ServerSocket(port, 1, InetAddress.getLoopbackAddress()));
-				this.chosenPorts.add(port);
-			}
-			catch (BindException ex) {
-				// The port is in use; the loop tries another one.
-			}
-		}
-		int[] ports = sockets.stream().mapToInt(ServerSocket::getLocalPort).toArray();
-		for (ServerSocket s : sockets) {
-			s.close();
-		}
-		return ports;
-	}
-
 	private synchronized void publishConfiguration() {
 		StringBuilder routes = new StringBuilder();
 		for (InvariantChecker.RequestKind k : InvariantChecker.RequestKind.values()) {
--- /dev/null
+++ b/src/test/java/io/shallotspur/platform/soak/StopWorker.java
@@ -0,0 +1,103 @@
+package io.shallotspur.platform.soak;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.concurrent.atomic.AtomicLong;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.HttpHeaders;
+import org.reactivestreams.Publisher;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+import reactor.netty.DisposableServer;
+import reactor.netty.http.server.HttpServer;
+import reactor.netty.http.server.HttpServerRequest;
+import reactor.netty.http.server.HttpServerResponse;
+
+import io.shallotspur.platform.FakeStore;
+
+/**
+ * A fake worker without faults, whose answers take as long as their callers ask for. It
+ * reports its runs. Thread-safe.
+ */
+final class StopWorker {
+
+	/** The number of events or chunks of the answer. */
+	static final String EVENTS = "X-Events";
+
+	/** The pause before each of them, in milliseconds. */
+	static final String PAUSE = "X-Pause-Ms";
+
+	/** The bytes in each of them. */
+	static final String EVENT_BYTES = "X-Event-Bytes";
+
+	private static final Duration PREFILL_TIME = Duration.ofMillis(40);
+
+	private final String id;
+
+	private final LossChecker checker;
+
+	private final AtomicLong sequence = new AtomicLong();
+
+	private final DisposableServer server;
+
+	StopWorker(String id, String upstream, String stage, FakeStore store, LossChecker checker) {
+		this.id = id;
+		this.checker = checker;
+		this.server = HttpServer.create().host("127.0.0.1").port(0).handle(this::handle).bindNow();
+		store.put("servers/" + id, """
+				{"service":"%s","address":"127.0.0.1:%d","zone":"hall-0","version":"v1","slots":64,"state":"ready",
+				"cold_remaining_ms":0,%s"models":[],"sequence_number":1}""".formatted(upstream, this.server.port(),
+				stage.isEmpty() ? "" : "\"stage\":\"" + stage + "\","));
+	}
+
+	/**
+	 * Returns one event of an answer.
+	 * @param id the request id
+	 * @param number the number of the event, from 1
+	 * @param bytes the length of its data
+	 * @return the event
+	 */
+	static String event(String id, int number, int bytes) {
+		return "id: " + number + "\ndata: " + id + " " + "x".repeat(bytes) + "\n\n";
+	}
+
+	void stop() {
+		this.server.disposeNow();
+	}
+
+	private Publisher<Void> handle(HttpServerRequest q, HttpServerResponse s) {
+		return q.receive().aggregate().asString().defaultIfEmpty("").flatMap((body) -> Mono.from(respond(q, s)));
+	}
+
+	private Publisher<Void> respond(HttpServerRequest q, HttpServerResponse s) {
+		HttpHeaders h = q.requestHeaders();
+		String request = h.get("X-Request-Id", "");
+		s.header("X-Request-Id", request);
+		if (q.uri().equals("/api/hold-take")) {
+			return s.sendString(Mono.just("{\"hold\":\"h" + this.sequence.incrementAndGet() + "\"}"));
+		}
+		if (q.uri().startsWith("/api/")) {
+			return s.send();
+		}
+		if ("prefill".equals(h.get("X-Stage"))) {
+			String handle = "{\"kv_handle\":\"kv" + this.sequence.incrementAndGet() + "\",\"tokens\":1,\"version\":1}";
+			return s.sendString(Mono.just(handle).delayElement(PREFILL_TIME));
+		}
+		return run(request, h, s);
+	}
+
+	private Publisher<Void> run(String request, HttpHeaders h, HttpServerResponse s) {
+		this.checker.onRunStarted(request);
+		int events = h.getInt(EVENTS, 1);
+		int bytes = h.getInt(EVENT_BYTES, 0);
+		Flux<ByteBuf> answer = Flux.range(1, events)
+			.delayElements(Duration.ofMillis(h.getInt(PAUSE, 1)))
+			.map((i) -> Unpooled.copiedBuffer(event(request, i, bytes), StandardCharsets.US_ASCII));
+		s.header("X-Server-Stamp", "stamp-" + this.id).header("Content-Type", "text/event-stream");
+		return Mono.from(s.send(answer, (b) -> true))
+			.doFinally((x) -> this.checker.onRunEnded(request, InvariantChecker.nowMs()));
+	}
+
+}
--- a/src/test/java/io/shallotspur/platform/soak/VmProcess.java
+++ b/src/test/java/io/shallotspur/platform/soak/VmProcess.java
@@ -1,6 +1,10 @@
 package io.shallotspur.platform.soak;
 
 import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
@@ -18,6 +22,9 @@
 	// class.
 	static final int TERMINATION_GRACE_S = 8;
 
+	/** The number of ports that a VM needs. */
+	static final int PORTS = 4;
+
 	private static final int SIGTERM_EXIT_CODE = 128 + 15;
 
 	// Killed when this JVM exits, so that no processes are left behind.
@@ -130,9 +137,22 @@
 	 * process had to be killed
 	 */
 	int terminate() throws IOException, InterruptedException {
+		return terminateTwice(TERMINATION_GRACE_S * 1_000);
+	}
+
+	/**
+	 * Sends SIGTERM to the process, and once more if it has not exited yet.
+	 * @param pauseMs the time between the two, in milliseconds
+	 * @return as {@link #terminate}
+	 */
+	int terminateTwice(long pauseMs) throws IOException, InterruptedException {
 		resume();
+		long killAt = System.nanoTime() + TimeUnit.SECONDS.toNanos(TERMINATION_GRACE_S);
 		this.process.destroy();
-		if (this.process.waitFor(TERMINATION_GRACE_S, TimeUnit.SECONDS)) {
+		if (!this.process.waitFor(pauseMs, TimeUnit.MILLISECONDS)) {
+			this.process.destroy();
+		}
+		if (this.process.waitFor(killAt - System.nanoTime(), TimeUnit.NANOSECONDS)) {
 			return terminatedDuringStartup() ? 0 : this.process.exitValue();
 		}
 		kill();
@@ -142,15 +162,42 @@
 	// A SIGTERM early during startup ends the JVM with status 143 before the program has
 	// opened a socket.
 	private boolean terminatedDuringStartup() throws IOException {
-		String newOutput = Files.readString(log()).substring(this.logOffset);
-		return this.process.exitValue() == SIGTERM_EXIT_CODE && !newOutput.contains("[run] started");
+		return this.process.exitValue() == SIGTERM_EXIT_CODE && !hasStarted();
+	}
+
+	boolean hasStarted() throws IOException {
+		return Files.readString(log()).substring(this.logOffset).contains("[run] started");
+	}
+
+	/**
+	 * Waits until the VM reports that it is ready, or has ended.
+	 * @param timeoutMs how long, in milliseconds
+	 * @return whether it is ready
+	 */
+	boolean awaitReady(long timeoutMs) throws InterruptedException {
+		HttpClient client = VmAddresses.newClient();
+		HttpRequest q = HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + this.ports[1] + "/api/readiness"))
+			.build();
+		long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(timeoutMs);
+		while (isAlive() && System.nanoTime() < end) {
+			try {
+				if (client.send(q, HttpResponse.BodyHandlers.discarding()).statusCode() == 200) {
+					return true;
+				}
+			}
+			catch (IOException ex) {
+				// It does not listen yet.
+			}
+			Thread.sleep(50);
+		}
+		return false;
 	}
 
 	private Path log() {
 		return this.dir.resolve("vm-" + this.number + ".log");
 	}
 
-	private void signal(String signal) throws IOException, InterruptedException {
+	void signal(String signal) throws IOException, InterruptedException {
 		new ProcessBuilder("kill", signal, Long.toString(this.process.pid())).start().waitFor();
 	}
 
