A draining VM takes late requests only if they must end before it does

Callers saw: streams that end without a whole answer 7.6 s after the SIGTERM of their VM, with status 200 and some events. Cause: from three seconds after SIGTERM on, a draining VM refuses what can't end before its exit; of streams it took those that were expected to end by then, by the mean of recent answers and a margin of a half. A stream that takes longer is cut, and one that was sent so late is not excused. An overloaded upstream makes all streams longer. The time was counted from when the signal is handled, so that a request sent just after three seconds could be taken without any look at it. What was in progress at the exit had its connection closed, also where a refusal as not run would have been true. Class: an end of waiting that follows from a guess. Change: the longest time that a request may take decides; the window is 2.5 s; at the end, what waits is refused as not run, what is at a worker is answered 504, and only streams that have begun are broken off, each with a line that names it. Evidence: LateRequestTests.aStreamThatMayOutlastTheVmIsRefused failed on the code as landed.

--- a/src/main/java/io/shallotspur/gateway/Gateway.java
+++ b/src/main/java/io/shallotspur/gateway/Gateway.java
@@ -239,17 +239,11 @@
 		this.shutdownAt = shutdownAt;
 	}
 
+	// The time that a request may take counts, not the one that it is expected to take:
+	// an
+	// upstream that is overloaded takes longer, and the answer would be cut.
 	boolean exceedsShutdown(Route route, RelayRequest r, long now) {
-		if (now < this.refusesFrom) {
-			return false;
-		}
-		long longestMs = Math.min(r.callerTimeoutMs(), route.timeoutMs());
-		PromptInfo p = r.prompt();
-		if (p != null) {
-			long responseMs = engineTimes(route.chooseUpstream(0)).generationMs(p.expectedOutputTokens());
-			longestMs = Math.min(longestMs, route.latencyTargetMs() + (long) (RetryAfter.ANSWER_MARGIN * responseMs));
-		}
-		return now + longestMs > this.shutdownAt;
+		return now >= this.refusesFrom && now + Math.min(r.callerTimeoutMs(), route.timeoutMs()) > this.shutdownAt;
 	}
 
 	/**
@@ -294,12 +288,13 @@
 	}
 
 	/**
-	 * Logs a line for each request in progress.
-	 * @param text what has happened
+	 * Ends all requests in progress, as this VM ends. Those that were not sent to a
+	 * worker are refused as not run, answers that have begun are broken off, and the
+	 * outcome of the others is reported as unknown.
 	 */
-	public void logOpenRequests(String text) {
+	public void endOpenRequests() {
 		long now = this.clock.getAsLong();
-		List.copyOf(this.openRequests).forEach((r) -> r.log(text, now));
+		List.copyOf(this.openRequests).forEach((r) -> r.end(now));
 	}
 
 	/**
--- a/src/main/java/io/shallotspur/gateway/RelayTask.java
+++ b/src/main/java/io/shallotspur/gateway/RelayTask.java
@@ -439,21 +439,27 @@
 	}
 
 	private void onDeadline() {
+		giveUp(RefusalReason.TIMED_OUT, this.gateway.clock.getAsLong());
+	}
+
+	// Ends the request, as this VM ends.
+	void end(long now) {
+		giveUp(RefusalReason.LEAVING, now);
+	}
+
+	private void giveUp(RefusalReason reason, long now) {
 		if (this.finished) {
 			return;
 		}
-		long now = this.gateway.clock.getAsLong();
 		if (this.responseStarted) {
-			abortResponse(RefusalReason.TIMED_OUT, now);
+			abortResponse(reason, now);
 		}
 		else if (this.attempt == null && !this.history.mayHaveRun()) {
-			// No worker has run it, and the caller may have time left for a retry beyond
-			// the limit of the route.
-			refuse(RelayRefusal.notRun(RefusalReason.TIMED_OUT,
-					this.retryDelay.afterRefusalMs(RefusalReason.TIMED_OUT, now)), now);
+			// No worker has run it, and the caller may have time left for a retry.
+			refuse(RelayRefusal.notRun(reason, this.retryDelay.afterRefusalMs(reason, now)), now);
 		}
 		else {
-			refuse(new RelayRefusal(RelayRefusal.TIMED_OUT, RefusalReason.TIMED_OUT, 0), now);
+			refuse(new RelayRefusal(RelayRefusal.TIMED_OUT, reason, 0), now);
 		}
 	}
 
--- a/src/main/java/io/shallotspur/gateway/RequestAdmission.java
+++ b/src/main/java/io/shallotspur/gateway/RequestAdmission.java
@@ -27,10 +27,6 @@
 	// second after startup.
 	private static final long STARTUP_RETRY_MS = 500;
 
-	// Retry delay while this VM drains, ms. Short because the caller can go to another
-	// VM at once.
-	private static final long DRAINING_RETRY_MS = 50;
-
 	// Upper bound of the wait for the configuration store, ms. The store normally
 	// responds within a few ms and, when slow, within some hundred; beyond that, the
 	// caller is better served by another VM.
@@ -82,7 +78,7 @@
 			refuse(new RelayRefusal(NOT_FOUND, RefusalReason.NO_ROUTE, 0), now);
 		}
 		else if (this.gateway.exceedsShutdown(r.get(), this.request, now)) {
-			refuse(RelayRefusal.notRun(RefusalReason.LEAVING, DRAINING_RETRY_MS), now);
+			refuse(RelayRefusal.notRun(RefusalReason.LEAVING, RetryDelay.DRAINING_MS), now);
 		}
 		else {
 			authenticate(t, r.get(), mayRefresh, now);
@@ -204,13 +200,15 @@
 		this.response.refuse(refusal);
 	}
 
-	void log(String text, long now) {
+	// Ends the request, as this VM ends.
+	void end(long now) {
 		RelayTask t = this.relayTask;
 		if (t != null) {
-			t.log(text, now);
+			t.end(now);
 		}
-		else {
-			this.gateway.log.write(now, () -> "id=" + this.request.id() + " not admitted yet " + text);
+		else if (!this.done) {
+			cancel();
+			refuse(RelayRefusal.notRun(RefusalReason.LEAVING, RetryDelay.DRAINING_MS), now);
 		}
 	}
 
@@ -221,12 +219,16 @@
 		}
 		else if (!this.done) {
 			this.done = true;
-			this.cancelTimer.run();
-			if (this.originSearch != null) {
-				this.originSearch.cancel();
-			}
+			cancel();
 			this.gateway.requestFinished(this);
 		}
 	}
 
+	private void cancel() {
+		this.cancelTimer.run();
+		if (this.originSearch != null) {
+			this.originSearch.cancel();
+		}
+	}
+
 }
--- a/src/main/java/io/shallotspur/gateway/RetryDelay.java
+++ b/src/main/java/io/shallotspur/gateway/RetryDelay.java
@@ -9,6 +9,12 @@
  */
 final class RetryDelay {
 
+	/**
+	 * The retry delay while this VM drains, ms. Short because the caller can go to
+	 * another VM at once.
+	 */
+	static final long DRAINING_MS = 50;
+
 	private final Gateway gateway;
 
 	private final RelayRequest request;
@@ -39,6 +45,9 @@
 	 * @return milliseconds
 	 */
 	long afterRefusalMs(RefusalReason reason, long now) {
+		if (reason == RefusalReason.LEAVING) {
+			return DRAINING_MS;
+		}
 		if (reason == RefusalReason.CRASHES_WORKERS) {
 			return this.gateway.quarantine.remainingMs(this.identity, now);
 		}
--- a/src/main/java/io/shallotspur/platform/PlatformVm.java
+++ b/src/main/java/io/shallotspur/platform/PlatformVm.java
@@ -50,12 +50,17 @@
 final class PlatformVm {
 
 	// In ms. Callers cache this VM's address for a few seconds after lookups stop
-	// returning it; requests that arrive in that time are still served.
-	private static final long LATE_REQUEST_WINDOW_MS = 3_000;
+	// returning it; requests that arrive in that time are still served. They may last
+	// until the exit and be cut there, which is allowed for those sent in the first three
+	// seconds after the signal; the signal may be handled some hundred ms late.
+	private static final long LATE_REQUEST_WINDOW_MS = 2_500;
 
 	// In ms. The process exits this long before it would be killed.
 	private static final long EXIT_MARGIN_MS = 400;
 
+	// In ms. How long the last answers may take to be written.
+	private static final long LAST_WRITES_MS = 100;
+
 	// In ms. New connections are no longer accepted this long before the exit; refusing a
 	// request takes a few ms.
 	private static final long ACCEPT_STOP_MARGIN_MS = 300;
@@ -299,10 +304,11 @@
 			sleep(DRAIN_POLL_MS);
 		}
 		Logger.info("[run] stopped left-in-progress={}", this.gateway.inProgress());
-		this.loop.execute(() -> {
-			this.gateway.logOpenRequests("cut, as this VM ends");
-			this.ingress.logUnfinished();
-		});
+		if (this.gateway.inProgress() > 0) {
+			this.loop.execute(this.gateway::endOpenRequests);
+			sleep(LAST_WRITES_MS);
+		}
+		this.loop.execute(this.ingress::logUnfinished);
 		close();
 	}
 
