The grace period of a VM runs from its signal, also while it starts

Callers saw: a stream whose connection is closed 8.0 s after the SIGTERM of its VM, without any line about it in the VM's log. Cause: a SIGTERM that comes while a VM starts is remembered, and the drain begins when the start has ended and counts the grace period from then. The VM takes requests for as much longer, and is killed in the middle of them. Change: the handler records when the signal came, and the drain's times follow from that.

--- a/src/main/java/io/shallotspur/platform/PlatformCommand.java
+++ b/src/main/java/io/shallotspur/platform/PlatformCommand.java
@@ -2,8 +2,7 @@
 
 import java.io.PrintStream;
 import java.nio.file.Path;
-import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.TimeUnit;
+import java.util.concurrent.CompletableFuture;
 
 import org.kohsuke.args4j.Option;
 import org.tinylog.Logger;
@@ -38,22 +37,12 @@
 		}
 		PlatformSettings s = PlatformSettings.read(this.settings);
 		LogSetup.toOutput(s.log().level());
-		CountDownLatch terminate = new CountDownLatch(1);
-		long startedAt = System.nanoTime();
-		Signals.onTerminate(() -> {
-			Logger.info("[run] told to stop after-ms={}", TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startedAt));
-			terminate.countDown();
-		});
+		CompletableFuture<Long> toldToStop = new CompletableFuture<>();
+		Signals.onTerminate(() -> toldToStop.complete(PlatformVm.nowMs()));
 		Signals.on("HUP", () -> Logger.info("[run] settings changed; they take effect at the next start"));
 		PlatformVm vm = new PlatformVm(s);
 		vm.start();
-		try {
-			terminate.await();
-		}
-		catch (InterruptedException ex) {
-			Thread.currentThread().interrupt();
-		}
-		vm.drain();
+		vm.drain(toldToStop.join());
 		return ExitCode.OK.code();
 	}
 
--- a/src/main/java/io/shallotspur/platform/PlatformVm.java
+++ b/src/main/java/io/shallotspur/platform/PlatformVm.java
@@ -80,7 +80,7 @@
 
 	private final PlatformSettings settings;
 
-	private final LongSupplier clock = () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+	private final LongSupplier clock = PlatformVm::nowMs;
 
 	private final VmEventLoop loop = new VmEventLoop();
 
@@ -279,15 +279,17 @@
 	/**
 	 * Drains this VM: stops reporting ready and being returned by lookups, serves late
 	 * arrivals, waits for requests in progress until the end of the grace period and
-	 * closes all sockets.
+	 * closes all sockets. The grace period runs from the signal, which may have come
+	 * while this VM was starting.
+	 * @param toldAt when the signal came, on the clock of {@link #nowMs}
 	 */
-	void drain() {
-		long start = this.clock.getAsLong();
-		long drainDeadline = start + this.settings.graceMs() - EXIT_MARGIN_MS;
-		long lateDeadline = start + Math.min(LATE_REQUEST_WINDOW_MS, this.settings.graceMs() / 2);
-		Logger.info("[run] stopping in-progress={}", this.gateway.inProgress());
+	void drain(long toldAt) {
+		long drainDeadline = toldAt + this.settings.graceMs() - EXIT_MARGIN_MS;
+		long lateDeadline = toldAt + Math.min(LATE_REQUEST_WINDOW_MS, this.settings.graceMs() / 2);
+		long now = this.clock.getAsLong();
+		Logger.info("[run] stopping in-progress={} told-ms-ago={}", this.gateway.inProgress(), now - toldAt);
 		this.loop.execute(() -> beginDrain(lateDeadline, drainDeadline));
-		sleep(lateDeadline - start);
+		sleep(lateDeadline - now);
 		this.loop.execute(this.tunnels::drain);
 		// The listening socket stays open until just before the end. Callers with a
 		// cached address would otherwise be refused while the last streams still run
@@ -338,6 +340,14 @@
 		this.loop.close();
 	}
 
+	/**
+	 * Returns the time on the clock of all VMs of this process.
+	 * @return milliseconds since an arbitrary point in time
+	 */
+	static long nowMs() {
+		return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+	}
+
 	VmEventLoop loop() {
 		return this.loop;
 	}
--- a/src/main/java/io/shallotspur/platform/TrainingRun.java
+++ b/src/main/java/io/shallotspur/platform/TrainingRun.java
@@ -50,7 +50,7 @@
 			request(vm.locatePort(), PlatformNames.LOCATE_PATH, false);
 			request(vm.metricsPort(), "/metrics", false);
 		}
-		vm.drain();
+		vm.drain(PlatformVm.nowMs());
 		server.stop();
 	}
 
--- a/src/test/java/io/shallotspur/platform/LostPathTests.java
+++ b/src/test/java/io/shallotspur/platform/LostPathTests.java
@@ -153,7 +153,7 @@
 				.POST(HttpRequest.BodyPublishers.ofString("p"))
 				.build(), HttpResponse.BodyHandlers.ofString());
 		await(() -> this.d1.receivedRequests.size() == 1);
-		Thread t = new Thread(this.otherVm::drain);
+		Thread t = new Thread(() -> this.otherVm.drain(PlatformVm.nowMs()));
 		t.start();
 		Assertions.assertThat(c.join().body()).endsWith("id: 2\ndata: b\n\n");
 		t.join();
--- a/src/test/java/io/shallotspur/platform/PlatformEndToEndTests.java
+++ b/src/test/java/io/shallotspur/platform/PlatformEndToEndTests.java
@@ -241,7 +241,7 @@
 		CompletableFuture<HttpResponse<String>> c = this.client.sendAsync(request("/safe/x").build(),
 				HttpResponse.BodyHandlers.ofString());
 		await(() -> this.p1.receivedRequests.size() + this.p2.receivedRequests.size() == 1);
-		Thread t = new Thread(this.vm::drain);
+		Thread t = new Thread(() -> this.vm.drain(PlatformVm.nowMs()));
 		t.start();
 		await(() -> !this.store.hasKeyWithPrefix("vms/"));
 		Assertions.assertThat(status(this.vm.readyPort(), "/api/readiness")).isEqualTo(503);
@@ -270,7 +270,7 @@
 			.build();
 		CompletableFuture<HttpResponse<String>> c = this.client.sendAsync(q, HttpResponse.BodyHandlers.ofString());
 		await(() -> this.d1.receivedRequests.size() == 1);
-		Thread t = new Thread(this.vm::drain);
+		Thread t = new Thread(() -> this.vm.drain(PlatformVm.nowMs()));
 		t.start();
 		await(() -> !this.store.hasKeyWithPrefix("vms/"));
 		List<Integer> statuses = new ArrayList<>();
