A VM that stops ends when nothing is owed, by one account on its event loop

Callers saw: answers that break off without their last chunk a few seconds after the SIGTERM of their VM, though their workers had sent them whole and the grace period was not over; and connections reset. Cause: the end of a drain waited for the number of requests in progress at the gateway, which falls before an answer is handed to its connection. Bytes that wait there, and requests that are read and not yet dispatched, belonged to no count; and the thread that waits looked at the count from outside the event loop, closed the idle connections in a second step and all sockets in a third, so that a request could be read in between. Class: an end of waiting that follows from a number that stands for something else. Change: CallerConnections knows what is owed on each connection, from the head of a request until the kernel has the last byte; VmDrain decides on the loop, closes the idle connections in the same task, and ends what is left before the exit; DrainTimes holds the times. The line stopped names what is left; gauges callers.connections and callers.owed.

--- a/src/main/java/io/shallotspur/platform/CallerIngress.java
+++ b/src/main/java/io/shallotspur/platform/CallerIngress.java
@@ -2,10 +2,7 @@
 
 import java.io.ByteArrayOutputStream;
 import java.time.Duration;
-import java.util.HashSet;
-import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.function.LongSupplier;
 
 import io.netty.channel.Channel;
@@ -17,7 +14,6 @@
 import io.netty.util.AttributeKey;
 import org.tinylog.Logger;
 import reactor.core.publisher.Mono;
-import reactor.netty.Connection;
 import reactor.netty.DisposableServer;
 import reactor.netty.http.server.HttpServer;
 import reactor.netty.http.server.HttpServerRequest;
@@ -84,22 +80,21 @@
 
 	private final ByteBudget budget;
 
-	private final Set<Channel> connections = new HashSet<>();
-
-	private final Set<Channel> activeConnections = new HashSet<>();
+	private final CallerConnections connections;
 
 	private final CallerRelease release;
 
 	private boolean draining;
 
 	CallerIngress(Endpoint listen, VmEventLoop loop, Gateway gateway, LongSupplier clock, CallerRelease release,
-			ByteBudget budget) {
+			ByteBudget budget, CallerConnections connections) {
 		this.listen = listen;
 		this.loop = loop;
 		this.gateway = gateway;
 		this.clock = clock;
 		this.release = release;
 		this.budget = budget;
+		this.connections = connections;
 	}
 
 	Mono<? extends DisposableServer> bind() {
@@ -116,8 +111,8 @@
 			.childOption(ChannelOption.TCP_NODELAY, true)
 			.childOption(ChannelOption.SO_SNDBUF, SEND_BUFFER_BYTES)
 			.doOnChannelInit((observer, channel, address) -> onOpened(channel))
-			.doOnConnection(this::onConnection)
-			.handle(this::handle)
+			.doOnConnection((c) -> this.connections.opened(c.channel()))
+			.handle(this::handleCounted)
 			.bind();
 	}
 
@@ -127,12 +122,6 @@
 		c.attr(OPENED).set(new Opened(arrivals.earliestArrival(), arrivals.polls()));
 	}
 
-	private void onConnection(Connection c) {
-		Channel ch = c.channel();
-		this.connections.add(ch);
-		ch.closeFuture().addListener((f) -> this.connections.remove(ch));
-	}
-
 	/**
 	 * Sends {@code Connection: close} with every response from now on.
 	 */
@@ -140,23 +129,10 @@
 		this.draining = true;
 	}
 
-	/**
-	 * Closes the connections that have no request in progress.
-	 */
-	void closeIdle() {
-		List.copyOf(this.connections)
-			.stream()
-			.filter((c) -> !this.activeConnections.contains(c))
-			.forEach(Channel::close);
-	}
-
-	/**
-	 * Logs what callers have not got yet.
-	 */
-	void logUnfinished() {
-		long bytes = this.connections.stream().mapToLong((c) -> PendingWrites.of(c).bytes()).sum();
-		Logger.info("[run] left connections={} with-request={} unwritten-bytes={}", this.connections.size(),
-				this.activeConnections.size(), bytes);
+	private Mono<Void> handleCounted(HttpServerRequest req, HttpServerResponse res) {
+		Runnable[] end = new Runnable[1];
+		res.withConnection((c) -> end[0] = this.connections.requestRead(c.channel()));
+		return handle(req, res).doFinally((s) -> end[0].run());
 	}
 
 	private Mono<Void> handle(HttpServerRequest req, HttpServerResponse res) {
@@ -223,28 +199,21 @@
 			Logger.info("[caller] malformed request seen=\"{}\"", ex.getMessage());
 			return refuse(response, res, BAD_REQUEST);
 		}
-		res.withConnection((c) -> {
-			this.activeConnections.add(c.channel());
-			// On a busy VM, the caller may have closed its connection before its request
-			// is read. The close is read separately, after the request.
-			this.loop.executeAfterNextRead(() -> dispatch(c.channel(), r, response, arrivedAt));
-		});
+		// On a busy VM, the caller may have closed its connection before its request is
+		// read. The close is read separately, after the request.
+		res.withConnection((c) -> this.loop.executeAfterNextRead(() -> dispatch(c.channel(), r, response, arrivedAt)));
 		return response.completion();
 	}
 
 	private void dispatch(Channel c, RelayRequest r, HttpCallerResponse response, long arrivedAt) {
 		if (!c.isActive()) {
-			this.activeConnections.remove(c);
 			this.gateway.callerLeftUnread(r);
 			return;
 		}
 		Runnable onDisconnect = this.gateway.handle(r, response, arrivedAt);
 		ChannelFutureListener closeListener = (f) -> onDisconnect.run();
 		c.closeFuture().addListener(closeListener);
-		response.onDone(() -> {
-			this.activeConnections.remove(c);
-			c.closeFuture().removeListener(closeListener);
-		});
+		response.onDone(() -> c.closeFuture().removeListener(closeListener));
 	}
 
 	// Closes the connection, as the rest of the body is not read.
--- a/src/main/java/io/shallotspur/platform/PlatformVm.java
+++ b/src/main/java/io/shallotspur/platform/PlatformVm.java
@@ -5,8 +5,11 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.Future;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.LongSupplier;
 
@@ -49,23 +52,10 @@
  */
 final class PlatformVm {
 
-	// In ms. Callers cache this VM's address for a few seconds after lookups stop
-	// returning it; requests that arrive in that time are still served. They may last
-	// until the exit and be cut there, which is allowed for those sent in the first three
-	// seconds after the signal; the signal may be handled some hundred ms late.
-	private static final long LATE_REQUEST_WINDOW_MS = 2_500;
+	// In ms. Beyond the last time of a drain, for a loop that is behind.
+	private static final long DRAIN_SLACK_MS = 100;
 
-	// In ms. The process exits this long before it would be killed.
-	private static final long EXIT_MARGIN_MS = 400;
-
-	// In ms. How long the last answers may take to be written.
-	private static final long LAST_WRITES_MS = 100;
-
-	// In ms. New connections are no longer accepted this long before the exit; refusing a
-	// request takes a few ms.
-	private static final long ACCEPT_STOP_MARGIN_MS = 300;
-
-	private static final long DRAIN_POLL_MS = 50;
+	private static final long DEREGISTER_TIMEOUT_MS = 400;
 
 	// In ms. As for tunnels: a VM that does not accept a connection by then is cut off or
 	// has ended.
@@ -102,6 +92,8 @@
 
 	private final VmLoadSampler loadSampler;
 
+	private final CallerConnections callers = new CallerConnections();
+
 	private final CallerIngress ingress;
 
 	private final EntryVm self;
@@ -184,7 +176,10 @@
 		this.metrics.registry().gauge("transit.held-bytes", () -> budget::held);
 		this.metrics.registry().gauge("transit.held-for", () -> budget::holders);
 		this.metrics.registry().gauge("transit.cut", () -> budget::cuts);
-		this.ingress = new CallerIngress(s.callers(), this.loop, this.gateway, this.clock, load.release(), budget);
+		this.metrics.registry().gauge("callers.connections", () -> this.callers::openCount);
+		this.metrics.registry().gauge("callers.owed", () -> this.callers::owedCount);
+		this.ingress = new CallerIngress(s.callers(), this.loop, this.gateway, this.clock, load.release(), budget,
+				this.callers);
 	}
 
 	private VmLoad vmLoad() {
@@ -278,45 +273,33 @@
 
 	/**
 	 * Drains this VM: stops reporting ready and being returned by lookups, serves late
-	 * arrivals, waits for requests in progress until the end of the grace period and
-	 * closes all sockets. The grace period runs from the signal, which may have come
-	 * while this VM was starting.
+	 * arrivals, waits until nothing is owed or the grace period ends and closes all
+	 * sockets. The grace period runs from the signal, which may have come while this VM
+	 * was starting.
 	 * @param toldAt when the signal came, on the clock of {@link #nowMs}
 	 */
 	void drain(long toldAt) {
-		long drainDeadline = toldAt + this.settings.graceMs() - EXIT_MARGIN_MS;
-		long lateDeadline = toldAt + Math.min(LATE_REQUEST_WINDOW_MS, this.settings.graceMs() / 2);
+		DrainTimes times = DrainTimes.of(toldAt, this.settings.graceMs());
 		long now = this.clock.getAsLong();
 		Logger.info("[run] stopping in-progress={} told-ms-ago={}", this.gateway.inProgress(), now - toldAt);
-		this.loop.execute(() -> beginDrain(lateDeadline, drainDeadline));
-		sleep(lateDeadline - now);
-		this.loop.execute(this.tunnels::drain);
-		// The listening socket stays open until just before the end. Callers with a
-		// cached address would otherwise be refused while the last streams still run
-		// here. While the store is unavailable they keep the address, because other VMs
-		// do not learn that this one is leaving, and a newly started VM has no
-		// configuration.
-		while (this.clock.getAsLong() < drainDeadline - ACCEPT_STOP_MARGIN_MS
-				&& (callsInProgress() || this.watcher.storeUnavailable())) {
-			sleep(DRAIN_POLL_MS);
-		}
-		this.servers.get(0).dispose();
-		this.loop.execute(this.ingress::closeIdle);
-		while (callsInProgress() && this.clock.getAsLong() < drainDeadline) {
-			sleep(DRAIN_POLL_MS);
-		}
-		Logger.info("[run] stopped left-in-progress={}", this.gateway.inProgress());
-		if (this.gateway.inProgress() > 0) {
-			this.loop.execute(this.gateway::endOpenRequests);
-			sleep(LAST_WRITES_MS);
-		}
-		this.loop.execute(this.ingress::logUnfinished);
+		this.loop.execute(this::leave);
+		Future<Void> done = new VmDrain(this.loop, this.clock, this.gateway, this.callers, this.tunnels,
+				this.watcher::storeUnavailable, times)
+			.start(this.servers.get(0)::dispose);
+		awaitDrain(done, Math.max(0, times.closeAt() - now) + DRAIN_SLACK_MS);
 		close();
 	}
 
-	// Those of other VMs that go through this one are in progress, too.
-	private boolean callsInProgress() {
-		return this.gateway.inProgress() > 0 || this.tunnels.openTunnels() > 0;
+	private static void awaitDrain(Future<Void> done, long timeoutMs) {
+		try {
+			done.get(timeoutMs, TimeUnit.MILLISECONDS);
+		}
+		catch (TimeoutException | ExecutionException ex) {
+			Logger.warn("[run] drain not finished seen=\"{}\"", ex.toString());
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
 	}
 
 	/**
@@ -368,21 +351,11 @@
 		return this.servers.get(2).port();
 	}
 
-	private void beginDrain(long lateDeadline, long drainDeadline) {
+	private void leave() {
 		this.draining = true;
-		this.gateway.drain(lateDeadline, drainDeadline);
 		this.stages.stop();
 		this.ingress.closeAfterResponses();
-		this.registration.deregister().timeout(Duration.ofMillis(EXIT_MARGIN_MS)).onErrorComplete().subscribe();
-	}
-
-	private static void sleep(long ms) {
-		try {
-			TimeUnit.MILLISECONDS.sleep(ms);
-		}
-		catch (InterruptedException ex) {
-			Thread.currentThread().interrupt();
-		}
+		this.registration.deregister().timeout(Duration.ofMillis(DEREGISTER_TIMEOUT_MS)).onErrorComplete().subscribe();
 	}
 
 }
--- a/src/test/java/io/shallotspur/platform/DrainTests.java
+++ b/src/test/java/io/shallotspur/platform/DrainTests.java
@@ -1,10 +1,20 @@
 package io.shallotspur.platform;
 
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetSocketAddress;
+import java.net.Socket;
 import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CompletableFuture;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 
 import org.assertj.core.api.Assertions;
 import org.junit.jupiter.api.Test;
+import org.reactivestreams.Publisher;
+import reactor.core.publisher.Flux;
+import reactor.netty.http.server.HttpServerResponse;
 
 /**
  * End-to-end tests of a VM that was told to stop.
@@ -13,6 +23,12 @@
 
 	private static final long GRACE_MS = 8_000;
 
+	private static final int RECEIVE_BUFFER_BYTES = 4 << 10;
+
+	private static final int PARTS = 5;
+
+	private static final int PART_BYTES = 100_000;
+
 	// Guards against a VM that is killed while it serves, since it was told to stop while
 	// it started and counts its grace period from the end of the start.
 	@Test
@@ -27,4 +43,49 @@
 		Assertions.assertThat(c.join().body()).isEqualTo("leaving");
 	}
 
+	// Guards against a VM that ends while it holds an answer, which its worker has sent
+	// whole and its caller reads slowly.
+	@Test
+	void anAnswerThatItsCallerHasNotReadYetIsOwed() throws IOException, InterruptedException {
+		this.p1.nextBehaviours.add(DrainTests::largeAnswer);
+		this.p2.nextBehaviours.add(DrainTests::largeAnswer);
+		try (Socket s = new Socket()) {
+			s.setReceiveBufferSize(RECEIVE_BUFFER_BYTES);
+			s.connect(new InetSocketAddress("127.0.0.1", this.vm.callersPort()));
+			s.getOutputStream()
+				.write("GET /safe/large HTTP/1.1\r\nHost: 127.0.0.1\r\nX-Request-Id: r\r\nX-Deadline-Ms: 60000\r\n\r\n"
+					.getBytes(StandardCharsets.US_ASCII));
+			await(() -> count("relay_answered_s_count") == 1);
+			Assertions.assertThat(count("transit_held_bytes")).isPositive();
+			Thread t = new Thread(() -> this.vm.drain(PlatformVm.nowMs()));
+			t.start();
+			t.join(GRACE_MS / 2);
+			Assertions.assertThat(readAll(s.getInputStream())).endsWith("0\r\n\r\n");
+			t.join();
+		}
+	}
+
+	// Guards against requests that are refused at once and stay counted on their
+	// connection, which is then never taken for idle, and held for good.
+	@Test
+	void nothingIsOwedAfterARefusal() {
+		for (int i = 0; i < 3; i++) {
+			Assertions.assertThat(send(request("/unknown/x").build()).statusCode()).isEqualTo(404);
+		}
+		await(() -> metrics().contains("callers_owed 0"));
+	}
+
+	private long count(String metric) {
+		Matcher m = Pattern.compile("(?m)^" + metric + "\\S* ([0-9.E]+)$").matcher(metrics());
+		return m.find() ? (long) Double.parseDouble(m.group(1)) : 0;
+	}
+
+	private static Publisher<Void> largeAnswer(HttpServerResponse s) {
+		return s.header("X-Server-Stamp", "x").sendByteArray(Flux.range(0, PARTS).map((i) -> new byte[PART_BYTES]));
+	}
+
+	private static String readAll(InputStream in) throws IOException {
+		return new String(in.readAllBytes(), StandardCharsets.ISO_8859_1);
+	}
+
 }
