Own interface: a leaving VM waits for what callers have not taken of their answers

Callers could see: an answer that breaks off as its VM leaves, though the grace time is not over and the answer is ready. EntryVm.drain waits for the requests that the handler counts, and these end when an answer is handed to its connection; FrontEnd.stop then closes all connections. Requests whose body was coming in belonged to no count. Found by looking for the same cause elsewhere; no run of real processes has shown it. Change: the front end counts requests from their head until the answer is handed over, and connections with unwritten bytes; the drain waits for that, too, within its grace time.

--- a/src/main/java/io/shallotspur/adapter/caller/CallerServer.java
+++ b/src/main/java/io/shallotspur/adapter/caller/CallerServer.java
@@ -3,8 +3,10 @@
 import java.time.Duration;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
 
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import org.jspecify.annotations.Nullable;
@@ -38,6 +40,9 @@
 
 	private final Set<Connection> connections = ConcurrentHashMap.newKeySet();
 
+	// Requests whose heads were read and whose answers are not handed over whole.
+	private final AtomicInteger exchanges = new AtomicInteger();
+
 	private volatile boolean draining;
 
 	private volatile @Nullable DisposableServer server;
@@ -88,6 +93,17 @@
 		});
 	}
 
+	@Override
+	public int openAnswers() {
+		int unwritten = (int) this.connections.stream().filter(CallerServer::hasUnwritten).count();
+		return Math.max(this.exchanges.get(), unwritten);
+	}
+
+	private static boolean hasUnwritten(Connection c) {
+		ChannelOutboundBuffer b = c.channel().unsafe().outboundBuffer();
+		return b != null && b.totalPendingWriteBytes() > 0;
+	}
+
 	/**
 	 * Returns how many connections are open.
 	 * @return the number
@@ -127,7 +143,10 @@
 		if (this.draining) {
 			res.header(HttpHeaderNames.CONNECTION, "close");
 		}
-		return routes.handle(req, res).onErrorResume((ex) -> problem(res, ex));
+		this.exchanges.incrementAndGet();
+		return routes.handle(req, res)
+			.onErrorResume((ex) -> problem(res, ex))
+			.doFinally((s) -> this.exchanges.decrementAndGet());
 	}
 
 	private static Mono<Void> problem(HttpServerResponse res, Throwable ex) {
--- a/src/main/java/io/shallotspur/node/EntryVm.java
+++ b/src/main/java/io/shallotspur/node/EntryVm.java
@@ -98,7 +98,7 @@
 
 	/**
 	 * Leaves in good order: tells the others, takes no new work, and waits for the
-	 * requests in progress.
+	 * requests in progress and for what callers have not taken of their answers.
 	 * @return completes when no request is left
 	 */
 	public Mono<Void> drain() {
@@ -108,7 +108,7 @@
 				.concatMap(NodePart::drain)
 				.then(Mono.fromRunnable(this::refuseNew))
 				.thenMany(Flux.interval(DRAIN_POLL))
-				.takeUntil((i) -> openRequests() == 0)
+				.takeUntil((i) -> openRequests() == 0 && this.frontEnd.openAnswers() == 0)
 				.then();
 		});
 	}
--- a/src/main/java/io/shallotspur/node/FrontEnd.java
+++ b/src/main/java/io/shallotspur/node/FrontEnd.java
@@ -19,6 +19,13 @@
 	 */
 	void drain();
 
+	/**
+	 * Returns how many requests were read whose answers callers' connections have not
+	 * passed on whole.
+	 * @return the number
+	 */
+	int openAnswers();
+
 	/**
 	 * Stops to listen and closes the connections.
 	 * @return completes when they are closed
