Workers whose bytes come without end are read no further

Callers would see: a VM that runs out of memory or whose processor is used up. Workers in trouble may send bytes that are no answer without end, in the head or the body, until the caller closes. Cause: bodies of reservations, prefills and reports were gathered whatever their length; of releases and orders only the head was awaited, and the rest read for good, as no time limit held for it; interim responses (100) were read until the deadline of the request. Class: bytes of another process that are held or read without a bound. Runs were bounded before: heads by the decoder, events of a stream at 1 MB, bodies by the caller's flow and deadline. Open: the store's responses are not bounded; the platform states that of workers.

--- a/src/main/java/io/shallotspur/platform/HttpStagePort.java
+++ b/src/main/java/io/shallotspur/platform/HttpStagePort.java
@@ -53,9 +53,8 @@
 	@Override
 	public Mono<StageReport> report(WorkerInfo worker) {
 		return this.workers.call(HttpMethod.GET, worker, PlatformNames.REPORT_PATH)
-			.responseSingle((r, content) -> content.asByteArray()
-				.defaultIfEmpty(new byte[0])
-				.flatMap((b) -> report(worker, r.status().code(), b)))
+			.response((r, content) -> ControlBody.read(content).flatMap((b) -> report(worker, r.status().code(), b)))
+			.single()
 			.timeout(Duration.ofMillis(TIMEOUT_MS), this.timeouts)
 			.onErrorMap((ex) -> workerLost(worker, ex));
 	}
@@ -86,8 +85,8 @@
 			.put("fencing_token", o.fencingToken())
 			.put("expected", o.expectedOrderCount());
 		return this.workers.post(o.worker(), PlatformNames.ORDER_PATH, n)
-			.response()
-			.map((r) -> result(r.status().code()))
+			.response((r, content) -> ControlBody.read(content).map((b) -> result(r.status().code())))
+			.single()
 			.timeout(Duration.ofMillis(TIMEOUT_MS), this.timeouts)
 			.onErrorMap((ex) -> workerLost(o.worker(), ex));
 	}
--- a/src/main/java/io/shallotspur/platform/HttpWorkerPort.java
+++ b/src/main/java/io/shallotspur/platform/HttpWorkerPort.java
@@ -113,6 +113,7 @@
 			.followRedirect(false)
 			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
 			.option(ChannelOption.TCP_NODELAY, true)
+			.doOnConnected((c) -> c.addHandlerLast(new InterimResponseLimit()))
 			.headers((h) -> h.remove(HttpHeaderNames.USER_AGENT));
 	}
 
@@ -161,9 +162,8 @@
 	public Exchange prefill(WorkerCall call, PrefillListener listener) {
 		SendState state = new SendState();
 		Disposable d = send(call, StoreEntryCodec.encode(WorkerStage.PREFILL), state)
-			.responseSingle((r, content) -> content.asByteArray()
-				.defaultIfEmpty(new byte[0])
-				.map((b) -> prefillResponse(call.request(), r, b)))
+			.response((r, content) -> ControlBody.read(content).map((b) -> prefillResponse(call.request(), r, b)))
+			.single()
 			.subscribe((p) -> notifyListener(p, listener), (ex) -> listener.onFailure(failure(state, ex)));
 		return d::dispose;
 	}
@@ -217,9 +217,10 @@
 
 	private void delete(WorkerInfo worker, String path) {
 		this.workerClient.call(HttpMethod.DELETE, worker, path)
-			.response()
+			.response((r, content) -> ControlBody.read(content))
+			.single()
 			.timeout(Duration.ofMillis(CONTROL_CALL_TIMEOUT_MS), this.loop.scheduler())
-			.subscribe((r) -> {
+			.subscribe((b) -> {
 			}, (ex) -> Logger.info("[platform] release failed worker={} path={} seen=\"{}\"", worker.id(), path,
 					ex.toString()));
 	}
@@ -230,8 +231,8 @@
 		SendState state = new SendState();
 		HttpClient client = this.workerClient.expecting(worker).doOnRequest((r, c) -> state.sent = true);
 		WorkerClient.post(client, worker, PlatformNames.RESERVE_PATH, body)
-			.responseSingle((r,
-					content) -> content.asByteArray().defaultIfEmpty(new byte[0]).map((b) -> reservationResponse(r, b)))
+			.response((r, content) -> ControlBody.read(content).map((b) -> reservationResponse(r, b)))
+			.single()
 			.timeout(Duration.ofMillis(CONTROL_CALL_TIMEOUT_MS), this.loop.scheduler())
 			.subscribe((h) -> notifyListener(h, listener), (ex) -> listener.onFailure(failure(state, ex)));
 	}
