Stop soak: workers that take few streams at a time

Cause: in the record of the incident, workers refused requests as full; in the soak none ever waited at a VM or was refused by a worker.

--- a/src/test/java/io/shallotspur/platform/soak/StopRun.java
+++ b/src/test/java/io/shallotspur/platform/soak/StopRun.java
@@ -49,14 +49,14 @@
 
 	private final List<Thread> threads = new ArrayList<>();
 
-	StopRun(long seed, int vms, long lengthMs, Path dir, FreePorts ports) throws IOException {
+	StopRun(long seed, int vms, long lengthMs, int streams, Path dir, FreePorts ports) throws IOException {
 		this.seed = seed;
 		this.lengthMs = lengthMs;
 		this.store.put("op/config", CONFIGURATION);
 		for (int i = 0; i < 2; i++) {
-			this.workers.add(new StopWorker("a" + i, "app", "", this.store, this.checker));
-			this.workers.add(new StopWorker("f" + i, "llm", "prefill", this.store, this.checker));
-			this.workers.add(new StopWorker("d" + i, "llm", "decode", this.store, this.checker));
+			this.workers.add(new StopWorker("a" + i, "app", "", streams, this.store, this.checker));
+			this.workers.add(new StopWorker("f" + i, "llm", "prefill", streams, this.store, this.checker));
+			this.workers.add(new StopWorker("d" + i, "llm", "decode", streams, this.store, this.checker));
 		}
 		for (int i = 0; i < vms; i++) {
 			this.vms.add(new VmProcess(i, dir, ports.choose(VmProcess.PORTS), this.store.address().port()));
--- a/src/test/java/io/shallotspur/platform/soak/StopWorker.java
+++ b/src/test/java/io/shallotspur/platform/soak/StopWorker.java
@@ -2,6 +2,9 @@
 
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 
 import io.netty.buffer.ByteBuf;
@@ -32,6 +35,10 @@
 	/** The bytes in each of them. */
 	static final String EVENT_BYTES = "X-Event-Bytes";
 
+	private static final String RELEASE = "/api/hold-drop/";
+
+	private static final Duration HOLD_TIME = Duration.ofSeconds(2);
+
 	private static final Duration PREFILL_TIME = Duration.ofMillis(40);
 
 	private final String id;
@@ -40,10 +47,26 @@
 
 	private final AtomicLong sequence = new AtomicLong();
 
+	private final int streams;
+
+	private final Set<String> holds = ConcurrentHashMap.newKeySet();
+
+	private final AtomicInteger running = new AtomicInteger();
+
 	private final DisposableServer server;
 
-	StopWorker(String id, String upstream, String stage, FakeStore store, LossChecker checker) {
+	/**
+	 * Starts a worker and registers it.
+	 * @param id its id
+	 * @param upstream its upstream
+	 * @param stage its stage; empty for a plain worker
+	 * @param streams how many streams it takes at a time
+	 * @param store the store
+	 * @param checker hears of its runs
+	 */
+	StopWorker(String id, String upstream, String stage, int streams, FakeStore store, LossChecker checker) {
 		this.id = id;
+		this.streams = streams;
 		this.checker = checker;
 		this.server = HttpServer.create().host("127.0.0.1").port(0).handle(this::handle).bindNow();
 		store.put("servers/" + id, """
@@ -76,7 +99,10 @@
 		String request = h.get("X-Request-Id", "");
 		s.header("X-Request-Id", request);
 		if (q.uri().equals("/api/hold-take")) {
-			return s.sendString(Mono.just("{\"hold\":\"h" + this.sequence.incrementAndGet() + "\"}"));
+			return reserve(s);
+		}
+		if (q.uri().startsWith(RELEASE)) {
+			this.holds.remove(q.uri().substring(RELEASE.length()));
 		}
 		if (q.uri().startsWith("/api/")) {
 			return s.send();
@@ -88,16 +114,33 @@
 		return run(request, h, s);
 	}
 
+	private synchronized Publisher<Void> reserve(HttpServerResponse s) {
+		if (this.holds.size() + this.running.get() >= this.streams) {
+			return s.status(503).send();
+		}
+		String hold = "h" + this.sequence.incrementAndGet();
+		this.holds.add(hold);
+		Mono.delay(HOLD_TIME).subscribe((t) -> this.holds.remove(hold));
+		return s.sendString(Mono.just("{\"hold\":\"" + hold + "\"}"));
+	}
+
 	private Publisher<Void> run(String request, HttpHeaders h, HttpServerResponse s) {
 		this.checker.onRunStarted(request);
+		boolean reserved = h.contains("X-Hold");
+		if (reserved) {
+			this.running.incrementAndGet();
+			this.holds.remove(h.get("X-Hold"));
+		}
 		int events = h.getInt(EVENTS, 1);
 		int bytes = h.getInt(EVENT_BYTES, 0);
 		Flux<ByteBuf> answer = Flux.range(1, events)
 			.delayElements(Duration.ofMillis(h.getInt(PAUSE, 1)))
 			.map((i) -> Unpooled.copiedBuffer(event(request, i, bytes), StandardCharsets.US_ASCII));
 		s.header("X-Server-Stamp", "stamp-" + this.id).header("Content-Type", "text/event-stream");
-		return Mono.from(s.send(answer, (b) -> true))
-			.doFinally((x) -> this.checker.onRunEnded(request, InvariantChecker.nowMs()));
+		return Mono.from(s.send(answer, (b) -> true)).doFinally((x) -> {
+			this.running.addAndGet(reserved ? -1 : 0);
+			this.checker.onRunEnded(request, InvariantChecker.nowMs());
+		});
 	}
 
 }
