--- a/src/test/java/io/shallotspur/platform/DrainTests.java
+++ b/src/test/java/io/shallotspur/platform/DrainTests.java
@@ -24,6 +24,9 @@
 
 	private static final long GRACE_MS = 8_000;
 
+	// What is left of the grace period, ms.
+	private static final long SHORT_DRAIN_MS = 2_000;
+
 	private static final int RECEIVE_BUFFER_BYTES = 4 << 10;
 
 	private static final int PARTS = 5;
@@ -94,6 +97,27 @@
 		}
 	}
 
+	// Guards against a drain that never ends, since store, worker and caller are silent.
+	@Test
+	void theDrainEndsWhileStoreWorkerAndCallerAreSilent() throws IOException, InterruptedException {
+		this.p1.nextBehaviours.add(DrainTests::largeAnswer);
+		this.p2.nextBehaviours.add(DrainTests::largeAnswer);
+		this.d1.nextBehaviours.add(this.d1::noResponse);
+		try (Socket s = new Socket()) {
+			s.setReceiveBufferSize(RECEIVE_BUFFER_BYTES);
+			s.connect(new InetSocketAddress("127.0.0.1", this.vm.callersPort()));
+			s.getOutputStream()
+				.write("GET /safe/large HTTP/1.1\r\nHost: 127.0.0.1\r\nX-Request-Id: r\r\nX-Deadline-Ms: 60000\r\n\r\n"
+					.getBytes(StandardCharsets.US_ASCII));
+			CompletableFuture<HttpResponse<String>> c = this.client.sendAsync(request("/model/x").build(),
+					HttpResponse.BodyHandlers.ofString());
+			await(() -> this.d1.receivedRequests.size() == 1 && count("transit_held_bytes") > 0);
+			this.store.setUnavailable(true);
+			this.vm.drain(PlatformVm.nowMs() - GRACE_MS + SHORT_DRAIN_MS);
+			Assertions.assertThat(c.join().statusCode()).isEqualTo(504);
+		}
+	}
+
 	// Guards against requests that are refused at once and stay counted on their
 	// connection, which is then never taken for idle, and held for good.
 	@Test
