What a slow reader has not got at the end of its VM is handed to the kernel

Callers saw, beside load (load average 25): an answer that its worker had sent whole 3.9 s after SIGTERM, cut; the VM closed with 56,415 bytes of it unwritten when its grace period was over. Cause: the send buffer of a connection is kept small (128 KB) so that a caller that does not read holds little; the rest waits in the process and ends with it. Class: bytes left where they die, though the kernel delivers what it holds after a process has ended. DrainTests.theKernelDeliversWhatIsLeftAfterTheEnd fails without the step (an answer of 300 KB, nothing of it read until the VM has ended) and passes with it. Where a host allows no larger buffers, the old bound holds.

--- a/src/main/java/io/shallotspur/platform/CallerConnections.java
+++ b/src/main/java/io/shallotspur/platform/CallerConnections.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelOption;
 
 /**
  * The connections of callers and what is owed on them. Confined to the event loop.
@@ -16,6 +17,9 @@
  */
 final class CallerConnections {
 
+	// More than the kernel allows.
+	private static final int LAST_SEND_BUFFER_BYTES = 16 << 20;
+
 	private final Set<Channel> open = new HashSet<>();
 
 	private long openedCount;
@@ -55,6 +59,16 @@
 		return this.requests.containsKey(c) || PendingWrites.of(c).bytes() > 0;
 	}
 
+	/**
+	 * Lets the kernel take over what callers have not read yet. It delivers that also
+	 * after this process has ended.
+	 */
+	void growSendBuffers() {
+		this.open.stream()
+			.filter((c) -> PendingWrites.of(c).bytes() > 0)
+			.forEach((c) -> c.config().setOption(ChannelOption.SO_SNDBUF, LAST_SEND_BUFFER_BYTES));
+	}
+
 	/**
 	 * Closes all connections, whatever is owed on them.
 	 */
--- a/src/main/java/io/shallotspur/platform/VmDrain.java
+++ b/src/main/java/io/shallotspur/platform/VmDrain.java
@@ -121,6 +121,7 @@
 		if (!this.ended && now >= this.times.endAt()) {
 			this.ended = true;
 			this.gateway.endOpenRequests();
+			this.callers.growSendBuffers();
 		}
 		if (this.quietReads >= MIN_QUIET_READS || now >= this.times.closeAt()) {
 			Logger.info("[run] stopped left: requests={} connections={} unwritten-bytes={} tunnels={}",
--- a/src/test/java/io/shallotspur/platform/DrainTests.java
+++ b/src/test/java/io/shallotspur/platform/DrainTests.java
@@ -53,12 +53,7 @@
 	void anAnswerThatItsCallerHasNotReadYetIsOwed() throws IOException, InterruptedException {
 		this.p1.nextBehaviours.add(DrainTests::largeAnswer);
 		this.p2.nextBehaviours.add(DrainTests::largeAnswer);
-		try (Socket s = new Socket()) {
-			s.setReceiveBufferSize(RECEIVE_BUFFER_BYTES);
-			s.connect(new InetSocketAddress("127.0.0.1", this.vm.callersPort()));
-			s.getOutputStream()
-				.write("GET /safe/large HTTP/1.1\r\nHost: 127.0.0.1\r\nX-Request-Id: r\r\nX-Deadline-Ms: 60000\r\n\r\n"
-					.getBytes(StandardCharsets.US_ASCII));
+		try (Socket s = callLarge()) {
 			await(() -> count("relay_answered_s_count") == 1);
 			Assertions.assertThat(count("transit_held_bytes")).isPositive();
 			Thread t = new Thread(() -> this.vm.drain(PlatformVm.nowMs()));
@@ -97,24 +92,34 @@
 		}
 	}
 
+	// Guards against the end of an answer that is lost with its VM, since its caller has
+	// not read so far when the grace period ends.
+	@Test
+	void theKernelDeliversWhatIsLeftAfterTheEnd() throws IOException {
+		this.p1.nextBehaviours.add(DrainTests::answerBeyondTheSendBuffer);
+		this.p2.nextBehaviours.add(DrainTests::answerBeyondTheSendBuffer);
+		try (Socket s = callLarge()) {
+			await(() -> count("relay_answered_s_count") == 1);
+			Assertions.assertThat(count("transit_held_bytes")).isPositive();
+			this.vm.drain(PlatformVm.nowMs() - GRACE_MS + SHORT_DRAIN_MS);
+			Assertions.assertThat(readAll(s.getInputStream())).endsWith("0\r\n\r\n");
+		}
+	}
+
 	// Guards against a drain that never ends, since store, worker and caller are silent.
 	@Test
 	void theDrainEndsWhileStoreWorkerAndCallerAreSilent() throws IOException, InterruptedException {
 		this.p1.nextBehaviours.add(DrainTests::largeAnswer);
 		this.p2.nextBehaviours.add(DrainTests::largeAnswer);
 		this.d1.nextBehaviours.add(this.d1::noResponse);
-		try (Socket s = new Socket()) {
-			s.setReceiveBufferSize(RECEIVE_BUFFER_BYTES);
-			s.connect(new InetSocketAddress("127.0.0.1", this.vm.callersPort()));
-			s.getOutputStream()
-				.write("GET /safe/large HTTP/1.1\r\nHost: 127.0.0.1\r\nX-Request-Id: r\r\nX-Deadline-Ms: 60000\r\n\r\n"
-					.getBytes(StandardCharsets.US_ASCII));
+		try (Socket s = callLarge()) {
 			CompletableFuture<HttpResponse<String>> c = this.client.sendAsync(request("/model/x").build(),
 					HttpResponse.BodyHandlers.ofString());
 			await(() -> this.d1.receivedRequests.size() == 1 && count("transit_held_bytes") > 0);
 			this.store.setUnavailable(true);
 			this.vm.drain(PlatformVm.nowMs() - GRACE_MS + SHORT_DRAIN_MS);
 			Assertions.assertThat(c.join().statusCode()).isEqualTo(504);
+			Assertions.assertThat(s.isConnected()).isTrue();
 		}
 	}
 
@@ -128,13 +133,32 @@
 		await(() -> metrics().contains("callers_owed 0"));
 	}
 
+	// Nothing of the answer is read.
+	private Socket callLarge() throws IOException {
+		Socket s = new Socket();
+		s.setReceiveBufferSize(RECEIVE_BUFFER_BYTES);
+		s.connect(new InetSocketAddress("127.0.0.1", this.vm.callersPort()));
+		s.getOutputStream()
+			.write("GET /safe/large HTTP/1.1\r\nHost: 127.0.0.1\r\nX-Request-Id: r\r\nX-Deadline-Ms: 60000\r\n\r\n"
+				.getBytes(StandardCharsets.US_ASCII));
+		return s;
+	}
+
 	private long count(String metric) {
 		Matcher m = Pattern.compile("(?m)^" + metric + "\\S* ([0-9.E]+)$").matcher(metrics());
 		return m.find() ? (long) Double.parseDouble(m.group(1)) : 0;
 	}
 
 	private static Publisher<Void> largeAnswer(HttpServerResponse s) {
-		return s.header("X-Server-Stamp", "x").sendByteArray(Flux.range(0, PARTS).map((i) -> new byte[PART_BYTES]));
+		return answer(s, PARTS);
+	}
+
+	private static Publisher<Void> answerBeyondTheSendBuffer(HttpServerResponse s) {
+		return answer(s, PARTS - 2);
+	}
+
+	private static Publisher<Void> answer(HttpServerResponse s, int parts) {
+		return s.header("X-Server-Stamp", "x").sendByteArray(Flux.range(0, parts).map((i) -> new byte[PART_BYTES]));
 	}
 
 	private static String readAll(InputStream in) throws IOException {
