Own interface: a path that cannot be decoded gets a 400 and is not counted for good

Change: the handler runs inside the publisher, so that the count falls however it ends; the path is refused as malformed. Evidence: CallerServerTests.aRequestWhosePathCannotBeDecodedIsNotOpen failed before (counted after 20 s), passes now; with BadInputTests, CallerGoneTests, ForwardTests, WholePathTests and LayeringTests 41 tests pass.

--- a/src/main/java/io/shallotspur/adapter/caller/CallerRoutes.java
+++ b/src/main/java/io/shallotspur/adapter/caller/CallerRoutes.java
@@ -62,7 +62,13 @@
 	}
 
 	Mono<Void> handle(HttpServerRequest req, HttpServerResponse res) {
-		String path = new QueryStringDecoder(req.uri()).path();
+		String path;
+		try {
+			path = new QueryStringDecoder(req.uri()).path();
+		}
+		catch (IllegalArgumentException ex) {
+			return Mono.error(malformed("The path cannot be decoded: " + ex.getMessage()));
+		}
 		if (path.equals(LOCATE) && req.method().equals(HttpMethod.GET)) {
 			return locate(req, res);
 		}
--- a/src/main/java/io/shallotspur/adapter/caller/CallerServer.java
+++ b/src/main/java/io/shallotspur/adapter/caller/CallerServer.java
@@ -144,7 +144,7 @@
 			res.header(HttpHeaderNames.CONNECTION, "close");
 		}
 		this.exchanges.incrementAndGet();
-		return routes.handle(req, res)
+		return Mono.defer(() -> routes.handle(req, res))
 			.onErrorResume((ex) -> problem(res, ex))
 			.doFinally((s) -> this.exchanges.decrementAndGet());
 	}
--- a/src/test/java/io/shallotspur/adapter/caller/CallerServerTests.java
+++ b/src/test/java/io/shallotspur/adapter/caller/CallerServerTests.java
@@ -55,6 +55,26 @@
 		}
 	}
 
+	// Guards against a request that fails before it is handled and stays counted, so that
+	// a VM that leaves waits for the whole of its grace time.
+	@Test
+	void aRequestWhosePathCannotBeDecodedIsNotOpen() throws IOException {
+		CallerServer server = new CallerServer(CallerSettings.defaults());
+		String address = server.start(new LargeAnswers()).block(TIMEOUT);
+		Assertions.assertThat(address).isNotNull();
+		int port = Integer.parseInt(address.substring(address.lastIndexOf(':') + 1));
+		try (Socket s = new Socket("127.0.0.1", port)) {
+			s.getOutputStream()
+				.write("GET /%zz HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+			Assertions.assertThat(new String(s.getInputStream().readAllBytes(), StandardCharsets.US_ASCII))
+				.startsWith("HTTP/1.1 400");
+			await(() -> server.openAnswers() == 0);
+		}
+		finally {
+			server.stop().block(TIMEOUT);
+		}
+	}
+
 	private static long skipBody(InputStream in) throws IOException {
 		byte[] buffer = new byte[1 << 20];
 		long n = 0;
