Orders: the log tells by which connection an order leaves, and how it is answered

Cause: a line for an order named the worker, the token and the count, but not the way. Whether a worker took an order for one of another machine could not be told from the logs of any VM.

Change: 'order sent' has the worker's address and both ends of the connection, 'order answered' the result.

--- a/src/main/java/io/shallotspur/platform/HttpStagePort.java
+++ b/src/main/java/io/shallotspur/platform/HttpStagePort.java
@@ -6,9 +6,12 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.netty.channel.Channel;
 import io.netty.handler.codec.http.HttpMethod;
+import org.tinylog.Logger;
 import reactor.core.publisher.Mono;
 import reactor.core.scheduler.Scheduler;
+import reactor.netty.http.client.HttpClient;
 
 import io.shallotspur.exc.EngineLostException;
 import io.shallotspur.gateway.WorkerInfo;
@@ -84,13 +87,20 @@
 			.put("holder", o.holder())
 			.put("fencing_token", o.fencingToken())
 			.put("expected", o.expectedOrderCount());
-		return this.workers.post(o.worker(), PlatformNames.ORDER_PATH, n)
+		HttpClient client = this.workers.expecting(o.worker()).doOnRequest((r, c) -> logSent(o, c.channel()));
+		return WorkerClient.post(client, o.worker(), PlatformNames.ORDER_PATH, n)
 			.response((r, content) -> ControlBody.read(content).map((b) -> result(r.status().code())))
 			.single()
 			.timeout(Duration.ofMillis(TIMEOUT_MS), this.timeouts)
 			.onErrorMap((ex) -> workerLost(o.worker(), ex));
 	}
 
+	// The worker takes the machine at the other end of the connection for the sender.
+	private static void logSent(StageOrder o, Channel connection) {
+		Logger.info("[stage] order sent worker={} fence={} worker-address={} from={} to={}", o.worker().id(),
+				o.fencingToken(), o.worker().address(), connection.localAddress(), connection.remoteAddress());
+	}
+
 	private static OrderResult result(int status) {
 		return switch (status) {
 			case OK, ACCEPTED -> OrderResult.ACCEPTED;
--- a/src/main/java/io/shallotspur/stage/StageChangeTask.java
+++ b/src/main/java/io/shallotspur/stage/StageChangeTask.java
@@ -190,6 +190,7 @@
 	}
 
 	private void onOrderResult(OrderResult r) {
+		Logger.info("[stage] order answered worker={} result={}", this.worker.id(), r);
 		switch (r) {
 			case ACCEPTED, CONFLICT -> schedulePoll();
 			case FENCED, REPLACED, REFUSED -> fail("order rejected: " + r);
