Orders reach a worker from their holder's machine or not at all

Cause: an order went by the path that requests to its worker take.

Change: orders use the direct client only; a report has no sender and may still come through another VM, so that a change in progress is followed. A change without an order is given up when the path is lost, for another worker with a path; one whose order had no answer waits up to 8 s for the path, as that order may still be carried out. The holder checks a path when its own calls have no answer: it stands by, so it has no requests from which it would learn that.

Why it works: the address at which a connection ends is the worker's own for each order, whatever the state of the paths. An order that is tried while the path is not yet known as lost fails to connect.

--- a/src/main/java/io/shallotspur/gateway/Gateway.java
+++ b/src/main/java/io/shallotspur/gateway/Gateway.java
@@ -445,6 +445,25 @@
 		return this.paths;
 	}
 
+	/**
+	 * Tells whether a call that is not to go through another VM is likely to reach a
+	 * worker.
+	 * @param worker the worker
+	 * @return {@code false} if the direct path is lost, or may be and is being checked
+	 */
+	public boolean reachesDirectly(WorkerInfo worker) {
+		return this.paths.reachesDirectly(worker, this.clock.getAsLong());
+	}
+
+	/**
+	 * Records that a call other than a request had no answer, so that the path to the
+	 * worker is checked. A VM without callers learns of lost paths in no other way.
+	 * @param worker the worker
+	 */
+	public void callUnanswered(WorkerInfo worker) {
+		this.roster.instance(worker).ifPresent((w) -> this.paths.noResponse(w, this.clock.getAsLong()));
+	}
+
 	/**
 	 * Returns the worker that another VM wants to reach through this one.
 	 * @param id the worker's id
--- a/src/main/java/io/shallotspur/gateway/WorkerPaths.java
+++ b/src/main/java/io/shallotspur/gateway/WorkerPaths.java
@@ -104,6 +104,18 @@
 		return tunnelVm(w.info()).isEmpty();
 	}
 
+	/**
+	 * Tells whether a call that is not to go through another VM is likely to arrive.
+	 * @param worker the worker
+	 * @param now the present time in milliseconds
+	 * @return {@code false} if the direct path is lost, or may be and is being checked
+	 */
+	boolean reachesDirectly(WorkerInfo worker, long now) {
+		return this.gateway.roster.instance(worker)
+			.map((w) -> !w.path().isLost() && !w.path().isUnreachable() && tunnelVm(w, now).isEmpty())
+			.orElse(true);
+	}
+
 	/**
 	 * Records that a worker has sent something.
 	 * @param w the worker
--- a/src/main/java/io/shallotspur/platform/HttpStagePort.java
+++ b/src/main/java/io/shallotspur/platform/HttpStagePort.java
@@ -24,6 +24,10 @@
 /**
  * Sends stage change orders to workers over the platform's HTTP protocol and reads their
  * reports. Confined to the event loop.
+ * <p>
+ * Invariant: an order reaches its worker from the machine of this VM or not at all. For
+ * the worker, an order that comes through another VM is one of another holder with the
+ * same fencing token. Reports have no sender and may come through another VM.
  */
 final class HttpStagePort implements StagePort {
 
@@ -87,7 +91,7 @@
 			.put("holder", o.holder())
 			.put("fencing_token", o.fencingToken())
 			.put("expected", o.expectedOrderCount());
-		HttpClient client = this.workers.expecting(o.worker()).doOnRequest((r, c) -> logSent(o, c.channel()));
+		HttpClient client = this.workers.expectingDirectly(o.worker()).doOnRequest((r, c) -> logSent(o, c.channel()));
 		return WorkerClient.post(client, o.worker(), PlatformNames.ORDER_PATH, n)
 			.response((r, content) -> ControlBody.read(content).map((b) -> result(r.status().code())))
 			.single()
--- a/src/main/java/io/shallotspur/platform/WorkerClient.java
+++ b/src/main/java/io/shallotspur/platform/WorkerClient.java
@@ -75,18 +75,8 @@
 
 	/**
 	 * Prepares a call with a JSON body.
-	 * @param worker the worker
-	 * @param path the path
-	 * @param body the body
-	 * @return the call, sent when its response is subscribed to
-	 */
-	HttpClient.ResponseReceiver<?> post(WorkerInfo worker, String path, JsonNode body) {
-		return post(expecting(worker), worker, path, body);
-	}
-
-	/**
-	 * Prepares a call with a JSON body.
-	 * @param client the client, as {@link #expecting} returns it
+	 * @param client the client, as {@link #expecting} or {@link #expectingDirectly}
+	 * returns it
 	 * @param worker the worker
 	 * @param path the path
 	 * @param body the body
@@ -101,7 +91,8 @@
 	}
 
 	/**
-	 * Prepares calls to one worker.
+	 * Prepares calls to one worker, directly or through another VM. Not for calls whose
+	 * sender matters to the worker: through another VM they come from that VM's machine.
 	 * @param worker the worker
 	 * @return the client for these calls
 	 */
@@ -110,6 +101,19 @@
 			.map((vm) -> TunnelClient.through(this.tunnelClient, tunnelAddress(vm),
 					new TunnelRequest(vm.key(), worker.id())))
 			.orElse(this.client);
+		return expecting(path, worker);
+	}
+
+	/**
+	 * Prepares calls to one worker that come from the machine of this VM or not at all.
+	 * @param worker the worker
+	 * @return the client for these calls
+	 */
+	HttpClient expectingDirectly(WorkerInfo worker) {
+		return expecting(this.client, worker);
+	}
+
+	private HttpClient expecting(HttpClient path, WorkerInfo worker) {
 		return path.headers((h) -> h.set(PlatformNames.EXPECTED_INSTANCE, worker.id()))
 			.doOnResponse((r, c) -> onResponse(worker, r, c.channel()));
 	}
--- a/src/main/java/io/shallotspur/stage/StageChangeTask.java
+++ b/src/main/java/io/shallotspur/stage/StageChangeTask.java
@@ -2,7 +2,6 @@
 
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
-import java.util.function.ToLongFunction;
 
 import org.tinylog.Logger;
 
@@ -20,8 +19,10 @@
  * worker's number of accepted orders is unchanged. It is therefore accepted at most once,
  * however late the first copy arrives.
  * <p>
- * Invariants: nothing is sent to a worker that has asked for a pause; {@code onEnd} is
- * called exactly once, at the end, with whether the change has taken effect.
+ * Invariants: nothing is sent to a worker that has asked for a pause; no order is sent
+ * while the direct path to the worker is lost, since one that arrives through another VM
+ * is one of another sender with the same fencing token; {@code onEnd} is called exactly
+ * once, at the end, with whether the change has taken effect.
  */
 final class StageChangeTask {
 
@@ -39,6 +40,12 @@
 	// the change.
 	private static final int MAX_FAILED_REPORTS = 2;
 
+	// In ms. Orders that had no answer may be carried out some seconds later; meanwhile
+	// the worker serves nobody.
+	private static final long MAX_PATH_WAIT_MS = 8_000;
+
+	private static final long NEVER = Long.MIN_VALUE;
+
 	private final Leadership leadership;
 
 	private final StagePort port;
@@ -55,7 +62,7 @@
 
 	private final long propagationMs;
 
-	private final ToLongFunction<WorkerInfo> pauseRemainingMs;
+	private final WorkerAccess access;
 
 	private final Consumer<Boolean> onEnd;
 
@@ -67,8 +74,10 @@
 
 	private long workerStartedAt;
 
+	private long pathLostAt = NEVER;
+
 	StageChangeTask(Leadership leadership, StagePort port, GatewayTimer timer, LongSupplier clock, String vmName,
-			WorkerInfo worker, WorkerStage targetStage, long propagationMs, ToLongFunction<WorkerInfo> pauseRemainingMs,
+			WorkerInfo worker, WorkerStage targetStage, long propagationMs, WorkerAccess access,
 			Consumer<Boolean> onEnd) {
 		this.leadership = leadership;
 		this.port = port;
@@ -79,7 +88,7 @@
 		this.workerStartedAt = worker.startedAt();
 		this.targetStage = targetStage;
 		this.propagationMs = propagationMs;
-		this.pauseRemainingMs = pauseRemainingMs;
+		this.access = access;
 		this.onEnd = onEnd;
 	}
 
@@ -111,7 +120,7 @@
 			fail("timed out");
 			return;
 		}
-		long pauseMs = this.pauseRemainingMs.applyAsLong(this.worker);
+		long pauseMs = this.access.pauseRemainingMs(this.worker);
 		if (pauseMs > 0) {
 			this.timer.schedule(pauseMs, this::pollReport);
 			return;
@@ -121,6 +130,7 @@
 			onReport(r);
 		}, (ex) -> {
 			Logger.info("[stage] report failed worker={} seen=\"{}\"", this.worker.id(), ex.toString());
+			this.access.onNoAnswer(this.worker);
 			if (++this.failedReports >= MAX_FAILED_REPORTS) {
 				fail("worker lost");
 			}
@@ -155,14 +165,32 @@
 		else if (this.orderCount >= MAX_ORDERS) {
 			fail("orders had no effect");
 		}
+		else if (!this.access.isDirect(this.worker)) {
+			awaitDirectPath();
+		}
 		else {
+			this.pathLostAt = NEVER;
 			confirmLeadership(r.acceptedOrders());
 		}
 	}
 
+	// An order that has had no answer may still be carried out, so the announcement stays
+	// for a while; without one, another worker may be changed instead.
+	private void awaitDirectPath() {
+		long now = this.clock.getAsLong();
+		this.pathLostAt = (this.pathLostAt == NEVER) ? now : this.pathLostAt;
+		if (this.orderCount == 0 || now - this.pathLostAt >= MAX_PATH_WAIT_MS) {
+			fail("no direct path");
+		}
+		else {
+			Logger.info("[stage] order waits for the direct path worker={}", this.worker.id());
+			schedulePoll();
+		}
+	}
+
 	private void confirmLeadership(long acceptedOrders) {
 		this.leadership.confirm().subscribe((confirmed) -> {
-			if (this.pauseRemainingMs.applyAsLong(this.worker) > 0) {
+			if (this.access.pauseRemainingMs(this.worker) > 0) {
 				schedulePoll();
 			}
 			else if (confirmed && this.leadership.mayAct(this.clock.getAsLong())) {
@@ -185,6 +213,7 @@
 				o.fencingToken(), acceptedOrders);
 		this.port.order(o).subscribe(this::onOrderResult, (ex) -> {
 			Logger.info("[stage] no response to order worker={} seen=\"{}\"", this.worker.id(), ex.toString());
+			this.access.onNoAnswer(this.worker);
 			schedulePoll();
 		});
 	}
--- a/src/main/java/io/shallotspur/stage/StageRebalancer.java
+++ b/src/main/java/io/shallotspur/stage/StageRebalancer.java
@@ -63,6 +63,8 @@
 
 	private final long propagationMs;
 
+	private final WorkerAccess access = new GatewayAccess();
+
 	private final Map<String, StageChangeTask> activeChanges = new HashMap<>();
 
 	private final Map<String, UpstreamState> upstreamStates = new HashMap<>();
@@ -186,7 +188,7 @@
 	// halls.
 	private void startChanges(List<WorkerInfo> from, List<WorkerInfo> to, int n, WorkerStage stage, long now) {
 		List<WorkerInfo> remaining = new ArrayList<>(from);
-		remaining.removeIf((w) -> pauseRemainingMs(w) > 0);
+		remaining.removeIf((w) -> this.access.pauseRemainingMs(w) > 0 || !this.access.isDirect(w));
 		for (int i = Math.min(n, remaining.size()); i > 0; i--) {
 			Comparator<WorkerInfo> order = Comparator.comparing((WorkerInfo w) -> failedRecently(w, now))
 				.thenComparingLong((WorkerInfo w) -> countInHall(to, w.hall()) - countInHall(remaining, w.hall()))
@@ -198,10 +200,6 @@
 		}
 	}
 
-	private long pauseRemainingMs(WorkerInfo w) {
-		return this.gateway.roster().pauseRemainingMs(w, this.clock.getAsLong());
-	}
-
 	private boolean failedRecently(WorkerInfo w, long now) {
 		return now - this.failedAt.getOrDefault(w.id(), Long.MIN_VALUE / 2) < REVERSAL_DELAY_MS;
 	}
@@ -212,7 +210,7 @@
 
 	private void startChange(WorkerInfo w, WorkerStage stage, long now) {
 		StageChangeTask task = new StageChangeTask(this.leadership, this.port, this.timer, this.clock, this.vmName, w,
-				stage, this.propagationMs, this::pauseRemainingMs, (succeeded) -> {
+				stage, this.propagationMs, this.access, (succeeded) -> {
 					this.activeChanges.remove(w.id());
 					this.failedAt.values().removeIf((at) -> this.clock.getAsLong() - at >= REVERSAL_DELAY_MS);
 					if (!succeeded) {
@@ -224,6 +222,28 @@
 		task.start(now);
 	}
 
+	/**
+	 * What the gateway knows.
+	 */
+	private final class GatewayAccess implements WorkerAccess {
+
+		@Override
+		public long pauseRemainingMs(WorkerInfo w) {
+			return StageRebalancer.this.gateway.roster().pauseRemainingMs(w, StageRebalancer.this.clock.getAsLong());
+		}
+
+		@Override
+		public boolean isDirect(WorkerInfo w) {
+			return StageRebalancer.this.gateway.reachesDirectly(w);
+		}
+
+		@Override
+		public void onNoAnswer(WorkerInfo w) {
+			StageRebalancer.this.gateway.callUnanswered(w);
+		}
+
+	}
+
 	/**
 	 * The throughput model and the number of requests that it is based on.
 	 */
--- a/src/test/java/io/shallotspur/platform/FakeWorker.java
+++ b/src/test/java/io/shallotspur/platform/FakeWorker.java
@@ -117,7 +117,12 @@
 	}
 
 	WorkerInfo info(WorkerStage stage) {
-		return new WorkerInfo(this.id, "llm", "127.0.0.1", this.server.port(), "hall-a", 6, stage, false, 0, 0, "v1");
+		return info(stage, this.server.port());
+	}
+
+	// The worker as a VM knows it that reaches it at another port.
+	WorkerInfo info(WorkerStage stage, int port) {
+		return new WorkerInfo(this.id, "llm", "127.0.0.1", port, "hall-a", 6, stage, false, 0, 0, "v1");
 	}
 
 	void stop() {
--- a/src/test/java/io/shallotspur/platform/HttpStagePortTests.java
+++ b/src/test/java/io/shallotspur/platform/HttpStagePortTests.java
@@ -1,7 +1,12 @@
 package io.shallotspur.platform;
 
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 
@@ -13,7 +18,9 @@
 import org.junit.jupiter.params.provider.CsvSource;
 import reactor.test.scheduler.VirtualTimeScheduler;
 
+import io.shallotspur.adapter.tunnel.TunnelServer;
 import io.shallotspur.exc.EngineLostException;
+import io.shallotspur.gateway.EntryVm;
 import io.shallotspur.gateway.WorkerInfo;
 import io.shallotspur.gateway.WorkerNotice;
 import io.shallotspur.gateway.WorkerStage;
@@ -26,6 +33,8 @@
  */
 class HttpStagePortTests {
 
+	private static final EntryVm OTHER_VM = new EntryVm("vms/other", "", "region-1", "hall-a", 1, false);
+
 	private final FakeWorker worker = new FakeWorker("d1", "decode");
 
 	private final VmEventLoop loop = new VmEventLoop();
@@ -91,6 +100,33 @@
 		Assertions.assertThat(report).isCompletedExceptionally();
 	}
 
+	// Guards against an order that reaches its worker from another machine than the
+	// holder's, because the direct path is lost and requests go through another VM.
+	@Test
+	void sendsOrdersDirectlyAndNeverThroughAnotherVm() {
+		TunnelServer tunnels = new TunnelServer(this.loop.resources().onServer(false), OTHER_VM.key(),
+				(id) -> Optional.of(new InetSocketAddress("127.0.0.1", this.worker.port())));
+		String address = "127.0.0.1:" + tunnels.bind("127.0.0.1", 0).block().getPort();
+		this.client.setPathSelector((w) -> Optional.of(OTHER_VM.withAddresses("", address, "")));
+		WorkerInfo cutOff = this.worker.info(WorkerStage.DECODE, closedPort());
+		Assertions.assertThat(this.port.report(cutOff).block().acceptedOrders()).isEqualTo(4);
+		Assertions
+			.assertThatThrownBy(
+					() -> this.port.order(new StageOrder(cutOff, WorkerStage.PREFILL, "vm-1", 40, 4)).block())
+			.hasCauseInstanceOf(EngineLostException.class);
+		Assertions.assertThat(this.worker.orders).isEmpty();
+		this.loop.execute(tunnels::close);
+	}
+
+	private static int closedPort() {
+		try (ServerSocket s = new ServerSocket(0)) {
+			return s.getLocalPort();
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
 	// The worker is down. The sender must get an error that leaves the result of the call
 	// open.
 	@Test
--- a/src/test/java/io/shallotspur/stage/FakeStagePort.java
+++ b/src/test/java/io/shallotspur/stage/FakeStagePort.java
@@ -35,6 +35,10 @@
 	// Orders are lost before they reach the worker.
 	boolean losesOrders;
 
+	// Run when an order is sent.
+	Runnable onOrder = () -> {
+	};
+
 	@Override
 	public Mono<StageReport> report(WorkerInfo worker) {
 		if (this.unresponsiveWorkers.contains(worker.id())) {
@@ -47,6 +51,7 @@
 	@Override
 	public Mono<OrderResult> order(StageOrder order) {
 		this.orders.add(order);
+		this.onOrder.run();
 		if (this.losesOrders) {
 			return Mono.error(new EngineLostException("order lost", order.worker().id()));
 		}
--- a/src/test/java/io/shallotspur/stage/StageRebalancerTests.java
+++ b/src/test/java/io/shallotspur/stage/StageRebalancerTests.java
@@ -1,9 +1,12 @@
 package io.shallotspur.stage;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 
 import com.codahale.metrics.MetricRegistry;
 import org.assertj.core.api.Assertions;
@@ -16,6 +19,7 @@
 import io.shallotspur.gateway.Gateway;
 import io.shallotspur.gateway.GatewayPorts;
 import io.shallotspur.gateway.GatewaySettings;
+import io.shallotspur.gateway.ListenState;
 import io.shallotspur.gateway.ManualTimer;
 import io.shallotspur.gateway.NopWorkers;
 import io.shallotspur.gateway.OutputLengthModel;
@@ -57,9 +61,11 @@
 
 	private final FakeStagePort port = new FakeStagePort();
 
+	private final CutNetwork network = new CutNetwork();
+
 	private final Gateway gateway = new Gateway(new GatewaySettings("vm-1", "hall-a", 0.2, 50, 10_000),
-			new GatewayPorts(new NopWorkers(), this.timer, this.timer::now, this.timer::now, () -> 0.5,
-					new DecisionLog(0), new RelayMetrics(new MetricRegistry())));
+			new GatewayPorts(this.network, this.timer, this.timer::now, this.timer::now, () -> 0.5, new DecisionLog(0),
+					new RelayMetrics(new MetricRegistry())));
 
 	private final RegistryWatcher watcher = new RegistryWatcher(this.registry, this.gateway, this.timer,
 			this.timer::now, () -> 0.5, CHANGE_DEADLINES);
@@ -270,8 +276,78 @@
 		Assertions.assertThat(this.port.orders).isEmpty();
 	}
 
+	// The first order, to p-a, is lost, and from then on only another VM reaches it.
+	private void loseOrderAndPath() {
+		this.gateway.entryVms()
+			.register(new EntryVm("vms/other", "10.0.0.8:80", "region-1", "hall-a", 1, false, "10.0.0.8:90", ""));
+		this.gateway.startSampling();
+		this.port.losesOrders = true;
+		this.port.onOrder = () -> this.network.cut.add("p-a");
+		advanceUntil(() -> !this.port.orders.isEmpty());
+		this.port.onOrder = () -> {
+		};
+		this.port.losesOrders = false;
+	}
+
+	// Guards against an order that is sent while only another VM reaches its worker.
+	@Test
+	void resendsAnOrderOnlyOnceTheDirectPathIsBack() {
+		loseOrderAndPath();
+		this.timer.advance(5_000);
+		Assertions.assertThat(this.port.orders).hasSize(1);
+		this.network.cut.clear();
+		this.timer.advance(4_000);
+		Assertions.assertThat(this.port.orders).hasSize(2);
+		Assertions.assertThat(this.port.orders).allMatch((o) -> o.expectedOrderCount() == 0);
+	}
+
+	// Guards against a worker that nobody uses for as long as its leader has no path to
+	// it.
+	@Test
+	void changesAnotherWorkerWhileOneHasNoDirectPath() {
+		loseOrderAndPath();
+		this.timer.advance(20_000);
+		Assertions.assertThat(this.port.orders.subList(1, this.port.orders.size()))
+			.extracting((o) -> o.worker().id())
+			.isNotEmpty()
+			.doesNotContain("p-a");
+		Assertions.assertThat(this.registry.announcedStages).doesNotContainKey("p-a");
+	}
+
+	// Guards against a leader without callers that never learns that it has lost its
+	// paths, and orders into the void.
+	@Test
+	void learnsOfALostPathFromItsOwnCalls() {
+		this.gateway.entryVms()
+			.register(new EntryVm("vms/other", "10.0.0.8:80", "region-1", "hall-a", 1, false, "10.0.0.8:90", ""));
+		this.gateway.startSampling();
+		this.network.cut.add("p-a");
+		this.port.unresponsiveWorkers.add("p-a");
+		this.timer.advance(8_000);
+		Assertions.assertThat(this.gateway.reachesDirectly(worker("p-a", "a", WorkerStage.PREFILL))).isFalse();
+	}
+
 	private void updateRegistryEntry(WorkerInfo w) {
 		this.gateway.roster().updateEntry(w, this.timer.now());
 	}
 
+	/**
+	 * A network in which other VMs reach all workers, and this VM those that are not cut.
+	 */
+	private static final class CutNetwork extends NopWorkers {
+
+		private final Set<String> cut = new HashSet<>();
+
+		@Override
+		public void checkListening(WorkerInfo worker, Consumer<ListenState> callback) {
+			callback.accept(this.cut.contains(worker.id()) ? ListenState.REFUSES : ListenState.ACCEPTS);
+		}
+
+		@Override
+		public void checkThrough(EntryVm vm, WorkerInfo worker, Consumer<ListenState> callback) {
+			callback.accept(ListenState.ACCEPTS);
+		}
+
+	}
+
 }
