Orders without an answer are not delivered any more

Cause: a call that times out closes its connection, and the kernel goes on delivering what it holds, also when the process is gone. Behind a cut the order arrives with a later retransmission, seconds after the heal; another VM may have given orders for long by then. Holders then take turns within lease_ms, and where fences are not checked a lower token follows a higher one. A new holder's handover of lease_ms + 1.5 s assumes that the last order of the one before has arrived within 1.5 s of its confirmation.

Change: the connection is set to discard on close what was not delivered, from the sending of an order to its response.

An order that the worker already has is guarded by 'expected' and by its token, as before.

Test, failing before (the worker read a clean end): HttpStagePortTests. resetsTheConnectionOfAnOrderWithoutResponse.

--- a/src/main/java/io/shallotspur/platform/HttpStagePort.java
+++ b/src/main/java/io/shallotspur/platform/HttpStagePort.java
@@ -7,6 +7,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.http.HttpMethod;
 import org.tinylog.Logger;
 import reactor.core.publisher.Mono;
@@ -27,7 +28,8 @@
  * <p>
  * Invariant: an order reaches its worker from the machine of this VM or not at all. For
  * the worker, an order that comes through another VM is one of another holder with the
- * same fencing token. Reports have no sender and may come through another VM.
+ * same fencing token. It is not delivered after its call has ended without a response.
+ * Reports have no sender and may come through another VM.
  */
 final class HttpStagePort implements StagePort {
 
@@ -43,6 +45,12 @@
 	// unreachable or its responses are being lost.
 	private static final long TIMEOUT_MS = 500;
 
+	// Values of SO_LINGER: a close resets the connection and discards what was not
+	// delivered, or leaves its delivery to the kernel.
+	private static final int DISCARD_UNSENT = 0;
+
+	private static final int KEEP_UNSENT = -1;
+
 	private final WorkerClient workers;
 
 	private final Scheduler timeouts;
@@ -91,7 +99,9 @@
 			.put("holder", o.holder())
 			.put("fencing_token", o.fencingToken())
 			.put("expected", o.expectedOrderCount());
-		HttpClient client = this.workers.expectingDirectly(o.worker()).doOnRequest((r, c) -> logSent(o, c.channel()));
+		HttpClient client = this.workers.expectingDirectly(o.worker())
+			.doOnRequest((r, c) -> onSending(o, c.channel()))
+			.doOnResponse((r, c) -> onResponse(c.channel()));
 		return WorkerClient.post(client, o.worker(), PlatformNames.ORDER_PATH, n)
 			.response((r, content) -> ControlBody.read(content).map((b) -> result(r.status().code())))
 			.single()
@@ -99,12 +109,21 @@
 			.onErrorMap((ex) -> workerLost(o.worker(), ex));
 	}
 
-	// The worker takes the machine at the other end of the connection for the sender.
-	private static void logSent(StageOrder o, Channel connection) {
+	// An order that the network holds up must not outlive the call, nor the process: it
+	// could arrive when another VM has long given orders.
+	private static void onSending(StageOrder o, Channel connection) {
+		connection.config().setOption(ChannelOption.SO_LINGER, DISCARD_UNSENT);
 		Logger.info("[stage] order sent worker={} fence={} worker-address={} from={} to={}", o.worker().id(),
 				o.fencingToken(), o.worker().address(), connection.localAddress(), connection.remoteAddress());
 	}
 
+	// The connection may serve requests next.
+	private static void onResponse(Channel connection) {
+		if (connection.isActive()) {
+			connection.config().setOption(ChannelOption.SO_LINGER, KEEP_UNSENT);
+		}
+	}
+
 	private static OrderResult result(int status) {
 		return switch (status) {
 			case OK, ACCEPTED -> OrderResult.ACCEPTED;
--- a/src/test/java/io/shallotspur/platform/HttpStagePortTests.java
+++ b/src/test/java/io/shallotspur/platform/HttpStagePortTests.java
@@ -4,6 +4,8 @@
 import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketException;
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
@@ -118,6 +120,25 @@
 		this.loop.execute(tunnels::close);
 	}
 
+	// Guards against an order that the kernel goes on delivering after its holder has
+	// given it up: behind a cut it would arrive when another VM has long given orders.
+	@Test
+	void resetsTheConnectionOfAnOrderWithoutResponse() throws IOException {
+		try (ServerSocket silent = new ServerSocket(0)) {
+			WorkerInfo w = this.worker.info(WorkerStage.DECODE, silent.getLocalPort());
+			CompletableFuture<OrderResult> order = this.port
+				.order(new StageOrder(w, WorkerStage.PREFILL, "vm-1", 40, 4))
+				.toFuture();
+			try (Socket s = silent.accept()) {
+				Assertions.assertThat(s.getInputStream().read()).isEqualTo('P');
+				this.timeouts.advanceTimeBy(Duration.ofMillis(500));
+				Assertions.assertThat(order).isCompletedExceptionally();
+				Assertions.assertThatThrownBy(() -> s.getInputStream().readAllBytes())
+					.isInstanceOf(SocketException.class);
+			}
+		}
+	}
+
 	private static int closedPort() {
 		try (ServerSocket s = new ServerSocket(0)) {
 			return s.getLocalPort();
