A confirmation of the leadership allows orders for one second

What callers saw: nothing; found by looking for ways in which an order outlives the leadership that it rests on.

Cause: a VM that was stopped between the store's answer and its handling took the answer as of now, and gave an order with its old token. The call's own timeout is due at the same moment, and whichever ran first won.

Change: an answer that is handled more than a second after its question is an error; the worker's report is read and the question asked again.

Why it works: the last order of a leader is sent within 1 s of a read that showed it as the leader and is over 0.5 s later, which is what the handover of its successor counts with.

--- a/src/main/java/io/shallotspur/registry/Leadership.java
+++ b/src/main/java/io/shallotspur/registry/Leadership.java
@@ -7,6 +7,7 @@
 import org.tinylog.Logger;
 import reactor.core.publisher.Mono;
 
+import io.shallotspur.exc.StoreUnavailableException;
 import io.shallotspur.gateway.EntryVmDirectory;
 import io.shallotspur.gateway.WorkerStage;
 
@@ -35,9 +36,14 @@
 	// the store at once unless the others are too.
 	private static final long MAX_CLAIM_DELAY_MS = 8_000;
 
-	// Orders that the former leader confirmed and sent arrive within this time, ms: it
-	// waits one second for the store and half a second for the worker.
-	private static final long IN_FLIGHT_ORDER_MS = 1_500;
+	// For how long a confirmation allows an order, from the question on, ms.
+	private static final long CONFIRMATION_MS = 1_000;
+
+	// Calls with orders end within this time, ms.
+	private static final long ORDER_CALL_MS = 500;
+
+	// Orders that the former leader confirmed and sent arrive within this time, ms.
+	private static final long IN_FLIGHT_ORDER_MS = CONFIRMATION_MS + ORDER_CALL_MS;
 
 	private final Registry registry;
 
@@ -155,13 +161,20 @@
 	/**
 	 * Reads from the store whether this VM is still the leader. If it was paused or
 	 * disconnected for longer than its lease, another VM may have taken over without this
-	 * VM knowing.
-	 * @return whether it is
+	 * VM knowing. If it is paused before it handles the response, the response tells
+	 * nothing about the time after it.
+	 * @return whether it is; signals a {@link StoreUnavailableException} if the response
+	 * is handled too late to act on it
 	 */
 	public Mono<Boolean> confirm() {
 		RegistryChange.LeaderElected mine = this.leader;
-		return this.registry.readLeader()
-			.map((l) -> l.isPresent() && l.get().vm().equals(this.self) && l.get().equals(mine));
+		long askedAt = this.clock.getAsLong();
+		return this.registry.readLeader().flatMap((l) -> {
+			long age = this.clock.getAsLong() - askedAt;
+			return (age > CONFIRMATION_MS)
+					? Mono.error(new StoreUnavailableException("The leader was read " + age + " ms ago.", "leader"))
+					: Mono.just(l.isPresent() && l.get().vm().equals(this.self) && l.get().equals(mine));
+		});
 	}
 
 	/**
--- a/src/test/java/io/shallotspur/registry/FakeRegistry.java
+++ b/src/test/java/io/shallotspur/registry/FakeRegistry.java
@@ -42,6 +42,9 @@
 	/** The current leader. */
 	public RegistryChange.@Nullable LeaderElected leader;
 
+	/** Completes the reads of the leader. */
+	Sinks.Empty<Void> pendingLeader = completed();
+
 	int claimCalls;
 
 	int configurationReads;
@@ -184,7 +187,8 @@
 
 	@Override
 	public Mono<Optional<RegistryChange.LeaderElected>> readLeader() {
-		return this.storeDown ? unavailableError() : Mono.just(Optional.ofNullable(this.leader));
+		Optional<RegistryChange.LeaderElected> read = Optional.ofNullable(this.leader);
+		return this.storeDown ? unavailableError() : this.pendingLeader.asMono().then(Mono.just(read));
 	}
 
 	@Override
--- a/src/test/java/io/shallotspur/registry/LeadershipTests.java
+++ b/src/test/java/io/shallotspur/registry/LeadershipTests.java
@@ -1,8 +1,11 @@
 package io.shallotspur.registry;
 
+import java.util.concurrent.CompletableFuture;
+
 import org.assertj.core.api.Assertions;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import reactor.core.publisher.Sinks;
 
 import io.shallotspur.gateway.EntryVm;
 import io.shallotspur.gateway.EntryVmDirectory;
@@ -97,6 +100,18 @@
 		Assertions.assertThat(this.registry.announcedStages).isEmpty();
 	}
 
+	// Guards against an order of a VM that is stopped after the store has confirmed its
+	// leadership, and goes on when another VM leads.
+	@Test
+	void isNotConfirmedByAResponseThatIsHandledLate() {
+		elect(SELF, 7);
+		this.registry.pendingLeader = Sinks.empty();
+		CompletableFuture<Boolean> confirmed = this.leadership.confirm().toFuture();
+		this.timer.advance(4_000);
+		this.registry.pendingLeader.tryEmitEmpty();
+		Assertions.assertThat(confirmed).isCompletedExceptionally();
+	}
+
 	// The VM's lease expires and the VM registers again: the leadership is lost with the
 	// old lease, and is gained again with a higher fencing token.
 	@Test
