Announcements are withdrawn only by the leader in whose term they were made

What callers saw: nothing known; found by looking for acts of a leader that are not tied to its term.

Cause: an announcement was written under the condition that the leader is still the same, and removed without any. A VM that was stopped while it changed a worker, and went on when another VM led, failed its change and removed the successor's announcement of the same worker: all VMs would send prompts to a worker that is changing its stage, and a refused prefill is the only attempt that some routes have.

Change: the withdrawal has the condition of the announcement. A change keeps the term in which it began. Neither is written without a leader: an expected revision of 0 stands for a key that does not exist.

--- a/src/main/java/io/shallotspur/platform/StoreRegistry.java
+++ b/src/main/java/io/shallotspur/platform/StoreRegistry.java
@@ -215,7 +215,7 @@
 
 	@Override
 	public Mono<Boolean> announceStageChange(String worker, WorkerStage stage, StorePosition fence, long lease) {
-		if (fence.era() != this.client.era()) {
+		if (!mayBeCurrent(fence)) {
 			return Mono.just(false);
 		}
 		ObjectNode value = StoreEntryCodec.JSON.createObjectNode().put("stage", StoreEntryCodec.encode(stage));
@@ -279,10 +279,21 @@
 	}
 
 	@Override
-	public Mono<Void> withdrawStageChange(String worker) {
+	public Mono<Boolean> withdrawStageChange(String worker, StorePosition fence) {
+		if (!mayBeCurrent(fence)) {
+			return Mono.just(false);
+		}
 		ObjectNode body = newTransaction();
+		addExpectation(body, PlatformNames.STAGE_LEADER_KEY, fence.revision());
 		((ArrayNode) body.path("remove")).add(PlatformNames.STAGE_CHANGE_PREFIX + worker);
-		return transact(body, "unmark").then();
+		return transact(body, "unmark");
+	}
+
+	// A revision of 0 would stand for a key that does not exist, so any VM could act
+	// while
+	// there is no leader.
+	private boolean mayBeCurrent(StorePosition electedAt) {
+		return !electedAt.equals(StorePosition.NONE) && electedAt.era() == this.client.era();
 	}
 
 	// A transaction over several keys, applied completely or not at all.
--- a/src/main/java/io/shallotspur/registry/Leadership.java
+++ b/src/main/java/io/shallotspur/registry/Leadership.java
@@ -151,11 +151,13 @@
 	}
 
 	/**
-	 * Returns the fencing token of the leader.
-	 * @return the token; 0 if there is no leader
+	 * Returns the present leader's term, which identifies it among all leaders. What is
+	 * done for one term must not be continued in another, also of the same VM.
+	 * @return the position at which the leader was elected; {@link StorePosition#NONE} if
+	 * there is none
 	 */
-	public long fencingToken() {
-		return (this.leader != null) ? this.leader.electedAt().fencingToken() : 0;
+	public StorePosition term() {
+		return (this.leader != null) ? this.leader.electedAt() : StorePosition.NONE;
 	}
 
 	/**
@@ -181,20 +183,23 @@
 	 * Announces to all VMs that a worker is about to change its stage.
 	 * @param worker the worker
 	 * @param stage its next stage
-	 * @return whether this VM was the leader and the announcement is in the store
+	 * @param term the term of this VM for which it is announced
+	 * @return whether this VM was the leader in that term and the announcement is in the
+	 * store
 	 */
-	public Mono<Boolean> announceStageChange(String worker, WorkerStage stage) {
-		StorePosition electedAt = (this.leader != null) ? this.leader.electedAt() : StorePosition.NONE;
-		return this.registry.announceStageChange(worker, stage, electedAt, this.registration.activeLease());
+	public Mono<Boolean> announceStageChange(String worker, WorkerStage stage, StorePosition term) {
+		return this.registry.announceStageChange(worker, stage, term, this.registration.activeLease());
 	}
 
 	/**
 	 * Withdraws an announcement.
 	 * @param worker the worker
-	 * @return completes when the announcement is removed
+	 * @param term the term of this VM
+	 * @return whether this VM was the leader in that term and the announcement is
+	 * removed; those of an earlier leader expire with its lease
 	 */
-	public Mono<Void> withdrawStageChange(String worker) {
-		return this.registry.withdrawStageChange(worker);
+	public Mono<Boolean> withdrawStageChange(String worker, StorePosition term) {
+		return this.registry.withdrawStageChange(worker, term);
 	}
 
 }
--- a/src/main/java/io/shallotspur/registry/Registry.java
+++ b/src/main/java/io/shallotspur/registry/Registry.java
@@ -132,8 +132,10 @@
 	/**
 	 * Removes the announcement of a stage change.
 	 * @param worker the worker
-	 * @return completes when it is removed
+	 * @param electedAt the position at which the caller became leader; nothing is removed
+	 * if the current leader has another one
+	 * @return whether the caller is the leader
 	 */
-	Mono<Void> withdrawStageChange(String worker);
+	Mono<Boolean> withdrawStageChange(String worker, StorePosition electedAt);
 
 }
--- a/src/main/java/io/shallotspur/stage/StageChangeTask.java
+++ b/src/main/java/io/shallotspur/stage/StageChangeTask.java
@@ -9,6 +9,7 @@
 import io.shallotspur.gateway.WorkerInfo;
 import io.shallotspur.gateway.WorkerStage;
 import io.shallotspur.registry.Leadership;
+import io.shallotspur.registry.StorePosition;
 
 /**
  * Changes the stage of one worker. Not thread-safe; confined to the gateway's thread.
@@ -48,6 +49,8 @@
 
 	private final Leadership leadership;
 
+	private final StorePosition term;
+
 	private final StagePort port;
 
 	private final GatewayTimer timer;
@@ -80,6 +83,7 @@
 			WorkerInfo worker, WorkerStage targetStage, long propagationMs, WorkerAccess access,
 			Consumer<Boolean> onEnd) {
 		this.leadership = leadership;
+		this.term = leadership.term();
 		this.port = port;
 		this.timer = timer;
 		this.clock = clock;
@@ -102,7 +106,7 @@
 
 	void start(long now) {
 		this.changeStartedAt = now;
-		this.leadership.announceStageChange(this.worker.id(), this.targetStage)
+		this.leadership.announceStageChange(this.worker.id(), this.targetStage, this.term)
 			.subscribe((announced) -> onAnnounced(announced), (ex) -> fail("announcement failed: " + ex));
 	}
 
@@ -207,7 +211,7 @@
 
 	private void sendOrder(long acceptedOrders) {
 		this.orderCount++;
-		StageOrder o = new StageOrder(this.worker, this.targetStage, this.vmName, this.leadership.fencingToken(),
+		StageOrder o = new StageOrder(this.worker, this.targetStage, this.vmName, this.leadership.term().fencingToken(),
 				acceptedOrders);
 		Logger.info("[stage] order worker={} stage={} fence={} expected={}", this.worker.id(), this.targetStage,
 				o.fencingToken(), acceptedOrders);
@@ -230,7 +234,10 @@
 	// withdrawn to make the worker available again. If the order takes effect later, VMs
 	// learn the new stage from the registry.
 	private void fail(String reason) {
-		this.leadership.withdrawStageChange(this.worker.id()).subscribe((v) -> {
+		this.leadership.withdrawStageChange(this.worker.id(), this.term).subscribe((withdrawn) -> {
+			if (!withdrawn) {
+				Logger.info("[stage] not withdrawn, as another VM leads worker={}", this.worker.id());
+			}
 		}, (ex) -> Logger.info("[stage] withdrawal failed worker={} seen=\"{}\"", this.worker.id(), ex.toString()));
 		finish(reason, false);
 	}
--- a/src/test/java/io/shallotspur/platform/StoreRegistryTests.java
+++ b/src/test/java/io/shallotspur/platform/StoreRegistryTests.java
@@ -63,13 +63,29 @@
 			.contains(new RegistryChange.StageChangeAnnounced("w1", WorkerStage.DECODE));
 	}
 
+	// Guards against a former leader that withdraws the announcement of its successor:
+	// VMs
+	// would send prompts to a worker that changes its stage.
+	@Test
+	void withdrawsAnnouncementsOnlyForTheStageLeader() {
+		this.registry.claimLeadership("vms/a", LEASE).block();
+		StorePosition former = fence();
+		this.store.remove(PlatformNames.STAGE_LEADER_KEY);
+		this.registry.claimLeadership("vms/b", LEASE).block();
+		this.registry.announceStageChange("w1", WorkerStage.DECODE, fence(), LEASE).block();
+		Assertions.assertThat(this.registry.withdrawStageChange("w1", former).block()).isFalse();
+		Assertions.assertThat(this.store.hasKeyWithPrefix(PlatformNames.STAGE_CHANGE_PREFIX)).isTrue();
+		Assertions.assertThat(this.registry.withdrawStageChange("w1", fence()).block()).isTrue();
+		Assertions.assertThat(this.store.hasKeyWithPrefix(PlatformNames.STAGE_CHANGE_PREFIX)).isFalse();
+	}
+
 	@Test
 	void reportsLeaderAndStageChanges() {
 		RegistryUpdate before = this.registry.list().block();
 		this.registry.claimLeadership("vms/a", LEASE).block();
 		StorePosition fence = fence();
 		this.registry.announceStageChange("w1", WorkerStage.PREFILL, fence, LEASE).block();
-		this.registry.withdrawStageChange("w1").block();
+		this.registry.withdrawStageChange("w1", fence).block();
 		this.store.remove(PlatformNames.STAGE_LEADER_KEY);
 		List<RegistryChange> l = this.registry.watch(before.position(), 0).block().changes();
 		Assertions.assertThat(l)
--- a/src/test/java/io/shallotspur/registry/FakeRegistry.java
+++ b/src/test/java/io/shallotspur/registry/FakeRegistry.java
@@ -232,9 +232,12 @@
 	}
 
 	@Override
-	public Mono<Void> withdrawStageChange(String worker) {
-		this.announcedStages.remove(worker);
-		return Mono.empty();
+	public Mono<Boolean> withdrawStageChange(String worker, StorePosition electedAt) {
+		boolean isLeader = this.leader != null && this.leader.electedAt().equals(electedAt);
+		if (isLeader) {
+			this.announcedStages.remove(worker);
+		}
+		return Mono.just(isLeader);
 	}
 
 	static <T> Mono<T> unavailableError() {
--- a/src/test/java/io/shallotspur/registry/LeadershipTests.java
+++ b/src/test/java/io/shallotspur/registry/LeadershipTests.java
@@ -56,7 +56,7 @@
 		elect(SELF, 7);
 		claimAfter(5_000);
 		Assertions.assertThat(this.registry.claimCalls).isEqualTo(1);
-		Assertions.assertThat(this.leadership.fencingToken()).isEqualTo(7);
+		Assertions.assertThat(this.leadership.term().fencingToken()).isEqualTo(7);
 	}
 
 	// A hundred VMs notice at the same time that the leader has died. If all claimed the
@@ -96,7 +96,9 @@
 		Assertions.assertThat(this.leadership.confirm().block()).isTrue();
 		this.registry.leader = new RegistryChange.LeaderElected("vms/a", new StorePosition(0, 9));
 		Assertions.assertThat(this.leadership.confirm().block()).isFalse();
-		Assertions.assertThat(this.leadership.announceStageChange("w1", WorkerStage.DECODE).block()).isFalse();
+		Assertions
+			.assertThat(this.leadership.announceStageChange("w1", WorkerStage.DECODE, this.leadership.term()).block())
+			.isFalse();
 		Assertions.assertThat(this.registry.announcedStages).isEmpty();
 	}
 
@@ -122,7 +124,7 @@
 		Assertions.assertThat(this.leadership.mayAct(this.timer.now())).isFalse();
 		elect(SELF, 12);
 		Assertions.assertThat(this.leadership.mayAct(this.timer.now())).isFalse();
-		Assertions.assertThat(this.leadership.fencingToken()).isEqualTo(12);
+		Assertions.assertThat(this.leadership.term().fencingToken()).isEqualTo(12);
 	}
 
 	// The store is restored from a snapshot in which another VM or none is the leader. An
@@ -133,7 +135,9 @@
 		this.timer.advance(10_000);
 		this.leadership.onStoreRestored(this.timer.now());
 		Assertions.assertThat(this.leadership.mayAct(this.timer.now())).isFalse();
-		Assertions.assertThat(this.leadership.announceStageChange("w1", WorkerStage.DECODE).block()).isFalse();
+		Assertions
+			.assertThat(this.leadership.announceStageChange("w1", WorkerStage.DECODE, this.leadership.term()).block())
+			.isFalse();
 		claimAfter(1_100);
 		Assertions.assertThat(this.registry.claimCalls).isEqualTo(1);
 	}
--- a/src/test/java/io/shallotspur/registry/SimulatedStore.java
+++ b/src/test/java/io/shallotspur/registry/SimulatedStore.java
@@ -297,7 +297,7 @@
 	}
 
 	@Override
-	public Mono<Void> withdrawStageChange(String worker) {
+	public Mono<Boolean> withdrawStageChange(String worker, StorePosition electedAt) {
 		return Mono.never();
 	}
 
