A change is ordered only in the term in which it was announced

What callers saw: nothing known; found by looking for acts of a leader that are not tied to its term.

Cause: a change read the fencing token when it gave the order. A VM whose lease lapsed and that became the leader again went on with a change of its former term, of which the announcement had ended with the lease: it gave the order with the new token while all VMs sent prompts to the worker.

Change: the order needs the term of the announcement and bears its token.

--- a/src/main/java/io/shallotspur/stage/StageChangeTask.java
+++ b/src/main/java/io/shallotspur/stage/StageChangeTask.java
@@ -197,7 +197,7 @@
 			if (this.access.pauseRemainingMs(this.worker) > 0) {
 				schedulePoll();
 			}
-			else if (confirmed && this.leadership.mayAct(this.clock.getAsLong())) {
+			else if (confirmed && isSameTerm() && this.leadership.mayAct(this.clock.getAsLong())) {
 				sendOrder(acceptedOrders);
 			}
 			else {
@@ -209,6 +209,11 @@
 		});
 	}
 
+	// The announcement ended with the lease of its term, and other VMs use the worker.
+	private boolean isSameTerm() {
+		return this.leadership.term().equals(this.term);
+	}
+
 	private void sendOrder(long acceptedOrders) {
 		this.orderCount++;
 		StageOrder o = new StageOrder(this.worker, this.targetStage, this.vmName, this.leadership.term().fencingToken(),
--- a/src/test/java/io/shallotspur/registry/FakeRegistry.java
+++ b/src/test/java/io/shallotspur/registry/FakeRegistry.java
@@ -32,7 +32,8 @@
 
 	final List<Long> watchedAfter = new ArrayList<>();
 
-	Sinks.One<RegistryUpdate> pendingWatch = Sinks.one();
+	/** Completes the latest watch. */
+	public Sinks.One<RegistryUpdate> pendingWatch = Sinks.one();
 
 	long lastWaitMs;
 
--- a/src/test/java/io/shallotspur/stage/StageRebalancerTests.java
+++ b/src/test/java/io/shallotspur/stage/StageRebalancerTests.java
@@ -268,6 +268,27 @@
 		Assertions.assertThat(this.port.orders).isEmpty();
 	}
 
+	// Guards against an order to a worker that other VMs use: its announcement ended with
+	// the lease of a former term of this VM.
+	@Test
+	void ordersNothingThatWasAnnouncedInAFormerTerm() {
+		advanceUntil(() -> !this.registry.announcedStages.isEmpty());
+		String worker = this.registry.announcedStages.keySet().iterator().next();
+		askForPause(worker, 10_000);
+		this.registry.announcedStages.clear();
+		this.registry.leader = new RegistryChange.LeaderElected(SELF_KEY, new StorePosition(0, FENCING_TOKEN + 5));
+		this.registry.pendingWatch.tryEmitValue(new RegistryUpdate(new StorePosition(0, 60),
+				List.of(new RegistryChange.LeadershipVacant(), this.registry.leader)));
+		List<String> unannounced = new ArrayList<>();
+		this.port.onOrder = () -> this.port.orders.stream()
+			.map((o) -> o.worker().id())
+			.filter((id) -> !this.registry.announcedStages.containsKey(id))
+			.forEach(unannounced::add);
+		this.timer.advance(20_000);
+		Assertions.assertThat(this.port.orders).isNotEmpty();
+		Assertions.assertThat(unannounced).isEmpty();
+	}
+
 	@Test
 	void sendsNoOrderWhileStoreIsUnavailable() {
 		this.timer.advance(5_100);
