A leader without paths to the workers that should change resigns

What callers saw: prompts wait, or answers do, for as long as the leader is cut off, since no other VM may order a change of stages meanwhile.

Cause: the leadership ended only with its VM's lease, which lives on while the VM reaches the store.

Change: when no worker of an upstream, or none of those that should change, has a direct path for 5 s, and no change is in progress, the leader removes its key under the condition that it is still its own. Whoever claims next has a higher fencing token and waits for the handover as always. A VM that has resigned within 30 s, or reaches no worker, claims 12 s after a vacancy only, so that a fleet of such VMs still has a leader.

Weighed: handing over at once (a handover takes some 5.5 s, as long as most cuts; a short cut would cost more than it lasts), naming a successor (the leader does not know who reaches the workers), orders through another VM with that VM's own token (needs a second leadership for each worker).

Tests: StageRebalancerTests.resignsOnceNoWorkerThatShouldChangeHasADirect- Path (new behaviour), goesOnAfterAShortCut; LeadershipTests.leavesThe- LeadershipToOthersAfterItHasResigned, claimsLastIfItReachesNoWorker, goesOn- ToLeadIfItsResignationWasNotAccepted.

--- a/src/main/java/io/shallotspur/platform/StoreRegistry.java
+++ b/src/main/java/io/shallotspur/platform/StoreRegistry.java
@@ -200,6 +200,17 @@
 		return transact(body, "claim");
 	}
 
+	@Override
+	public Mono<Boolean> resignLeadership(StorePosition fence) {
+		if (!mayBeCurrent(fence)) {
+			return Mono.just(false);
+		}
+		ObjectNode body = newTransaction();
+		addExpectation(body, PlatformNames.STAGE_LEADER_KEY, fence.revision());
+		addRemoval(body, PlatformNames.STAGE_LEADER_KEY);
+		return transact(body, "resign");
+	}
+
 	@Override
 	public Mono<Optional<RegistryChange.LeaderElected>> readLeader() {
 		return readKey(PlatformNames.STAGE_LEADER_KEY).flatMap((r) -> {
@@ -285,7 +296,7 @@
 		}
 		ObjectNode body = newTransaction();
 		addExpectation(body, PlatformNames.STAGE_LEADER_KEY, fence.revision());
-		((ArrayNode) body.path("remove")).add(PlatformNames.STAGE_CHANGE_PREFIX + worker);
+		addRemoval(body, PlatformNames.STAGE_CHANGE_PREFIX + worker);
 		return transact(body, "unmark");
 	}
 
@@ -313,6 +324,10 @@
 		((ArrayNode) body.path("puts")).addObject().put("key", key).put("value", value).put("lease", lease);
 	}
 
+	private static void addRemoval(ObjectNode body, String key) {
+		((ArrayNode) body.path("remove")).add(key);
+	}
+
 	private Mono<Boolean> transact(ObjectNode body, String call) {
 		boolean eraKnown = this.client.hasAnswered();
 		long era = this.client.era();
--- a/src/main/java/io/shallotspur/registry/Leadership.java
+++ b/src/main/java/io/shallotspur/registry/Leadership.java
@@ -36,6 +36,12 @@
 	// the store at once unless the others are too.
 	private static final long MAX_CLAIM_DELAY_MS = 8_000;
 
+	// Delay of a claim by a VM that had better not lead, ms: after all others.
+	private static final long LAST_CLAIM_DELAY_MS = MAX_CLAIM_DELAY_MS + 4_000;
+
+	// For how long a VM that has resigned leaves the leadership to others, ms.
+	private static final long STAND_BACK_MS = 30_000;
+
 	// For how long a confirmation allows an order, from the question on, ms.
 	private static final long CONFIRMATION_MS = 1_000;
 
@@ -64,6 +70,11 @@
 
 	private boolean claimPending;
 
+	// From the resignation until the store shows another state or has not accepted it.
+	private boolean resigning;
+
+	private long resignedAt = Long.MIN_VALUE / 2;
+
 	/**
 	 * Creates a leadership without a known leader.
 	 * @param registry the registry
@@ -95,6 +106,7 @@
 		}
 		this.leader = next;
 		this.changedAt = now;
+		this.resigning = false;
 		Logger.info("[duty] holder={} fence={}", (next != null) ? next.vm() : "none",
 				(next != null) ? next.electedAt().fencingToken() : 0);
 	}
@@ -111,10 +123,14 @@
 
 	/**
 	 * Claims the leadership if it is vacant and this VM's rank allows a claim by now.
+	 * @param reachesWorkers whether this VM can send orders to workers; one that cannot,
+	 * or has resigned lately, claims it only if no other VM does
 	 * @param now the current time in milliseconds
 	 */
-	public void claimIfVacant(long now) {
-		long delay = Math.min(MAX_CLAIM_DELAY_MS, VACANCY_DELAY_MS + CLAIM_INTERVAL_MS * this.vms.rank(this.self, now));
+	public void claimIfVacant(boolean reachesWorkers, long now) {
+		boolean last = !reachesWorkers || now - this.resignedAt < STAND_BACK_MS;
+		long delay = last ? LAST_CLAIM_DELAY_MS
+				: Math.min(MAX_CLAIM_DELAY_MS, VACANCY_DELAY_MS + CLAIM_INTERVAL_MS * this.vms.rank(this.self, now));
 		long lease = this.registration.activeLease();
 		if (this.leader != null || this.claimPending || lease == 0 || now - this.changedAt < delay) {
 			return;
@@ -132,6 +148,27 @@
 		Logger.info("[duty] claim answered seen=\"{}\"", result);
 	}
 
+	/**
+	 * Gives the leadership up, so that another VM leads with a term of its own. Does
+	 * nothing if this VM is not the leader.
+	 * @param now the current time in milliseconds
+	 */
+	public void resign(long now) {
+		if (!isLeader() || this.resigning) {
+			return;
+		}
+		this.resigning = true;
+		this.resignedAt = now;
+		// As with a claim, the response can be lost, and the watch shows the result.
+		this.registry.resignLeadership(term())
+			.subscribe((done) -> resignAnswered(done, "done=" + done), (ex) -> resignAnswered(false, ex.toString()));
+	}
+
+	private void resignAnswered(boolean done, String result) {
+		Logger.info("[duty] resignation answered seen=\"{}\"", result);
+		this.resigning &= done;
+	}
+
 	/**
 	 * Returns whether this VM is the leader, as far as it knows.
 	 * @return whether it is
@@ -147,7 +184,7 @@
 	 * @return whether it may send orders
 	 */
 	public boolean mayAct(long now) {
-		return isLeader() && now - this.changedAt >= this.handoverMs + IN_FLIGHT_ORDER_MS;
+		return isLeader() && !this.resigning && now - this.changedAt >= this.handoverMs + IN_FLIGHT_ORDER_MS;
 	}
 
 	/**
--- a/src/main/java/io/shallotspur/registry/Registry.java
+++ b/src/main/java/io/shallotspur/registry/Registry.java
@@ -84,6 +84,14 @@
 	 */
 	Mono<Boolean> claimLeadership(String vm, long lease);
 
+	/**
+	 * Gives the leadership up.
+	 * @param electedAt the position at which the caller became leader; nothing is written
+	 * if the current leader has another one
+	 * @return whether the caller was the leader
+	 */
+	Mono<Boolean> resignLeadership(StorePosition electedAt);
+
 	/**
 	 * Reads the current leader.
 	 * @return the leader, or empty if there is none
--- a/src/main/java/io/shallotspur/stage/StageRebalancer.java
+++ b/src/main/java/io/shallotspur/stage/StageRebalancer.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.LongSupplier;
+import java.util.stream.Stream;
 
 import org.jspecify.annotations.Nullable;
 import org.tinylog.Logger;
@@ -21,8 +22,9 @@
 
 /**
  * Periodically adapts the number of prefill and decode workers of each model upstream to
- * the load, while this VM is the leader. Not thread-safe; confined to the gateway's
- * thread.
+ * the load, while this VM is the leader. A leader that has lost its direct paths to the
+ * workers that should change resigns, as no other VM may order anything meanwhile. Not
+ * thread-safe; confined to the gateway's thread.
  */
 public final class StageRebalancer {
 
@@ -49,6 +51,12 @@
 	// one may leave: prompts can wait or be prefilled elsewhere, responses cannot.
 	private static final double MAX_LEAVING_FRACTION = 0.125;
 
+	// In ms. How long no worker that should change may be without a direct path before
+	// this VM resigns: about as long as a handover takes, so that short cuts cost none.
+	private static final long RESIGN_DELAY_MS = 5_000;
+
+	private static final long NEVER = Long.MAX_VALUE;
+
 	private final String vmName;
 
 	private final Gateway gateway;
@@ -124,8 +132,24 @@
 		if (l.isEmpty()) {
 			return;
 		}
-		this.leadership.claimIfVacant(now);
+		this.leadership.claimIfVacant(reachesAnyWorker(l, now), now);
 		l.forEach((u) -> checkUpstream(u.name(), u.engine(), now));
+		if (this.activeChanges.isEmpty() && l.stream().anyMatch((u) -> isBlocked(u.name(), now))) {
+			Logger.info("[stage] no direct path to workers that should change");
+			this.leadership.resign(now);
+		}
+	}
+
+	// A VM that knows of no worker may learn of some before it acts.
+	private boolean reachesAnyWorker(List<UpstreamSpec> l, long now) {
+		List<WorkerInfo> workers = l.stream()
+			.flatMap((u) -> this.gateway.roster().activeWorkers(u.name(), now).stream())
+			.toList();
+		return workers.isEmpty() || workers.stream().anyMatch(this.access::isDirect);
+	}
+
+	private boolean isBlocked(String upstream, long now) {
+		return this.leadership.mayAct(now) && this.upstreamStates.get(upstream).isBlocked(now);
 	}
 
 	private void checkUpstream(String upstream, EngineSpec engine, long now) {
@@ -145,33 +169,41 @@
 		}
 		UpstreamState s = this.upstreamStates.computeIfAbsent(upstream, (u) -> new UpstreamState());
 		s.updateWorkerCount(prefill.size() + decode.size(), now);
+		boolean blocked = Stream.concat(prefill.stream(), decode.stream()).noneMatch(this.access::isDirect);
 		if (this.leadership.mayAct(now) && s.isWorkerCountStable(now) && !prefill.isEmpty() && !decode.isEmpty()) {
-			this.gateway.engineTimes(upstream)
+			blocked |= this.gateway.engineTimes(upstream)
 				.statistics()
 				.filter((statistics) -> statistics.samples() >= MIN_SAMPLES)
 				.map((statistics) -> new ObservedLoad(statistics.samples(), ThroughputModel.of(statistics, engine)))
-				.ifPresent((observed) -> rebalance(s, observed, prefill, decode, now));
+				.map((observed) -> !rebalance(s, observed, prefill, decode, now))
+				.orElse(false);
 		}
+		s.updateBlocked(blocked && !(prefill.isEmpty() && decode.isEmpty()), now);
 	}
 
-	private void rebalance(UpstreamState s, ObservedLoad observed, List<WorkerInfo> prefill, List<WorkerInfo> decode,
+	// Returns false if workers should change, and there is no direct path to any of them.
+	private boolean rebalance(UpstreamState s, ObservedLoad observed, List<WorkerInfo> prefill, List<WorkerInfo> decode,
 			long now) {
 		int best = StagePlanner.prefillWorkers(prefill.size(), decode.size(), observed.throughput(),
 				StagePlanner.requiredGain(observed.samples()));
 		WorkerStage stage = (best < prefill.size()) ? WorkerStage.DECODE : WorkerStage.PREFILL;
 		if (best == prefill.size() || !s.mayMoveTo(stage, now)) {
-			return;
+			return true;
 		}
 		int n = (stage == WorkerStage.DECODE) ? prefill.size() - best
 				: Math.min(best - prefill.size(), allowedDecodeDepartures(decode));
 		if (n <= 0) {
-			return;
+			return true;
+		}
+		List<WorkerInfo> from = (stage == WorkerStage.DECODE) ? prefill : decode;
+		if (from.stream().noneMatch(this.access::isDirect)) {
+			return false;
 		}
 		Logger.info("[stage] prefill={} decode={} wanted-prefill={} seen={}", prefill.size(), decode.size(), best,
 				observed);
 		s.onChangesStarted(stage, now);
-		startChanges((stage == WorkerStage.DECODE) ? prefill : decode, (stage == WorkerStage.DECODE) ? decode : prefill,
-				n, stage, now);
+		startChanges(from, (stage == WorkerStage.DECODE) ? decode : prefill, n, stage, now);
+		return true;
 	}
 
 	private int allowedDecodeDepartures(List<WorkerInfo> decode) {
@@ -266,6 +298,8 @@
 
 		private boolean lastChangeFailed;
 
+		private long blockedSince = NEVER;
+
 		void updateWorkerCount(int n, long now) {
 			if (n != this.workerCount && this.workerCount >= 0) {
 				this.workerCountChangedAt = now;
@@ -277,6 +311,14 @@
 			return now - this.workerCountChangedAt >= STABLE_COUNT_MS;
 		}
 
+		void updateBlocked(boolean blocked, long now) {
+			this.blockedSince = blocked ? Math.min(this.blockedSince, now) : NEVER;
+		}
+
+		boolean isBlocked(long now) {
+			return this.blockedSince != NEVER && now - this.blockedSince >= RESIGN_DELAY_MS;
+		}
+
 		boolean mayMoveTo(WorkerStage stage, long now) {
 			if (this.lastTarget == null || this.lastTarget == stage) {
 				return !this.lastChangeFailed || now - this.lastChangeAt >= RETRY_DELAY_MS;
--- a/src/test/java/io/shallotspur/registry/FakeRegistry.java
+++ b/src/test/java/io/shallotspur/registry/FakeRegistry.java
@@ -186,6 +186,15 @@
 		return this.storeDown ? unavailableError() : Mono.just(true);
 	}
 
+	@Override
+	public Mono<Boolean> resignLeadership(StorePosition electedAt) {
+		boolean isLeader = this.leader != null && this.leader.electedAt().equals(electedAt);
+		if (isLeader) {
+			this.leader = null;
+		}
+		return this.storeDown ? unavailableError() : Mono.just(isLeader);
+	}
+
 	@Override
 	public Mono<Optional<RegistryChange.LeaderElected>> readLeader() {
 		Optional<RegistryChange.LeaderElected> read = Optional.ofNullable(this.leader);
--- a/src/test/java/io/shallotspur/registry/LeadershipTests.java
+++ b/src/test/java/io/shallotspur/registry/LeadershipTests.java
@@ -41,7 +41,7 @@
 
 	private void claimAfter(long delayMs) {
 		this.timer.advance(delayMs);
-		this.leadership.claimIfVacant(this.timer.now());
+		this.leadership.claimIfVacant(true, this.timer.now());
 	}
 
 	private void elect(String vm, long revision) {
@@ -153,4 +153,43 @@
 		Assertions.assertThat(this.registry.claimCalls).isEqualTo(2);
 	}
 
+	// Guards against a VM that resigns because it does not reach the workers, and is the
+	// first to claim the leadership again.
+	@Test
+	void leavesTheLeadershipToOthersAfterItHasResigned() {
+		elect(SELF, 7);
+		this.timer.advance(10_000);
+		this.leadership.resign(this.timer.now());
+		Assertions.assertThat(this.registry.leader).isNull();
+		Assertions.assertThat(this.leadership.mayAct(this.timer.now())).isFalse();
+		this.leadership.onLeader(null, this.timer.now());
+		claimAfter(11_000);
+		Assertions.assertThat(this.registry.claimCalls).isZero();
+		claimAfter(1_100);
+		Assertions.assertThat(this.registry.claimCalls).isEqualTo(1);
+	}
+
+	// Guards against a fleet without a leader: the only VM that is left must lead though
+	// it seems to reach no worker.
+	@Test
+	void claimsLastIfItReachesNoWorker() {
+		this.timer.advance(11_000);
+		this.leadership.claimIfVacant(false, this.timer.now());
+		Assertions.assertThat(this.registry.claimCalls).isZero();
+		this.timer.advance(1_100);
+		this.leadership.claimIfVacant(false, this.timer.now());
+		Assertions.assertThat(this.registry.claimCalls).isEqualTo(1);
+	}
+
+	// The store is away. A leader that took itself for resigned would hold the leadership
+	// and never use it.
+	@Test
+	void goesOnToLeadIfItsResignationWasNotAccepted() {
+		elect(SELF, 7);
+		this.timer.advance(10_000);
+		this.registry.storeDown = true;
+		this.leadership.resign(this.timer.now());
+		Assertions.assertThat(this.leadership.mayAct(this.timer.now())).isTrue();
+	}
+
 }
--- a/src/test/java/io/shallotspur/registry/SimulatedStore.java
+++ b/src/test/java/io/shallotspur/registry/SimulatedStore.java
@@ -296,6 +296,11 @@
 		return Mono.fromRunnable(() -> put("eras/settled", new RegistryChange.EraSettled(settledEra))).thenReturn(true);
 	}
 
+	@Override
+	public Mono<Boolean> resignLeadership(StorePosition electedAt) {
+		return Mono.never();
+	}
+
 	@Override
 	public Mono<Boolean> withdrawStageChange(String worker, StorePosition electedAt) {
 		return Mono.never();
--- a/src/test/java/io/shallotspur/stage/StageRebalancerTests.java
+++ b/src/test/java/io/shallotspur/stage/StageRebalancerTests.java
@@ -297,11 +297,15 @@
 		Assertions.assertThat(this.port.orders).isEmpty();
 	}
 
-	// The first order, to p-a, is lost, and from then on only another VM reaches it.
-	private void loseOrderAndPath() {
+	private void registerOtherVm() {
 		this.gateway.entryVms()
 			.register(new EntryVm("vms/other", "10.0.0.8:80", "region-1", "hall-a", 1, false, "10.0.0.8:90", ""));
 		this.gateway.startSampling();
+	}
+
+	// The first order, to p-a, is lost, and from then on only another VM reaches it.
+	private void loseOrderAndPath() {
+		registerOtherVm();
 		this.port.losesOrders = true;
 		this.port.onOrder = () -> this.network.cut.add("p-a");
 		advanceUntil(() -> !this.port.orders.isEmpty());
@@ -335,13 +339,41 @@
 		Assertions.assertThat(this.registry.announcedStages).doesNotContainKey("p-a");
 	}
 
+	// Guards against a fleet in which nobody changes stages for as long as its leader is
+	// cut off from the workers.
+	@Test
+	void resignsOnceNoWorkerThatShouldChangeHasADirectPath() {
+		registerOtherVm();
+		this.port.onOrder = () -> this.network.cut.addAll(Set.of("p-a", "p-b", "p-c"));
+		this.port.losesOrders = true;
+		advanceUntil(() -> !this.port.orders.isEmpty());
+		long cutAt = this.timer.now();
+		advanceUntil(() -> this.registry.leader == null);
+		Assertions.assertThat(this.registry.leader).isNull();
+		Assertions.assertThat(this.timer.now() - cutAt).isBetween(5_000L, 20_000L);
+		Assertions.assertThat(this.port.orders).hasSize(1);
+		Assertions.assertThat(this.registry.announcedStages).isEmpty();
+	}
+
+	// Guards against handovers that cost more than the cut that they answer.
+	@Test
+	void goesOnAfterAShortCut() {
+		registerOtherVm();
+		advanceUntil(() -> !this.registry.announcedStages.isEmpty());
+		this.network.cut.addAll(Set.of("p-a", "p-b", "p-c", "d-a", "d-b", "d-c"));
+		this.gateway.callUnanswered(worker("p-a", "a", WorkerStage.PREFILL));
+		this.timer.advance(3_000);
+		this.network.cut.clear();
+		this.timer.advance(10_000);
+		Assertions.assertThat(this.registry.leader).isNotNull();
+		Assertions.assertThat(this.port.orders).isNotEmpty();
+	}
+
 	// Guards against a leader without callers that never learns that it has lost its
 	// paths, and orders into the void.
 	@Test
 	void learnsOfALostPathFromItsOwnCalls() {
-		this.gateway.entryVms()
-			.register(new EntryVm("vms/other", "10.0.0.8:80", "region-1", "hall-a", 1, false, "10.0.0.8:90", ""));
-		this.gateway.startSampling();
+		registerOtherVm();
 		this.network.cut.add("p-a");
 		this.port.unresponsiveWorkers.add("p-a");
 		this.timer.advance(8_000);
