Announcements of stage changes that nobody carries out are withdrawn

What callers saw: fewer workers than there are, for as long as the leader's VM lives; by reading, no record shows it.

Cause: a change that failed withdrew its announcement once. If the store did not take that call, the announcement stayed with the leader's lease: VMs leave the worker alone, and the planner counts it at a stage that it does not have. A leader that has resigned keeps its lease, so the same could be left by it.

Change: the present leader withdraws what has been announced for ten seconds while no change of it is in progress and its worker has another stage.

--- a/src/main/java/io/shallotspur/gateway/WorkerDirectory.java
+++ b/src/main/java/io/shallotspur/gateway/WorkerDirectory.java
@@ -193,6 +193,17 @@
 		this.announcedStages.remove(id);
 	}
 
+	/**
+	 * Returns the workers that do not have the stage yet which was announced for them.
+	 * @return their ids
+	 */
+	public Set<String> changingStage() {
+		return this.announcedStages.keySet()
+			.stream()
+			.filter((id) -> this.byId.containsKey(id) && isChangingStage(this.byId.get(id).info()))
+			.collect(Collectors.toSet());
+	}
+
 	/**
 	 * Applies a full listing: announcements that it lacks are removed.
 	 * @param ids the workers with an announced stage change
--- a/src/main/java/io/shallotspur/stage/StageRebalancer.java
+++ b/src/main/java/io/shallotspur/stage/StageRebalancer.java
@@ -75,6 +75,8 @@
 
 	private final Map<String, StageChangeTask> activeChanges = new HashMap<>();
 
+	private final OrphanedAnnouncements orphans = new OrphanedAnnouncements();
+
 	private final Map<String, UpstreamState> upstreamStates = new HashMap<>();
 
 	// When the last stage change of a worker failed, by worker id.
@@ -134,12 +136,26 @@
 		}
 		this.leadership.claimIfVacant(reachesAnyWorker(l, now), now);
 		l.forEach((u) -> checkUpstream(u.name(), u.engine(), now));
+		withdrawOrphans(now);
 		if (this.activeChanges.isEmpty() && l.stream().anyMatch((u) -> isBlocked(u.name(), now))) {
 			Logger.info("[stage] no direct path to workers that should change");
 			this.leadership.resign(now);
 		}
 	}
 
+	private void withdrawOrphans(long now) {
+		List<String> orphans = this.orphans.update(this.gateway.roster().changingStage(), this.activeChanges.keySet(),
+				now);
+		if (!this.leadership.mayAct(now)) {
+			return;
+		}
+		for (String id : orphans) {
+			Logger.info("[stage] announcement without a change worker={}", id);
+			this.leadership.withdrawStageChange(id, this.leadership.term()).subscribe((withdrawn) -> {
+			}, (ex) -> Logger.info("[stage] withdrawal failed worker={} seen=\"{}\"", id, ex.toString()));
+		}
+	}
+
 	// A VM that knows of no worker may learn of some before it acts.
 	private boolean reachesAnyWorker(List<UpstreamSpec> l, long now) {
 		List<WorkerInfo> workers = l.stream()
--- a/src/test/java/io/shallotspur/stage/StageRebalancerTests.java
+++ b/src/test/java/io/shallotspur/stage/StageRebalancerTests.java
@@ -369,6 +369,19 @@
 		Assertions.assertThat(this.port.orders).isNotEmpty();
 	}
 
+	// Guards against a worker that serves nobody any more, because the withdrawal of its
+	// announcement was lost or its leader has resigned.
+	@Test
+	void withdrawsAnnouncementsOfWhichNoChangeIsInProgress() {
+		this.registry.announcedStages.put("p-b", WorkerStage.DECODE);
+		this.registry.pendingWatch.tryEmitValue(new RegistryUpdate(new StorePosition(0, 60),
+				List.of(new RegistryChange.StageChangeAnnounced("p-b", WorkerStage.DECODE))));
+		this.timer.advance(9_000);
+		Assertions.assertThat(this.registry.announcedStages).containsKey("p-b");
+		this.timer.advance(10_000);
+		Assertions.assertThat(this.registry.announcedStages).doesNotContainKey("p-b");
+	}
+
 	// Guards against a leader without callers that never learns that it has lost its
 	// paths, and orders into the void.
 	@Test
