A leader orders only while its lease outlasts the order

Cause: a confirmation tells that the lease was alive when the store was asked. A leader whose renewals are late may hold one that ends within milliseconds; its order then arrives after the announcement has ended with the lease, and other VMs send prompts to a worker that changes its stage.

Change: a leader acts only while the lease, counted from the sending of the call that renewed it last (and with time that the machine was suspended), lasts for another 0.5 s, the time limit of an order's call.

--- a/src/main/java/io/shallotspur/registry/Leadership.java
+++ b/src/main/java/io/shallotspur/registry/Leadership.java
@@ -179,12 +179,13 @@
 
 	/**
 	 * Returns whether this VM is the leader and its handover period has passed, as far as
-	 * it knows.
+	 * it knows, and an order that is sent now arrives before its lease can end.
 	 * @param now the current time in milliseconds
 	 * @return whether it may send orders
 	 */
 	public boolean mayAct(long now) {
-		return isLeader() && !this.resigning && now - this.changedAt >= this.handoverMs + IN_FLIGHT_ORDER_MS;
+		return isLeader() && !this.resigning && now - this.changedAt >= this.handoverMs + IN_FLIGHT_ORDER_MS
+				&& this.registration.leaseRemainingMs() >= ORDER_CALL_MS;
 	}
 
 	/**
--- a/src/main/java/io/shallotspur/registry/VmRegistration.java
+++ b/src/main/java/io/shallotspur/registry/VmRegistration.java
@@ -37,6 +37,9 @@
 
 	private long lease;
 
+	// When the call was sent that opened the lease or last renewed it.
+	private long leaseConfirmedAt;
+
 	// Number of restores of the store; a lease from before a restore is no longer valid.
 	private long restores;
 
@@ -151,12 +154,22 @@
 		return (this.registering || this.deregistered) ? 0 : this.lease;
 	}
 
+	/**
+	 * Returns for how long the registration lasts at least, and with it all that is
+	 * attached to its lease.
+	 * @return milliseconds; 0 or less if it may have ended
+	 */
+	long leaseRemainingMs() {
+		return (activeLease() != 0) ? this.leaseConfirmedAt + LEASE_TTL_MS - this.elapsed.getAsLong() : 0;
+	}
+
 	private void onRegistered(long l, long sentAt) {
 		boolean ok = l != 0;
 		if (ok && this.listener != null) {
 			this.listener.onRegistered(sentAt, LEASE_TTL_MS);
 		}
 		this.lease = l;
+		this.leaseConfirmedAt = sentAt;
 		this.registering = false;
 		Logger.info("[registry] registered vm={} lease={} done={}", this.vm.key(), this.lease, ok);
 		if (this.deregistered) {
@@ -187,6 +200,7 @@
 			return;
 		}
 		if (exists) {
+			this.leaseConfirmedAt = sentAt;
 			if (this.listener != null) {
 				this.listener.onRenewed(sentAt, LEASE_TTL_MS);
 			}
--- a/src/test/java/io/shallotspur/registry/LeadershipTests.java
+++ b/src/test/java/io/shallotspur/registry/LeadershipTests.java
@@ -10,6 +10,7 @@
 import io.shallotspur.gateway.EntryVm;
 import io.shallotspur.gateway.EntryVmDirectory;
 import io.shallotspur.gateway.ManualTimer;
+import io.shallotspur.gateway.RegistrationListener;
 import io.shallotspur.gateway.WorkerStage;
 
 /**
@@ -21,6 +22,22 @@
 
 	private static final String SELF = "vms/b";
 
+	private static final RegistrationListener NOP_LISTENER = new RegistrationListener() {
+
+		@Override
+		public void onRegistered(long sentAt, long ttlMs) {
+		}
+
+		@Override
+		public void onRenewed(long sentAt, long ttlMs) {
+		}
+
+		@Override
+		public void onDeregistered() {
+		}
+
+	};
+
 	private final ManualTimer timer = new ManualTimer();
 
 	private final FakeRegistry registry = new FakeRegistry();
@@ -192,4 +209,18 @@
 		Assertions.assertThat(this.leadership.mayAct(this.timer.now())).isTrue();
 	}
 
+	// Guards against an order whose announcement has ended with the lease: the VM has not
+	// renewed it for so long that it may lapse before the order arrives.
+	@Test
+	void doesNotActOnceItsLeaseMayLapse() {
+		this.registration.setListener(NOP_LISTENER, this.timer::now);
+		this.timer.advance(1_000);
+		elect(SELF, 7);
+		this.timer.advance(10_000);
+		Assertions.assertThat(this.leadership.mayAct(this.timer.now())).isTrue();
+		this.registry.storeDown = true;
+		this.timer.advance(2_600);
+		Assertions.assertThat(this.leadership.mayAct(this.timer.now())).isFalse();
+	}
+
 }
