Path checks of a leader are bounded; other VMs check none

Cause: whether a worker is reached directly was asked of each worker once a second on each VM, and the question checked the paths of all workers of which nothing was heard since a loss.

Change: the question reads state only. The leader checks the paths of eight workers a second while it knows none to those that should change, and of the worker whose order waits. Whether a VM reaches workers is asked only when the leadership is vacant. A leader whose term ends forgets for how long it was blocked. An order bears the token of its change's term.

Model: a VM that leaves right after its order (was: at a step's time).

--- a/src/main/java/io/shallotspur/gateway/Gateway.java
+++ b/src/main/java/io/shallotspur/gateway/Gateway.java
@@ -449,10 +449,20 @@
 	 * Tells whether a call that is not to go through another VM is likely to reach a
 	 * worker.
 	 * @param worker the worker
-	 * @return {@code false} if the direct path is lost, or may be and is being checked
+	 * @return {@code false} if the direct path is lost, or nothing was heard on it since
+	 * others were
 	 */
 	public boolean reachesDirectly(WorkerInfo worker) {
-		return this.paths.reachesDirectly(worker, this.clock.getAsLong());
+		return this.paths.reachesDirectly(worker);
+	}
+
+	/**
+	 * Checks the direct path to a worker if nothing was heard on it since others were
+	 * lost.
+	 * @param worker the worker
+	 */
+	public void checkSuspectedPath(WorkerInfo worker) {
+		this.paths.checkSuspected(worker, this.clock.getAsLong());
 	}
 
 	/**
--- a/src/main/java/io/shallotspur/gateway/WorkerPaths.java
+++ b/src/main/java/io/shallotspur/gateway/WorkerPaths.java
@@ -107,15 +107,26 @@
 	/**
 	 * Tells whether a call that is not to go through another VM is likely to arrive.
 	 * @param worker the worker
-	 * @param now the present time in milliseconds
-	 * @return {@code false} if the direct path is lost, or may be and is being checked
+	 * @return {@code false} if the direct path is lost, or nothing was heard on it since
+	 * others were
 	 */
-	boolean reachesDirectly(WorkerInfo worker, long now) {
+	boolean reachesDirectly(WorkerInfo worker) {
 		return this.gateway.roster.instance(worker)
-			.map((w) -> !w.path().isLost() && !w.path().isUnreachable() && tunnelVm(w, now).isEmpty())
+			.map((w) -> !w.path().isLost() && !w.path().isUnreachable() && !isSuspected(w))
 			.orElse(true);
 	}
 
+	/**
+	 * Checks the path to a worker if nothing was heard on it since others were lost.
+	 * @param worker the worker
+	 * @param now the present time in milliseconds
+	 */
+	void checkSuspected(WorkerInfo worker, long now) {
+		this.gateway.roster.instance(worker)
+			.filter((w) -> !w.path().isLost() && isSuspected(w))
+			.ifPresent((w) -> noResponse(w, now));
+	}
+
 	/**
 	 * Records that a worker has sent something.
 	 * @param w the worker
--- a/src/main/java/io/shallotspur/platform/StoreRegistry.java
+++ b/src/main/java/io/shallotspur/platform/StoreRegistry.java
@@ -300,9 +300,8 @@
 		return transact(body, "unmark");
 	}
 
-	// A revision of 0 would stand for a key that does not exist, so any VM could act
-	// while
-	// there is no leader.
+	// The revision 0 stands for a key that does not exist: without this check, any VM
+	// could act while there is no leader.
 	private boolean mayBeCurrent(StorePosition electedAt) {
 		return !electedAt.equals(StorePosition.NONE) && electedAt.era() == this.client.era();
 	}
--- a/src/main/java/io/shallotspur/registry/Leadership.java
+++ b/src/main/java/io/shallotspur/registry/Leadership.java
@@ -1,6 +1,7 @@
 package io.shallotspur.registry;
 
 import java.util.Objects;
+import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
 
 import org.jspecify.annotations.Nullable;
@@ -36,7 +37,8 @@
 	// the store at once unless the others are too.
 	private static final long MAX_CLAIM_DELAY_MS = 8_000;
 
-	// Delay of a claim by a VM that had better not lead, ms: after all others.
+	// Delay of a claim by a VM that has resigned or reaches no worker, ms: after all
+	// others.
 	private static final long LAST_CLAIM_DELAY_MS = MAX_CLAIM_DELAY_MS + 4_000;
 
 	// For how long a VM that has resigned leaves the leadership to others, ms.
@@ -127,12 +129,10 @@
 	 * or has resigned lately, claims it only if no other VM does
 	 * @param now the current time in milliseconds
 	 */
-	public void claimIfVacant(boolean reachesWorkers, long now) {
-		boolean last = !reachesWorkers || now - this.resignedAt < STAND_BACK_MS;
-		long delay = last ? LAST_CLAIM_DELAY_MS
-				: Math.min(MAX_CLAIM_DELAY_MS, VACANCY_DELAY_MS + CLAIM_INTERVAL_MS * this.vms.rank(this.self, now));
+	public void claimIfVacant(BooleanSupplier reachesWorkers, long now) {
 		long lease = this.registration.activeLease();
-		if (this.leader != null || this.claimPending || lease == 0 || now - this.changedAt < delay) {
+		if (this.leader != null || this.claimPending || lease == 0
+				|| now - this.changedAt < claimDelayMs(reachesWorkers, now)) {
 			return;
 		}
 		this.claimPending = true;
@@ -142,6 +142,13 @@
 			.subscribe((got) -> claimAnswered("got=" + got), (ex) -> claimAnswered(ex.toString()));
 	}
 
+	private long claimDelayMs(BooleanSupplier reachesWorkers, long now) {
+		if (now - this.resignedAt < STAND_BACK_MS || !reachesWorkers.getAsBoolean()) {
+			return LAST_CLAIM_DELAY_MS;
+		}
+		return Math.min(MAX_CLAIM_DELAY_MS, VACANCY_DELAY_MS + CLAIM_INTERVAL_MS * this.vms.rank(this.self, now));
+	}
+
 	private void claimAnswered(String result) {
 		this.claimPending = false;
 		this.changedAt = this.clock.getAsLong();
--- a/src/main/java/io/shallotspur/stage/StageChangeTask.java
+++ b/src/main/java/io/shallotspur/stage/StageChangeTask.java
@@ -182,6 +182,7 @@
 	// for a while; without one, another worker may be changed instead.
 	private void awaitDirectPath() {
 		long now = this.clock.getAsLong();
+		this.access.checkSuspected(this.worker);
 		this.pathLostAt = (this.pathLostAt == NEVER) ? now : this.pathLostAt;
 		if (this.orderCount == 0 || now - this.pathLostAt >= MAX_PATH_WAIT_MS) {
 			fail("no direct path");
@@ -216,7 +217,7 @@
 
 	private void sendOrder(long acceptedOrders) {
 		this.orderCount++;
-		StageOrder o = new StageOrder(this.worker, this.targetStage, this.vmName, this.leadership.term().fencingToken(),
+		StageOrder o = new StageOrder(this.worker, this.targetStage, this.vmName, this.term.fencingToken(),
 				acceptedOrders);
 		Logger.info("[stage] order worker={} stage={} fence={} expected={}", this.worker.id(), this.targetStage,
 				o.fencingToken(), acceptedOrders);
--- a/src/main/java/io/shallotspur/stage/StageRebalancer.java
+++ b/src/main/java/io/shallotspur/stage/StageRebalancer.java
@@ -55,6 +55,9 @@
 	// this VM resigns: about as long as a handover takes, so that short cuts cost none.
 	private static final long RESIGN_DELAY_MS = 5_000;
 
+	// Paths that are checked at a time while none to a worker is known.
+	private static final int MAX_PATH_CHECKS = 8;
+
 	private static final long NEVER = Long.MAX_VALUE;
 
 	private final String vmName;
@@ -134,7 +137,7 @@
 		if (l.isEmpty()) {
 			return;
 		}
-		this.leadership.claimIfVacant(reachesAnyWorker(l, now), now);
+		this.leadership.claimIfVacant(() -> reachesAnyWorker(l, now), now);
 		l.forEach((u) -> checkUpstream(u.name(), u.engine(), now));
 		withdrawOrphans(now);
 		if (this.activeChanges.isEmpty() && l.stream().anyMatch((u) -> isBlocked(u.name(), now))) {
@@ -185,8 +188,13 @@
 		}
 		UpstreamState s = this.upstreamStates.computeIfAbsent(upstream, (u) -> new UpstreamState());
 		s.updateWorkerCount(prefill.size() + decode.size(), now);
-		boolean blocked = Stream.concat(prefill.stream(), decode.stream()).noneMatch(this.access::isDirect);
-		if (this.leadership.mayAct(now) && s.isWorkerCountStable(now) && !prefill.isEmpty() && !decode.isEmpty()) {
+		if (!this.leadership.mayAct(now)) {
+			s.updateBlocked(false, now);
+			return;
+		}
+		List<WorkerInfo> all = Stream.concat(prefill.stream(), decode.stream()).toList();
+		boolean blocked = !all.isEmpty() && !reachesAny(all);
+		if (s.isWorkerCountStable(now) && !prefill.isEmpty() && !decode.isEmpty()) {
 			blocked |= this.gateway.engineTimes(upstream)
 				.statistics()
 				.filter((statistics) -> statistics.samples() >= MIN_SAMPLES)
@@ -194,7 +202,15 @@
 				.map((observed) -> !rebalance(s, observed, prefill, decode, now))
 				.orElse(false);
 		}
-		s.updateBlocked(blocked && !(prefill.isEmpty() && decode.isEmpty()), now);
+		s.updateBlocked(blocked, now);
+	}
+
+	private boolean reachesAny(List<WorkerInfo> workers) {
+		if (workers.stream().anyMatch(this.access::isDirect)) {
+			return true;
+		}
+		workers.stream().limit(MAX_PATH_CHECKS).forEach(this.access::checkSuspected);
+		return false;
 	}
 
 	// Returns false if workers should change, and there is no direct path to any of them.
@@ -212,7 +228,7 @@
 			return true;
 		}
 		List<WorkerInfo> from = (stage == WorkerStage.DECODE) ? prefill : decode;
-		if (from.stream().noneMatch(this.access::isDirect)) {
+		if (!reachesAny(from)) {
 			return false;
 		}
 		Logger.info("[stage] prefill={} decode={} wanted-prefill={} seen={}", prefill.size(), decode.size(), best,
@@ -285,6 +301,11 @@
 			return StageRebalancer.this.gateway.reachesDirectly(w);
 		}
 
+		@Override
+		public void checkSuspected(WorkerInfo w) {
+			StageRebalancer.this.gateway.checkSuspectedPath(w);
+		}
+
 		@Override
 		public void onNoAnswer(WorkerInfo w) {
 			StageRebalancer.this.gateway.callUnanswered(w);
--- a/src/main/java/io/shallotspur/stage/WorkerAccess.java
+++ b/src/main/java/io/shallotspur/stage/WorkerAccess.java
@@ -18,10 +18,18 @@
 	 * Tells whether an order is likely to reach a worker on the direct path, the only one
 	 * on which it comes from this VM's machine.
 	 * @param worker the worker
-	 * @return {@code false} if that path is lost, or may be and is being checked
+	 * @return {@code false} if that path is lost, or nothing was heard on it since others
+	 * were
 	 */
 	boolean isDirect(WorkerInfo worker);
 
+	/**
+	 * Checks the direct path to a worker if nothing was heard on it since others were
+	 * lost.
+	 * @param worker the worker
+	 */
+	void checkSuspected(WorkerInfo worker);
+
 	/**
 	 * Records that a call to a worker had no answer.
 	 * @param worker the worker
--- a/src/test/java/io/shallotspur/registry/LeadershipTests.java
+++ b/src/test/java/io/shallotspur/registry/LeadershipTests.java
@@ -58,7 +58,7 @@
 
 	private void claimAfter(long delayMs) {
 		this.timer.advance(delayMs);
-		this.leadership.claimIfVacant(true, this.timer.now());
+		this.leadership.claimIfVacant(() -> true, this.timer.now());
 	}
 
 	private void elect(String vm, long revision) {
@@ -191,10 +191,10 @@
 	@Test
 	void claimsLastIfItReachesNoWorker() {
 		this.timer.advance(11_000);
-		this.leadership.claimIfVacant(false, this.timer.now());
+		this.leadership.claimIfVacant(() -> false, this.timer.now());
 		Assertions.assertThat(this.registry.claimCalls).isZero();
 		this.timer.advance(1_100);
-		this.leadership.claimIfVacant(false, this.timer.now());
+		this.leadership.claimIfVacant(() -> false, this.timer.now());
 		Assertions.assertThat(this.registry.claimCalls).isEqualTo(1);
 	}
 
--- a/src/test/java/io/shallotspur/stage/OrderFleet.java
+++ b/src/test/java/io/shallotspur/stage/OrderFleet.java
@@ -85,6 +85,8 @@
 
 	private boolean stopsOnceConfirmed;
 
+	private boolean leavesAfterOrder;
+
 	private boolean longAnswers = true;
 
 	OrderFleet(int vms) {
@@ -130,6 +132,20 @@
 		this.stopsOnceConfirmed = true;
 	}
 
+	/**
+	 * Tells the next VM to leave of which an order arrives.
+	 */
+	void leaveAfterOrder() {
+		this.leavesAfterOrder = true;
+	}
+
+	private void onOrderArrived(Vm vm) {
+		if (this.leavesAfterOrder) {
+			this.leavesAfterOrder = false;
+			vm.leave();
+		}
+	}
+
 	// Called when the store has read the leader for a VM.
 	void onLeaderRead(Vm vm) {
 		if (this.stopsOnceConfirmed) {
@@ -476,6 +492,7 @@
 						return;
 					}
 					OrderResult r = OrderFleet.this.workers.get(o.worker().id()).receive(this.entry.key(), o);
+					onOrderArrived(this);
 					if (r != null && this.cuts.get(o.worker().id()) == null) {
 						run(() -> sink.success(r));
 					}
--- a/src/test/java/io/shallotspur/stage/OrderModelTests.java
+++ b/src/test/java/io/shallotspur/stage/OrderModelTests.java
@@ -95,7 +95,7 @@
 	// One VM is left in any case, and there is something to heal.
 	private static boolean isPossible(Step s, List<Step> before) {
 		return switch (s) {
-			case KILL, LEAVE -> !before.contains(s);
+			case KILL, LEAVE_AFTER_ORDER -> !before.contains(s);
 			case HEAL -> before.stream().anyMatch(Step::heals) && before.get(before.size() - 1) != Step.HEAL;
 			default -> true;
 		};
@@ -129,7 +129,7 @@
 			case STOP -> f.leader().ifPresent(OrderFleet.Vm::stop);
 			case STOP_ONCE_CONFIRMED -> f.stopOnceConfirmed();
 			case KILL -> f.leader().ifPresent(OrderFleet.Vm::kill);
-			case LEAVE -> f.leader().ifPresent(OrderFleet.Vm::leave);
+			case LEAVE_AFTER_ORDER -> f.leaveAfterOrder();
 			case HEAL -> f.vms.forEach(OrderFleet.Vm::heal);
 			case FLIP -> f.flipLoad();
 			case WAIT -> f.timer.advance(WAIT_MS);
@@ -165,8 +165,8 @@
 		/** The leader's process is killed. */
 		KILL,
 
-		/** The leader is told to leave. */
-		LEAVE,
+		/** The leader is told to leave when its next order has arrived. */
+		LEAVE_AFTER_ORDER,
 
 		/** All cuts end and all stopped processes continue. */
 		HEAL,
