Order soak: processes change stages while paths, store and processes fail

scripts/soak/orders turns the load between long answers and long prompts, so that the leader has workers change their stages, and strikes mostly the leader and right after an order: paths to all or some workers lost (refused, hanging, answers lost one way, flapping), no store, stopped, killed, told to leave. Troubles of six kinds overlap; workers carry half of the orders out 2 to 9 s late. Each VM has paths of its own to the workers, so OrderChecker knows from which VM an order comes, and judges the rule ONE; at the end an order has to be given again.

--- a/src/test/java/io/shallotspur/platform/FakeStore.java
+++ b/src/test/java/io/shallotspur/platform/FakeStore.java
@@ -8,6 +8,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.CopyOnWriteArrayList;
@@ -172,6 +173,16 @@
 		return found;
 	}
 
+	/**
+	 * Returns the value of an item.
+	 * @param key its key
+	 * @return the value; empty if there is no such item
+	 */
+	public synchronized Optional<String> value(String key) {
+		return Optional.ofNullable(this.items.get(key))
+			.map((i) -> new String(Base64.getDecoder().decode(i.path("value").asText()), StandardCharsets.UTF_8));
+	}
+
 	public synchronized void put(String key, String json) {
 		put(key, Base64.getEncoder().encodeToString(json.getBytes(StandardCharsets.UTF_8)), 0);
 	}
--- a/src/test/java/io/shallotspur/platform/soak/LoopbackProxy.java
+++ b/src/test/java/io/shallotspur/platform/soak/LoopbackProxy.java
@@ -164,6 +164,11 @@
 		startDaemon(this::acceptConnections);
 	}
 
+	// Whether a connection to the target comes from this port.
+	boolean forwardsFrom(int port) {
+		return this.openSockets.stream().anyMatch((s) -> s.getLocalPort() == port);
+	}
+
 	void targetPort(int port) {
 		this.targetPort = port;
 	}
--- a/src/test/java/io/shallotspur/platform/soak/WorkerProxies.java
+++ b/src/test/java/io/shallotspur/platform/soak/WorkerProxies.java
@@ -35,6 +35,20 @@
 		return this.ways.get(vm).proxy.port();
 	}
 
+	/**
+	 * Returns the VM from which a connection comes.
+	 * @param port the port from which it reaches the worker
+	 * @return the index of the VM; -1 if the connection has ended
+	 */
+	int vmOf(int port) {
+		for (int i = 0; i < this.ways.size(); i++) {
+			if (this.ways.get(i).proxy.forwardsFrom(port)) {
+				return i;
+			}
+		}
+		return -1;
+	}
+
 	synchronized void targetPort(int port) {
 		this.ways.forEach((w) -> w.proxy.targetPort(port));
 	}
@@ -75,11 +89,10 @@
 	synchronized void cut(int vm, Cut how) {
 		Way w = this.ways.get(vm);
 		w.cut = how;
-		if (how == Cut.HANGS) {
-			w.proxy.cut();
-		}
-		else {
-			w.proxy.refuseConnections();
+		switch (how) {
+			case HANGS -> w.proxy.cut();
+			case REFUSED -> w.proxy.refuseConnections();
+			case NO_ANSWERS -> w.proxy.mode(LoopbackProxy.Mode.ONE_WAY);
 		}
 	}
 
@@ -107,7 +120,10 @@
 	 */
 	enum Cut {
 
-		HANGS, REFUSED
+		HANGS, REFUSED,
+
+		/** What the VM sends arrives, and nothing comes back. */
+		NO_ANSWERS
 
 	}
 
