Tests: one command line for the soaks, one registry that never answers

The three soaks had the same main method with small differences, and two stand-ins of the registry thirteen methods that never answer.

--- a/src/test/java/io/shallotspur/platform/soak/OrderRun.java
+++ b/src/test/java/io/shallotspur/platform/soak/OrderRun.java
@@ -19,7 +19,7 @@
  * stages, while the VM that orders it and others are cut off from workers or the store,
  * stopped, killed and told to leave, in series that overlap. Used by one thread.
  */
-final class OrderRun {
+final class OrderRun implements SoakCommand.Run {
 
 	// VmProcess sets this as the time between the orders of two VMs.
 	private static final long TURN_MS = 1_000;
@@ -95,11 +95,8 @@
 		return view;
 	}
 
-	/**
-	 * Runs the soak test for the seed.
-	 * @return the violations; empty if there are none
-	 */
-	List<String> run() throws IOException, InterruptedException {
+	@Override
+	public List<String> run() throws IOException, InterruptedException {
 		try {
 			for (VmProcess vm : this.vms) {
 				vm.start();
@@ -141,7 +138,8 @@
 		}
 	}
 
-	String summary() {
+	@Override
+	public String summary() {
 		return this.checker.summary() + " served=" + this.served;
 	}
 
--- a/src/test/java/io/shallotspur/platform/soak/SoakRun.java
+++ b/src/test/java/io/shallotspur/platform/soak/SoakRun.java
@@ -17,7 +17,7 @@
  * The soak run of one seed, with its VM processes, fakes, callers and faults. Used by one
  * thread.
  */
-final class SoakRun {
+final class SoakRun implements SoakCommand.Run {
 
 	// In s. Long enough for a machine under other load; it only checks that the VMs serve
 	// requests again at all.
@@ -118,11 +118,8 @@
 		this.workers.forEach(SoakWorker::rewriteEntries);
 	}
 
-	/**
-	 * Runs the soak test for the seed.
-	 * @return the violated invariants; empty if all hold
-	 */
-	List<String> run() throws IOException, InterruptedException {
+	@Override
+	public List<String> run() throws IOException, InterruptedException {
 		try {
 			for (VmProcess vm : this.vms) {
 				vm.start();
@@ -145,7 +142,8 @@
 		}
 	}
 
-	String summary() {
+	@Override
+	public String summary() {
 		return this.checker.summary() + " served=" + successCount();
 	}
 
--- a/src/test/java/io/shallotspur/platform/soak/StopRun.java
+++ b/src/test/java/io/shallotspur/platform/soak/StopRun.java
@@ -13,7 +13,7 @@
  * One run of the stop soak: VMs are stopped and started again in series that overlap,
  * while callers keep using them. Nothing else is disturbed. Used by one thread.
  */
-final class StopRun {
+final class StopRun implements SoakCommand.Run {
 
 	private static final int LONGEST_ANSWER_S = 20;
 
@@ -63,11 +63,8 @@
 		}
 	}
 
-	/**
-	 * Runs the soak test for the seed.
-	 * @return the violations; empty if there are none
-	 */
-	List<String> run() throws IOException, InterruptedException {
+	@Override
+	public List<String> run() throws IOException, InterruptedException {
 		try {
 			for (VmProcess vm : this.vms) {
 				vm.start();
@@ -98,7 +95,8 @@
 		}
 	}
 
-	String summary() {
+	@Override
+	public String summary() {
 		return this.checker.summary();
 	}
 
--- a/src/test/java/io/shallotspur/platform/soak/StopSoak.java
+++ b/src/test/java/io/shallotspur/platform/soak/StopSoak.java
@@ -1,49 +1,26 @@
 package io.shallotspur.platform.soak;
 
 import java.io.IOException;
-import java.nio.file.Files;
-import java.nio.file.Path;
-import java.util.List;
 
 /**
- * Command line of the stop soak: {@code FIRST-SEED [SEEDS [SECONDS [VMS [STREAMS]]]]}.
- * The logs of the processes are kept under {@code target/soak} for seeds with violations.
+ * The soak of stops, as a {@link SoakCommand}.
  */
 public final class StopSoak {
 
-	private static final int MS_PER_S = 1_000;
-
 	private static final int DEFAULT_STREAMS = 100;
 
 	private StopSoak() {
 	}
 
 	/**
-	 * Runs the soak. Exits with status 1 if any seed has violations, otherwise 0.
-	 * @param args the first seed, the number of seeds, the seconds in which stops begin,
+	 * Runs the soak.
+	 * @param args the first seed, the number of seeds, the seconds in which faults begin,
 	 * the number of VMs and how many streams a worker takes at a time
 	 */
 	public static void main(String[] args) throws IOException, InterruptedException {
-		long first = Long.parseLong(args[0]);
-		int seeds = (args.length > 1) ? Integer.parseInt(args[1]) : 1;
-		long lengthMs = ((args.length > 2) ? Long.parseLong(args[2]) : 20) * MS_PER_S;
-		int vms = (args.length > 3) ? Integer.parseInt(args[3]) : 4;
-		int streams = (args.length > 4) ? Integer.parseInt(args[4]) : DEFAULT_STREAMS;
 		FreePorts ports = new FreePorts();
-		int failedSeeds = 0;
-		for (long seed = first; seed < first + seeds; seed++) {
-			Path dir = Files
-				.createDirectories(Path.of("target", "soak", "stops-" + seed + "-" + ProcessHandle.current().pid()));
-			StopRun run = new StopRun(seed, vms, lengthMs, streams, dir, ports);
-			List<String> violations = run.run();
-			System.out.println("[soak] stops seed=" + seed + " seconds=" + lengthMs / MS_PER_S + " vms=" + vms + " "
-					+ run.summary() + " broken=" + violations.size());
-			for (String violation : violations) {
-				System.out.println("[soak] stops seed=" + seed + " " + violation);
-			}
-			failedSeeds += violations.isEmpty() ? 0 : 1;
-		}
-		System.exit((failedSeeds > 0) ? 1 : 0);
+		SoakCommand.main("stops", args, new int[] { 20, 4, DEFAULT_STREAMS },
+				(seed, lengthMs, values, dir) -> new StopRun(seed, values[1], lengthMs, values[2], dir, ports));
 	}
 
 }
--- a/src/test/java/io/shallotspur/registry/SimulatedStore.java
+++ b/src/test/java/io/shallotspur/registry/SimulatedStore.java
@@ -4,8 +4,6 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.LongConsumer;
 
@@ -15,18 +13,14 @@
 
 import io.shallotspur.exc.StoreHistoryGoneException;
 import io.shallotspur.exc.StoreUnavailableException;
-import io.shallotspur.gateway.EngineStatistics;
-import io.shallotspur.gateway.EntryVm;
 import io.shallotspur.gateway.ManualTimer;
-import io.shallotspur.gateway.WorkerStage;
-import io.shallotspur.route.RouteTable;
 
 /**
  * A registry in virtual time, as seen by one VM: it answers after some milliseconds, and
  * can be unavailable, disconnected or restored from a snapshot. It serves only listings,
  * watches, lease renewals and the record of a settled era. Not thread-safe.
  */
-final class SimulatedStore implements Registry {
+final class SimulatedStore extends NopRegistry {
 
 	private static final long RESPONSE_MS = 4;
 
@@ -231,81 +225,16 @@
 		this.restoreListener = listener;
 	}
 
-	@Override
-	public Mono<RouteTable> readConfiguration() {
-		return Mono.never();
-	}
-
-	@Override
-	public Mono<Long> openLease(long ttlMs) {
-		return Mono.never();
-	}
-
 	@Override
 	public Mono<Boolean> renewLease(long lease) {
 		return respond(TIMEOUT_MS, () -> true);
 	}
 
-	@Override
-	public Mono<Void> revokeLease(long lease) {
-		return Mono.never();
-	}
-
-	@Override
-	public Mono<Boolean> registerVm(EntryVm vm, long lease) {
-		return Mono.never();
-	}
-
-	@Override
-	public Mono<Boolean> claimLeadership(String vm, long lease) {
-		return Mono.never();
-	}
-
-	@Override
-	public Mono<Optional<RegistryChange.LeaderElected>> readLeader() {
-		return Mono.never();
-	}
-
-	@Override
-	public Mono<Boolean> announceStageChange(String worker, WorkerStage stage, StorePosition electedAt, long lease) {
-		return Mono.never();
-	}
-
-	@Override
-	public Mono<Boolean> publishStats(String upstream, EngineStatistics stats, StorePosition expected) {
-		return Mono.never();
-	}
-
-	@Override
-	public Mono<Boolean> announceVersions(String upstream, Set<String> versions, StorePosition expected) {
-		return Mono.never();
-	}
-
-	@Override
-	public Mono<RegistryChange.VersionsAnnounced> readVersions(String upstream) {
-		return Mono.never();
-	}
-
-	@Override
-	public Mono<Boolean> publishSuspects(String name, List<SuspectReport> reports, long ofLease) {
-		return Mono.never();
-	}
-
 	@Override
 	public Mono<Boolean> publishSettled(long settledEra) {
 		return Mono.fromRunnable(() -> put("eras/settled", new RegistryChange.EraSettled(settledEra))).thenReturn(true);
 	}
 
-	@Override
-	public Mono<Boolean> resignLeadership(StorePosition electedAt) {
-		return Mono.never();
-	}
-
-	@Override
-	public Mono<Boolean> withdrawStageChange(String worker, StorePosition electedAt) {
-		return Mono.never();
-	}
-
 	private static StoreUnavailableException unavailableError() {
 		return new StoreUnavailableException("unavailable", "test");
 	}
--- a/src/test/java/io/shallotspur/stage/SharedStore.java
+++ b/src/test/java/io/shallotspur/stage/SharedStore.java
@@ -6,8 +6,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
-import java.util.function.LongConsumer;
 import java.util.function.Supplier;
 
 import org.jspecify.annotations.Nullable;
@@ -15,16 +13,14 @@
 import reactor.core.publisher.MonoSink;
 
 import io.shallotspur.exc.StoreUnavailableException;
-import io.shallotspur.gateway.EngineStatistics;
 import io.shallotspur.gateway.EntryVm;
 import io.shallotspur.gateway.ManualTimer;
 import io.shallotspur.gateway.WorkerStage;
+import io.shallotspur.registry.NopRegistry;
 import io.shallotspur.registry.Registry;
 import io.shallotspur.registry.RegistryChange;
 import io.shallotspur.registry.RegistryUpdate;
 import io.shallotspur.registry.StorePosition;
-import io.shallotspur.registry.SuspectReport;
-import io.shallotspur.route.RouteTable;
 
 /**
  * One store in virtual time for several VMs, with leases and conditions, as far as the
@@ -137,7 +133,7 @@
 
 	}
 
-	private final class View implements Registry {
+	private final class View extends NopRegistry {
 
 		private static final long LEASE_TTL_MS = 3_000;
 
@@ -281,40 +277,6 @@
 			}).then();
 		}
 
-		@Override
-		public void setRestoreListener(LongConsumer listener) {
-		}
-
-		@Override
-		public Mono<RouteTable> readConfiguration() {
-			return Mono.never();
-		}
-
-		@Override
-		public Mono<Boolean> publishStats(String upstream, EngineStatistics stats, StorePosition expected) {
-			return Mono.never();
-		}
-
-		@Override
-		public Mono<Boolean> publishSuspects(String name, List<SuspectReport> reports, long lease) {
-			return Mono.never();
-		}
-
-		@Override
-		public Mono<Boolean> publishSettled(long era) {
-			return Mono.never();
-		}
-
-		@Override
-		public Mono<Boolean> announceVersions(String upstream, Set<String> versions, StorePosition expected) {
-			return Mono.never();
-		}
-
-		@Override
-		public Mono<RegistryChange.VersionsAnnounced> readVersions(String upstream) {
-			return Mono.never();
-		}
-
 	}
 
 }
