The time limit of an order's call stands in one place

The handover counts with the time limit that the port sets for its calls; two constants of 500 ms could have come apart.

--- a/src/main/java/io/shallotspur/platform/HttpStagePort.java
+++ b/src/main/java/io/shallotspur/platform/HttpStagePort.java
@@ -17,6 +17,7 @@
 import io.shallotspur.exc.EngineLostException;
 import io.shallotspur.gateway.WorkerInfo;
 import io.shallotspur.gateway.WorkerStage;
+import io.shallotspur.registry.Leadership;
 import io.shallotspur.stage.OrderResult;
 import io.shallotspur.stage.StageOrder;
 import io.shallotspur.stage.StagePort;
@@ -43,7 +44,7 @@
 
 	// In ms. Workers respond within a few ms; one that takes many times longer is
 	// unreachable or its responses are being lost.
-	private static final long TIMEOUT_MS = 500;
+	private static final long TIMEOUT_MS = Leadership.ORDER_CALL_MS;
 
 	// Values of SO_LINGER: a close resets the connection and discards what was not
 	// delivered, or leaves its delivery to the kernel.
--- a/src/main/java/io/shallotspur/registry/Leadership.java
+++ b/src/main/java/io/shallotspur/registry/Leadership.java
@@ -23,6 +23,9 @@
  */
 public final class Leadership {
 
+	/** The time limit of a call with an order, in milliseconds. */
+	public static final long ORDER_CALL_MS = 500;
+
 	// VMs claim a vacant leadership one after the other at this interval, ms. The first
 	// has it well before the second tries, so a fleet of hundreds makes one call and not
 	// hundreds.
@@ -47,9 +50,6 @@
 	// For how long a confirmation allows an order, from the question on, ms.
 	private static final long CONFIRMATION_MS = 1_000;
 
-	// Calls with orders end within this time, ms.
-	private static final long ORDER_CALL_MS = 500;
-
 	// Orders that the former leader confirmed and sent arrive within this time, ms.
 	private static final long IN_FLIGHT_ORDER_MS = CONFIRMATION_MS + ORDER_CALL_MS;
 
