Model of orders: a task that is cancelled while its process is stopped does not run

The model kept what was cancelled by its task and forgot it when the process went on, so a cancelled time limit of a stopped VM could still fire. A flag of each scheduled task replaces it.

--- a/src/test/java/io/shallotspur/stage/OrderFleet.java
+++ b/src/test/java/io/shallotspur/stage/OrderFleet.java
@@ -2,11 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
 
 import com.codahale.metrics.MetricRegistry;
@@ -318,8 +317,6 @@
 
 		private final Map<String, Cut> cuts = new HashMap<>();
 
-		private final Set<Runnable> cancelled = new HashSet<>();
-
 		private boolean cutFromStore;
 
 		private boolean stopped;
@@ -354,18 +351,17 @@
 			this.rebalancer.start();
 		}
 
+		// A task that waits until the process continues can still be cancelled.
 		private Runnable schedule(long delayMs, Runnable task) {
-			Runnable once = () -> {
-				if (!this.cancelled.remove(task)) {
+			AtomicBoolean cancelled = new AtomicBoolean();
+			Runnable cancel = OrderFleet.this.timer.schedule(delayMs, () -> run(() -> {
+				if (!cancelled.get()) {
 					task.run();
 				}
-			};
-			Runnable cancel = OrderFleet.this.timer.schedule(delayMs, () -> run(once));
+			}));
 			return () -> {
+				cancelled.set(true);
 				cancel.run();
-				if (this.waiting.contains(once)) {
-					this.cancelled.add(task);
-				}
 			};
 		}
 
