An order is not sent after the time limit of its call

What callers saw: nothing; found by asking what a holder can do that is stopped by a signal between its check and its send.

Cause: the check of the leadership and the call are one step of the event loop, the sending is a later one if a connection has to be opened first. A process that is stopped in between goes on with the connection, which the loop handles before the timeout that is due as well: it sent an order of a term that may have ended long ago. Workers refuse it only if they have seen a newer token.

Change: once there is a connection, nothing is sent if the time limit has passed since the call began, on a clock that includes suspensions of the machine.

Measured: HttpStagePortTests.sendsNoOrderAfterItsTimeLimit, failing before (the worker had the order), passes; the other tests of the port pass.

--- a/src/main/java/io/shallotspur/platform/HttpStagePort.java
+++ b/src/main/java/io/shallotspur/platform/HttpStagePort.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.time.Duration;
 import java.util.Optional;
+import java.util.function.LongSupplier;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
@@ -29,8 +30,8 @@
  * <p>
  * Invariant: an order reaches its worker from the machine of this VM or not at all. For
  * the worker, an order that comes through another VM is one of another holder with the
- * same fencing token. It is not delivered after its call has ended without a response.
- * Reports have no sender and may come through another VM.
+ * same fencing token. It is not sent after its time limit, nor delivered after its call
+ * has ended without a response. Reports have no sender and may come through another VM.
  */
 final class HttpStagePort implements StagePort {
 
@@ -56,14 +57,19 @@
 
 	private final Scheduler timeouts;
 
+	private final LongSupplier elapsed;
+
 	/**
 	 * Creates a port.
 	 * @param workers the client
 	 * @param timeouts runs the timeouts of the calls
+	 * @param elapsed supplies a monotonic time that includes suspensions of the machine,
+	 * in milliseconds
 	 */
-	HttpStagePort(WorkerClient workers, Scheduler timeouts) {
+	HttpStagePort(WorkerClient workers, Scheduler timeouts, LongSupplier elapsed) {
 		this.workers = workers;
 		this.timeouts = timeouts;
+		this.elapsed = elapsed;
 	}
 
 	@Override
@@ -100,16 +106,24 @@
 			.put("holder", o.holder())
 			.put("fencing_token", o.fencingToken())
 			.put("expected", o.expectedOrderCount());
+		long startedAt = this.elapsed.getAsLong();
 		HttpClient client = this.workers.expectingDirectly(o.worker())
 			.doOnRequest((r, c) -> onSending(o, c.channel()))
 			.doOnResponse((r, c) -> onResponse(c.channel()));
-		return WorkerClient.post(client, o.worker(), PlatformNames.ORDER_PATH, n)
+		return WorkerClient.post(client, o.worker(), PlatformNames.ORDER_PATH, n, Mono.defer(() -> inTime(startedAt)))
 			.response((r, content) -> ControlBody.read(content).map((b) -> result(r.status().code())))
 			.single()
 			.timeout(Duration.ofMillis(TIMEOUT_MS), this.timeouts)
 			.onErrorMap((ex) -> workerLost(o.worker(), ex));
 	}
 
+	// A process that was stopped while it connected goes on before its timeout is
+	// handled; another VM may lead by then.
+	private Mono<Void> inTime(long startedAt) {
+		long ms = this.elapsed.getAsLong() - startedAt;
+		return (ms < TIMEOUT_MS) ? Mono.empty() : Mono.error(new IOException("not sent, " + ms + " ms late"));
+	}
+
 	// An order that the network holds up must not outlive the call, nor the process: it
 	// could arrive when another VM has long given orders.
 	private static void onSending(StageOrder o, Channel connection) {
--- a/src/main/java/io/shallotspur/platform/PlatformVm.java
+++ b/src/main/java/io/shallotspur/platform/PlatformVm.java
@@ -138,8 +138,8 @@
 				s.orders().handoverMs(), this.clock);
 		this.watcher.setLeadership(leadership);
 		this.stages = new StageRebalancer(s.gateway().vmName(), this.gateway, leadership,
-				new HttpStagePort(workers.workerClient(), this.loop.scheduler()), this.loop, this.clock,
-				s.changeDeadlines().propagationMs());
+				new HttpStagePort(workers.workerClient(), this.loop.scheduler(), this.gateway::elapsedMs), this.loop,
+				this.clock, s.changeDeadlines().propagationMs());
 		this.engineStats = new SharedEngineStats(registry, this.gateway, this.loop,
 				() -> ThreadLocalRandom.current().nextDouble());
 		this.watcher.setSharedStats(this.engineStats);
--- a/src/main/java/io/shallotspur/platform/WorkerClient.java
+++ b/src/main/java/io/shallotspur/platform/WorkerClient.java
@@ -83,11 +83,26 @@
 	 * @return the call, sent when its response is subscribed to
 	 */
 	static HttpClient.ResponseReceiver<?> post(HttpClient client, WorkerInfo worker, String path, JsonNode body) {
+		return post(client, worker, path, body, Mono.empty());
+	}
+
+	/**
+	 * Prepares a call with a JSON body that may be given up until it is sent.
+	 * @param client as above
+	 * @param worker as above
+	 * @param path as above
+	 * @param body as above
+	 * @param permission subscribed to once there is a connection; nothing is sent if it
+	 * signals an error
+	 * @return as above
+	 */
+	static HttpClient.ResponseReceiver<?> post(HttpClient client, WorkerInfo worker, String path, JsonNode body,
+			Mono<Void> permission) {
 		byte[] bytes = body.toString().getBytes(StandardCharsets.UTF_8);
 		return client.headers((h) -> {
 			h.set(HttpHeaderNames.CONTENT_TYPE, "application/json");
 			h.set(HttpHeaderNames.CONTENT_LENGTH, bytes.length);
-		}).post().uri(uri(worker, path)).send(Mono.just(Unpooled.wrappedBuffer(bytes)));
+		}).post().uri(uri(worker, path)).send(permission.then(Mono.fromSupplier(() -> Unpooled.wrappedBuffer(bytes))));
 	}
 
 	/**
--- a/src/test/java/io/shallotspur/platform/ConnectionIdleLimitTests.java
+++ b/src/test/java/io/shallotspur/platform/ConnectionIdleLimitTests.java
@@ -61,7 +61,9 @@
 			.doOnConnected((c) -> connection.complete(c.channel()));
 		WorkerClient client = new WorkerClient(http, HttpClient.newConnection(),
 				new UnknownResponseFields(new MetricRegistry()));
-		new HttpStagePort(client, VirtualTimeScheduler.create()).report(worker.info(WorkerStage.DECODE)).block();
+		new HttpStagePort(client, VirtualTimeScheduler.create(), PlatformVm::nowMs)
+			.report(worker.info(WorkerStage.DECODE))
+			.block();
 		Assertions.assertThat(ConnectionIdleLimit.ms(connection.join())).isEqualTo(3_500);
 		loop.close();
 		worker.stop();
--- a/src/test/java/io/shallotspur/platform/EndlessResponseTests.java
+++ b/src/test/java/io/shallotspur/platform/EndlessResponseTests.java
@@ -55,7 +55,8 @@
 
 	private final HttpWorkerPort port = new HttpWorkerPort(this.loop, new UnknownResponseFields(new MetricRegistry()));
 
-	private final HttpStagePort stages = new HttpStagePort(this.port.workerClient(), this.loop.scheduler());
+	private final HttpStagePort stages = new HttpStagePort(this.port.workerClient(), this.loop.scheduler(),
+			PlatformVm::nowMs);
 
 	@AfterEach
 	void stop() {
--- a/src/test/java/io/shallotspur/platform/HttpStagePortTests.java
+++ b/src/test/java/io/shallotspur/platform/HttpStagePortTests.java
@@ -46,7 +46,12 @@
 	private final WorkerClient client = new HttpWorkerPort(this.loop, new UnknownResponseFields(new MetricRegistry()))
 		.workerClient();
 
-	private final HttpStagePort port = new HttpStagePort(this.client, this.timeouts);
+	private final HttpStagePort port = new HttpStagePort(this.client, this.timeouts, () -> this.nowMs += this.stepMs);
+
+	private long nowMs;
+
+	// By how much the time advances with each reading of the clock.
+	private long stepMs;
 
 	@AfterEach
 	void stop() {
@@ -139,6 +144,18 @@
 		}
 	}
 
+	// Guards against an order of a process that is stopped while it connects, and sends
+	// the order when it continues.
+	@Test
+	void sendsNoOrderAfterItsTimeLimit() {
+		this.stepMs = 501;
+		Assertions
+			.assertThatThrownBy(
+					() -> this.port.order(new StageOrder(info(), WorkerStage.PREFILL, "vm-1", 40, 4)).block())
+			.hasCauseInstanceOf(EngineLostException.class);
+		Assertions.assertThat(this.worker.orders).isEmpty();
+	}
+
 	private static int closedPort() {
 		try (ServerSocket s = new ServerSocket(0)) {
 			return s.getLocalPort();
