A leader without paths resigns although workers still carry out its orders

What callers saw: stages that do not follow the load; found by asking for how long they stay as they are while the leader reaches no worker.

Cause: a leader resigned only when none of its changes was in progress. A worker that carries out an accepted order ends its running requests first, so that took up to 40 s; and a change whose worker had asked for a pause looked at its path only after the pause, however long that was.

Change: a leader resigns while its workers carry out accepted orders; it watches them to the end, which needs no leadership. During a pause the path is looked at as often as else. The next leader asks a worker before it withdraws an announcement, and leaves one that carries out an order.

Tests, failing before: OrderModelTests.anotherVmTakesOverFromALeader- WithoutPaths (three), StageRebalancerTests.resignsThoughAWorkerStillCarries- OutItsOrder, givesAChangeUpDuringAPauseOnceThePathIsLost, withdrawsNo- AnnouncementOfAWorkerThatIsChanging.

--- a/src/main/java/io/shallotspur/gateway/WorkerDirectory.java
+++ b/src/main/java/io/shallotspur/gateway/WorkerDirectory.java
@@ -195,13 +195,15 @@
 
 	/**
 	 * Returns the workers that do not have the stage yet which was announced for them.
-	 * @return their ids
+	 * @return their entries
 	 */
-	public Set<String> changingStage() {
+	public List<WorkerInfo> changingStage() {
 		return this.announcedStages.keySet()
 			.stream()
-			.filter((id) -> this.byId.containsKey(id) && isChangingStage(this.byId.get(id).info()))
-			.collect(Collectors.toSet());
+			.flatMap((id) -> find(id).stream())
+			.map(WorkerState::info)
+			.filter(this::isChangingStage)
+			.toList();
 	}
 
 	/**
--- a/src/main/java/io/shallotspur/stage/OrphanedAnnouncements.java
+++ b/src/main/java/io/shallotspur/stage/OrphanedAnnouncements.java
@@ -4,11 +4,14 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.Collectors;
+
+import io.shallotspur.gateway.WorkerInfo;
 
 /**
- * Finds announcements of stage changes that nobody carries out. VMs leave an announced
- * worker alone, so one that remains after a lost withdrawal, or after its leader has
- * resigned, would keep its worker from serving for as long as that leader lives. Not
+ * Finds announcements of stage changes that may belong to no change in progress. VMs send
+ * no requests to an announced worker, so an announcement that remains after a lost
+ * withdrawal excludes its worker for as long as the VM lives that wrote it. Not
  * thread-safe.
  */
 final class OrphanedAnnouncements {
@@ -23,21 +26,19 @@
 	/**
 	 * Updates the announcements.
 	 * @param announced the workers with an announced stage that they do not have yet
-	 * @param changing the workers whose change is in progress
+	 * @param changing the workers whose change this VM carries out
 	 * @param now the current time in milliseconds
-	 * @return the workers whose announcements should be withdrawn
+	 * @return those to be checked now; returned again later if they stay announced
 	 */
-	List<String> update(Set<String> announced, Set<String> changing, long now) {
-		this.orphanedSince.keySet().removeIf((id) -> !announced.contains(id) || changing.contains(id));
-		announced.stream()
-			.filter((id) -> !changing.contains(id))
-			.forEach((id) -> this.orphanedSince.putIfAbsent(id, now));
-		List<String> expired = announced.stream()
-			.filter((id) -> now - this.orphanedSince.getOrDefault(id, now) >= GRACE_MS)
+	List<WorkerInfo> update(List<WorkerInfo> announced, Set<String> changing, long now) {
+		List<WorkerInfo> candidates = announced.stream().filter((w) -> !changing.contains(w.id())).toList();
+		this.orphanedSince.keySet().retainAll(candidates.stream().map(WorkerInfo::id).collect(Collectors.toSet()));
+		candidates.forEach((w) -> this.orphanedSince.putIfAbsent(w.id(), now));
+		List<WorkerInfo> due = candidates.stream()
+			.filter((w) -> now - this.orphanedSince.get(w.id()) >= GRACE_MS)
 			.toList();
-		// Those of which the withdrawal fails are returned again later.
-		expired.forEach((id) -> this.orphanedSince.put(id, now));
-		return expired;
+		due.forEach((w) -> this.orphanedSince.put(w.id(), now));
+		return due;
 	}
 
 }
--- a/src/main/java/io/shallotspur/stage/StageChangeTask.java
+++ b/src/main/java/io/shallotspur/stage/StageChangeTask.java
@@ -79,6 +79,8 @@
 
 	private long pathLostAt = NEVER;
 
+	private boolean accepted;
+
 	StageChangeTask(Leadership leadership, StagePort port, GatewayTimer timer, LongSupplier clock, String vmName,
 			WorkerInfo worker, WorkerStage targetStage, long propagationMs, WorkerAccess access,
 			Consumer<Boolean> onEnd) {
@@ -104,6 +106,15 @@
 		return this.targetStage;
 	}
 
+	/**
+	 * Returns whether the worker has accepted an order and carries it out. What is left
+	 * is to watch it, which needs no leadership.
+	 * @return whether it has
+	 */
+	boolean isAccepted() {
+		return this.accepted;
+	}
+
 	void start(long now) {
 		this.changeStartedAt = now;
 		this.leadership.announceStageChange(this.worker.id(), this.targetStage, this.term)
@@ -124,9 +135,13 @@
 			fail("timed out");
 			return;
 		}
+		if (isPathWaitOver()) {
+			fail("no direct path");
+			return;
+		}
 		long pauseMs = this.access.pauseRemainingMs(this.worker);
 		if (pauseMs > 0) {
-			this.timer.schedule(pauseMs, this::pollReport);
+			this.timer.schedule(Math.min(pauseMs, POLL_MS), this::pollReport);
 			return;
 		}
 		this.port.report(this.worker).subscribe((r) -> {
@@ -157,6 +172,7 @@
 	}
 
 	private void onReport(StageReport r) {
+		this.accepted = r.orderInProgress();
 		if (hasRestarted(r)) {
 			fail("worker restarted");
 		}
@@ -170,27 +186,25 @@
 			fail("orders had no effect");
 		}
 		else if (!this.access.isDirect(this.worker)) {
-			awaitDirectPath();
+			Logger.info("[stage] order waits for the direct path worker={}", this.worker.id());
+			schedulePoll();
 		}
 		else {
-			this.pathLostAt = NEVER;
 			confirmLeadership(r.acceptedOrders());
 		}
 	}
 
 	// An order that has had no answer may still be carried out, so the announcement stays
 	// for a while; without one, another worker may be changed instead.
-	private void awaitDirectPath() {
+	private boolean isPathWaitOver() {
 		long now = this.clock.getAsLong();
+		if (this.accepted || this.access.isDirect(this.worker)) {
+			this.pathLostAt = NEVER;
+			return false;
+		}
 		this.access.checkSuspected(this.worker);
 		this.pathLostAt = (this.pathLostAt == NEVER) ? now : this.pathLostAt;
-		if (this.orderCount == 0 || now - this.pathLostAt >= MAX_PATH_WAIT_MS) {
-			fail("no direct path");
-		}
-		else {
-			Logger.info("[stage] order waits for the direct path worker={}", this.worker.id());
-			schedulePoll();
-		}
+		return this.orderCount == 0 || now - this.pathLostAt >= MAX_PATH_WAIT_MS;
 	}
 
 	private void confirmLeadership(long acceptedOrders) {
@@ -230,6 +244,7 @@
 
 	private void onOrderResult(OrderResult r) {
 		Logger.info("[stage] order answered worker={} result={}", this.worker.id(), r);
+		this.accepted = r == OrderResult.ACCEPTED;
 		switch (r) {
 			case ACCEPTED, CONFLICT -> schedulePoll();
 			case FENCED, REPLACED, REFUSED -> fail("order rejected: " + r);
--- a/src/main/java/io/shallotspur/stage/StageRebalancer.java
+++ b/src/main/java/io/shallotspur/stage/StageRebalancer.java
@@ -140,25 +140,30 @@
 		this.leadership.claimIfVacant(() -> reachesAnyWorker(l, now), now);
 		l.forEach((u) -> checkUpstream(u.name(), u.engine(), now));
 		withdrawOrphans(now);
-		if (this.activeChanges.isEmpty() && l.stream().anyMatch((u) -> isBlocked(u.name(), now))) {
+		boolean nothingToOrder = this.activeChanges.values().stream().allMatch(StageChangeTask::isAccepted);
+		if (nothingToOrder && l.stream().anyMatch((u) -> isBlocked(u.name(), now))) {
 			Logger.info("[stage] no direct path to workers that should change");
 			this.leadership.resign(now);
 		}
 	}
 
 	private void withdrawOrphans(long now) {
-		List<String> orphans = this.orphans.update(this.gateway.roster().changingStage(), this.activeChanges.keySet(),
-				now);
-		if (!this.leadership.mayAct(now)) {
-			return;
-		}
-		for (String id : orphans) {
-			Logger.info("[stage] announcement without a change worker={}", id);
-			this.leadership.withdrawStageChange(id, this.leadership.term()).subscribe((withdrawn) -> {
-			}, (ex) -> Logger.info("[stage] withdrawal failed worker={} seen=\"{}\"", id, ex.toString()));
+		List<WorkerInfo> orphans = this.orphans.update(this.gateway.roster().changingStage(),
+				this.activeChanges.keySet(), now);
+		if (this.leadership.mayAct(now)) {
+			orphans.stream().filter((w) -> this.access.pauseRemainingMs(w) == 0).forEach(this::withdrawUnlessChanging);
 		}
 	}
 
+	// A leader that has resigned may have left a worker that carries out its order.
+	private void withdrawUnlessChanging(WorkerInfo w) {
+		this.port.report(w).filter((r) -> !r.orderInProgress()).flatMap((r) -> {
+			Logger.info("[stage] announcement without a change worker={}", w.id());
+			return this.leadership.withdrawStageChange(w.id(), this.leadership.term());
+		}).subscribe((withdrawn) -> {
+		}, (ex) -> Logger.info("[stage] withdrawal failed worker={} seen=\"{}\"", w.id(), ex.toString()));
+	}
+
 	// A VM that knows of no worker may learn of some before it acts.
 	private boolean reachesAnyWorker(List<UpstreamSpec> l, long now) {
 		List<WorkerInfo> workers = l.stream()
--- a/src/test/java/io/shallotspur/stage/OrderFleet.java
+++ b/src/test/java/io/shallotspur/stage/OrderFleet.java
@@ -66,8 +66,6 @@
 
 	private static final long LEAVE_MS = 3_500;
 
-	private static final long SWITCH_MS = 2_000;
-
 	private static final long ENTRY_LAG_MS = 1_000;
 
 	final ManualTimer timer = new ManualTimer();
@@ -80,6 +78,9 @@
 
 	final List<String> violations = new ArrayList<>();
 
+	// How long a worker takes to change its stage, in milliseconds.
+	long switchMs = 2_000;
+
 	private boolean losesNextOrder;
 
 	private boolean stopsOnceConfirmed;
@@ -162,6 +163,19 @@
 			.flatMap((l) -> this.vms.stream().filter((v) -> v.entry.key().equals(l.vm())).findAny());
 	}
 
+	/**
+	 * Returns the number of orders that did not come from a VM.
+	 * @param vm the VM
+	 * @return the number
+	 */
+	long ordersOfOthers(Vm vm) {
+		return this.workers.values()
+			.stream()
+			.flatMap((w) -> w.orders.stream())
+			.filter((o) -> !o.machine().equals(vm.entry.key()))
+			.count();
+	}
+
 	int orders() {
 		return this.workers.values().stream().mapToInt((w) -> w.orders.size()).sum();
 	}
@@ -271,7 +285,7 @@
 			if (o.stage() != this.stage) {
 				this.acceptedOrders++;
 				this.busy = true;
-				OrderFleet.this.timer.schedule(SWITCH_MS, () -> changeTo(o.stage()));
+				OrderFleet.this.timer.schedule(OrderFleet.this.switchMs, () -> changeTo(o.stage()));
 			}
 			return OrderResult.ACCEPTED;
 		}
@@ -292,6 +306,9 @@
 		/** Connections are refused. */
 		REFUSED,
 
+		/** Nothing arrives either way, and connections are not refused. */
+		HANGS,
+
 		/** What the VM sends arrives, and nothing comes back. */
 		NO_ANSWERS
 
@@ -483,8 +500,9 @@
 			return Mono.create((sink) -> {
 				later(ORDER_TIMEOUT_MS, () -> fail(sink, o.worker()));
 				OrderFleet.this.timer.schedule(HOP_MS, () -> {
-					if (this.cuts.get(o.worker().id()) == Cut.REFUSED) {
-						run(() -> fail(sink, o.worker()));
+					Cut cut = this.cuts.get(o.worker().id());
+					if (cut == Cut.REFUSED || cut == Cut.HANGS) {
+						later((cut == Cut.REFUSED) ? 0 : ORDER_TIMEOUT_MS, () -> fail(sink, o.worker()));
 						return;
 					}
 					OrderResult r = OrderFleet.this.workers.get(o.worker().id()).receive(this.entry.key(), o);
--- a/src/test/java/io/shallotspur/stage/OrderModelTests.java
+++ b/src/test/java/io/shallotspur/stage/OrderModelTests.java
@@ -6,6 +6,8 @@
 import org.assertj.core.api.Assertions;
 import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 
 import io.shallotspur.gateway.WorkerStage;
 
@@ -32,6 +34,11 @@
 	// if nothing has healed.
 	private static final long SETTLE_MS = 60_000;
 
+	// The delay between opposite changes (10 s), the wait for a path (8 s), and the time
+	// to
+	// notice, to claim, to hand over and to announce (12 s).
+	private static final long MAX_TAKEOVER_MS = 30_000;
+
 	private int sequences;
 
 	private int orders;
@@ -58,6 +65,42 @@
 		play(List.of(Step.CUT_STORE, Step.HEAL, Step.STOP_ONCE_CONFIRMED, Step.HEAL));
 	}
 
+	// Guards against stages that stay as they are for as long as their leader is cut off
+	// from the workers.
+	@ParameterizedTest
+	@EnumSource
+	void anotherVmTakesOverFromALeaderWithoutPaths(OrderFleet.Cut how) {
+		long longestMs = 0;
+		for (long switchMs : List.of(2_000L, 20_000L)) {
+			for (long cutAfterMs = 0; cutAfterMs < 8_000; cutAfterMs += 400) {
+				longestMs = Math.max(longestMs, takeoverMs(how, switchMs, cutAfterMs, false));
+				longestMs = Math.max(longestMs, takeoverMs(how, switchMs, cutAfterMs, true));
+			}
+		}
+		Assertions.assertThat(longestMs).isLessThanOrEqualTo(MAX_TAKEOVER_MS);
+	}
+
+	// From the cut to the first order of another VM, in milliseconds.
+	private static long takeoverMs(OrderFleet.Cut how, long switchMs, long cutAfterMs, boolean losesOrder) {
+		OrderFleet f = new OrderFleet(VMS);
+		f.switchMs = switchMs;
+		awaitAnnouncement(f);
+		if (losesOrder) {
+			f.loseNextOrder();
+		}
+		f.timer.advance(cutAfterMs);
+		OrderFleet.Vm leader = f.leader().orElseThrow();
+		leader.cutAll(how);
+		if (f.orders() > 0) {
+			f.flipLoad();
+		}
+		long cutAt = f.timer.now();
+		while (f.ordersOfOthers(leader) == 0 && f.timer.now() - cutAt < SETTLE_MS) {
+			f.timer.advance(100);
+		}
+		return f.timer.now() - cutAt;
+	}
+
 	// The model proves nothing unless its workers notice orders of two machines in one
 	// term, or in turn.
 	@Test
--- a/src/test/java/io/shallotspur/stage/StageRebalancerTests.java
+++ b/src/test/java/io/shallotspur/stage/StageRebalancerTests.java
@@ -382,6 +382,46 @@
 		Assertions.assertThat(this.registry.announcedStages).doesNotContainKey("p-b");
 	}
 
+	// Guards against prompts that are sent to a worker which carries out the order of a
+	// leader that has resigned.
+	@Test
+	void withdrawsNoAnnouncementOfAWorkerThatIsChanging() {
+		this.registry.announcedStages.put("p-b", WorkerStage.DECODE);
+		this.registry.pendingWatch.tryEmitValue(new RegistryUpdate(new StorePosition(0, 60),
+				List.of(new RegistryChange.StageChangeAnnounced("p-b", WorkerStage.DECODE))));
+		this.port.reports.put("p-b", new StageReport(WorkerStage.PREFILL, true, 1, 0));
+		this.timer.advance(40_000);
+		Assertions.assertThat(this.registry.announcedStages).containsKey("p-b");
+	}
+
+	// Guards against a leader that keeps the leadership, while it reaches no worker, for
+	// as
+	// long as a worker takes to carry out an earlier order.
+	@Test
+	void resignsThoughAWorkerStillCarriesOutItsOrder() {
+		registerOtherVm();
+		advanceUntil(() -> !this.port.orders.isEmpty());
+		this.network.cut.addAll(Set.of("p-a", "p-b", "p-c", "d-a", "d-b", "d-c"));
+		this.gateway.callUnanswered(worker("p-a", "a", WorkerStage.PREFILL));
+		long cutAt = this.timer.now();
+		advanceUntil(() -> this.registry.leader == null);
+		Assertions.assertThat(this.timer.now() - cutAt).isBetween(5_000L, 8_000L);
+		Assertions.assertThat(this.registry.announcedStages).isNotEmpty();
+	}
+
+	// Guards against a worker that stays announced, and so without requests, while it has
+	// asked for a long pause and the path to it is lost.
+	@Test
+	void givesAChangeUpDuringAPauseOnceThePathIsLost() {
+		registerOtherVm();
+		advanceUntil(() -> !this.registry.announcedStages.isEmpty());
+		askForPause("p-a", 30_000);
+		this.network.cut.add("p-a");
+		this.gateway.callUnanswered(worker("p-a", "a", WorkerStage.PREFILL));
+		this.timer.advance(4_000);
+		Assertions.assertThat(this.registry.announcedStages).doesNotContainKey("p-a");
+	}
+
 	// Guards against a leader without callers that never learns that it has lost its
 	// paths, and orders into the void.
 	@Test
